Skeleton: shared types, wire calls, event catalogue, metrics, checks

Change: contract (classes, typed refusals), note state, platform KV and Log interfaces with three kinds of error, engine interface, wire (yamux, protobuf, mutual proof of the shared key), numbered events, text metrics, scripts/test.

--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,71 @@
+package event
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+)
+
+// Event is one kind of log record. Number never changes and is never reused.
+type Event struct {
+	Number  int
+	Name    string
+	Level   slog.Level
+	Meaning string // what happened
+	Action  string // what an operator should do, empty for nothing
+}
+
+// The number ranges of the components; each has a file of its own here.
+const (
+	rangeServe    = 1000 // serve, entryd
+	rangePlatform = 2000 // platform, note
+	rangeLedger   = 3000 // ledger
+	rangeRoute    = 4000 // route, team, retry, suspect
+	rangeBlock    = 5000 // block, link
+	rangeInstance = 6000 // instance, datacentre, endpoint
+	rangeProcess  = 9000 // settings, start and stop of processes
+)
+
+var catalogue = map[int]Event{}
+
+// define adds an event to the catalogue; a number used twice is a programming
+// error and stops the process at start.
+func define(number int, name string, level slog.Level, meaning, action string) Event {
+	e := Event{Number: number, Name: name, Level: level, Meaning: meaning, Action: action}
+	if old, ok := catalogue[number]; ok {
+		panic(fmt.Sprintf("event %d is both %s and %s", number, old.Name, name))
+	}
+	catalogue[number] = e
+	return e
+}
+
+// Log writes a record of e to l.
+func (e Event) Log(l *slog.Logger, attrs ...slog.Attr) {
+	all := append([]slog.Attr{slog.Int("event", e.Number)}, attrs...)
+	l.LogAttrs(context.Background(), e.Level, e.Name, all...)
+}
+
+// All returns the catalogue in order of number.
+func All() []Event {
+	all := make([]Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
+	return all
+}
+
+// WriteMarkdown renders the catalogue as the page docs/EVENTS.md.
+func WriteMarkdown(w io.Writer) {
+	fmt.Fprint(w, "# Log events\n\nRendered by `go test ./event -update`. Numbers are never reused.\n\n")
+	fmt.Fprint(w, "| number | name | level | meaning | action |\n|---|---|---|---|---|\n")
+	for _, e := range All() {
+		action := e.Action
+		if action == "" {
+			action = "none"
+		}
+		fmt.Fprintf(w, "| %d | `%s` | %s | %s | %s |\n", e.Number, e.Name, e.Level, e.Meaning, action)
+	}
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,123 @@
+package metric
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"redwingknot/contract"
+)
+
+const namePrefix = "redwingknot_"
+
+// contentType is that of the text exposition format.
+const contentType = "text/plain; version=0.0.4"
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Counter returns the counter of that name from the process's registry; label
+// pairs (key, value, …) are part of its identity.
+func Counter(name string, labels ...string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(seriesName(name, labels), metrics.DefaultRegistry)
+}
+
+// Gauge returns the gauge of that name and labels.
+func Gauge(name string, labels ...string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(seriesName(name, labels), metrics.DefaultRegistry)
+}
+
+// Histogram returns the histogram of that name and labels; a name says its unit.
+func Histogram(name string, labels ...string) metrics.Histogram {
+	return metrics.GetOrRegister(seriesName(name, labels), newHistogram).(metrics.Histogram)
+}
+
+// Refused counts a refusal by its reason.
+func Refused(r contract.Reason) {
+	Counter("refusals_total", "reason", string(r)).Inc(1)
+}
+
+// Retried counts a retry by its reason.
+func Retried(reason string) {
+	Counter("retries_total", "reason", reason).Inc(1)
+}
+
+func newHistogram() metrics.Histogram {
+	const reservoirSize, alpha = 1028, 0.015
+	return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, alpha))
+}
+
+func seriesName(name string, labels []string) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	b.WriteByte('{')
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+// Handler serves the process's registry.
+func Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		Write(w)
+	})
+}
+
+// Write writes all series in the text format, sorted by name.
+func Write(w io.Writer) {
+	var lines []string
+	metrics.DefaultRegistry.Each(func(name string, m any) {
+		lines = append(lines, render(namePrefix+name, m)...)
+	})
+	sort.Strings(lines)
+	for _, l := range lines {
+		fmt.Fprintln(w, l)
+	}
+}
+
+func render(series string, m any) []string {
+	switch v := m.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d", series, v.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", series, v.Value())}
+	case metrics.Histogram:
+		return renderHistogram(series, v.Snapshot())
+	}
+	return nil
+}
+
+func renderHistogram(series string, h metrics.Histogram) []string {
+	lines := []string{fmt.Sprintf("%s %d", withSuffix(series, "_count"), h.Count())}
+	for _, q := range quantiles {
+		lines = append(lines, fmt.Sprintf("%s %g", withLabel(series, "quantile", fmt.Sprint(q)), h.Percentile(q)))
+	}
+	return lines
+}
+
+func withSuffix(series, suffix string) string {
+	if i := strings.IndexByte(series, '{'); i >= 0 {
+		return series[:i] + suffix + series[i:]
+	}
+	return series + suffix
+}
+
+func withLabel(series, key, value string) string {
+	label := fmt.Sprintf("%s=%q", key, value)
+	if strings.HasSuffix(series, "}") {
+		return strings.TrimSuffix(series, "}") + "," + label + "}"
+	}
+	return series + "{" + label + "}"
+}
