--- a/engine/errors.go
+++ b/engine/errors.go
@@ -6,7 +6,9 @@
 type FencedError struct{ Fence int64 }
 
 // Error implements error.
-func (e *FencedError) Error() string { return fmt.Sprintf("order with fencing number %d is too old", e.Fence) }
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("order with fencing number %d is too old", e.Fence)
+}
 
 // StatusError reports an unexpected HTTP status of an engine.
 type StatusError struct {
