Add the ledger of calls that are not idempotent

A call that is not idempotent must run at most once whatever dies. The first claim of its idempotency key in a shard's log allows the dispatch; the fold of the log decides, so neither clocks nor leases nor the shard's owner are trusted.

Ruled out: resolving an unknown write by AppendAt at a known index. Writing the same operations again needs less of the log, because a claim carries an identity of its own: a second copy changes nothing, and a released claim is void even if it lands after its release.

The age of a key is taken from its UUID of version 7 and is judged by the shard's clock, the latest time stamped on an entry, not by any instance's clock.

--- /dev/null
+++ b/ledger/config.go
@@ -0,0 +1,109 @@
+package ledger
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"redwingknot/ledger/ledgerpb"
+	"redwingknot/platform"
+)
+
+// The defaults of a Config.
+const (
+	DefaultShards        = 16
+	DefaultWindow        = time.Hour
+	DefaultInterval      = 100 * time.Millisecond
+	DefaultMaxSkew       = 5 * time.Second
+	DefaultClaimTimeout  = 2 * time.Second
+	DefaultOwnerTimeout  = 700 * time.Millisecond
+	DefaultWriteTimeout  = 2 * time.Second
+	DefaultMaxQueue      = 4096
+	DefaultMaxEntryBytes = 256 << 10
+	DefaultMaxBodyBytes  = 16 << 10
+	DefaultRetryAfter    = time.Second
+)
+
+// Remote carries an operation to the owner of its shard. Its errors are those
+// of a submission: a *NotWrittenError, or another for an unresolved one.
+type Remote interface {
+	Submit(ctx context.Context, owner string, shard int, op *ledgerpb.Op) (*ledgerpb.SubmitResponse, error)
+}
+
+// Config configures a Ledger. Open, Instance and Alive are required.
+type Config struct {
+	// Shards is the number of logs; it must be the same in all instances and
+	// can't be changed while keys are within the window.
+	Shards int
+	// Open returns the log of a shard, folded into f.
+	Open func(shard int, f platform.Folder) platform.Log
+	// Instance is this process's name and unique for each start.
+	Instance string
+	// Alive reports whether the instance of that name may still be running; a
+	// wrong answer changes what a resend is told but never leads to a second run.
+	Alive func(instance string) bool
+	// Owner returns the instance that batches a shard's operations and whether
+	// it is this one. Without it every instance writes for itself.
+	Owner func(shard int) (owner string, self bool)
+	// Remote reaches the owners; nil writes directly.
+	Remote Remote
+	// Now is the clock.
+	Now func() time.Time
+	// Rand returns numbers in [0,1) that spread the times at which callers come
+	// back; it is called from many goroutines.
+	Rand func() float64
+	// Window is how long a key can be used and its answer is kept.
+	Window time.Duration
+	// Interval is the least time between two writes to a shard by one instance.
+	// The owners write at most Shards/Interval together.
+	Interval time.Duration
+	// MaxSkew is how far in the future a key's time may lie.
+	MaxSkew time.Duration
+	// AcceptOpaque admits keys that carry no time. Their window starts at their
+	// first claim, and a resend after it is taken for a new call.
+	AcceptOpaque  bool
+	ClaimTimeout  time.Duration // a claim is refused after
+	OwnerTimeout  time.Duration // an owner is given up on after
+	WriteTimeout  time.Duration // a write's outcome is taken for unknown after
+	RetryAfter    time.Duration // mean time after which a refused caller comes back
+	MaxQueue      int           // operations that wait for a shard
+	MaxEntryBytes int           // size of a log entry
+	MaxBodyBytes  int           // largest answer kept whole
+	Logger        *slog.Logger
+}
+
+// withDefaults returns the configuration with the unset fields filled in.
+func (c Config) withDefaults() *Config {
+	setDefault(&c.Shards, DefaultShards)
+	setDefault(&c.Window, DefaultWindow)
+	setDefault(&c.Interval, DefaultInterval)
+	setDefault(&c.MaxSkew, DefaultMaxSkew)
+	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	setDefault(&c.OwnerTimeout, DefaultOwnerTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.RetryAfter, DefaultRetryAfter)
+	setDefault(&c.MaxQueue, DefaultMaxQueue)
+	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
+	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Rand == nil {
+		c.Rand = rand.Float64
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.Owner == nil || c.Remote == nil {
+		c.Owner = func(int) (string, bool) { return "", true }
+	}
+	return &c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,152 @@
+package ledger
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"redwingknot/contract"
+	"redwingknot/platform"
+)
+
+var body = sha256.Sum256([]byte("body"))
+
+// keyAt returns a key minted at t; n tells keys of the same time apart.
+func keyAt(t time.Time, n uint64) Key {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(t.UnixMilli())<<16)
+	id[6] = uuidV7 << 4
+	binary.BigEndian.PutUint64(id[8:], n)
+	id[8] = id[8]&0x3f | 0x80
+	return Key{Team: "ilala", Service: "cheti-app", ID: id.String()}
+}
+
+func never() bool { return false }
+
+func open(t *testing.T, f *fakeService, name string) *Ledger {
+	l := New(Config{
+		Instance: name,
+		Open:     func(n int, folder platform.Folder) platform.Log { return f.open(n, folder, never) },
+		Alive:    func(name string) bool { return name != "dead" },
+	})
+	t.Cleanup(l.Close)
+	return l
+}
+
+func mustGrant(t *testing.T, l *Ledger, k Key) Claim {
+	t.Helper()
+	o, err := l.Claim(t.Context(), k, body)
+	assert.NilError(t, err)
+	g, ok := o.(Granted)
+	assert.Assert(t, ok, "%#v", o)
+	return g.Claim
+}
+
+func TestClaim(t *testing.T) {
+	f := newFakeService()
+	a, b, dead := open(t, f, "a"), open(t, f, "b"), open(t, f, "dead")
+	now := time.Now()
+	claim := func(l *Ledger, k Key) Outcome {
+		o, err := l.Claim(t.Context(), k, body)
+		assert.NilError(t, err)
+		return o
+	}
+
+	k := keyAt(now, 1)
+	c := mustGrant(t, a, k)
+	_, running := claim(b, k).(Running)
+	assert.Assert(t, running)
+	answer := Answer{Status: 201, ContentType: "text/plain", Body: []byte("cheti")}
+	assert.NilError(t, a.Finish(t.Context(), c, answer))
+	assert.DeepEqual(t, claim(b, k), Kept{Answer: answer})
+
+	k = keyAt(now, 2)
+	assert.NilError(t, a.Release(t.Context(), mustGrant(t, a, k)))
+	c = mustGrant(t, b, k)
+	assert.NilError(t, b.Doubt(t.Context(), c))
+	assert.DeepEqual(t, claim(a, k), Unknown{Instance: "b"})
+
+	k = keyAt(now, 3)
+	mustGrant(t, dead, k)
+	assert.DeepEqual(t, claim(a, k), Unknown{Instance: "dead"})
+
+	k = keyAt(now, 4)
+	large := Answer{Status: 200, Body: make([]byte, DefaultMaxBodyBytes+1)}
+	assert.NilError(t, a.Finish(t.Context(), mustGrant(t, a, k), large))
+	digest := sha256.Sum256(large.Body)
+	assert.DeepEqual(t, claim(b, k), KeptDigest{Status: 200, Digest: digest[:]})
+}
+
+func TestKeyRefusals(t *testing.T) {
+	f := newFakeService()
+	a, now := open(t, f, "a"), time.Now()
+	used := keyAt(now, 1)
+	mustGrant(t, a, used)
+	for _, c := range []struct {
+		key    Key
+		body   string
+		reason contract.Reason
+		ran    contract.Ran
+	}{
+		{Key{Team: "ilala"}, "body", contract.ReasonKeyMissing, contract.NotRun},
+		{Key{ID: "order-1"}, "body", contract.ReasonKeyInvalid, contract.NotRun},
+		{Key{ID: uuid.NewString()}, "body", contract.ReasonKeyInvalid, contract.NotRun},
+		{keyAt(now.Add(time.Hour), 1), "body", contract.ReasonKeyInvalid, contract.NotRun},
+		{keyAt(now.Add(-2*DefaultWindow), 1), "body", contract.ReasonKeyTooOld, contract.Unknown},
+		{used, "other", contract.ReasonKeyReused, contract.NotRun},
+	} {
+		_, err := a.Claim(t.Context(), c.key, sha256.Sum256([]byte(c.body)))
+		r := RefusalOf(err)
+		assert.Equal(t, r.Reason, c.reason)
+		assert.Equal(t, r.Ran, c.ran)
+	}
+}
+
+func TestClaimDuringOutage(t *testing.T) {
+	for _, x := range []fault{faultDown, faultLost, faultLater, faultDropped, faultHang} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeService()
+			a := open(t, f, "a")
+			k := keyAt(time.Now(), 1)
+			f.setFault(x)
+			_, err := a.Claim(t.Context(), k, body)
+			var unreached *UnreachedError
+			assert.Assert(t, errors.As(err, &unreached), "%v", err)
+			assert.Equal(t, RefusalOf(err).Ran, contract.NotRun)
+
+			f.setFault(faultNone)
+			assert.NilError(t, a.Drain(t.Context()))
+			time.Sleep(landsAfter)
+			mustGrant(t, open(t, f, "b"), k)
+			a.Close()
+		})
+	}
+}
+
+func TestFinishOutlivesCallerAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeService()
+		a := open(t, f, "a")
+		k := keyAt(time.Now(), 1)
+		c := mustGrant(t, a, k)
+		f.setFault(faultDown)
+		gone, leave := context.WithCancel(t.Context())
+		leave()
+		err := a.Finish(gone, c, Answer{Status: 200})
+		var pending *PendingError
+		assert.Assert(t, errors.As(err, &pending))
+		time.Sleep(time.Hour / 2)
+		f.setFault(faultNone)
+		assert.NilError(t, a.Drain(t.Context()))
+		o, err := open(t, f, "b").Claim(t.Context(), k, body)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, o, Kept{Answer: Answer{Status: 200}})
+	})
+}
