Add team limits over all instances without a shared counter

A team's rate and burst hold for the whole deployment. A floor is split evenly; the rest is lent as short leases by the team's home. The fuzz drives kills, cuts, lost, late and copied messages and stale member lists against a leaky bucket.

Ruled out: pairs of instances that trade shares, since at hundreds of instances a busy one would have to ask many before it meets one with a spare share; and members that lend their even part to the home, since a change of the list would take the moved teams' whole limit away for a lease.

--- /dev/null
+++ b/team/fuzz_test.go
@@ -0,0 +1,131 @@
+package team
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"redwingknot/internal/fuzztest"
+)
+
+const (
+	step     = 50 * time.Millisecond
+	listLag  = 4 * time.Second // the list reaches every member within
+	maxNodes = 6
+)
+
+// limitMachine drives a world with faults and checks the stated bound: in any
+// window of T seconds at most
+//
+//	T * Rate * (1-Floor + Floor*sum(1/N)) + Burst + (members + starts) * max(1, Floor*Burst/N)
+//
+// requests of a team are admitted, where the sum is over the live instances and
+// N is the longest member list that each has seen within Hold.
+type limitMachine struct {
+	w         *world
+	limit     float64
+	burst     float64
+	meter     meter
+	lastList  time.Time
+	listStale bool
+	allowance float64
+}
+
+// run moves the world on. The list is spread before its lag is over.
+func (s *limitMachine) run(t *rapid.T, d time.Duration) {
+	for end := s.w.now.Add(d); s.w.now.Before(end); {
+		before := s.w.floors()
+		s.w.now = s.w.now.Add(step)
+		f := s.w.cfg.Floor
+		s.meter.drain(s.limit*(1-f+f*max(before, s.w.floors())), step)
+		s.w.deliver()
+		if s.w.now.UnixMilli()%1000 == 0 {
+			s.w.tick()
+		}
+		if s.listStale && s.w.now.Sub(s.lastList) >= listLag {
+			s.w.spread()
+			s.listStale = false
+		}
+	}
+	s.check(t)
+}
+
+func (s *limitMachine) changed() {
+	if !s.listStale {
+		s.listStale, s.lastList = true, s.w.now
+	}
+}
+
+func (s *limitMachine) check(t *rapid.T) {
+	if bound := s.burst + s.allowance; s.meter.peak > bound+1e-6 {
+		t.Fatalf("level %.2f above the bound %.2f", s.meter.peak, bound)
+	}
+}
+
+func (s *limitMachine) start() {
+	s.w.start()
+	n := float64(len(s.w.members))
+	s.allowance += max(1, s.w.cfg.Floor*s.burst/n)
+	s.changed()
+}
+
+func (s *limitMachine) load(t *rapid.T, n *node, count int) {
+	for range count {
+		if ok, _ := n.limiter.Allow("ilala", limitOf(s.limit, s.burst)); ok {
+			s.meter.admit()
+		}
+	}
+	s.check(t)
+}
+
+func TestFuzzLimit(t *testing.T) {
+	fuzztest.Check(t, func(t *rapid.T) {
+		s := &limitMachine{
+			w:     newWorld(Config{}, rapid.Uint64().Draw(t, "seed")),
+			limit: rapid.SampledFrom([]float64{5, 50}).Draw(t, "rate"),
+			burst: rapid.SampledFrom([]float64{1, 20, 100}).Draw(t, "burst"),
+		}
+		s.w.loss = func() bool { return s.w.cfg.Rand() < 0.1 }
+		s.w.copied = func() bool { return s.w.cfg.Rand() < 0.1 }
+		s.w.delay = func() time.Duration { return time.Duration(s.w.cfg.Rand() * s.w.cfg.Rand() * float64(2*time.Second)) }
+		for range rapid.IntRange(2, maxNodes).Draw(t, "nodes") {
+			s.start()
+		}
+		s.w.spread()
+		pick := func(t *rapid.T) int { return rapid.IntRange(0, len(s.w.nodes)-1).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"load one": func(t *rapid.T) {
+				n := s.w.nodes[pick(t)]
+				for range rapid.IntRange(1, 8).Draw(t, "seconds") {
+					s.load(t, n, int(s.limit))
+					s.run(t, time.Second)
+				}
+			},
+			"load all": func(t *rapid.T) {
+				for range rapid.IntRange(1, 8).Draw(t, "seconds") {
+					for _, n := range s.w.nodes {
+						s.load(t, n, int(s.limit))
+					}
+					s.run(t, time.Second)
+				}
+			},
+			"rest":   func(t *rapid.T) { s.run(t, time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds"))*time.Second) },
+			"cut":    func(t *rapid.T) { s.w.nodes[pick(t)].cut = true },
+			"rejoin": func(t *rapid.T) { s.w.nodes[pick(t)].cut = false },
+			"start": func(t *rapid.T) {
+				if len(s.w.nodes) < maxNodes {
+					s.start()
+				}
+			},
+			"kill": func(t *rapid.T) {
+				if len(s.w.nodes) > 1 {
+					s.w.kill(pick(t))
+					s.w.removeListed()
+					s.changed()
+				}
+			},
+			"one learns the list": func(t *rapid.T) { s.w.nodes[pick(t)].list(s.w.members, s.w.now) },
+		})
+	})
+}
