Void claims that lost, and try again for a key that was just released

Cause: an attempt whose first write had an unknown outcome is written again. If the second copy lost against another claim that was released at once, the attempt ended as 'too old', and the late first copy then took the freed key for an attempt that no longer existed: every resend was told that the call runs.

Ruled out: a missing release (the log shows the claim, the release of the other one, and the late copy); releasing every attempt that lost, which would cost a write for each resend.

Change: the fold voids a claim that comes second; a free key is claimed again with a new claim, at most three times. Seen failing before: go test ./ledger -run TestFuzzAtMostOnce -rapid.checks=5000 after 1922 tests.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/subtle"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,9 @@
 	endTimeout    = 10 * time.Second
 )
 
+// claimTries is how often one call asks for a key that others hold and release.
+const claimTries = 3
+
 // Ledger grants each idempotency key to at most one call. It is safe for
 // concurrent use.
 type Ledger struct {
@@ -91,40 +93,49 @@
 // stays behind.
 func (l *Ledger) Claim(ctx context.Context, k Key, digest [32]byte) (Outcome, error) {
 	started := l.cfg.Now()
-	op, err := l.claimOp(k, digest)
+	minted, err := l.checkKey(k)
 	if err != nil {
 		return nil, err
 	}
-	claim := Claim{key: keyID(op.Key), id: claimID(op.Claim), shard: keyID(op.Key).shard(l.cfg.Shards), minted: op.MintedMs}
-	if known := l.look(claim); known.Record.GetState() == ledgerpb.State_STATE_FINISHED {
-		return l.outcome(k, op, claim, known)
-	}
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.ClaimTimeout)
 	defer cancel()
-	resp, err := l.submit(ctx, claim.shard, op)
-	metric.Histogram("ledger_claim_ms").Update(l.cfg.Now().Sub(started).Milliseconds())
-	if err != nil {
-		return l.unreached(k, op, claim, err)
+	for range claimTries {
+		a := l.newAttempt(k, minted, digest)
+		if known := l.look(a.claim); known.Record.GetState() == ledgerpb.State_STATE_FINISHED {
+			return l.outcome(a, known)
+		}
+		resp, err := l.submit(ctx, a.claim.shard, a.op)
+		metric.Histogram("ledger_claim_ms").Update(l.cfg.Now().Sub(started).Milliseconds())
+		if err != nil {
+			return l.unreached(a, err)
+		}
+		if resp.Record != nil || resp.Expired {
+			return l.outcome(a, resp)
+		}
 	}
-	return l.outcome(k, op, claim, resp)
+	return Running{RetryAfter: l.retryAfter()}, nil
 }
 
-// claimOp checks the key and returns the operation that claims it.
-func (l *Ledger) claimOp(k Key, digest [32]byte) (*ledgerpb.Op, error) {
-	minted, err := l.checkKey(k)
-	if err != nil {
-		return nil, err
-	}
-	key := k.id()
-	id := newClaimID(l.cfg.Instance, l.claims.Add(1))
-	return &ledgerpb.Op{
+// attempt is one try to claim a key.
+type attempt struct {
+	key   Key
+	claim Claim
+	op    *ledgerpb.Op
+}
+
+// newAttempt returns an attempt with a claim of its own.
+func (l *Ledger) newAttempt(k Key, minted int64, digest [32]byte) *attempt {
+	c := Claim{key: k.id(), id: newClaimID(l.cfg.Instance, l.claims.Add(1)), minted: minted}
+	c.shard = c.key.shard(l.cfg.Shards)
+	op := &ledgerpb.Op{
 		Kind:     ledgerpb.Kind_KIND_CLAIM,
-		Key:      key[:],
-		Claim:    id[:],
+		Key:      c.key[:],
+		Claim:    c.id[:],
 		MintedMs: minted,
 		Digest:   digest[:idBytes],
 		Instance: l.cfg.Instance,
-	}, nil
+	}
+	return &attempt{key: k, claim: c, op: op}
 }
 
 // checkKey returns the minted time of a key in milliseconds. This instance's
@@ -151,26 +162,29 @@
 	return minted.UnixMilli(), nil
 }
 
-// outcome turns the record of a key after the claim into the claim's outcome.
-func (l *Ledger) outcome(k Key, op *ledgerpb.Op, claim Claim, resp *ledgerpb.SubmitResponse) (Outcome, error) {
+// outcome turns the record of a key after an attempt into the attempt's outcome.
+func (l *Ledger) outcome(a *attempt, resp *ledgerpb.SubmitResponse) (Outcome, error) {
 	r := resp.Record
 	switch {
-	case resp.Expired || r == nil:
-		return nil, &KeyError{Reason: contract.ReasonKeyTooOld, Key: k}
-	case subtle.ConstantTimeCompare(r.Digest, op.Digest) == 0:
-		return nil, &KeyError{Reason: contract.ReasonKeyReused, Key: k}
+	case resp.Expired:
+		return nil, &KeyError{Reason: contract.ReasonKeyTooOld, Key: a.key}
+	case !bytes.Equal(r.Digest, a.op.Digest):
+		return nil, &KeyError{Reason: contract.ReasonKeyReused, Key: a.key}
 	case r.State == ledgerpb.State_STATE_FINISHED:
 		return kept(r.Answer), nil
 	case r.State == ledgerpb.State_STATE_DOUBTFUL:
 		return Unknown{Instance: r.Instance}, nil
-	case bytes.Equal(r.Claim, op.Claim):
-		return Granted{Claim: claim}, nil
+	case a.holds(r):
+		return Granted{Claim: a.claim}, nil
 	case r.Instance == l.cfg.Instance || l.cfg.Alive(r.Instance):
 		return Running{RetryAfter: l.retryAfter()}, nil
 	}
 	return Unknown{Instance: r.Instance}, nil
 }
 
+// holds reports whether the attempt's claim is the one in the record.
+func (a *attempt) holds(r *ledgerpb.Record) bool { return bytes.Equal(r.Claim, a.op.Claim) }
+
 func kept(a *ledgerpb.Answer) Outcome {
 	if len(a.GetBodyDigest()) > 0 {
 		return KeptDigest{Status: int(a.Status), Digest: a.BodyDigest}
@@ -178,16 +192,16 @@
 	return Kept{Answer: Answer{Status: int(a.GetStatus()), ContentType: a.GetContentType(), Body: a.GetBody()}}
 }
 
-// unreached ends a claim that did not get through. The call is not sent in this
-// attempt, hence a claim that may be or come into the log is released. What this
-// instance knows of an earlier attempt is told rather than not-run.
-func (l *Ledger) unreached(k Key, op *ledgerpb.Op, claim Claim, err error) (Outcome, error) {
+// unreached ends an attempt that did not get through. The call is not sent,
+// hence a claim that may be or come into the log is released. What this instance
+// knows of an earlier attempt is told rather than not-run.
+func (l *Ledger) unreached(a *attempt, err error) (Outcome, error) {
 	if !notWritten(err) {
-		l.end(claim, ledgerpb.Kind_KIND_RELEASE, nil)
+		l.end(a.claim, ledgerpb.Kind_KIND_RELEASE, nil)
 	}
-	known := l.look(claim)
-	if r := known.Record; r != nil && !bytes.Equal(r.Claim, op.Claim) || known.Expired {
-		return l.outcome(k, op, claim, known)
+	known := l.look(a.claim)
+	if known.Expired || known.Record != nil && !a.holds(known.Record) {
+		return l.outcome(a, known)
 	}
 	return nil, &UnreachedError{RetryAfter: l.retryAfter(), Err: err}
 }
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -38,7 +38,7 @@
 	window  int64 // milliseconds
 	now     int64 // milliseconds
 	records map[keyID]*record
-	voids   map[claimID]int64 // released claims and the minted time of their key
+	voids   map[claimID]int64 // released and lost claims and the minted time of their key
 	buckets map[int64]*bucket
 	oldest  int64             // no bucket is below
 	names   map[string]string // one copy of each instance's name
@@ -103,7 +103,9 @@
 func (s *state) expired(minted int64) bool { return minted < s.now-s.window }
 
 // claim creates the record of key. A claim that was released is void even if
-// its entry lands after the release: a write with an unknown outcome may.
+// its entry lands after the release: a write with an unknown outcome may. A
+// claim that comes second is void too, or a copy of it that lands once the first
+// is released would take the key for an attempt that has ended.
 func (s *state) claim(key keyID, claim claimID, op *ledgerpb.Op) {
 	minted := s.mintedOr(op.MintedMs)
 	if s.expired(minted) {
@@ -112,7 +114,8 @@
 	if _, released := s.voids[claim]; released {
 		return
 	}
-	if _, taken := s.records[key]; taken {
+	if first, taken := s.records[key]; taken {
+		s.lose(first, claim)
 		return
 	}
 	r := &record{claim: claim, minted: minted, instance: s.intern(op.Instance), state: ledgerpb.State_STATE_CLAIMED}
@@ -120,6 +123,13 @@
 	s.put(key, r)
 }
 
+// lose voids a claim that came after first, unless first can't be released.
+func (s *state) lose(first *record, claim claimID) {
+	if first.claim != claim && first.state == ledgerpb.State_STATE_CLAIMED {
+		s.void(claim, first.minted)
+	}
+}
+
 func (s *state) put(key keyID, r *record) {
 	s.records[key] = r
 	b := s.bucket(r.minted)
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -57,6 +57,7 @@
 		{"doubtful call is not released", []op{{claim, 1, 0}, {doubt, 1, 0}, {release, 1, 0}, {claim, 2, 0}}, doubtful, 1},
 		{"late answer ends the doubt", []op{{claim, 1, 0}, {doubt, 1, 0}, {finish, 1, 0}}, finished, 1},
 		{"doubt after the answer", []op{{claim, 1, 0}, {finish, 1, 0}, {doubt, 1, 0}}, finished, 1},
+		{"lost claim lands after the release", []op{{claim, 1, 0}, {claim, 2, 0}, {release, 1, 0}, {claim, 2, 0}}, none, 0},
 		{"old claim", []op{{claim, 1, window + 2}}, none, 0},
 		{"forgotten key is not claimed", []op{{claim, 1, 1}, {release, 9, window + 5}, {claim, 2, 1}}, none, 0},
 	} {
