Lend a team's limit in proportion to the demand

Cause: shares were max-min fair between instances.

Change: expected arrivals first, cut in proportion; what is left goes to bursts. A bucket holds one request more than its part of the burst, which the bound of Burst plus one a member allowed already.

--- a/team/bucket.go
+++ b/team/bucket.go
@@ -35,9 +35,9 @@
 	return floor
 }
 
-// capacity is the instance's part of the burst, but at least one request: an
-// instance must be able to admit one.
-func (b *bucket) capacity(portion float64) float64 { return max(1, portion*b.burst) }
+// capacity is the instance's part of the burst and one request more: an instance
+// with a small part must be able to admit one.
+func (b *bucket) capacity(portion float64) float64 { return 1 + portion*b.burst }
 
 // refill brings the tokens up to date. A lease that ended in between counts
 // only until its end.
@@ -74,12 +74,11 @@
 	b.arrived, b.arrivals, b.refused = b.arrivals, 0, 0
 }
 
-// need returns the part of the limit that the instance needs: for the arrivals
-// that it expects and the token that the next one takes, or for a burst like
-// those refused.
+// need returns the part of the limit that the instance needs for the arrivals
+// that it expects and the token that the next one takes.
 func (b *bucket) need(interval time.Duration) float64 {
 	tokens := b.demand*interval.Seconds() + max(0, 1-b.tokens)
-	return max(tokens/interval.Seconds()/b.rate, b.surge/headroom)
+	return tokens / interval.Seconds() / b.rate
 }
 
 // nextSlot returns when the next refused caller should come back. Each gets a
--- a/team/limiter.go
+++ b/team/limiter.go
@@ -120,10 +120,10 @@
 	holds := now.Before(b.until)
 	need := b.need(interval)
 	satisfied := b.tokens >= max(1, b.demand*interval.Seconds()) && !holds
-	if need <= floor || satisfied {
+	if max(need, b.surge) <= floor || satisfied {
 		return nil
 	}
-	ask := &teampb.Ask{Team: uint64(id), Demand: float32(need)}
+	ask := &teampb.Ask{Team: uint64(id), Demand: float32(need), Surge: float32(b.surge)}
 	if holds {
 		ask.HeldMs = uint32(sent - b.sent)
 	}
@@ -183,11 +183,7 @@
 		p = &pool{size: 1 - l.cfg.Floor, loans: map[string]*loan{}}
 		l.pools[id] = p
 	}
-	var held int64
-	if a.HeldMs > 0 {
-		held = m.SentMs - int64(a.HeldMs)
-	}
-	share := float32(p.lend(m.From, float64(a.Demand), m.SentMs, held, now, l.cfg.Lease))
+	share := float32(p.lend(m, a, now, l.cfg.Lease))
 	return &teampb.Grant{Team: a.Team, Share: share}
 }
 
--- a/team/pool.go
+++ b/team/pool.go
@@ -1,8 +1,9 @@
 package team
 
 import (
-	"slices"
 	"time"
+
+	"redwingknot/team/teampb"
 )
 
 const (
@@ -17,6 +18,7 @@
 // loan is what a home has lent to one member.
 type loan struct {
 	demand float64
+	surge  float64
 	share  float64
 	sent   int64 // the ask that share answers, in the asker's milliseconds
 	until  time.Time
@@ -47,20 +49,20 @@
 }
 
 // lend answers a member's ask with a share.
-func (p *pool) lend(member string, demand float64, sent, held int64, now time.Time, lease time.Duration) float64 {
+func (p *pool) lend(m *Message, a *teampb.Ask, now time.Time, lease time.Duration) float64 {
 	p.expire(now)
-	l := p.loans[member]
+	l := p.loans[m.From]
 	if l == nil {
 		l = &loan{}
-		p.loans[member] = l
+		p.loans[m.From] = l
 	}
-	if sent <= l.sent {
+	if m.SentMs <= l.sent {
 		return 0 // a copy, or overtaken by a later ask
 	}
-	l.demand = demand
-	share := max(0, min(p.target(demand), p.free(member, now)))
-	l.keepPrior(held, now)
-	l.share, l.sent = share, sent
+	l.demand, l.surge = float64(a.Demand), float64(a.Surge)
+	share := max(0, min(p.target(l), p.free(m.From, now)))
+	l.keepPrior(m.SentMs-int64(a.HeldMs), now)
+	l.share, l.sent = share, m.SentMs
 	l.until = now.Add(lease + lease/leaseMargin)
 	return share
 }
@@ -99,28 +101,29 @@
 	return free
 }
 
-// target returns the max-min fair share for a demand: each member gets what it
-// needs as long as the pool lasts, and the others the same share.
-func (p *pool) target(demand float64) float64 {
-	return min(want(demand), p.level())
+// target returns the share for a member: first what the members expect to need,
+// all cut in proportion if the pool is too small, so that a request has the same
+// chance at each of them; then, of what is left, the more that their bursts ask.
+func (p *pool) target(l *loan) float64 {
+	var wants, extras float64
+	for _, o := range p.loans {
+		wants += o.want()
+		extras += o.extra()
+	}
+	share := l.want() * portionOf(p.size, wants)
+	left := max(0, p.size-wants)
+	return share + l.extra()*portionOf(left, extras)
 }
 
-func want(demand float64) float64 { return demand * headroom }
-
-// level returns the share above which no member gets its whole want.
-func (p *pool) level() float64 {
-	wants := make([]float64, 0, len(p.loans))
-	for _, l := range p.loans {
-		wants = append(wants, want(l.demand))
+// portionOf returns the part of total that size covers.
+func portionOf(size, total float64) float64 {
+	if total <= size {
+		return 1
 	}
-	slices.Sort(wants)
-	left := p.size
-	for i, w := range wants {
-		even := left / float64(len(wants)-i)
-		if w > even {
-			return even
-		}
-		left -= w
-	}
-	return p.size
+	return size / total
 }
+
+func (l *loan) want() float64 { return l.demand * headroom }
+
+// extra is what a burst needs above the expected arrivals.
+func (l *loan) extra() float64 { return max(0, l.surge-l.want()) }
