--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,146 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxFrameBytes bounds one server-sent event of an engine.
+const maxFrameBytes = 1 << 20
+
+// doneMarker ends a stream that is whole.
+const doneMarker = "[DONE]"
+
+// Prompt is one attempt at generating an answer.
+type Prompt struct {
+	Attempt  string
+	Version  string   // weight version that must generate the answer
+	Blocks   []string // block keys of the full pieces
+	Priority int
+	Resume   int    // tokens the caller already has
+	Body     []byte // the request in the chat completions format
+}
+
+// Frame is a part of an answer.
+type Frame struct {
+	Attempt string
+	Offset  int    // number of the frame's token in the answer, from 0
+	Text    string // the token's text
+	Finish  string // finish reason, empty until the last token
+}
+
+// Stream reads the frames of one attempt.
+type Stream struct {
+	Version string // weight version that generates, as the engine says
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+}
+
+// chunk is a chat completion chunk with the token's offset.
+type chunk struct {
+	ID      string `json:"id"`
+	Offset  int    `json:"offset"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// TruncatedError reports a stream that ended before its end marker.
+type TruncatedError struct{ Err error }
+
+// Error implements error.
+func (e *TruncatedError) Error() string {
+	return "stream ended before its end marker: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *TruncatedError) Unwrap() error { return e.Err }
+
+// MalformedFrameError reports an event that is no chat completion chunk.
+type MalformedFrameError struct{ Err error }
+
+// Error implements error.
+func (e *MalformedFrameError) Error() string { return "malformed frame: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *MalformedFrameError) Unwrap() error { return e.Err }
+
+// Generate starts an attempt. A status other than 200 is a *StatusError.
+func (c *Client) Generate(ctx context.Context, p Prompt) (*Stream, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/chat/completions", bytes.NewReader(p.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "generate")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderAttempt, p.Attempt)
+	req.Header.Set(HeaderVersion, p.Version)
+	req.Header.Set(HeaderBlocks, strings.Join(p.Blocks, ","))
+	req.Header.Set(HeaderPriority, strconv.Itoa(p.Priority))
+	req.Header.Set(HeaderResume, strconv.Itoa(p.Resume))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "generate")
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, statusError("generate", resp)
+	}
+	return NewStream(resp.Body, resp.Header.Get(HeaderVersion)), nil
+}
+
+// NewStream reads frames from the body of an answer.
+func NewStream(body io.ReadCloser, version string) *Stream {
+	s := bufio.NewScanner(body)
+	s.Buffer(nil, maxFrameBytes)
+	return &Stream{Version: version, body: body, scanner: s}
+}
+
+// Next returns the next frame; io.EOF after the end marker, a *TruncatedError
+// if the stream breaks before it.
+func (s *Stream) Next() (Frame, error) {
+	for s.scanner.Scan() {
+		data, ok := bytes.CutPrefix(s.scanner.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == doneMarker {
+			return Frame{}, io.EOF
+		}
+		return parseFrame(data)
+	}
+	err := s.scanner.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return Frame{}, &TruncatedError{Err: err}
+}
+
+// Close releases the connection; an unfinished stream is cancelled.
+func (s *Stream) Close() error { return s.body.Close() }
+
+func parseFrame(data []byte) (Frame, error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Frame{}, &MalformedFrameError{Err: err}
+	}
+	f := Frame{Attempt: c.ID, Offset: c.Offset}
+	if len(c.Choices) > 0 {
+		f.Text = c.Choices[0].Delta.Content
+		if r := c.Choices[0].FinishReason; r != nil {
+			f.Finish = *r
+		}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/standin/app/app.go
@@ -0,0 +1,80 @@
+// Package appstandin is a small stand-in of a plain service: certificates and
+// signatures that may be made once a key, and an idempotent roster.
+package appstandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// maxBodyBytes bounds a request body.
+const maxBodyBytes = 1 << 20
+
+// Run is one execution of a call that may not be repeated.
+type Run struct {
+	Key  string
+	Path string
+	Body string
+}
+
+// Server is a stand-in application; it implements http.Handler.
+type Server struct {
+	router *mux.Router
+	delay  time.Duration
+
+	mu   sync.Mutex
+	runs []Run
+}
+
+// New returns an application that takes delay for every call.
+func New(delay time.Duration) *Server {
+	s := &Server{delay: delay, router: mux.NewRouter()}
+	s.router.HandleFunc("/certificates", s.serveRun).Methods(http.MethodPost)
+	s.router.HandleFunc("/signatures", s.serveRun).Methods(http.MethodPost)
+	s.router.HandleFunc("/roster/{name}", s.serveRoster).Methods(http.MethodGet)
+	s.router.HandleFunc("/runs", s.serveRuns).Methods(http.MethodGet)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// Runs returns what was executed, in order.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+func (s *Server) serveRun(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, Run{Key: r.Header.Get("Idempotency-Key"), Path: r.URL.Path, Body: string(body)})
+	number := len(s.runs)
+	s.mu.Unlock()
+	time.Sleep(s.delay)
+	writeJSON(w, http.StatusCreated, map[string]int{"number": number})
+}
+
+func (s *Server) serveRoster(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(s.delay)
+	writeJSON(w, http.StatusOK, map[string]string{"name": mux.Vars(r)["name"]})
+}
+
+func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Runs())
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/serve/answer_writer.go
@@ -0,0 +1,130 @@
+package serve
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"redwingknot/contract"
+	"redwingknot/engine"
+	"redwingknot/metric"
+)
+
+func countDropped() { metric.Counter("frames_dropped_total").Inc(1) }
+
+// answerWriter writes an answer to the caller. Nothing is sent before the first
+// token, so that a request can still be refused or retried.
+type answerWriter interface {
+	// token writes the next token.
+	token(f engine.Frame) error
+	// end completes a whole answer.
+	end(finish string) error
+	// broken ends an answer that can't be completed; delivered is the number of
+	// tokens that the caller has.
+	broken(r *contract.Refusal, delivered int)
+}
+
+// streamWriter writes server-sent events.
+type streamWriter struct {
+	w       http.ResponseWriter
+	id      string
+	model   string
+	started bool
+}
+
+func (s *streamWriter) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamWriter) token(f engine.Frame) error {
+	s.start()
+	content, err := json.Marshal(f.Text)
+	if err != nil {
+		return err
+	}
+	finish := "null"
+	if f.Finish != "" {
+		finish = fmt.Sprintf("%q", f.Finish)
+	}
+	_, err = fmt.Fprintf(s.w, `data: {"id":%q,"object":"chat.completion.chunk","model":%q,"offset":%d,"choices":[{"index":0,"delta":{"content":%s},"finish_reason":%s}]}`+"\n\n",
+		s.id, s.model, f.Offset, content, finish)
+	if err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+func (s *streamWriter) end(string) error {
+	s.start()
+	_, err := fmt.Fprint(s.w, "data: [DONE]\n\n")
+	return err
+}
+
+// broken sends the refusal as a last event; without the end marker no caller
+// takes the answer for whole.
+func (s *streamWriter) broken(r *contract.Refusal, delivered int) {
+	if !s.started {
+		writeRefusal(s.w, r, s.id)
+		return
+	}
+	metric.Refused(r.Reason)
+	p := newProblem(r, s.id)
+	p.Offset = &delivered
+	body, err := json.Marshal(p)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", body)
+}
+
+// wholeWriter collects the answer and writes it at its end.
+type wholeWriter struct {
+	w     http.ResponseWriter
+	id    string
+	model string
+	text  strings.Builder
+}
+
+func (c *wholeWriter) token(f engine.Frame) error {
+	c.text.WriteString(f.Text)
+	return nil
+}
+
+// completion is a whole answer in the chat completions format.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+}
+
+type completionChoice struct {
+	Index        int               `json:"index"`
+	Message      completionMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (c *wholeWriter) end(finish string) error {
+	c.w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(c.w).Encode(completion{
+		ID: c.id, Object: "chat.completion", Model: c.model,
+		Choices: []completionChoice{{
+			Message:      completionMessage{Role: "assistant", Content: c.text.String()},
+			FinishReason: finish,
+		}},
+	})
+}
+
+func (c *wholeWriter) broken(r *contract.Refusal, _ int) { writeRefusal(c.w, r, c.id) }
--- /dev/null
+++ b/serve/attempt.go
@@ -0,0 +1,103 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/engine"
+)
+
+// failure is why an attempt at an endpoint failed; it is the label of the
+// retry counter.
+type failure string
+
+// The failures of an attempt.
+const (
+	failConnect  failure = "connect"          // no byte reached the endpoint
+	failRefused  failure = "endpoint-refused" // the endpoint answered that it won't run the request
+	failVersion  failure = "wrong-version"    // the endpoint serves another weight version
+	failBroken   failure = "stream-broken"    // the connection broke while the request ran
+	failGap      failure = "token-missing"    // the answer lacked a token
+	failTimeout  failure = "first-token-late" // no token within the attempt's time
+	failCanceled failure = "canceled"         // the caller left or its deadline passed
+)
+
+// mayHaveCrashed says whether the failure could be the endpoint's crash.
+func (f failure) mayHaveCrashed() bool { return f == failBroken }
+
+// classify returns the failure that err of an attempt shows.
+func classify(ctx context.Context, err error) failure {
+	var status *engine.StatusError
+	var gap *GapError
+	switch {
+	case ctx.Err() != nil:
+		return failCanceled
+	case errors.As(err, &gap):
+		return failGap
+	case errors.As(err, &status) && status.Status == http.StatusPreconditionFailed:
+		return failVersion
+	case errors.As(err, &status):
+		return failRefused
+	case isNotConnected(err):
+		return failConnect
+	}
+	return failBroken
+}
+
+// isNotConnected says whether err shows that no connection was made, so that
+// no byte of the request left this process.
+func isNotConnected(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// relayResult is how one attempt ended.
+type relayResult struct {
+	complete bool
+	err      error
+}
+
+// relay passes the frames of one attempt to out until the answer is whole or
+// the attempt fails.
+func relay(a *assembler, s *engine.Stream, out func(engine.Frame) error) relayResult {
+	for {
+		f, err := s.Next()
+		if errors.Is(err, io.EOF) && a.complete {
+			return relayResult{complete: true}
+		}
+		if errors.Is(err, io.EOF) {
+			return relayResult{err: &engine.TruncatedError{Err: io.ErrUnexpectedEOF}}
+		}
+		if err != nil {
+			return relayResult{err: err}
+		}
+		deliver, err := a.accept(f)
+		if err != nil {
+			return relayResult{err: err}
+		}
+		if !deliver {
+			countDropped()
+			continue
+		}
+		if err := out(f); err != nil {
+			return relayResult{err: &CallerGoneError{Err: err}}
+		}
+	}
+}
+
+// CallerGoneError reports that the answer could not be written to the caller.
+type CallerGoneError struct{ Err error }
+
+// Error implements error.
+func (e *CallerGoneError) Error() string { return "caller is gone: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CallerGoneError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/serve/problem.go
@@ -0,0 +1,68 @@
+package serve
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/contract"
+	"redwingknot/metric"
+)
+
+// problemType is the media type of refusals (RFC 9457).
+const problemType = "application/problem+json"
+
+// problem is the body of a refusal.
+type problem struct {
+	Type         string `json:"type"`
+	Title        string `json:"title"`
+	Status       int    `json:"status"`
+	Detail       string `json:"detail,omitempty"`
+	Reason       string `json:"reason"`
+	Ran          string `json:"ran"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	Request      string `json:"request,omitempty"`
+	Offset       *int   `json:"offset,omitempty"` // tokens delivered before a stream broke
+}
+
+func newProblem(r *contract.Refusal, request string) problem {
+	return problem{
+		Type:   "urn:redwingknot:refusal:" + string(r.Reason),
+		Title:  http.StatusText(r.Status),
+		Status: r.Status, Detail: r.Detail, Reason: string(r.Reason), Ran: string(r.Ran),
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Request: request,
+	}
+}
+
+// writeRefusal answers with a refusal and counts it.
+func writeRefusal(w http.ResponseWriter, r *contract.Refusal, request string) {
+	metric.Refused(r.Reason)
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+	}
+	w.Header().Set("Content-Type", problemType)
+	w.WriteHeader(r.Status)
+	json.NewEncoder(w).Encode(newProblem(r, request))
+}
+
+// retryAfterSeconds rounds up, because the header has whole seconds only.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// asRefusal returns err as a refusal; an error of any other type is internal
+// and says that the request may have run.
+func asRefusal(err error) *contract.Refusal {
+	var r *contract.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &contract.Refusal{
+		Status: http.StatusInternalServerError, Reason: contract.ReasonInternal,
+		Ran: contract.Unknown, Detail: err.Error(),
+	}
+}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,3 @@
+// Package settings reads a process's settings from flags and environment
+// variables and checks them all before the process starts.
+package settings
