--- /dev/null
+++ b/route/router.go
@@ -0,0 +1,525 @@
+package route
+
+import (
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingknot/engine"
+	"redwingknot/event"
+	"redwingknot/note"
+)
+
+// minBlocksPerEndpoint keeps a useful cache view of each endpoint however many
+// there are.
+const minBlocksPerEndpoint = 64
+
+// Router places the requests of one service. It is safe for concurrent use;
+// its decisions depend on nothing but what it was told.
+type Router struct {
+	config Config
+
+	mu        sync.Mutex
+	byName    map[string]*endpoint
+	endpoints []*endpoint // by slot, nil if the slot is free
+	leaving   map[string]bool
+	view      *cacheView
+	blocksPer int
+
+	calibration float64 // observed over modelled time to first token
+	hold        float64 // seconds a request holds a slot
+	ejected     int
+	jitter      *rand.Rand // of ejections
+
+	cached []uint16 // scratch of a decision, by slot
+	scores []score
+	blocks []uint64
+}
+
+// NewRouter returns a router without endpoints.
+func NewRouter(c Config) *Router {
+	c = c.withDefaults()
+	return &Router{
+		config:      c,
+		byName:      map[string]*endpoint{},
+		leaving:     map[string]bool{},
+		view:        newCacheView(),
+		blocksPer:   c.MaxBlocks,
+		calibration: 1,
+		hold:        c.Hold.Seconds(),
+		jitter:      rand.New(rand.NewPCG(xxhash.Sum64String(c.Service), 0)),
+	}
+}
+
+// SetEndpoints replaces the endpoints by those of list that belong to the
+// service. What is known of those that stay is kept.
+func (r *Router) SetEndpoints(list []note.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, spec := range list {
+		if spec.Service != r.config.Service {
+			continue
+		}
+		wanted[spec.Name] = true
+		r.setEndpoint(spec)
+	}
+	for name, e := range r.byName {
+		if !wanted[name] {
+			r.withdraw(e)
+		}
+	}
+	r.blocksPer = max(r.config.MaxBlocks/max(len(r.byName), 1), minBlocksPerEndpoint)
+	r.cached = make([]uint16, len(r.endpoints))
+}
+
+func (r *Router) setEndpoint(spec note.Endpoint) {
+	if e, ok := r.byName[spec.Name]; ok && e.spec.URL == spec.URL {
+		e.spec = spec
+		return
+	} else if ok {
+		r.withdraw(e)
+	}
+	e := newEndpoint(spec, r.freeSlot())
+	e.leaving = r.leaving[spec.Name]
+	r.byName[spec.Name] = e
+	r.endpoints[e.slot] = e
+}
+
+func (r *Router) freeSlot() uint16 {
+	for i, e := range r.endpoints {
+		if e == nil {
+			return uint16(i)
+		}
+	}
+	r.endpoints = append(r.endpoints, nil)
+	return uint16(len(r.endpoints) - 1)
+}
+
+func (r *Router) withdraw(e *endpoint) {
+	e.withdrawn = true
+	r.view.reset(e.slot)
+	if e.health.ejected() {
+		r.ejected--
+	}
+	r.endpoints[e.slot] = nil
+	delete(r.byName, e.spec.Name)
+}
+
+// SetLeaving records whether the endpoint is about to stop, by any source. It
+// may be called before the endpoint is known.
+func (r *Router) SetLeaving(name string, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if leaving {
+		r.leaving[name] = true
+	} else {
+		delete(r.leaving, name)
+	}
+	if e, ok := r.byName[name]; ok {
+		e.leaving = leaving
+	}
+}
+
+// Quarantine keeps all other requests off an endpoint that runs a suspect.
+func (r *Router) Quarantine(name string, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.byName[name]
+	if !ok {
+		return
+	}
+	if on {
+		e.quarantined++
+	} else if e.quarantined > 0 {
+		e.quarantined--
+	}
+}
+
+// Observe takes an endpoint's report, which may be late or out of order.
+func (r *Router) Observe(name string, report engine.Report, _ time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.byName[name]
+	if !ok {
+		return
+	}
+	if e.reported && e.report.Epoch != report.Epoch && !report.At.Before(e.report.At) {
+		r.view.reset(e.slot)
+	}
+	e.observe(report)
+}
+
+// CacheEvents takes a batch of an endpoint's cache events. A gap or another
+// start of the engine clears what was known of its cache.
+func (r *Router) CacheEvents(name string, batch engine.Events) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.byName[name]
+	if !ok {
+		return
+	}
+	if batch.Epoch != e.epoch || batch.Gap {
+		r.view.reset(e.slot)
+		e.epoch = batch.Epoch
+		e.eventSeq = 0
+	}
+	for _, ev := range batch.List {
+		r.cacheEvent(e, ev)
+	}
+	e.eventSeq = max(e.eventSeq, batch.Last)
+}
+
+// CacheEvent takes one cache event. A hole in the sequence clears what was
+// known of the endpoint's cache, since a removal may be missing.
+func (r *Router) CacheEvent(name string, ev engine.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.byName[name]
+	if !ok {
+		return
+	}
+	if e.eventSeq != 0 && ev.Seq > e.eventSeq+1 {
+		r.view.reset(e.slot)
+	}
+	r.cacheEvent(e, ev)
+}
+
+func (r *Router) cacheEvent(e *endpoint, ev engine.Event) {
+	if ev.Seq != 0 && ev.Seq <= e.eventSeq {
+		return
+	}
+	e.eventSeq = ev.Seq
+	block := xxhash.Sum64String(ev.Block)
+	if ev.Removed {
+		r.view.remove(e.slot, block)
+		return
+	}
+	r.view.add(e.slot, block, r.blocksPer)
+}
+
+// Dispatched records that attempt was sent as c says. Its prefix counts as
+// cached at the endpoint from now on.
+func (r *Router) Dispatched(attempt string, q Query, c Choice, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.byName[c.Endpoint]
+	if !ok {
+		return
+	}
+	e.dispatched(&dispatch{
+		attempt:  attempt,
+		at:       now,
+		tokens:   c.prefill * r.config.PrefillRate,
+		model:    c.model,
+		expected: c.Expected.Seconds(),
+	})
+	e.health.dispatched(attempt)
+	for _, p := range q.Pieces {
+		r.view.add(e.slot, xxhash.Sum64String(p), r.blocksPer)
+	}
+}
+
+// FirstToken records that the attempt's answer has begun.
+func (r *Router) FirstToken(name, attempt string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, d := r.find(name, attempt)
+	if d == nil || d.answered {
+		return
+	}
+	e.firstToken(d)
+	r.learn(e, d, now)
+}
+
+// learn corrects the service's calibration slowly and the endpoint's slowness
+// fast, so that a slow endpoint differs from a slow service.
+func (r *Router) learn(e *endpoint, d *dispatch, now time.Time) {
+	const floor = 0.01 // seconds below which a ratio is mostly noise
+	const weight, low, high = 0.02, 0.1, 10
+	ratio := (now.Sub(d.at).Seconds() + floor) / (d.model + floor)
+	bounded := min(max(ratio, r.calibration/4), r.calibration*4)
+	r.calibration = min(max((1-weight)*r.calibration+weight*bounded, low), high)
+	e.learn(ratio/r.calibration, now)
+}
+
+// Ended records the end of an attempt.
+func (r *Router) Ended(name, attempt string, outcome Outcome, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, d := r.find(name, attempt)
+	if d == nil {
+		return
+	}
+	e.end(d)
+	switch outcome {
+	case Succeeded:
+		r.succeeded(e, d, now)
+	case Canceled:
+		e.health.abandoned(attempt)
+	case AnsweredOldVersion:
+		e.health.abandoned(attempt)
+		e.versionAt = now
+	case Failed, Crashed:
+		r.failed(e, attempt, now)
+	}
+}
+
+func (r *Router) succeeded(e *endpoint, d *dispatch, now time.Time) {
+	const weight = 0.02
+	if e.health.ejected() {
+		r.ejected--
+		event.EndpointRestored.Log(r.config.Log, r.endpointAttr(e))
+	}
+	e.health.succeeded()
+	r.hold = (1-weight)*r.hold + weight*now.Sub(d.at).Seconds()
+}
+
+func (r *Router) failed(e *endpoint, attempt string, now time.Time) {
+	was := e.health.ejected()
+	mayEject := float64(r.ejected+1) <= r.config.MaxEjected*float64(len(r.byName))
+	if e.health.failed(attempt, &r.config, mayEject, now, r.jitter) && !was {
+		r.ejected++
+		event.EndpointEjected.Log(r.config.Log, r.endpointAttr(e))
+	}
+}
+
+func (r *Router) endpointAttr(e *endpoint) slog.Attr {
+	return slog.Group("endpoint", slog.String("service", r.config.Service), slog.String("name", e.spec.Name))
+}
+
+func (r *Router) find(name, attempt string) (*endpoint, *dispatch) {
+	e, ok := r.byName[name]
+	if !ok {
+		return nil, nil
+	}
+	return e, e.inFlight[attempt]
+}
+
+// score is an endpoint's expected time to first token in seconds.
+type score struct {
+	total     float64
+	queue     float64
+	prefill   float64
+	model     float64 // queue and prefill before the factor
+	factor    float64 // learned, of the service and the endpoint
+	verdict   Verdict
+	bringBack bool
+}
+
+// Choose decides where q runs. The error is a *NoEndpointError.
+func (r *Router) Choose(q Query, now time.Time, rng *rand.Rand) (Choice, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lookUp(q.Pieces)
+	best := r.scoreAll(&q, now)
+	if math.IsInf(best, 1) {
+		return Choice{}, r.noEndpoint()
+	}
+	if q.BringBack != nil && len(q.Pieces) > 0 {
+		best = r.weighBringBack(&q, best, rng)
+	}
+	slot := r.pick(&q, best, rng)
+	return r.choice(&q, slot), nil
+}
+
+// lookUp fills the scratch with each endpoint's cached prefix.
+func (r *Router) lookUp(pieces []string) {
+	clear(r.cached)
+	r.blocks = r.blocks[:0]
+	for _, p := range pieces {
+		r.blocks = append(r.blocks, xxhash.Sum64String(p))
+	}
+	r.view.prefix(r.blocks, r.cached)
+}
+
+// scoreAll scores every endpoint without bringing back and returns the best.
+func (r *Router) scoreAll(q *Query, now time.Time) float64 {
+	best := math.Inf(1)
+	r.scores = r.scores[:0]
+	for slot, e := range r.endpoints {
+		s := score{verdict: Withdrawn}
+		if e != nil {
+			s.verdict = e.verdict(q, &r.config, now)
+		}
+		if s.verdict == NearBest {
+			r.score(&s, q, e, slot, now)
+			best = min(best, s.total)
+		}
+		r.scores = append(r.scores, s)
+	}
+	return best
+}
+
+func (r *Router) score(s *score, q *Query, e *endpoint, slot int, now time.Time) {
+	if r.config.Kind == note.KindPlain {
+		r.scorePlain(s, q, e, now)
+		return
+	}
+	tokens := float64(q.PromptTokens - int(r.cached[slot])*r.config.PieceTokens)
+	s.prefill = max(tokens, 1) / r.config.PrefillRate
+	wait := e.queuedTokens() / r.config.PrefillRate
+	if slots := e.spec.Slots; slots > 0 {
+		over := float64(e.outstanding() + 1 - slots)
+		wait = max(wait, over*r.hold/float64(slots))
+	}
+	s.model = wait + s.prefill
+	s.factor = r.calibration * e.slowness(now)
+	s.queue = wait * s.factor
+	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
+}
+
+// scorePlain scores by outstanding requests: plain endpoints report no load.
+func (r *Router) scorePlain(s *score, q *Query, e *endpoint, now time.Time) {
+	s.prefill = 0
+	s.queue = float64(e.outstanding()) * r.hold / float64(max(e.spec.Slots, 1))
+	s.model = s.queue + r.hold
+	s.factor = e.slowness(now)
+	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
+}
+
+func (r *Router) network(q *Query, e *endpoint) float64 {
+	if q.DataCentre == e.spec.DataCentre {
+		return 0
+	}
+	return 2 * r.config.CrossDelay.Seconds()
+}
+
+// weighBringBack lowers scores by importing the missing pieces where that is
+// faster. Only endpoints that could then beat the best are asked about.
+func (r *Router) weighBringBack(q *Query, best float64, rng *rand.Rand) float64 {
+	const maxAsked = 16
+	asked := 0
+	start := rng.IntN(len(r.scores))
+	for i := range r.scores {
+		slot := (start + i) % len(r.scores)
+		s := &r.scores[slot]
+		missing := len(q.Pieces) - int(r.cached[slot])
+		if s.verdict != NearBest || missing <= 0 || s.queue >= best {
+			continue
+		}
+		if asked++; asked > maxAsked {
+			break
+		}
+		r.tryBringBack(s, q, r.endpoints[slot], missing)
+		best = min(best, s.total)
+	}
+	return best
+}
+
+func (r *Router) tryBringBack(s *score, q *Query, e *endpoint, missing int) {
+	cost, ok := q.BringBack(e.spec.Name, missing)
+	if !ok {
+		return
+	}
+	rest := max(float64(q.PromptTokens-len(q.Pieces)*r.config.PieceTokens), 1) / r.config.PrefillRate
+	// The endpoint's queue moves on while the pieces are copied.
+	wait := max(s.queue, cost.Seconds())
+	total := s.total - s.queue - s.prefill*s.factor + wait + rest*s.factor
+	if total >= s.total {
+		return
+	}
+	s.total = total
+	s.model = (wait + rest*s.factor) / s.factor
+	s.prefill = rest
+	s.bringBack = true
+}
+
+// pick draws among the endpoints that are near the best, the nearer the
+// likelier, so that routers with the same late reports choose differently.
+func (r *Router) pick(q *Query, best float64, rng *rand.Rand) int {
+	limit := best + max(best*r.config.Tolerance, r.config.Slack.Seconds())
+	sum := 0.0
+	for i := range r.scores {
+		s := &r.scores[i]
+		if s.verdict != NearBest {
+			continue
+		}
+		if s.total > limit {
+			s.verdict = Slower
+			continue
+		}
+		sum += limit - s.total
+	}
+	at := rng.Float64() * sum
+	slot := -1
+	for i := range r.scores {
+		s := &r.scores[i]
+		if s.verdict != NearBest {
+			continue
+		}
+		slot = i
+		if at -= limit - s.total; at < 0 {
+			break
+		}
+	}
+	if q.Alone {
+		slot = r.idlest(slot)
+	}
+	return slot
+}
+
+// idlest returns the eligible endpoint with the fewest requests.
+func (r *Router) idlest(slot int) int {
+	for i := range r.scores {
+		s := &r.scores[i]
+		if s.verdict != NearBest && s.verdict != Slower {
+			continue
+		}
+		if r.endpoints[i].outstanding() < r.endpoints[slot].outstanding() {
+			slot = i
+		}
+	}
+	return slot
+}
+
+func (r *Router) choice(q *Query, slot int) Choice {
+	s := &r.scores[slot]
+	s.verdict = Chosen
+	c := Choice{
+		Endpoint:     r.endpoints[slot].spec.Name,
+		Expected:     seconds(s.total),
+		Queue:        seconds(s.queue),
+		CachedPieces: int(r.cached[slot]),
+		BringBack:    s.bringBack,
+		prefill:      s.prefill,
+		model:        s.model,
+	}
+	if q.Explain {
+		c.Considered = r.considered()
+	}
+	return c
+}
+
+func (r *Router) considered() []Candidate {
+	list := make([]Candidate, 0, len(r.scores))
+	for slot, s := range r.scores {
+		if e := r.endpoints[slot]; e != nil {
+			list = append(list, Candidate{
+				Endpoint:     e.spec.Name,
+				Verdict:      s.verdict,
+				Expected:     seconds(s.total),
+				Queue:        seconds(s.queue),
+				CachedPieces: int(r.cached[slot]),
+				BringBack:    s.bringBack,
+			})
+		}
+	}
+	return list
+}
+
+func (r *Router) noEndpoint() error {
+	err := &NoEndpointError{Service: r.config.Service}
+	for slot, s := range r.scores {
+		if r.endpoints[slot] != nil {
+			err.Verdicts[s.verdict]++
+		}
+	}
+	return err
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/route/router_test.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"redwingknot/engine"
+	"redwingknot/note"
+)
+
+const (
+	testService = "svc"
+	testModel   = "m"
+	testVersion = "v1"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newRNG() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func spec(i int) note.Endpoint {
+	return note.Endpoint{Name: fmt.Sprintf("w%d", i), Service: testService, URL: "u", Slots: 16, DataCentre: "dc0"}
+}
+
+func report(at time.Time) engine.Report {
+	return engine.Report{Epoch: "e", Model: testModel, Version: testVersion, At: at}
+}
+
+// newTestRouter returns a router of n idle endpoints that reported at epoch.
+func newTestRouter(n int) *Router {
+	r := NewRouter(Config{Service: testService})
+	var list []note.Endpoint
+	for i := range n {
+		list = append(list, spec(i))
+	}
+	r.SetEndpoints(list)
+	for _, s := range list {
+		r.Observe(s.Name, report(epoch), epoch)
+	}
+	return r
+}
+
+func query() Query {
+	return Query{Service: testService, Model: testModel, Version: testVersion, PromptTokens: 4000, DataCentre: "dc0"}
+}
+
+func TestChooseRulesOut(t *testing.T) {
+	cases := map[string]struct {
+		change func(r *Router, q *Query)
+		want   Verdict
+	}{
+		"leaving":       {func(r *Router, _ *Query) { r.SetLeaving("w0", true) }, Leaving},
+		"quarantined":   {func(r *Router, _ *Query) { r.Quarantine("w0", true) }, Quarantined},
+		"excluded":      {func(_ *Router, q *Query) { q.Exclude = []string{"w0"} }, Excluded},
+		"wrong version": {func(_ *Router, q *Query) { q.Version = "v2" }, WrongVersion},
+		"no version":    {func(_ *Router, q *Query) { q.Version = "" }, WrongVersion},
+		"adapter":       {func(_ *Router, q *Query) { q.Adapter = "a@1" }, WrongAdapter},
+		"engine leaving": {func(r *Router, _ *Query) {
+			rep := report(epoch.Add(1))
+			rep.Leaving = true
+			r.Observe("w0", rep, epoch)
+		}, Leaving},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r, q := newTestRouter(1), query()
+			c.change(r, &q)
+			_, err := r.Choose(q, epoch, newRNG())
+			var none *NoEndpointError
+			assert.Assert(t, errors.As(err, &none))
+			assert.Equal(t, none.Verdicts[c.want], 1)
+		})
+	}
+}
+
+func TestChooseFollowsThePrefix(t *testing.T) {
+	r, q := newTestRouter(8), query()
+	q.Pieces = []string{"a", "b"}
+	r.CacheEvent("w5", engine.Event{Seq: 1, Block: "a"})
+	r.CacheEvent("w5", engine.Event{Seq: 2, Block: "b"})
+	c, err := r.Choose(q, epoch, newRNG())
+	assert.NilError(t, err)
+	assert.Equal(t, c.Endpoint, "w5")
+	assert.Equal(t, c.CachedPieces, 2)
+}
+
+func TestGapForgetsTheCache(t *testing.T) {
+	r, q := newTestRouter(2), query()
+	q.Pieces = []string{"a"}
+	r.CacheEvent("w0", engine.Event{Seq: 1, Block: "a"})
+	r.CacheEvent("w0", engine.Event{Seq: 3, Block: "c"})
+	c, err := r.Choose(q, epoch, newRNG())
+	assert.NilError(t, err)
+	assert.Equal(t, c.CachedPieces, 0)
+}
+
+func TestChooseBringsBackWhereFaster(t *testing.T) {
+	r, q := newTestRouter(2), query()
+	q.Pieces = []string{"a", "b"}
+	q.BringBack = func(endpoint string, _ int) (time.Duration, bool) { return time.Millisecond, endpoint == "w1" }
+	c, err := r.Choose(q, epoch, newRNG())
+	assert.NilError(t, err)
+	assert.Equal(t, c.Endpoint, "w1")
+	assert.Assert(t, c.BringBack)
+}
+
+func TestFailuresEjectAndAProbeRestores(t *testing.T) {
+	r, q := newTestRouter(2), query()
+	rng, now := newRNG(), epoch
+	for i := range defaultFailuresToEject {
+		attempt := fmt.Sprint("a", i)
+		r.Dispatched(attempt, q, Choice{Endpoint: "w0"}, now)
+		r.Ended("w0", attempt, Failed, now)
+	}
+	for range 50 {
+		c, err := r.Choose(q, now, rng)
+		assert.NilError(t, err)
+		assert.Equal(t, c.Endpoint, "w1")
+	}
+	now = now.Add(2 * defaultEjectBase)
+	q.Exclude = []string{"w1"}
+	c, err := r.Choose(q, now, rng)
+	assert.NilError(t, err)
+	r.Dispatched("probe", q, c, now)
+	_, err = r.Choose(q, now, rng)
+	assert.ErrorContains(t, err, "1 ejected")
+	r.Ended("w0", "probe", Succeeded, now)
+	_, err = r.Choose(q, now, rng)
+	assert.NilError(t, err)
+}
+
+func TestSilentEndpointIsAvoided(t *testing.T) {
+	r, q := newTestRouter(2), query()
+	r.Dispatched("hung", q, Choice{Endpoint: "w0", Expected: 200 * time.Millisecond}, epoch)
+	now := epoch.Add(5 * time.Second)
+	for _, n := range []string{"w0", "w1"} {
+		r.Observe(n, report(now), now)
+	}
+	for range 50 {
+		c, err := r.Choose(q, now, newRNG())
+		assert.NilError(t, err)
+		assert.Equal(t, c.Endpoint, "w1")
+	}
+}
