Kept blocks: keys, stores, directory, planner, keeper and link budgets

The first whole version: prompts are cut into chained keys, a store stand-in and its client move blocks in two phases, a home instance keeps the directory of its partitions, the planner weighs bringing back against computing, and the keeper turns plans into engine transfers under leases of the link's budget.

Ruled out: a directory that polls every store's events. Change numbers counted by partition come with each publication and free, and a gap in them asks for a listing of that partition alone.

Verified by: go test -race ./store ./block

--- /dev/null
+++ b/block/client.go
@@ -0,0 +1,112 @@
+package block
+
+import (
+	"context"
+	"time"
+
+	"redwingknot/block/blockpb"
+	"redwingknot/link"
+	"redwingknot/store"
+)
+
+// Client makes calls to the homes of blocks. It is safe for concurrent use.
+type Client struct {
+	home func(Partition) link.Caller
+}
+
+// NewClient returns a client; home returns nil for a partition whose home is
+// not in reach.
+func NewClient(home func(Partition) link.Caller) *Client {
+	return &Client{home: home}
+}
+
+// Answer is the outcome of a lookup: the blocks found and the state of stores.
+type Answer struct {
+	Found  []Located
+	Stores []StoreView
+}
+
+// Lookup asks the home of the chain for the blocks of q. All keys of q are of
+// one chain, so that one call serves a prompt.
+func (c *Client) Lookup(ctx context.Context, q Query) (Answer, error) {
+	if len(q.Keys) == 0 {
+		return Answer{}, nil
+	}
+	home, err := c.homeOf(q.Keys[0])
+	if err != nil {
+		return Answer{}, err
+	}
+	req := &blockpb.LookupRequest{Class: q.Class, First: int32(q.First), GrantMs: q.Grant.Milliseconds()}
+	for i := range q.Keys {
+		req.Keys = append(req.Keys, q.Keys[i][:])
+	}
+	var resp blockpb.LookupResponse
+	if err := home.Call(ctx, methodLookup, req, &resp); err != nil {
+		return Answer{}, err
+	}
+	return answerOf(q, &resp)
+}
+
+func answerOf(q Query, resp *blockpb.LookupResponse) (Answer, error) {
+	var a Answer
+	for _, s := range resp.Stores {
+		a.Stores = append(a.Stores, StoreView{URL: s.Url, Down: s.Down, Used: s.Used, Total: s.Total, Price: s.Price})
+	}
+	for i, f := range resp.Found {
+		if i >= len(q.Keys) || f.Store < 0 || int(f.Store) >= len(a.Stores) {
+			return Answer{}, &MessageError{Method: methodLookup}
+		}
+		a.Found = append(a.Found, Located{
+			Store: a.Stores[f.Store].URL, Key: q.Keys[i],
+			Generation: f.Generation, Length: f.Length, Checksum: f.Checksum,
+		})
+	}
+	return a, nil
+}
+
+// Publish announces sealed blocks of one chain at one store, the first of which
+// is at position first, and returns how many were taken.
+func (c *Client) Publish(ctx context.Context, url, class string, first int, blocks []store.Sealed) (int, error) {
+	if len(blocks) == 0 {
+		return 0, nil
+	}
+	req := &blockpb.PublishRequest{Store: url, Class: class, First: int32(first)}
+	for _, b := range blocks {
+		key, err := ParseKey(b.Ref.Key)
+		if err != nil {
+			return 0, err
+		}
+		req.Blocks = append(req.Blocks, &blockpb.Sealed{
+			Key: key[:], Generation: b.Ref.Generation, Length: b.Ref.Length, Checksum: b.Ref.Checksum,
+			Epoch: b.Epoch, Seq: b.Seq,
+		})
+	}
+	home, err := c.homeOf(Key(req.Blocks[0].Key))
+	if err != nil {
+		return 0, err
+	}
+	var resp blockpb.PublishResponse
+	err = home.Call(ctx, methodPublish, req, &resp)
+	return int(resp.Published), err
+}
+
+// Reject reports a block that could not be read as the directory has it.
+func (c *Client) Reject(ctx context.Context, l Located) error {
+	home, err := c.homeOf(l.Key)
+	if err != nil {
+		return err
+	}
+	req := &blockpb.RejectRequest{Blocks: []*blockpb.Rejection{{Key: l.Key[:], Generation: l.Generation}}}
+	return home.Call(ctx, methodReject, req, &blockpb.RejectResponse{})
+}
+
+func (c *Client) homeOf(k Key) (link.Caller, error) {
+	if home := c.home(k.Partition()); home != nil {
+		return home, nil
+	}
+	return nil, &NoHomeError{Partition: k.Partition()}
+}
+
+// callTimeout bounds a lookup: a request waits for it, and can be computed
+// without.
+const callTimeout = 100 * time.Millisecond
--- /dev/null
+++ b/block/keeper.go
@@ -0,0 +1,296 @@
+package block
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"redwingknot/contract"
+	"redwingknot/engine"
+	"redwingknot/event"
+	"redwingknot/link"
+	"redwingknot/metric"
+	"redwingknot/store"
+)
+
+const (
+	// readGrant is how long blocks found by a lookup stay readable.
+	readGrant = 30 * time.Second
+	// downFor is how long a store that was out of reach is left alone.
+	downFor = 5 * time.Second
+)
+
+// KeeperOptions are what a keeper works with.
+type KeeperOptions struct {
+	Now     func() time.Time
+	Seed    uint64 // of the generations' random part; differs between instances
+	Client  *Client
+	Links   *link.Client // links are named by the URL of the store
+	Planner *Planner
+	Returns *Returns // learns from the lookups of this instance; nil for a new one
+	Store   func(url string) *store.Client
+	Log     *slog.Logger
+}
+
+// Keeper brings kept blocks back to engines before a prompt is run, and has the
+// blocks of ended requests exported to stores. A block is published only after
+// its store has confirmed the seal. It is safe for concurrent use.
+type Keeper struct {
+	opts KeeperOptions
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	stores []StoreView
+	down   map[string]time.Time
+}
+
+// NewKeeper returns a keeper.
+func NewKeeper(o KeeperOptions) *Keeper {
+	if o.Returns == nil {
+		o.Returns = NewReturns(nil)
+	}
+	return &Keeper{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), down: map[string]time.Time{}}
+}
+
+// Prompt is a prompt at an engine.
+type Prompt struct {
+	Keys       []Key
+	Class      contract.Class
+	Cached     int           // leading pieces in the engine's cache
+	Compute    time.Duration // of computing one piece at the engine
+	BlockBytes int64         // expected size of a block
+}
+
+// Return is the plan for a prompt and the transfers that carry it out.
+type Return struct {
+	Plan
+	Found []Located // all blocks in stores behind those cached
+}
+
+// step is a run of blocks from one store.
+type step struct {
+	store  string
+	blocks []Located
+	bytes  int64
+	permit link.Permit
+}
+
+// Look asks the prompt's home for kept blocks and plans, without taking any of
+// the links' budget. An error leaves a plan to recompute everything.
+func (k *Keeper) Look(ctx context.Context, p Prompt) (Return, error) {
+	r := Return{Plan: Plan{Recompute: p.recompute(), Expected: p.recompute()}}
+	if p.Cached >= len(p.Keys) {
+		return r, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	q := Query{Keys: p.Keys[p.Cached:], First: p.Cached, Class: p.Class.Name, Grant: readGrant}
+	answer, err := k.opts.Client.Lookup(ctx, q)
+	if err != nil {
+		return r, err
+	}
+	k.setStores(answer.Stores)
+	r.Found = answer.Found
+	question := Question{Pieces: len(p.Keys), Cached: p.Cached, Found: r.Found, Compute: p.Compute}
+	r.Plan = k.opts.Planner.Plan(question, k.forecast)
+	return r, nil
+}
+
+func (p Prompt) recompute() time.Duration {
+	return time.Duration(max(len(p.Keys)-p.Cached, 0)) * p.Compute
+}
+
+// Bring carries out a plan: it gets the links' leases and has eng import the
+// blocks, in order. It returns the number of leading pieces in the cache
+// afterwards; the rest is to be computed.
+func (k *Keeper) Bring(ctx context.Context, eng engine.Engine, p Prompt, r Return) int {
+	cached := p.Cached
+	for _, s := range steps(r.Found[:r.Bring]) {
+		permit, err := k.opts.Links.Acquire(ctx, s.store, link.BringBack, s.bytes, time.Duration(len(s.blocks))*p.Compute)
+		if err != nil {
+			break
+		}
+		s.permit = permit
+		n := k.importStep(ctx, eng, s, cached)
+		cached += n
+		if n < len(s.blocks) {
+			break
+		}
+	}
+	metric.Counter("block_brought_total").Inc(int64(cached - p.Cached))
+	return cached
+}
+
+// steps divides blocks into runs from one store.
+func steps(blocks []Located) []step {
+	var all []step
+	for _, b := range blocks {
+		if n := len(all); n == 0 || all[n-1].store != b.Store {
+			all = append(all, step{store: b.Store})
+		}
+		last := &all[len(all)-1]
+		last.blocks = append(last.blocks, b)
+		last.bytes += b.Length
+	}
+	return all
+}
+
+// importStep has the engine import a run of blocks and returns how many of them
+// are now in its cache.
+func (k *Keeper) importStep(ctx context.Context, eng engine.Engine, s step, cached int) int {
+	if !wait(ctx, s.permit.StartIn) {
+		return 0
+	}
+	t := engine.Transfer{StoreURL: s.store, Rate: s.permit.Rate}
+	for _, b := range s.blocks {
+		t.Blocks = append(t.Blocks, b.Ref())
+	}
+	began := k.opts.Now()
+	got, err := eng.Import(ctx, t)
+	n := min(max(got-cached, 0), len(s.blocks))
+	if err == nil && n == len(s.blocks) {
+		k.opts.Links.Observe(s.store, s.bytes, k.opts.Now().Sub(began), s.permit.Rate)
+		return n
+	}
+	if ctx.Err() == nil {
+		k.examine(ctx, s.blocks[min(n, len(s.blocks)-1)])
+	}
+	return n
+}
+
+// examine finds out why a block was not imported: its store is out of reach, or
+// the directory is wrong about it.
+func (k *Keeper) examine(ctx context.Context, l Located) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := k.opts.Store(l.Store).Stat(ctx, l.Ref())
+	if err != nil && !store.IsRefusal(err) {
+		k.markDown(l.Store)
+		event.StoreUnreachable.Log(k.opts.Log, slog.String("store", l.Store), slog.Any("error", err))
+		return
+	}
+	event.BlockRejected.Log(k.opts.Log, slog.String("store", l.Store), slog.String("block", l.Key.String()))
+	// A rejection that gets lost is repeated by the next reader.
+	_ = k.opts.Client.Reject(ctx, l)
+}
+
+// Keep has the blocks of an ended request exported that are worth it, and
+// publishes those that their store confirms. Kept is the number of leading
+// pieces that stores hold already. It returns the number published.
+func (k *Keeper) Keep(ctx context.Context, eng engine.Engine, p Prompt, kept int) (int, error) {
+	keys := p.Keys[min(kept, len(p.Keys)):]
+	url, ok := k.place(p)
+	if len(keys) == 0 || !ok {
+		return 0, nil
+	}
+	bytes := p.BlockBytes * int64(len(keys))
+	permit, err := k.opts.Links.Acquire(ctx, url, link.Export, bytes, 0)
+	if err != nil {
+		return 0, err
+	}
+	t := engine.Transfer{StoreURL: url, Rate: permit.Rate}
+	for _, key := range keys {
+		t.Blocks = append(t.Blocks, engine.BlockRef{Key: key.String(), Generation: k.generation()})
+	}
+	if !wait(ctx, permit.StartIn) {
+		return 0, ctx.Err()
+	}
+	began := k.opts.Now()
+	if err := eng.Export(ctx, t); err == nil {
+		k.opts.Links.Observe(url, bytes, k.opts.Now().Sub(began), permit.Rate)
+	}
+	// An export that failed may have sealed some blocks, and one that ended well
+	// is believed only as far as the store confirms it.
+	return k.confirm(ctx, p, kept, t)
+}
+
+// confirm publishes the leading blocks of an export that are sealed and frees
+// what lies behind a missing one, which nobody could use.
+func (k *Keeper) confirm(ctx context.Context, p Prompt, kept int, t engine.Transfer) (int, error) {
+	s := k.opts.Store(t.StoreURL)
+	sealed, err := s.StatAll(ctx, t.Blocks)
+	if err != nil {
+		if !store.IsRefusal(err) {
+			k.markDown(t.StoreURL)
+		}
+		return 0, err
+	}
+	whole := 0
+	for whole < len(sealed) && sealed[whole].Ref.Key == t.Blocks[whole].Key && sealed[whole].Ref.Generation == t.Blocks[whole].Generation {
+		whole++
+	}
+	for _, b := range sealed[whole:] {
+		// What can't be freed now is found by the home's listings.
+		_, _ = s.Free(ctx, b.Ref)
+	}
+	metric.Counter("block_exported_total").Inc(int64(whole))
+	return k.opts.Client.Publish(ctx, t.StoreURL, p.Class.Name, kept, sealed[:whole])
+}
+
+// place returns the store for the prompt's blocks, if any is worth it.
+func (k *Keeper) place(p Prompt) (string, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opts.Now()
+	stores := make([]StoreView, 0, len(k.stores))
+	for _, s := range k.stores {
+		if now.After(k.down[s.URL]) {
+			stores = append(stores, s)
+		}
+	}
+	v := Value{Class: p.Class, Compute: p.Compute, Bytes: p.BlockBytes}
+	return k.opts.Planner.Place(k.opts.Planner.Score(k.opts.Returns, v, 0, 0), stores, k.opts.Links.Forecast)
+}
+
+// SetStores tells the keeper which stores there are before any lookup has.
+func (k *Keeper) SetStores(stores []StoreView) { k.setStores(stores) }
+
+func (k *Keeper) setStores(stores []StoreView) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stores = stores
+}
+
+func (k *Keeper) markDown(url string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.down[url] = k.opts.Now().Add(downFor)
+}
+
+// forecast is that of the store's link, unless the store was out of reach.
+func (k *Keeper) forecast(url string) (link.Forecast, bool) {
+	k.mu.Lock()
+	until := k.down[url]
+	k.mu.Unlock()
+	if k.opts.Now().Before(until) {
+		return link.Forecast{}, false
+	}
+	return k.opts.Links.Forecast(url)
+}
+
+// generationRandomBits leave the random part enough bits that two instances don't
+// choose alike in one millisecond, while later generations are higher.
+const generationRandomBits = 20
+
+func (k *Keeper) generation() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return uint64(k.opts.Now().UnixMilli())<<generationRandomBits | k.rng.Uint64N(1<<generationRandomBits)
+}
+
+// wait reports whether d passed before ctx ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/block/keeper_test.go
@@ -0,0 +1,220 @@
+package block
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/contract"
+	"redwingknot/engine"
+	storestandin "redwingknot/internal/standin/store"
+	"redwingknot/link"
+	"redwingknot/store"
+	"redwingknot/wire"
+)
+
+const (
+	testPiece = 64
+	testBytes = 4096
+)
+
+// fakeEngine holds blocks by key and moves them as a model engine does.
+type fakeEngine struct {
+	engine.Engine
+	cache   map[string][]byte
+	exports int // blocks that an export manages, then it fails silently
+}
+
+func (e *fakeEngine) Export(ctx context.Context, t engine.Transfer) error {
+	c := store.NewClient(t.StoreURL, nil)
+	for i, ref := range t.Blocks {
+		if i >= e.exports {
+			return c.Write(ctx, ref, e.cache[ref.Key][:testBytes/2], t.Rate)
+		}
+		if _, err := c.Put(ctx, ref, e.cache[ref.Key], t.Rate); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *fakeEngine) Import(ctx context.Context, t engine.Transfer) (int, error) {
+	c := store.NewClient(t.StoreURL, nil)
+	for _, ref := range t.Blocks {
+		content, err := c.Get(ctx, ref, t.Rate)
+		if err != nil {
+			return len(e.cache), nil
+		}
+		e.cache[ref.Key] = content
+	}
+	return len(e.cache), nil
+}
+
+// site is one home instance with its stores, reached over real connections.
+type site struct {
+	keeper *Keeper
+	home   *Home
+	upkeep *Upkeep
+	stores []*storestandin.Server
+	urls   []string
+}
+
+func newSite(t *testing.T, stores int) *site {
+	t.Helper()
+	s := &site{home: NewHome(time.Now, NewDirectory(time.Now(), DirectoryOptions{}))}
+	var views []StoreView
+	for range stores {
+		standin := storestandin.New(storestandin.Options{})
+		server := httptest.NewServer(standin)
+		t.Cleanup(server.Close)
+		s.stores, s.urls = append(s.stores, standin), append(s.urls, server.URL)
+		views = append(views, StoreView{URL: server.URL, Total: 1 << 30})
+	}
+	all := make([]Partition, Partitions)
+	for i := range all {
+		all[i] = Partition(i)
+	}
+	s.home.Own(all, s.urls)
+	links := link.NewHome(time.Now, func(string) (link.BudgetOptions, bool) { return link.BudgetOptions{Rate: 1 << 30}, true })
+	server := wire.NewServer([]byte("k"))
+	s.home.Register(server)
+	links.Register(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go server.Serve(t.Context(), l)
+	client := wire.NewClient(l.Addr().String(), []byte("k"), nil)
+	t.Cleanup(client.Close)
+	storeClient := func(url string) *store.Client { return store.NewClient(url, nil) }
+	s.keeper = NewKeeper(KeeperOptions{
+		Now:    time.Now,
+		Client: NewClient(func(Partition) link.Caller { return client }),
+		Links: link.NewClient(link.ClientOptions{
+			Now:      time.Now,
+			Describe: func(string) (link.Link, bool) { return link.Link{Rate: 1 << 30}, true },
+			Home:     func(string) link.Caller { return client },
+		}),
+		Planner: NewPlanner(PlannerOptions{}),
+		Store:   storeClient,
+		Log:     slog.New(slog.DiscardHandler),
+	})
+	s.keeper.SetStores(views)
+	s.upkeep = &Upkeep{Home: s.home, Store: storeClient, Log: slog.New(slog.DiscardHandler)}
+	return s
+}
+
+func testPrompt(pieces int) (Prompt, *fakeEngine) {
+	text := make([]byte, pieces*testPiece)
+	for i := range text {
+		text[i] = byte(i >> 4)
+	}
+	p := Prompt{
+		Keys: Chain("team", "model", "", "v1", text, testPiece), Class: contract.Class{Name: "chat", Worth: 1},
+		Compute: time.Second, BlockBytes: testBytes,
+	}
+	e := &fakeEngine{cache: map[string][]byte{}, exports: pieces}
+	for i, k := range p.Keys {
+		content := make([]byte, testBytes)
+		content[0] = byte(i + 1)
+		e.cache[k.String()] = content
+	}
+	return p, e
+}
+
+// export keeps the prompt; the link's budget begins empty and fills with time.
+func (s *site) export(t *testing.T, e *fakeEngine, p Prompt) int {
+	t.Helper()
+	for range 200 {
+		n, err := s.keeper.Keep(t.Context(), e, p, 0)
+		if err == nil {
+			return n
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("no budget for the export")
+	return 0
+}
+
+func (s *site) bring(t *testing.T, p Prompt) (int, Return) {
+	t.Helper()
+	r, err := s.keeper.Look(t.Context(), p)
+	assert.NilError(t, err)
+	return s.keeper.Bring(t.Context(), &fakeEngine{cache: map[string][]byte{}}, p, r), r
+}
+
+func TestKeepThenBring(t *testing.T) {
+	s := newSite(t, 2)
+	p, e := testPrompt(5)
+	assert.Equal(t, s.export(t, e, p), 5)
+	n, r := s.bring(t, p)
+	assert.Equal(t, n, 5)
+	assert.Assert(t, r.Expected < r.Recompute)
+}
+
+// TestOnlySealedBlocksArePublished covers an engine that reports success for an
+// export that it has not finished.
+func TestOnlySealedBlocksArePublished(t *testing.T) {
+	s := newSite(t, 1)
+	p, e := testPrompt(5)
+	e.exports = 3
+	assert.Equal(t, s.export(t, e, p), 3)
+	assert.Equal(t, s.home.Len(), 3)
+	n, r := s.bring(t, p)
+	assert.Equal(t, len(r.Found), 3)
+	assert.Equal(t, n, 3)
+}
+
+func TestCorruptBlockIsRejected(t *testing.T) {
+	s := newSite(t, 1)
+	p, e := testPrompt(3)
+	assert.Equal(t, s.export(t, e, p), 3)
+	s.stores[0].SetFault(storestandin.Fault{Flip: true})
+	n, _ := s.bring(t, p)
+	assert.Equal(t, n, 0)
+	assert.Equal(t, s.home.Len(), 2)
+	_, r := s.bring(t, p)
+	assert.Equal(t, len(r.Found), 0)
+}
+
+func TestDeadStoreIsLeftAlone(t *testing.T) {
+	s := newSite(t, 1)
+	p, e := testPrompt(3)
+	assert.Equal(t, s.export(t, e, p), 3)
+	s.stores[0].SetFault(storestandin.Fault{Dead: true})
+	n, r := s.bring(t, p)
+	assert.Equal(t, n, 0)
+	assert.Equal(t, r.Bring, 3)
+	_, r = s.bring(t, p)
+	assert.Equal(t, r.Bring, 0)
+	assert.Equal(t, s.home.Len(), 3)
+}
+
+// TestLostHomeIsRebuilt takes a new home that knows nothing.
+func TestLostHomeIsRebuilt(t *testing.T) {
+	s := newSite(t, 2)
+	p, e := testPrompt(4)
+	assert.Equal(t, s.export(t, e, p), 4)
+	s.home.mu.Lock()
+	s.home.dir = NewDirectory(time.Now(), DirectoryOptions{})
+	s.home.mu.Unlock()
+	s.home.Own([]Partition{p.Keys[0].Partition()}, s.urls)
+	n, _ := s.bring(t, p)
+	assert.Equal(t, n, 0)
+	s.upkeep.Round(t.Context())
+	n, _ = s.bring(t, p)
+	assert.Equal(t, n, 4)
+}
+
+// TestEmptiedStoreIsForgotten restores a store empty under its old address.
+func TestEmptiedStoreIsForgotten(t *testing.T) {
+	s := newSite(t, 1)
+	p, e := testPrompt(4)
+	assert.Equal(t, s.export(t, e, p), 4)
+	s.stores[0].SetFault(storestandin.Fault{Empty: true})
+	s.upkeep.Round(t.Context())
+	assert.Equal(t, s.home.Len(), 0)
+}
--- /dev/null
+++ b/block/plan.go
@@ -0,0 +1,145 @@
+package block
+
+import (
+	"time"
+
+	"redwingknot/contract"
+	"redwingknot/link"
+)
+
+// Defaults of PlannerOptions.
+const (
+	defaultHorizon = time.Hour
+	defaultMargin  = 0.05
+)
+
+// PlannerOptions tunes a planner.
+type PlannerOptions struct {
+	// Horizon is how far ahead a return counts; 0 for the default.
+	Horizon time.Duration
+	// Margin is the part of the recomputation time that bringing a block back
+	// has to save; 0 for the default.
+	Margin float64
+}
+
+// Planner decides what to keep, where, what to free and what to bring back. It
+// holds no state.
+type Planner struct {
+	opts PlannerOptions
+}
+
+// NewPlanner returns a planner.
+func NewPlanner(o PlannerOptions) *Planner {
+	if o.Horizon == 0 {
+		o.Horizon = defaultHorizon
+	}
+	if o.Margin == 0 {
+		o.Margin = defaultMargin
+	}
+	return &Planner{opts: o}
+}
+
+// Question asks how to get a prompt's prefix into an engine's cache.
+type Question struct {
+	Pieces  int           // full pieces of the prompt
+	Cached  int           // leading pieces already in the engine's cache
+	Found   []Located     // blocks behind those, in order
+	Compute time.Duration // of computing one piece at the engine
+}
+
+// Plan is the answer to a Question.
+type Plan struct {
+	Bring     int           // leading blocks of Found to bring back
+	Expected  time.Duration // until all full pieces are in the cache
+	Recompute time.Duration // the same with nothing brought back
+}
+
+// Plan returns the number of blocks to bring back that gives the prompt the
+// earliest first token: blocks are brought in order, store after store, and
+// pieces without a block are computed after that.
+func (p *Planner) Plan(q Question, forecast func(store string) (link.Forecast, bool)) Plan {
+	missing := max(q.Pieces-q.Cached, 0)
+	plan := Plan{Recompute: time.Duration(missing) * q.Compute}
+	plan.Expected = plan.Recompute
+	var brought time.Duration
+	for i, b := range q.Found[:min(len(q.Found), missing)] {
+		f, ok := forecast(b.Store)
+		if !ok {
+			break
+		}
+		if i == 0 || b.Store != q.Found[i-1].Store {
+			brought += f.Wait + f.Delay
+		}
+		brought += f.Time(b.Length) - f.Wait - f.Delay
+		total := brought + time.Duration(missing-i-1)*q.Compute
+		if total < plan.Expected-p.margin(q, i+1-plan.Bring) {
+			plan.Bring, plan.Expected = i+1, total
+		}
+	}
+	return plan
+}
+
+// margin is what bringing so many more blocks has to save at least.
+func (p *Planner) margin(q Question, blocks int) time.Duration {
+	return time.Duration(p.opts.Margin * float64(blocks) * float64(q.Compute))
+}
+
+// Value is what a block is worth to keep.
+type Value struct {
+	Class   contract.Class
+	Compute time.Duration // saved by bringing the block back
+	Bring   time.Duration // spent on bringing it back
+	Bytes   int64
+}
+
+// Score returns the worth of the seconds that a block is expected to save for
+// each byte it takes: the chance of a return within the horizon times what the
+// return saves.
+func (p *Planner) Score(r *Returns, v Value, returns int, idle time.Duration) float64 {
+	saved := (v.Compute - v.Bring).Seconds()
+	if saved <= 0 || v.Bytes <= 0 {
+		return 0
+	}
+	chance := r.Probability(v.Class.Name, returns, idle, p.opts.Horizon)
+	return chance * saved * max(v.Class.Worth, 0) / float64(v.Bytes)
+}
+
+// StoreView is what an instance knows of a store.
+type StoreView struct {
+	URL   string
+	Down  bool
+	Used  int64
+	Total int64
+	Price float64 // score below which the store frees blocks
+}
+
+// free returns the part of the store that is not in use.
+func (s StoreView) free() float64 {
+	if s.Total <= 0 {
+		return 0
+	}
+	return 1 - float64(s.Used)/float64(s.Total)
+}
+
+// Place returns the store that should hold blocks of the score, or none if all
+// would free them soon: of the stores that take them, the one with the most
+// room for what its link carries.
+func (p *Planner) Place(score float64, stores []StoreView, forecast func(store string) (link.Forecast, bool)) (string, bool) {
+	best, bestFit := "", -1.0
+	for _, s := range stores {
+		if s.Down || score <= s.Price || score <= 0 {
+			continue
+		}
+		f, ok := forecast(s.URL)
+		if !ok {
+			continue
+		}
+		if fit := f.Rate * (minRoom + s.free()) / (1 + f.Wait.Seconds()); fit > bestFit {
+			best, bestFit = s.URL, fit
+		}
+	}
+	return best, best != ""
+}
+
+// minRoom keeps a full store with a fast link a candidate: it frees others.
+const minRoom = 0.1
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,239 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/engine"
+)
+
+// maxMessageBytes bounds an answer other than a block's content.
+const maxMessageBytes = 4 << 20
+
+// Client makes calls to one store instance. It is safe for concurrent use.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient returns a client of the store at base, such as http://10.0.0.7:7400.
+// A nil h uses http.DefaultClient.
+func NewClient(base string, h *http.Client) *Client {
+	if h == nil {
+		h = http.DefaultClient
+	}
+	return &Client{url: base, http: h}
+}
+
+// URL returns the address of the store.
+func (c *Client) URL() string { return c.url }
+
+// Checksum returns the checksum by which blocks are sealed and verified.
+func Checksum(content []byte) uint64 { return xxhash.Sum64(content) }
+
+// Put writes content at no more than rate bytes a second, 0 for no limit, and
+// seals it. Length and checksum of ref are those of content afterwards,
+// whatever they were. After an error the block may exist, unsealed or sealed;
+// it is good only if Stat confirms it.
+func (c *Client) Put(ctx context.Context, ref engine.BlockRef, content []byte, rate int64) (Sealed, error) {
+	if err := c.Write(ctx, ref, content, rate); err != nil {
+		return Sealed{}, err
+	}
+	ref.Length = int64(len(content))
+	ref.Checksum = Checksum(content)
+	return c.Seal(ctx, ref)
+}
+
+// Write sends content without sealing it.
+func (c *Client) Write(ctx context.Context, ref engine.BlockRef, content []byte, rate int64) error {
+	body := limitReader(ctx, bytes.NewReader(content), rate)
+	req, err := c.request(ctx, http.MethodPut, blockPath(ref), body)
+	if err != nil {
+		return err
+	}
+	req.ContentLength = int64(len(content))
+	return c.do(req, "write", ref, nil)
+}
+
+// Seal makes the bytes written readable if they are those that ref describes.
+func (c *Client) Seal(ctx context.Context, ref engine.BlockRef) (Sealed, error) {
+	var sealed Sealed
+	body, err := json.Marshal(SealRequest{Length: ref.Length, Checksum: ref.Checksum})
+	if err != nil {
+		return sealed, errors.Wrap(err, "encode seal")
+	}
+	req, err := c.request(ctx, http.MethodPost, blockPath(ref)+"/seal", bytes.NewReader(body))
+	if err != nil {
+		return sealed, err
+	}
+	err = c.do(req, "seal", ref, &sealed)
+	return sealed, err
+}
+
+// Stat returns the store's account of a sealed block; a block that is freed or
+// not sealed is refused.
+func (c *Client) Stat(ctx context.Context, ref engine.BlockRef) (Sealed, error) {
+	var sealed Sealed
+	req, err := c.request(ctx, http.MethodGet, blockPath(ref)+"/seal", nil)
+	if err != nil {
+		return sealed, err
+	}
+	if err := c.do(req, "stat", ref, &sealed); err != nil {
+		return sealed, err
+	}
+	if sealed.Ref.Key != ref.Key || sealed.Ref.Generation != ref.Generation {
+		return Sealed{}, &CorruptError{URL: c.url, Want: ref, Generation: sealed.Ref.Generation}
+	}
+	return sealed, nil
+}
+
+// StatAll returns the store's account of those blocks that are sealed, in the
+// order of refs.
+func (c *Client) StatAll(ctx context.Context, refs []engine.BlockRef) ([]Sealed, error) {
+	body, err := json.Marshal(StatRequest{Refs: refs})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode stat")
+	}
+	req, err := c.request(ctx, http.MethodPost, "/v1/stat", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	var answer StatResponse
+	err = c.do(req, "stat", engine.BlockRef{}, &answer)
+	return answer.Blocks, err
+}
+
+// Get reads a block at no more than rate bytes a second, 0 for no limit. The
+// store holds a read grant for as long as it sends. Bytes that are not exactly
+// those that ref describes are a *CorruptError.
+func (c *Client) Get(ctx context.Context, ref engine.BlockRef, rate int64) ([]byte, error) {
+	req, err := c.request(ctx, http.MethodGet, blockPath(ref), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &UnreachableError{URL: c.url, Op: "read", Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, c.refusal(resp, "read", ref)
+	}
+	content, err := readContent(limitReader(ctx, resp.Body, rate), ref.Length)
+	if err != nil {
+		return nil, &UnreachableError{URL: c.url, Op: "read", Err: err}
+	}
+	return c.verify(ref, resp.Header.Get(HeaderGeneration), content)
+}
+
+// readContent reads one byte more than expected at most: enough to see that a
+// block is too long.
+func readContent(r io.Reader, length int64) ([]byte, error) {
+	buf := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := io.Copy(buf, io.LimitReader(r, length+1))
+	return buf.Bytes(), err
+}
+
+func (c *Client) verify(ref engine.BlockRef, generation string, content []byte) ([]byte, error) {
+	got, _ := strconv.ParseUint(generation, 10, 64)
+	sum := Checksum(content)
+	if got != ref.Generation || int64(len(content)) != ref.Length || sum != ref.Checksum {
+		return nil, &CorruptError{URL: c.url, Want: ref, Generation: got, Length: int64(len(content)), Checksum: sum}
+	}
+	return content, nil
+}
+
+// Free removes a block once the read grants on it have ended. From its arrival
+// on the store refuses new reads, even if the caller does not wait for the answer.
+func (c *Client) Free(ctx context.Context, ref engine.BlockRef) (Freed, error) {
+	var freed Freed
+	req, err := c.request(ctx, http.MethodDelete, blockPath(ref), nil)
+	if err != nil {
+		return freed, err
+	}
+	err = c.do(req, "free", ref, &freed)
+	return freed, err
+}
+
+// List returns sealed blocks whose keys begin with prefix and come behind after.
+func (c *Client) List(ctx context.Context, prefix, after string) (Listing, error) {
+	var l Listing
+	query := url.Values{"prefix": {prefix}, "after": {after}}
+	req, err := c.request(ctx, http.MethodGet, "/v1/blocks?"+query.Encode(), nil)
+	if err != nil {
+		return l, err
+	}
+	err = c.do(req, "list", engine.BlockRef{}, &l)
+	return l, err
+}
+
+// Status returns the store's epoch and fill.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	req, err := c.request(ctx, http.MethodGet, "/v1/status", nil)
+	if err != nil {
+		return s, err
+	}
+	err = c.do(req, "status", engine.BlockRef{}, &s)
+	return s, err
+}
+
+func blockPath(ref engine.BlockRef) string {
+	return "/v1/blocks/" + url.PathEscape(ref.Key) + "/" + strconv.FormatUint(ref.Generation, 10)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.url+path, body)
+	if err != nil {
+		return nil, &UnreachableError{URL: c.url, Op: method, Err: err}
+	}
+	return req, nil
+}
+
+// do sends req and decodes a successful answer into out if it is not nil.
+func (c *Client) do(req *http.Request, op string, ref engine.BlockRef, out any) error {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return &UnreachableError{URL: c.url, Op: op, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return c.refusal(resp, op, ref)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes)).Decode(out); err != nil {
+		return &UnreachableError{URL: c.url, Op: op, Err: err}
+	}
+	return nil
+}
+
+func (c *Client) refusal(resp *http.Response, op string, ref engine.BlockRef) error {
+	var p Problem
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes)).Decode(&p)
+	if err != nil || p.Code == "" {
+		return &StatusError{URL: c.url, Op: op, Status: resp.StatusCode}
+	}
+	return &RefusedError{URL: c.url, Op: op, Key: ref.Key, Generation: ref.Generation, Code: p.Code, Detail: p.Detail}
+}
+
+// IsCode reports whether err is a refusal with the code.
+func IsCode(err error, code Code) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Code == code
+}
+
+// IsRefusal reports whether err is the store's own answer.
+func IsRefusal(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
--- /dev/null
+++ b/store/client_test.go
@@ -0,0 +1,166 @@
+package store_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"redwingknot/engine"
+	storestandin "redwingknot/internal/standin/store"
+	"redwingknot/store"
+)
+
+const key = "00000000000000000000000000000000000000000000000000000000000000a1"
+
+func start(t *testing.T, o storestandin.Options) (*storestandin.Server, *store.Client) {
+	t.Helper()
+	s := storestandin.New(o)
+	h := httptest.NewServer(s)
+	t.Cleanup(h.Close)
+	return s, store.NewClient(h.URL, h.Client())
+}
+
+func content(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i * 7)
+	}
+	return b
+}
+
+func TestPutThenGet(t *testing.T) {
+	_, c := start(t, storestandin.Options{})
+	sealed, err := c.Put(t.Context(), engine.BlockRef{Key: key, Generation: 3}, content(100_000), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, sealed.Seq, uint64(1))
+	got, err := c.Get(t.Context(), sealed.Ref, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, content(100_000))
+	again, err := c.Stat(t.Context(), sealed.Ref)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, sealed)
+}
+
+func TestUnreadable(t *testing.T) {
+	s, c := start(t, storestandin.Options{})
+	ref := engine.BlockRef{Key: key, Generation: 3, Length: 100_000, Checksum: store.Checksum(content(100_000))}
+	_, err := c.Get(t.Context(), ref, 0)
+	assert.Assert(t, store.IsCode(err, store.CodeNotFound), "%v", err)
+
+	s.SetFault(storestandin.Fault{CrashAfter: 50_000})
+	_, err = c.Put(t.Context(), ref, content(100_000), 0)
+	var unreachable *store.UnreachableError
+	assert.Assert(t, errors.As(err, &unreachable), "%v", err)
+	s.SetFault(storestandin.Fault{})
+	_, err = c.Get(t.Context(), ref, 0)
+	assert.Assert(t, store.IsCode(err, store.CodeUnsealed), "%v", err)
+	_, err = c.Seal(t.Context(), ref)
+	assert.Assert(t, store.IsCode(err, store.CodeMismatch), "%v", err)
+
+	_, err = c.Put(t.Context(), ref, content(100_000), 0)
+	assert.NilError(t, err)
+	_, err = c.Put(t.Context(), ref, content(10), 0)
+	assert.Assert(t, store.IsCode(err, store.CodeSealed), "%v", err)
+	other := ref
+	other.Generation++
+	_, err = c.Get(t.Context(), other, 0)
+	assert.Assert(t, store.IsCode(err, store.CodeNotFound), "%v", err)
+
+	_, err = c.Free(t.Context(), ref)
+	assert.NilError(t, err)
+	_, err = c.Get(t.Context(), ref, 0)
+	assert.Assert(t, store.IsCode(err, store.CodeNotFound), "%v", err)
+}
+
+// TestDamagedBytesAreCorrupt covers content that the store itself holds to be
+// good: the reader's checksum is the only guard.
+func TestDamagedBytesAreCorrupt(t *testing.T) {
+	for name, f := range map[string]storestandin.Fault{"flip": {Flip: true}, "torn": {TornSeal: true}} {
+		t.Run(name, func(t *testing.T) {
+			s, c := start(t, storestandin.Options{})
+			s.SetFault(f)
+			sealed, err := c.Put(t.Context(), engine.BlockRef{Key: key, Generation: 1}, content(70_000), 0)
+			assert.NilError(t, err)
+			_, err = c.Get(t.Context(), sealed.Ref, 0)
+			var corrupt *store.CorruptError
+			assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+		})
+	}
+}
+
+func TestFullStoreDemotesThenRefuses(t *testing.T) {
+	s, c := start(t, storestandin.Options{MemoryBytes: 1000, DiskBytes: 1000})
+	for g := range uint64(4) {
+		_, err := c.Put(t.Context(), engine.BlockRef{Key: key, Generation: g}, content(500), 0)
+		assert.NilError(t, err)
+	}
+	status, err := c.Status(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, status.Capacity, store.Capacity{MemoryUsed: 1000, MemoryTotal: 1000, DiskUsed: 1000, DiskTotal: 1000})
+	_, err = c.Put(t.Context(), engine.BlockRef{Key: key, Generation: 9}, content(500), 0)
+	assert.Assert(t, store.IsCode(err, store.CodeFull), "%v", err)
+
+	s.SetFault(storestandin.Fault{Full: true})
+	_, err = c.Free(t.Context(), engine.BlockRef{Key: key, Generation: 0})
+	assert.NilError(t, err)
+	_, err = c.Put(t.Context(), engine.BlockRef{Key: key, Generation: 9}, content(500), 0)
+	assert.Assert(t, store.IsCode(err, store.CodeFull), "%v", err)
+}
+
+// TestFreeWaitsForReads frees a block while a slow read of it is under way: the
+// read gets its bytes, new reads are refused, and the free ends after the read.
+func TestFreeWaitsForReads(t *testing.T) {
+	s, c := start(t, storestandin.Options{})
+	sealed, err := c.Put(t.Context(), engine.BlockRef{Key: key, Generation: 1}, content(256<<10), 0)
+	assert.NilError(t, err)
+	s.SetFault(storestandin.Fault{Rate: 1 << 20})
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Get(context.WithoutCancel(t.Context()), sealed.Ref, 0)
+		read <- err
+	}()
+	for s.Grants() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	free := make(chan error, 1)
+	go func() {
+		_, err := c.Free(context.WithoutCancel(t.Context()), sealed.Ref)
+		free <- err
+	}()
+	for s.Freeing() == 0 && len(free) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = c.Get(t.Context(), sealed.Ref, 0)
+	assert.Assert(t, store.IsCode(err, store.CodeNotFound), "%v", err)
+	assert.NilError(t, <-read)
+	assert.NilError(t, <-free)
+	assert.Equal(t, s.Grants(), 0)
+}
+
+func TestEmptiedStoreHasNewEpoch(t *testing.T) {
+	s, c := start(t, storestandin.Options{})
+	sealed, err := c.Put(t.Context(), engine.BlockRef{Key: key, Generation: 1}, content(10), 0)
+	assert.NilError(t, err)
+	l, err := c.List(t.Context(), "000", "")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, l.Blocks, []store.Sealed{sealed})
+	s.SetFault(storestandin.Fault{Empty: true})
+	l, err = c.List(t.Context(), "000", "")
+	assert.NilError(t, err)
+	assert.Assert(t, l.Epoch != sealed.Epoch)
+	assert.Equal(t, len(l.Blocks), 0)
+	_, err = c.Get(t.Context(), sealed.Ref, 0)
+	assert.Assert(t, store.IsCode(err, store.CodeNotFound), "%v", err)
+}
+
+func TestDeadStoreIsUnreachable(t *testing.T) {
+	s, c := start(t, storestandin.Options{})
+	s.SetFault(storestandin.Fault{Dead: true})
+	_, err := c.Status(t.Context())
+	var unreachable *store.UnreachableError
+	assert.Assert(t, errors.As(err, &unreachable), "%v", err)
+}
