--- /dev/null
+++ b/datacentre/update.go
@@ -0,0 +1,39 @@
+package datacentre
+
+// Update is a run of accepted notes, or a snapshot of the configuration and
+// the notes that follow it.
+type Update struct {
+	First        uint64   // number of Notes[0]
+	Notes        [][]byte // consecutive notes
+	SnapshotHead uint64   // number of the last note in Snapshot, 0 for none
+	Snapshot     [][]byte // parts of the snapshot
+}
+
+// Notes is the local book of accepted notes that a Spread keeps up to date.
+// Head never falls, and Offer applies note n only after n-1.
+type Notes interface {
+	// Head returns the number of the last note in force, 0 for none.
+	Head() uint64
+	// Changed returns a channel that is closed when the head next rises.
+	Changed() <-chan struct{}
+	// Since returns what follows head, with notes of about maxBytes at most.
+	Since(head uint64, maxBytes int) Update
+	// Offer applies what the book lacks of an update.
+	Offer(u Update) error
+}
+
+// last returns the head after the update.
+func (u Update) last() uint64 {
+	if len(u.Notes) > 0 {
+		return u.First + uint64(len(u.Notes)) - 1
+	}
+	return u.SnapshotHead
+}
+
+// follows reports whether the update can be applied to a book at head.
+func (u Update) follows(head uint64) bool {
+	if u.SnapshotHead > head {
+		return true
+	}
+	return len(u.Notes) > 0 && u.First <= head+1 && u.last() > head
+}
--- /dev/null
+++ b/instance/member.go
@@ -0,0 +1,69 @@
+package instance
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is one instance of the system.
+type Member struct {
+	ID          string // unique among the instances that live at one time
+	Incarnation uint64 // grows with each start under the same ID
+	DataCentre  string
+	Addr        string // address of the instance's wire server
+	Ready       bool   // the instance has a configuration and serves
+	Leaving     bool   // the instance takes no new work
+}
+
+// Listed is an instance in the platform's lagging list. Incarnation is zero if
+// the platform doesn't know it.
+type Listed struct {
+	ID          string
+	Incarnation uint64
+	DataCentre  string
+	Addr        string
+	Leaving     bool
+}
+
+// Score returns the rendezvous weight of id for key: the highest weight among
+// a set of members owns the key.
+func Score(key, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(id)
+	d.Write([]byte{0})
+	d.WriteString(key)
+	return d.Sum64()
+}
+
+// Rank returns members by falling rendezvous weight for key.
+func Rank(key string, members []Member) []Member {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		sa, sb := Score(key, a.ID), Score(key, b.ID)
+		switch {
+		case sa > sb:
+			return -1
+		case sa < sb:
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return ranked
+}
+
+// Owner returns the member of the highest rendezvous weight for key; the zero
+// Member if there is none.
+func Owner(key string, members []Member) Member {
+	var best Member
+	var bestScore uint64
+	for _, m := range members {
+		s := Score(key, m.ID)
+		if best.ID == "" || s > bestScore || s == bestScore && m.ID < best.ID {
+			best, bestScore = m, s
+		}
+	}
+	return best
+}
