--- /dev/null
+++ b/internal/decisionbench/sim.go
@@ -0,0 +1,363 @@
+package decisionbench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/admit"
+	"redwingknot/contract"
+	"redwingknot/engine"
+	"redwingknot/retry"
+	"redwingknot/route"
+)
+
+// Fault is what goes wrong during a run.
+type Fault string
+
+// The faults.
+const (
+	Calm        Fault = "calm"
+	WorkerLost  Fault = "worker-lost"
+	StoreLost   Fault = "store-lost"
+	LinkTenth   Fault = "link-tenth"
+	LateReports Fault = "late-2s"
+)
+
+// Faults are all of them.
+var Faults = []Fault{Calm, WorkerLost, StoreLost, LinkTenth, LateReports}
+
+// Admission names a way to admit.
+type Admission string
+
+// The ways to admit.
+const (
+	FirstCome Admission = "first-come"
+	Worth     Admission = "worth"
+)
+
+// Retries names a way to repeat failed attempts.
+type Retries string
+
+// The ways to repeat failed attempts.
+const (
+	Unlimited Retries = "unlimited"
+	Budgeted  Retries = "budgeted"
+)
+
+// Setup is one cell of a table.
+type Setup struct {
+	Deployment Deployment
+	Routing    Routing
+	Admission  Admission
+	Retries    Retries
+	Fault      Fault
+	Load       float64 // share of the capacity
+	Seconds    float64 // measured, after the warm-up
+	Seed       uint64
+}
+
+const (
+	warmup         = 10.0
+	reportInterval = 0.25
+	reportLag      = 0.1
+	lateLag        = 2.0
+)
+
+// attempt is one dispatch of a request.
+type attempt struct {
+	sim        *sim
+	id         string
+	req        *request
+	worker     *worker
+	expected   float64
+	tokensLeft int
+	outLeft    int
+	recomputed int
+	started    bool
+}
+
+// router is one entry instance's decisions.
+type router struct {
+	chooser chooser
+	admit   *admit.Controller
+	budget  *retry.Budget
+	links   []linkView
+}
+
+type sim struct {
+	setup   Setup
+	clock   *clock
+	rng     *rand.Rand // of the decisions
+	traffic *traffic
+	workers []*worker
+	links   []*link
+	routers []*router
+	result  Result
+	nextID  int
+}
+
+// Run simulates one cell.
+func Run(s Setup) Result {
+	m := newSim(s)
+	end := warmup + s.Seconds
+	m.arrive(end)
+	m.clock.after(0, m.reports)
+	m.clock.after(warmup+s.Seconds/4, m.fault)
+	m.clock.runUntil(end + warmup)
+	return m.finish()
+}
+
+func newSim(s Setup) *sim {
+	m := &sim{setup: s, clock: &clock{}, rng: rand.New(rand.NewPCG(s.Seed, 2))}
+	m.traffic = newTraffic(s.Deployment, rand.New(rand.NewPCG(s.Seed, 1)))
+	for i := range s.Deployment.Workers {
+		m.workers = append(m.workers, newWorker(i, m.clock))
+	}
+	for range storeCount {
+		rate := linkShare * float64(s.Deployment.Workers) / storeCount
+		m.links = append(m.links, &link{clock: m.clock, rate: rate})
+	}
+	for i := range s.Deployment.Routers {
+		m.routers = append(m.routers, m.newRouter(i))
+	}
+	m.result.refusals = map[contract.Reason]int{}
+	m.result.demand = map[string]int{}
+	return m
+}
+
+func (m *sim) newRouter(i int) *router {
+	r := &router{admit: admit.NewController(admit.Config{}), budget: retry.NewBudget(retry.BudgetConfig{})}
+	if m.setup.Routing == Score {
+		r.chooser = newScoreChooser(m.setup.Deployment)
+	} else {
+		r.chooser = newRival(m.setup.Routing, m.workers, i)
+	}
+	for _, l := range m.links {
+		r.links = append(r.links, linkView{rate: l.rate})
+	}
+	return r
+}
+
+// arrive schedules the next request until end.
+func (m *sim) arrive(end float64) {
+	rate := m.setup.Load * m.setup.Deployment.capacity()
+	gap := m.traffic.rng.ExpFloat64() / rate
+	if m.clock.now+gap > end {
+		return
+	}
+	m.clock.after(gap, func() {
+		r := m.traffic.next(m.clock.now)
+		if m.counts(r) {
+			m.result.offered++
+			m.result.demand[r.load.class.Name]++
+		}
+		m.try(r)
+		m.arrive(end)
+	})
+}
+
+// counts reports whether the request arrived after the warm-up.
+func (m *sim) counts(r *request) bool { return r.at >= warmup }
+
+// try decides on a request and sends it off.
+func (m *sim) try(r *request) {
+	rt := m.routers[r.router]
+	cost := func(pieces int) (float64, bool) {
+		c := rt.links[r.doc.store].cost(pieces, m.clock.now)
+		return c, c < lateLag*2
+	}
+	if r.fresh {
+		cost = nil
+	}
+	d, ok := rt.chooser.choose(r, m.clock.now, cost, m.rng)
+	if !ok {
+		m.refuse(r, contract.ReasonNoEndpoint)
+		return
+	}
+	if m.setup.Admission == Worth && r.tries == 0 {
+		if reason, ok := m.admitted(rt, r, d); !ok {
+			m.refuse(r, reason)
+			return
+		}
+	}
+	m.send(rt, r, d)
+}
+
+func (m *sim) admitted(rt *router, r *request, d decision) (contract.Reason, bool) {
+	err := rt.admit.Admit(admit.Query{
+		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue),
+		Cost: toDuration(d.fill() + float64(r.load.out)*perToken),
+	}, m.clock.time(), m.rng)
+	var refusal *contract.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Reason, false
+	}
+	return "", true
+}
+
+func (d decision) fill() float64 { return d.expected - d.queue }
+
+func (m *sim) send(rt *router, r *request, d decision) {
+	m.nextID++
+	a := &attempt{
+		sim: m, id: strconv.Itoa(m.nextID), req: r, worker: m.workers[d.worker],
+		expected: d.expected, outLeft: r.load.out,
+	}
+	rt.chooser.dispatched(a, d, m.clock.now)
+	deliver := func() {
+		if d.bring > 0 && !a.worker.dead {
+			a.worker.store(r.doc, len(r.doc.pieces))
+		}
+		if !a.worker.enqueue(a) {
+			a.fail()
+		}
+	}
+	delay := m.setup.Deployment.CrossDelay
+	if d.bring == 0 {
+		m.clock.after(delay, deliver)
+		return
+	}
+	m.links[r.doc.store].transfer(d.bring, func(float64) { m.clock.after(delay, deliver) })
+}
+
+func (a *attempt) router() *router { return a.sim.routers[a.req.router] }
+
+// answer is the first token.
+func (a *attempt) answer() {
+	m, r := a.sim, a.req
+	took := m.clock.now + m.setup.Deployment.CrossDelay - r.at
+	a.started = true
+	a.router().chooser.answered(a, m.clock.now)
+	a.router().admit.Observe(toDuration(a.expected), toDuration(took))
+	if !m.counts(r) {
+		return
+	}
+	m.result.first = append(m.result.first, took)
+	if !r.fresh {
+		m.result.returned += len(r.doc.pieces)
+		m.result.recomputed += a.recomputed
+	}
+	if took <= r.load.class.FirstIn.Seconds() {
+		m.result.worth += r.load.class.Worth
+	}
+}
+
+func (a *attempt) finish() {
+	a.router().chooser.ended(a, route.Succeeded, a.sim.clock.now)
+	a.router().budget.Succeeded()
+}
+
+func (a *attempt) abandon() {
+	a.router().chooser.ended(a, route.Canceled, a.sim.clock.now)
+	a.sim.refuse(a.req, contract.ReasonCallerDisconnected)
+}
+
+// fail ends an attempt whose worker is dead or full. An answer already begun
+// resumes elsewhere without counting again.
+func (a *attempt) fail() {
+	m, r := a.sim, a.req
+	a.router().chooser.ended(a, route.Failed, m.clock.now)
+	if a.started {
+		return
+	}
+	r.tries++
+	r.tried = append(r.tried, workerName(a.worker.id))
+	if m.setup.Retries == Unlimited {
+		m.clock.after(m.setup.Deployment.CrossDelay, func() { r.tried = nil; m.try(r) })
+		return
+	}
+	m.retry(a.router(), r)
+}
+
+func (m *sim) retry(rt *router, r *request) {
+	run := retry.ResumeRun(retry.Policy{}, rt.budget, timeAt(r.gaveUp), r.tries)
+	wait, err := run.Next(retry.EndpointBusy, 0, m.clock.time(), m.rng)
+	if err != nil {
+		m.refuse(r, contract.ReasonRetryBudget)
+		return
+	}
+	m.clock.after(wait.Seconds(), func() { m.try(r) })
+}
+
+func (m *sim) refuse(r *request, reason contract.Reason) {
+	if m.counts(r) {
+		m.result.refusals[reason]++
+	}
+}
+
+// reports sends every worker's and link's state to all routers, late.
+func (m *sim) reports() {
+	lag := reportLag
+	if m.setup.Fault == LateReports {
+		lag = lateLag
+	}
+	for i, w := range m.workers {
+		if w.dead {
+			continue
+		}
+		r, ev := w.report()
+		m.clock.after(lag, func() { m.observe(i, r, ev) })
+	}
+	for i, l := range m.links {
+		v := linkView{freeAt: l.free, rate: l.rate, dead: l.dead}
+		m.clock.after(lag, func() {
+			for _, rt := range m.routers {
+				rt.links[i] = v
+			}
+		})
+	}
+	m.clock.after(reportInterval, m.reports)
+}
+
+func (m *sim) observe(worker int, r engine.Report, ev engine.Events) {
+	for _, rt := range m.routers {
+		rt.chooser.observe(worker, r, ev, m.clock.now)
+	}
+}
+
+func (m *sim) fault() {
+	switch m.setup.Fault {
+	case WorkerLost:
+		m.workers[0].die()
+	case StoreLost:
+		m.links[0].dead = true
+	case LinkTenth:
+		m.links[0].rate /= 10
+	}
+}
+
+func (m *sim) finish() Result {
+	slices.Sort(m.result.first)
+	span := warmup + m.setup.Seconds
+	for _, l := range m.links {
+		m.result.linkUse += float64(l.moved) / (linkShare * float64(m.setup.Deployment.Workers) * span)
+	}
+	m.result.bound = m.bound()
+	return m.result
+}
+
+// bound is the worth that the workers could serve at the least cost, filled
+// from the class with the most worth for its cost.
+func (m *sim) bound() float64 {
+	alive := float64(m.setup.Deployment.Workers) * m.setup.Seconds
+	if m.setup.Fault == WorkerLost {
+		alive -= m.setup.Seconds * 3 / 4
+	}
+	loads := slices.Clone(m.setup.Deployment.Loads)
+	slices.SortFunc(loads, func(a, b load) int {
+		if a.class.Worth/a.cost() > b.class.Worth/b.cost() {
+			return -1
+		}
+		return 1
+	})
+	sum := 0.0
+	for _, l := range loads {
+		n := min(float64(m.result.demand[l.class.Name]), alive/l.cost())
+		alive -= n * l.cost()
+		sum += n * l.class.Worth
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/decisionbench/workload.go
@@ -0,0 +1,195 @@
+package decisionbench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"redwingknot/contract"
+)
+
+const (
+	modelName    = "m"
+	modelVersion = "v1"
+	newShare     = 0.03 // requests whose document was never seen
+	popularity   = 0.8  // exponent of the documents' popularity
+	teamCount    = 10
+	teamSkew     = 1.2
+)
+
+// load is the traffic of one class.
+type load struct {
+	class  contract.Class
+	share  float64 // of the requests
+	pieces int     // of its documents
+	suffix int     // prompt tokens after the document
+	out    int     // tokens of the answer
+}
+
+// cost is the least processing time of a request, in seconds: its document is
+// cached unless new, and the batch is full.
+func (l load) cost() float64 {
+	tokens := float64(l.suffix) + newShare*float64(l.pieces*pieceTokens)
+	return tokens/prefillRate + float64(l.out)*perToken
+}
+
+// Deployment is a set of workers and its traffic.
+type Deployment struct {
+	Name       string
+	Workers    int
+	Routers    int
+	Docs       int // documents that return, over all classes
+	CrossDelay float64
+	Loads      []load
+}
+
+func class(name string, worth float64, firstIn, deadline time.Duration) contract.Class {
+	return contract.Class{Name: name, Worth: worth, FirstIn: firstIn, Deadline: deadline}
+}
+
+// Authority marks trainees, drafts scenarios and answers marshals.
+func Authority() Deployment {
+	return Deployment{
+		Name: "authority", Workers: 10, Routers: 6, Docs: 600, CrossDelay: 0.0015,
+		Loads: []load{
+			{class("verdict", 10, time.Second, 10*time.Second), 0.3, 2, 300, 40},
+			{class("scenario", 6, 3*time.Second, 30*time.Second), 0.2, 15, 600, 400},
+			{class("question", 1, 800*time.Millisecond, 8*time.Second), 0.5, 4, 200, 80},
+		},
+	}
+}
+
+// CoOp checks signatures and answers families at the gate.
+func CoOp() Deployment {
+	return Deployment{
+		Name: "co-op", Workers: 20, Routers: 7, Docs: 1600, CrossDelay: 0.0005,
+		Loads: []load{
+			{class("sign-check", 8, 600*time.Millisecond, 6*time.Second), 0.3, 2, 200, 30},
+			{class("question", 3, 500*time.Millisecond, 5*time.Second), 0.4, 3, 150, 60},
+			{class("explain", 2, 500*time.Millisecond, 5*time.Second), 0.3, 4, 250, 150},
+		},
+	}
+}
+
+// Scaled returns the deployment at n times its size, with the given routers.
+func (d Deployment) Scaled(n, routers int) Deployment {
+	d.Name = fmt.Sprintf("%s x%d", d.Name, n)
+	d.Workers *= n
+	d.Docs *= n
+	d.Routers = routers
+	return d
+}
+
+// capacity is the number of requests a second that the workers can run at the
+// least cost.
+func (d Deployment) capacity() float64 {
+	mean := 0.0
+	for _, l := range d.Loads {
+		mean += l.share * l.cost()
+	}
+	return float64(d.Workers) / mean
+}
+
+// document is a prompt that returns.
+type document struct {
+	id     int
+	store  int
+	pieces []string
+}
+
+// request is one call of a caller.
+type request struct {
+	id     int
+	load   *load
+	team   string
+	doc    *document
+	fresh  bool
+	router int
+	at     float64
+	gaveUp float64
+	tries  int
+	tried  []string
+}
+
+func (r *request) tokens() int { return len(r.doc.pieces)*pieceTokens + r.load.suffix }
+
+// traffic draws requests.
+type traffic struct {
+	d      Deployment
+	rng    *rand.Rand
+	docs   [][]*document // by load, most popular first
+	cums   [][]float64
+	teams  []float64
+	nextID int
+	nextDo int
+}
+
+func newTraffic(d Deployment, rng *rand.Rand) *traffic {
+	t := &traffic{d: d, rng: rng, teams: zipf(teamCount, teamSkew)}
+	for _, l := range d.Loads {
+		n := d.Docs / len(d.Loads)
+		var docs []*document
+		for range n {
+			docs = append(docs, t.newDocument(l.pieces))
+		}
+		t.docs = append(t.docs, docs)
+		t.cums = append(t.cums, zipf(n, popularity))
+	}
+	return t
+}
+
+func (t *traffic) newDocument(pieces int) *document {
+	t.nextDo++
+	d := &document{id: t.nextDo, store: t.nextDo % storeCount}
+	for i := range pieces {
+		d.pieces = append(d.pieces, fmt.Sprintf("%d/%d", d.id, i))
+	}
+	return d
+}
+
+// zipf returns the cumulative shares of n ranks.
+func zipf(n int, exponent float64) []float64 {
+	cum := make([]float64, n)
+	sum := 0.0
+	for i := range cum {
+		sum += math.Pow(float64(i+1), -exponent)
+		cum[i] = sum
+	}
+	for i := range cum {
+		cum[i] /= sum
+	}
+	return cum
+}
+
+func (t *traffic) rank(cum []float64) int {
+	x := t.rng.Float64()
+	lo, hi := 0, len(cum)-1
+	for lo < hi {
+		mid := (lo + hi) / 2
+		if cum[mid] < x {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	return lo
+}
+
+func (t *traffic) next(now float64) *request {
+	t.nextID++
+	i, x := 0, t.rng.Float64()
+	for x -= t.d.Loads[i].share; x > 0 && i < len(t.d.Loads)-1; x -= t.d.Loads[i].share {
+		i++
+	}
+	l := &t.d.Loads[i]
+	r := &request{id: t.nextID, load: l, at: now, router: t.rng.IntN(t.d.Routers)}
+	r.gaveUp = now + l.class.Deadline.Seconds()
+	r.team = fmt.Sprint("team", t.rank(t.teams))
+	if t.rng.Float64() < newShare {
+		r.doc, r.fresh = t.newDocument(l.pieces), true
+	} else {
+		r.doc = t.docs[i][t.rank(t.cums[i])]
+	}
+	return r
+}
--- a/retry/run.go
+++ b/retry/run.go
@@ -43,6 +43,13 @@
 	return &Run{policy: p, budget: b, deadline: deadline, made: 1}
 }
 
+// ResumeRun returns the run of a request that has made attempts already.
+func ResumeRun(p Policy, b *Budget, deadline time.Time, made int) *Run {
+	r := NewRun(p, b, deadline)
+	r.made = made
+	return r
+}
+
 // Next returns how long to wait before another attempt that needs at least
 // needed until the deadline. It asks the budget last, so that a retry which
 // can't help spends nothing. The error is an *AttemptsError, *ExpiredError or
