Routing trusts a report less as it ages

A queue that was long two seconds ago says little about now, and routers acting on it fill the endpoint that was empty then. The reported queue is drawn towards the mean of all with age (half at 500 ms).

--- a/route/config.go
+++ b/route/config.go
@@ -14,6 +14,7 @@
 	defaultHold            = 2 * time.Second
 	defaultCrossDelay      = 1500 * time.Microsecond
 	defaultReportTTL       = 30 * time.Second
+	defaultMemory          = 500 * time.Millisecond
 	defaultTolerance       = 0.10
 	defaultSlack           = 5 * time.Millisecond
 	defaultFailuresToEject = 3
@@ -33,6 +34,7 @@
 	Hold        time.Duration // first guess of how long a request holds a slot
 	CrossDelay  time.Duration // one way, to endpoints of another data centre
 	ReportTTL   time.Duration // older reports don't prove a weight version
+	Memory      time.Duration // age at which a report counts as much as the mean of all
 
 	Tolerance float64       // relative distance from the best that counts as equal
 	Slack     time.Duration // absolute distance from the best that counts as equal
@@ -54,6 +56,7 @@
 	setDefault(&c.Hold, defaultHold)
 	setDefault(&c.CrossDelay, defaultCrossDelay)
 	setDefault(&c.ReportTTL, defaultReportTTL)
+	setDefault(&c.Memory, defaultMemory)
 	setDefault(&c.Tolerance, defaultTolerance)
 	setDefault(&c.Slack, defaultSlack)
 	setDefault(&c.FailuresToEject, defaultFailuresToEject)
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -113,14 +113,30 @@
 	return max(now.Sub(d.at).Seconds()-2*d.expected-grace, 0)
 }
 
+// trust is the weight of the last report against the mean of all: a queue that
+// was long a while ago says little about now, and routers that all act on it
+// fill the endpoint that was empty then.
+func (e *endpoint) trust(c *Config, now time.Time) float64 {
+	x := now.Sub(e.report.At).Seconds() / c.Memory.Seconds()
+	return 1 / (1 + x*x)
+}
+
 // outstanding returns the estimated number of requests at the endpoint.
-func (e *endpoint) outstanding() int {
-	return max(e.report.Running+e.report.Waiting+e.runningSince, len(e.inFlight))
+func (e *endpoint) outstanding(trust, mean float64) float64 {
+	reported := float64(e.report.Running + e.report.Waiting)
+	return max(mean+trust*(reported-mean)+float64(e.runningSince), float64(len(e.inFlight)))
 }
 
+// lastOutstanding is outstanding by the last report alone.
+func (e *endpoint) lastOutstanding() float64 { return e.outstanding(1, 0) }
+
+// own returns the number of this router's requests at the endpoint.
+func (e *endpoint) own() int { return len(e.inFlight) }
+
 // queuedTokens returns the estimated number of prompt tokens not yet processed.
-func (e *endpoint) queuedTokens() float64 {
-	return max(float64(e.report.QueuedTokens)+e.queuedSince, 0)
+func (e *endpoint) queuedTokens(trust, mean float64) float64 {
+	reported := float64(e.report.QueuedTokens)
+	return max(mean+trust*(reported-mean)+e.queuedSince, 0)
 }
 
 // slowness returns the relative slowness at now. It fades so that an endpoint
--- a/route/router.go
+++ b/route/router.go
@@ -33,7 +33,11 @@
 	calibration float64 // observed over modelled time to first token
 	hold        float64 // seconds a request holds a slot
 	ejected     int
-	jitter      *rand.Rand // of ejections
+
+	meanQueued      float64 // of the endpoints' last reports, in tokens
+	meanOutstanding float64 // the same in requests
+
+	jitter *rand.Rand // of ejections
 
 	cached []uint16 // scratch of a decision, by slot
 	scores []score
@@ -75,6 +79,7 @@
 	}
 	r.blocksPer = max(r.config.MaxBlocks/max(len(r.byName), 1), minBlocksPerEndpoint)
 	r.cached = make([]uint16, len(r.endpoints))
+	r.average()
 }
 
 func (r *Router) setEndpoint(spec note.Endpoint) {
@@ -151,7 +156,21 @@
 	if e.reported && e.report.Epoch != report.Epoch && !report.At.Before(e.report.At) {
 		r.view.reset(e.slot)
 	}
+	before := e.report
 	e.observe(report)
+	n := float64(len(r.byName))
+	r.meanQueued += float64(e.report.QueuedTokens-before.QueuedTokens) / n
+	r.meanOutstanding += float64(e.report.Running+e.report.Waiting-before.Running-before.Waiting) / n
+}
+
+// average works out the means again after the endpoints changed.
+func (r *Router) average() {
+	r.meanQueued, r.meanOutstanding = 0, 0
+	n := float64(max(len(r.byName), 1))
+	for _, e := range r.byName {
+		r.meanQueued += float64(e.report.QueuedTokens) / n
+		r.meanOutstanding += float64(e.report.Running+e.report.Waiting) / n
+	}
 }
 
 // CacheEvents takes a batch of an endpoint's cache events. A gap or another
@@ -362,9 +381,10 @@
 	}
 	tokens := float64(q.PromptTokens - int(r.cached[slot])*r.config.PieceTokens)
 	s.prefill = max(tokens, 1) / r.config.PrefillRate
-	wait := e.queuedTokens() / r.config.PrefillRate
+	trust := e.trust(&r.config, now)
+	wait := e.queuedTokens(trust, r.meanQueued) / r.config.PrefillRate
 	if slots := e.spec.Slots; slots > 0 {
-		over := float64(e.outstanding() + 1 - slots)
+		over := e.outstanding(trust, r.meanOutstanding) + 1 - float64(slots)
 		wait = max(wait, over*r.hold/float64(slots))
 	}
 	s.model = wait + s.prefill
@@ -376,7 +396,7 @@
 // scorePlain scores by outstanding requests: plain endpoints report no load.
 func (r *Router) scorePlain(s *score, q *Query, e *endpoint, now time.Time) {
 	s.prefill = 0
-	s.queue = float64(e.outstanding()) * r.hold / float64(max(e.spec.Slots, 1))
+	s.queue = float64(e.own()) * r.hold / float64(max(e.spec.Slots, 1))
 	s.model = s.queue + r.hold
 	s.factor = e.slowness(now)
 	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
@@ -470,7 +490,7 @@
 		if s.verdict != NearBest && s.verdict != Slower {
 			continue
 		}
-		if r.endpoints[i].outstanding() < r.endpoints[slot].outstanding() {
+		if r.endpoints[i].lastOutstanding() < r.endpoints[slot].lastOutstanding() {
 			slot = i
 		}
 	}
