Routing prices another copy of a prefix and gives each a home

A prefix not yet cached goes to the endpoint with the highest rendezvous weight unless another is faster by more than half its processing time: a further copy takes cache from other prefixes, and routers with late cache events agree on the home.

--- a/route/config.go
+++ b/route/config.go
@@ -15,6 +15,7 @@
 	defaultCrossDelay      = 1500 * time.Microsecond
 	defaultReportTTL       = 30 * time.Second
 	defaultMemory          = 500 * time.Millisecond
+	defaultCopyPrice       = 0.5
 	defaultTolerance       = 0.10
 	defaultSlack           = 5 * time.Millisecond
 	defaultFailuresToEject = 3
@@ -35,6 +36,7 @@
 	CrossDelay  time.Duration // one way, to endpoints of another data centre
 	ReportTTL   time.Duration // older reports don't prove a weight version
 	Memory      time.Duration // age at which a report counts as much as the mean of all
+	CopyPrice   float64       // price of another copy of a prefix, as a share of its processing
 
 	Tolerance float64       // relative distance from the best that counts as equal
 	Slack     time.Duration // absolute distance from the best that counts as equal
@@ -57,6 +59,7 @@
 	setDefault(&c.CrossDelay, defaultCrossDelay)
 	setDefault(&c.ReportTTL, defaultReportTTL)
 	setDefault(&c.Memory, defaultMemory)
+	setDefault(&c.CopyPrice, defaultCopyPrice)
 	setDefault(&c.Tolerance, defaultTolerance)
 	setDefault(&c.Slack, defaultSlack)
 	setDefault(&c.FailuresToEject, defaultFailuresToEject)
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwingknot/engine"
 	"redwingknot/note"
 )
@@ -22,6 +24,7 @@
 type endpoint struct {
 	spec      note.Endpoint
 	slot      uint16
+	hash      uint64
 	withdrawn bool // no longer in the configuration
 	leaving   bool // by the platform's list or an order
 
@@ -45,7 +48,7 @@
 }
 
 func newEndpoint(spec note.Endpoint, slot uint16) *endpoint {
-	return &endpoint{spec: spec, slot: slot, inFlight: map[string]*dispatch{}, slow: 1}
+	return &endpoint{spec: spec, slot: slot, hash: xxhash.Sum64String(spec.Name), inFlight: map[string]*dispatch{}, slow: 1}
 }
 
 // observe takes a report unless a newer one is known.
--- a/route/router.go
+++ b/route/router.go
@@ -322,6 +322,7 @@
 // score is an endpoint's expected time to first token in seconds.
 type score struct {
 	total     float64
+	rank      float64 // total and the price of another copy of the prefix
 	queue     float64
 	prefill   float64
 	model     float64 // queue and prefill before the factor
@@ -359,6 +360,7 @@
 // scoreAll scores every endpoint without bringing back and returns the best.
 func (r *Router) scoreAll(q *Query, now time.Time) float64 {
 	best := math.Inf(1)
+	home := r.home()
 	r.scores = r.scores[:0]
 	for slot, e := range r.endpoints {
 		s := score{verdict: Withdrawn}
@@ -367,7 +369,8 @@
 		}
 		if s.verdict == NearBest {
 			r.score(&s, q, e, slot, now)
-			best = min(best, s.total)
+			s.rank = s.total + r.copyPrice(q, slot, home)
+			best = min(best, s.rank)
 		}
 		r.scores = append(r.scores, s)
 	}
@@ -402,6 +405,44 @@
 	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
 }
 
+// home returns the slot with the highest rendezvous weight for the prefix that
+// was looked up, -1 without one. Routers that don't yet know of each other's
+// copies agree on it.
+func (r *Router) home() int {
+	home, highest := -1, uint64(0)
+	if len(r.blocks) == 0 {
+		return home
+	}
+	for slot, e := range r.endpoints {
+		if e == nil || e.leaving {
+			continue
+		}
+		if w := mix(r.blocks[0] ^ e.hash); home < 0 || w > highest {
+			home, highest = slot, w
+		}
+	}
+	return home
+}
+
+// mix is the finalizer of a 64-bit hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// copyPrice is what a further copy of the missing pieces costs others: it takes
+// cache from other prefixes. A copy at home is wanted and free.
+func (r *Router) copyPrice(q *Query, slot, home int) float64 {
+	missing := len(q.Pieces) - int(r.cached[slot])
+	if slot == home || missing <= 0 {
+		return 0
+	}
+	return r.config.CopyPrice * float64(missing*r.config.PieceTokens) / r.config.PrefillRate
+}
+
 func (r *Router) network(q *Query, e *endpoint) float64 {
 	if q.DataCentre == e.spec.DataCentre {
 		return 0
@@ -426,7 +467,7 @@
 			break
 		}
 		r.tryBringBack(s, q, r.endpoints[slot], missing)
-		best = min(best, s.total)
+		best = min(best, s.rank)
 	}
 	return best
 }
@@ -443,6 +484,7 @@
 	if total >= s.total {
 		return
 	}
+	s.rank += total - s.total
 	s.total = total
 	s.model = (wait + rest*s.factor) / s.factor
 	s.prefill = rest
@@ -459,11 +501,11 @@
 		if s.verdict != NearBest {
 			continue
 		}
-		if s.total > limit {
+		if s.rank > limit {
 			s.verdict = Slower
 			continue
 		}
-		sum += limit - s.total
+		sum += limit - s.rank
 	}
 	at := rng.Float64() * sum
 	slot := -1
@@ -473,7 +515,7 @@
 			continue
 		}
 		slot = i
-		if at -= limit - s.total; at < 0 {
+		if at -= limit - s.rank; at < 0 {
 			break
 		}
 	}
