--- /dev/null
+++ b/entry/components.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/event"
+	"redwingknot/instance"
+	"redwingknot/metric"
+)
+
+// restartDelay is the time before a component that failed runs again.
+const restartDelay = time.Second
+
+// component is a part of the instance that runs as long as it does.
+type component struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// supervise runs a component until ctx ends. A component that fails or panics
+// runs again, so that a fault of control ends no stream. It returns the error
+// of an instance that was superseded: that one must stop.
+func supervise(ctx context.Context, c component, log *slog.Logger) error {
+	for {
+		err := runOnce(ctx, c, log)
+		var superseded *instance.SupersededError
+		if errors.As(err, &superseded) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			event.ComponentFailed.Log(log, slog.String("component", c.name), slog.Any("error", err))
+		}
+		metric.Counter("component_restarts_total", "component", c.name).Inc(1)
+		if !sleep(ctx, restartDelay) {
+			return nil
+		}
+	}
+}
+
+func runOnce(ctx context.Context, c component, log *slog.Logger) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			event.ComponentPanic.Log(log, slog.String("component", c.name), slog.Any("panic", r), slog.String("stack", string(debug.Stack())))
+			err = &PanicError{Component: c.name}
+		}
+	}()
+	return c.run(ctx)
+}
+
+// sleep waits for d and reports whether ctx is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/ledger/remote.go
+++ b/ledger/remote.go
@@ -42,7 +42,7 @@
 // WireRemote is a Remote over connections between instances.
 type WireRemote struct {
 	// Client returns the client of an instance, nil if it is not known.
-	Client func(instance string) *wire.Client
+	Client func(instance string) wire.Caller
 }
 
 // Submit implements Remote.
--- a/link/caller.go
+++ b/link/caller.go
@@ -1,12 +1,6 @@
 package link
 
-import (
-	"context"
+import "redwingknot/wire"
 
-	"google.golang.org/protobuf/proto"
-)
-
-// Caller makes calls to another process; *wire.Client is one.
-type Caller interface {
-	Call(ctx context.Context, method string, req, resp proto.Message) error
-}
+// Caller makes calls to another process.
+type Caller = wire.Caller
--- a/load/generator.go
+++ b/load/generator.go
@@ -127,14 +127,7 @@
 // which the name determines.
 func Body(service, name string, tokens int) []byte {
 	words := strings.Repeat(name+" ", tokens*charsPerTok/(len(name)+1)+1)
-	body, err := json.Marshal(map[string]any{
-		"model": service, "stream": true,
-		"messages": []map[string]string{{"role": "user", "content": words}},
-	})
-	if err != nil {
-		panic(err)
-	}
-	return body
+	return chatBody(service, words)
 }
 
 func (g *generator) request(ctx context.Context, url string, body []byte) {
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,3 @@
+// Package operator is the client of the operators' interface that every entry
+// instance offers.
+package operator
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -34,11 +34,14 @@
 func classify(ctx context.Context, err error) failure {
 	var status *engine.StatusError
 	var gap *GapError
+	var version *VersionError
 	switch {
 	case ctx.Err() != nil:
 		return failCanceled
 	case errors.As(err, &gap):
 		return failGap
+	case errors.As(err, &version):
+		return failVersion
 	case errors.As(err, &status) && status.Status == http.StatusPreconditionFailed:
 		return failVersion
 	case errors.As(err, &status):
--- /dev/null
+++ b/serve/chat.go
@@ -0,0 +1,104 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"redwingknot/block"
+	"redwingknot/engine"
+	"redwingknot/metric"
+	"redwingknot/retry"
+	"redwingknot/suspect"
+)
+
+// HeaderExplain, if set, makes the trace of a request list every endpoint that
+// was considered.
+const HeaderExplain = "X-Explain"
+
+// bytesPerToken is the usual length of a token, by which prompts are estimated.
+const bytesPerToken = 4
+
+// serveChat answers a chat completions request.
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, tr *Trace) error {
+	state, team, err := s.caller(r)
+	if err != nil {
+		return err
+	}
+	tr.Team = team.Name
+	body, err := readBody(w, r, s.o.MaxBodyBytes, s.o.BodyTimeout)
+	if err != nil {
+		return err
+	}
+	q, err := parseChat(state, team, r.Header.Get(HeaderClass), body)
+	if err != nil {
+		return err
+	}
+	tr.Service, tr.Class = q.service.Name, q.class.Name
+	deadline, err := requestDeadline(r.Header, q.class, tr.Started)
+	if err != nil {
+		return err
+	}
+	attempts, err := retry.Attempts(r.Header, s.o.Attempts)
+	if err != nil {
+		return malformed(err.Error())
+	}
+	if err := s.limit(team); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	run := s.newChatRun(q, tr, deadline, attempts)
+	run.explain = r.Header.Get(HeaderExplain) != ""
+	run.out = newAnswerWriter(w, q, tr.Request)
+	return run.do(ctx)
+}
+
+func newAnswerWriter(w http.ResponseWriter, q *chatRequest, id string) answerWriter {
+	if q.stream {
+		return &streamWriter{w: w, id: id, model: q.service.Name}
+	}
+	return &wholeWriter{w: w, id: id, model: q.service.Name}
+}
+
+func (s *Server) newChatRun(q *chatRequest, tr *Trace, deadline time.Time, attempts int) *chatRun {
+	svc := s.o.Services.Get(q.service.Name)
+	run := &chatRun{s: s, svc: svc, q: q, tr: tr, deadline: deadline, rng: newRand()}
+	run.retries = retry.NewRun(retry.Policy{Attempts: attempts}, svc.budget, deadline)
+	run.prompt = Prompt{
+		Team: q.team.Name, Service: q.service.Name, Class: q.class, Model: q.model,
+		Keys: blockKeys(q), Tokens: len(q.body) / bytesPerToken,
+	}
+	run.fingerprint = suspect.FingerprintOf(suspect.Source{
+		Team: q.team.Name, Service: q.service.Name, Model: q.model.Name,
+		Version: q.model.Version, Adapter: q.adapter, Body: q.prompt,
+	})
+	return run
+}
+
+func blockKeys(q *chatRequest) []string {
+	chain := block.Chain(q.team.Name, q.model.Name, q.adapter, q.model.Version, q.prompt, q.model.PieceBytes)
+	keys := make([]string, len(chain))
+	for i, k := range chain {
+		keys[i] = k.String()
+	}
+	return keys
+}
+
+// noteFirstToken records the time to first token of a request.
+func (c *chatRun) noteFirstToken(at time.Time) {
+	if c.asm.next > 1 {
+		return
+	}
+	since := at.Sub(c.tr.Started)
+	metric.Histogram("first_token_ms", "class", c.q.class.Name).Update(since.Milliseconds())
+	c.svc.admit.Observe(c.expected, since)
+}
+
+// engineRequest is the attempt as the engine sees it.
+func (c *chatRun) engineRequest(attempt string) engine.Prompt {
+	return engine.Prompt{
+		Attempt: attempt, Version: c.q.model.Version, Blocks: c.prompt.Keys,
+		Priority: int(c.q.class.Worth), Resume: c.asm.next, Body: c.q.body,
+	}
+}
--- a/serve/chat_request.go
+++ b/serve/chat_request.go
@@ -21,8 +21,7 @@
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderClass          = "X-Request-Class"
-	HeaderBudget         = "X-Deadline-Budget" // remaining time, a duration such as 1.5s
-	HeaderRequestID      = "X-Request-Id"      // set in every answer
+	HeaderRequestID      = "X-Request-Id" // set in every answer
 )
 
 // chatRequest is a checked request for a model's answer.
@@ -136,20 +135,3 @@
 	}
 	return b.Bytes()
 }
-
-// deadline returns when the whole answer must have ended. The caller's budget
-// can only shorten what the class allows.
-func deadline(now time.Time, class contract.Class, header string) (time.Time, error) {
-	limit := class.Deadline
-	if header == "" {
-		return now.Add(limit), nil
-	}
-	budget, err := time.ParseDuration(header)
-	if err != nil {
-		return time.Time{}, malformed(HeaderBudget + " is no duration")
-	}
-	if budget <= 0 {
-		return time.Time{}, contract.Refuse(http.StatusGatewayTimeout, contract.ReasonDeadline, "the caller's budget is spent")
-	}
-	return now.Add(min(limit, budget)), nil
-}
--- /dev/null
+++ b/serve/chat_run.go
@@ -0,0 +1,349 @@
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/admit"
+	"redwingknot/contract"
+	"redwingknot/engine"
+	"redwingknot/event"
+	"redwingknot/metric"
+	"redwingknot/retry"
+	"redwingknot/route"
+	"redwingknot/suspect"
+)
+
+const (
+	// minFirstToken is the least time for which a first token is awaited.
+	minFirstToken = 2 * time.Second
+	// noEndpointRetry is when a caller comes back that found no endpoint.
+	noEndpointRetry = 2 * time.Second
+	// probeTimeout bounds the check whether an endpoint has crashed.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// chatRun carries one request through its attempts. It belongs to the
+// request's goroutine.
+type chatRun struct {
+	s           *Server
+	svc         *Service
+	q           *chatRequest
+	tr          *Trace
+	out         answerWriter
+	rng         *rand.Rand
+	retries     *retry.Run
+	prompt      Prompt
+	fingerprint suspect.Fingerprint
+	deadline    time.Time
+	explain     bool
+
+	asm      assembler
+	bring    BringBack
+	tried    []string
+	sent     bool          // an endpoint may have received the request
+	admitted bool          // admission is decided once a request
+	expected time.Duration // to first token, of the first choice
+}
+
+// do runs attempts until the answer is whole. Once tokens were delivered it
+// ends a failed answer itself and returns nil.
+func (c *chatRun) do(ctx context.Context) error {
+	c.bring = c.s.o.Keeper.Plan(ctx, c.prompt)
+	err := c.attempts(ctx)
+	if err == nil {
+		return nil
+	}
+	r := asRefusal(err)
+	if c.sent {
+		r.Ran = contract.Unknown
+	}
+	if c.asm.next == 0 {
+		return r
+	}
+	c.tr.Refusal = r
+	c.out.broken(r, c.asm.next)
+	return nil
+}
+
+func (c *chatRun) attempts(ctx context.Context) error {
+	for {
+		fail, err := c.attempt(ctx)
+		if err != nil || fail == "" {
+			return err
+		}
+		wait, err := c.retries.Next(retryReason(fail, c.asm.next > 0), 0, time.Now(), c.rng)
+		if err != nil {
+			return c.giveUp(fail, err)
+		}
+		if !sleep(ctx, wait) {
+			return c.giveUp(failCanceled, ctx.Err())
+		}
+	}
+}
+
+// attempt makes one attempt. It returns the failure if another may follow, and
+// an error if the request is refused.
+func (c *chatRun) attempt(ctx context.Context) (failure, error) {
+	attempt := c.tr.Request + "." + strconv.Itoa(len(c.tr.Attempts))
+	permit, err := c.s.o.Suspects.Begin(ctx, c.fingerprint, attempt, c.deadline, c.rng)
+	if err != nil {
+		return "", err
+	}
+	q, choice, err := c.choose(permit)
+	if err != nil {
+		permit.End(ctx)
+		return "", err
+	}
+	at := AttemptTrace{
+		Endpoint: choice.Endpoint, Expected: choice.Expected, Queue: choice.Queue, Considered: choice.Considered,
+		CachedPieces: choice.CachedPieces, Pieces: len(c.prompt.Keys), BringBack: choice.BringBack,
+	}
+	fail := c.execute(ctx, attempt, q, choice, permit, &at)
+	c.tr.Attempts = append(c.tr.Attempts, at)
+	return fail, nil
+}
+
+// choose picks an endpoint and asks for admission with its expected time.
+func (c *chatRun) choose(permit *suspect.Permit) (route.Query, route.Choice, error) {
+	now := time.Now()
+	q := route.Query{
+		Service: c.q.service.Name, Model: c.q.model.Name, Version: c.version(), Adapter: c.q.adapter,
+		PromptTokens: c.prompt.Tokens, Pieces: c.prompt.Keys, Class: c.q.class, Deadline: c.deadline,
+		Exclude: append(append([]string(nil), c.tried...), permit.Exclude...), DataCentre: c.s.o.DataCentre,
+		BringBack: c.bring.Cost, Alone: permit.Alone, Explain: c.explain,
+	}
+	choice, err := c.svc.Router.Choose(q, now, c.rng)
+	if err != nil {
+		return q, choice, contract.Overloaded(contract.ReasonNoEndpoint, spread(noEndpointRetry, c.rng), err.Error())
+	}
+	return q, choice, c.admit(choice, now)
+}
+
+func (c *chatRun) admit(choice route.Choice, now time.Time) error {
+	if c.admitted {
+		return nil
+	}
+	err := c.svc.admit.Admit(admit.Query{
+		Team: c.q.team.Name, Class: c.q.class, Left: min(c.q.class.FirstIn, c.deadline.Sub(now)),
+		Expected: choice.Expected, Queue: choice.Queue, Cost: choice.Expected - choice.Queue,
+	}, now, c.rng)
+	c.admitted = err == nil
+	c.expected = choice.Expected
+	return err
+}
+
+// version is that of the tokens delivered, or the one in force before them: an
+// answer never joins the tokens of two versions.
+func (c *chatRun) version() string {
+	if c.asm.next > 0 {
+		return c.asm.version
+	}
+	return c.q.model.Version
+}
+
+// execute runs one attempt at the chosen endpoint and returns its failure.
+func (c *chatRun) execute(ctx context.Context, attempt string, q route.Query, choice route.Choice, permit *suspect.Permit, at *AttemptTrace) failure {
+	c.svc.Router.Dispatched(attempt, q, choice, time.Now())
+	if choice.BringBack {
+		c.bringBack(ctx, choice)
+	}
+	started := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWatchdog(cancel, c.firstTokenLimit(choice))
+	defer w.stop()
+	err := c.stream(ctx, attempt, choice.Endpoint, func() {
+		w.extend(c.s.o.StallTimeout)
+		if at.FirstToken == 0 {
+			at.FirstToken = time.Since(started)
+			c.svc.Router.FirstToken(choice.Endpoint, attempt, time.Now())
+		}
+	})
+	if err == nil {
+		return c.succeeded(ctx, attempt, choice.Endpoint, permit, at)
+	}
+	return c.failed(ctx, attempt, choice.Endpoint, permit, at, err, w.fired())
+}
+
+// bringBack imports kept blocks before the dispatch. A failure costs only
+// time: the engine recomputes what it lacks.
+func (c *chatRun) bringBack(ctx context.Context, choice route.Choice) {
+	if err := c.bring.Run(ctx, choice.Endpoint, choice.CachedPieces); err != nil {
+		metric.Counter("bring_back_failed_total").Inc(1)
+		event.BringBackFailed.Log(c.s.o.Logger, slog.String("endpoint", choice.Endpoint), slog.Any("error", err))
+	}
+}
+
+func (c *chatRun) firstTokenLimit(choice route.Choice) time.Duration {
+	return max(time.Duration(float64(choice.Expected)*c.s.o.FirstFactor), minFirstToken)
+}
+
+// stream relays one attempt's tokens to the caller; progress is called for each.
+func (c *chatRun) stream(ctx context.Context, attempt, endpoint string, progress func()) error {
+	s, err := c.s.engineOf(endpoint).Generate(ctx, c.engineRequest(attempt))
+	if !isNotConnected(err) {
+		c.sent = true
+	}
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := c.asm.begin(attempt, s.Version); err != nil {
+		return err
+	}
+	if s.Version != c.version() {
+		return &VersionError{Want: c.q.model.Version, Got: s.Version}
+	}
+	res := relay(&c.asm, s, func(f engine.Frame) error {
+		progress()
+		c.noteFirstToken(time.Now())
+		return c.out.token(f)
+	})
+	return res.err
+}
+
+func (c *chatRun) succeeded(ctx context.Context, attempt, endpoint string, permit *suspect.Permit, at *AttemptTrace) failure {
+	at.Outcome = "whole"
+	permit.Clean(ctx)
+	c.svc.Router.Ended(endpoint, attempt, route.Succeeded, time.Now())
+	c.svc.budget.Succeeded()
+	c.s.o.Keeper.Answered(c.prompt, endpoint)
+	if err := c.out.end(c.asm.finish); err != nil {
+		event.RequestEnded.Log(c.s.o.Logger, slog.String("request", c.tr.Request), slog.Any("error", err))
+	}
+	return ""
+}
+
+// failed settles a failed attempt with the router and the suspects.
+func (c *chatRun) failed(ctx context.Context, attempt, endpoint string, permit *suspect.Permit, at *AttemptTrace, err error, late bool) failure {
+	fail := classify(ctx, err)
+	if late {
+		fail = failTimeout
+	}
+	if isCallerGone(err) {
+		fail = failCanceled
+	}
+	outcome := outcomeOf(fail)
+	if crash, ok := c.confirmCrash(fail, endpoint); ok {
+		outcome = route.Crashed
+		permit.Crashed(ctx, crash)
+		event.EndpointCrashed.Log(c.s.o.Logger, slog.String("endpoint", endpoint), slog.String("request", c.tr.Request))
+	} else {
+		permit.End(ctx)
+	}
+	at.Outcome = string(fail)
+	c.svc.Router.Ended(endpoint, attempt, outcome, time.Now())
+	c.tried = append(c.tried, endpoint)
+	event.AttemptFailed.Log(c.s.o.Logger, slog.String("request", c.tr.Request),
+		slog.String("endpoint", endpoint), slog.String("failure", string(fail)), slog.Any("error", err))
+	return fail
+}
+
+// confirmCrash asks the endpoint whether it still runs after a broken stream: a
+// cut connection alone blames no request.
+func (c *chatRun) confirmCrash(fail failure, endpoint string) (suspect.Crash, bool) {
+	if !fail.mayHaveCrashed() {
+		return suspect.Crash{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	r, err := c.s.engineOf(endpoint).Report(ctx)
+	before := c.svc.epoch(endpoint)
+	if err == nil && (before == "" || r.Epoch == before) {
+		return suspect.Crash{}, false
+	}
+	return suspect.Crash{Endpoint: endpoint, Epoch: before}, true
+}
+
+// giveUp returns the final refusal after a failure that is not retried.
+func (c *chatRun) giveUp(fail failure, cause error) error {
+	r := &contract.Refusal{Status: http.StatusBadGateway, Reason: contract.ReasonEndpointFailed, Ran: contract.NotRun,
+		RetryAfter: spread(noEndpointRetry, c.rng), Detail: "the endpoint failed: " + string(fail)}
+	var spent *retry.SpentError
+	var expired *retry.ExpiredError
+	switch {
+	case fail == failCanceled && time.Now().Before(c.deadline):
+		r.Status, r.Reason, r.RetryAfter = http.StatusBadRequest, contract.ReasonCallerDisconnected, 0
+	case fail == failCanceled, errors.As(cause, &expired):
+		r.Status, r.Reason = http.StatusGatewayTimeout, contract.ReasonDeadline
+	case errors.As(cause, &spent):
+		r.Status, r.Reason = http.StatusServiceUnavailable, contract.ReasonRetryBudget
+	case c.asm.next > 0:
+		r.Reason = contract.ReasonStreamBroken
+	}
+	return r
+}
+
+func isCallerGone(err error) bool {
+	var gone *CallerGoneError
+	return errors.As(err, &gone)
+}
+
+func outcomeOf(f failure) route.Outcome {
+	switch f {
+	case failCanceled:
+		return route.Canceled
+	case failVersion:
+		return route.AnsweredOldVersion
+	}
+	return route.Failed
+}
+
+func retryReason(f failure, begun bool) retry.Reason {
+	switch {
+	case begun:
+		return retry.Resume
+	case f == failConnect:
+		return retry.Unreachable
+	case f == failVersion:
+		return retry.OldVersion
+	case f == failRefused:
+		return retry.EndpointBusy
+	}
+	return retry.Crash
+}
+
+// spread draws a time between d and twice d, so that callers refused together
+// don't return together.
+func spread(d time.Duration, rng *rand.Rand) time.Duration {
+	return d + time.Duration(rng.Int64N(int64(d)))
+}
+
+// sleep waits for d and reports whether ctx is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watchdog cancels an attempt that makes no progress.
+type watchdog struct {
+	timer *time.Timer
+	late  atomic.Bool
+}
+
+func newWatchdog(cancel context.CancelFunc, limit time.Duration) *watchdog {
+	w := &watchdog{}
+	w.timer = time.AfterFunc(limit, func() {
+		w.late.Store(true)
+		cancel()
+	})
+	return w
+}
+
+func (w *watchdog) extend(limit time.Duration) { w.timer.Reset(limit) }
+func (w *watchdog) stop()                      { w.timer.Stop() }
+func (w *watchdog) fired() bool                { return w.late.Load() }
--- /dev/null
+++ b/serve/service.go
@@ -0,0 +1,124 @@
+package serve
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"redwingknot/admit"
+	"redwingknot/engine"
+	"redwingknot/note"
+	"redwingknot/retry"
+	"redwingknot/route"
+)
+
+// Service is what an entry instance keeps for one service: the router over its
+// endpoints, admission and the retry budget. It is safe for concurrent use.
+type Service struct {
+	Name   string
+	Router *route.Router
+	admit  *admit.Controller
+	budget *retry.Budget
+
+	mu     sync.Mutex
+	epochs map[string]string // of the endpoints' processes, as last reported
+}
+
+// epoch returns the last reported epoch of an endpoint's process.
+func (s *Service) epoch(endpoint string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epochs[endpoint]
+}
+
+func (s *Service) setEpoch(endpoint, epoch string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epochs[endpoint] = epoch
+}
+
+// Services holds the services of the configuration in force. It is safe for
+// concurrent use.
+type Services struct {
+	mu     sync.RWMutex
+	byName map[string]*Service
+	urls   map[string]string // of endpoints by name
+}
+
+// NewServices returns an empty set.
+func NewServices() *Services {
+	return &Services{byName: map[string]*Service{}, urls: map[string]string{}}
+}
+
+// Apply brings the set to a configuration. Services that stay keep what they
+// have learned.
+func (s *Services) Apply(state *note.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lists := endpointsByService(state)
+	for name, svc := range state.Services {
+		if s.byName[name] == nil {
+			s.byName[name] = newService(svc)
+		}
+		s.byName[name].Router.SetEndpoints(lists[name])
+	}
+	for name := range s.byName {
+		if _, ok := state.Services[name]; !ok {
+			delete(s.byName, name)
+		}
+	}
+	s.urls = make(map[string]string, len(state.Endpoints))
+	for name, e := range state.Endpoints {
+		s.urls[name] = e.URL
+	}
+}
+
+func newService(svc note.Service) *Service {
+	return &Service{
+		Name:   svc.Name,
+		Router: route.NewRouter(route.Config{Service: svc.Name, Kind: svc.Kind}),
+		admit:  admit.NewController(admit.Config{}),
+		budget: retry.NewBudget(retry.BudgetConfig{}),
+		epochs: map[string]string{},
+	}
+}
+
+func endpointsByService(state *note.State) map[string][]note.Endpoint {
+	lists := map[string][]note.Endpoint{}
+	for _, e := range state.Endpoints {
+		lists[e.Service] = append(lists[e.Service], e)
+	}
+	for _, list := range lists {
+		slices.SortFunc(list, func(a, b note.Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return lists
+}
+
+// Get returns a service by name, nil if the configuration has none.
+func (s *Services) Get(name string) *Service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byName[name]
+}
+
+// URL returns the address of an endpoint, empty if it is withdrawn.
+func (s *Services) URL(endpoint string) string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.urls[endpoint]
+}
+
+// Observe passes an endpoint's report to the router of its service.
+func (s *Services) Observe(service, endpoint string, r engine.Report, now time.Time) {
+	if svc := s.Get(service); svc != nil {
+		svc.setEpoch(endpoint, r.Epoch)
+		svc.Router.Observe(endpoint, r, now)
+		svc.Router.SetLeaving(endpoint, r.Leaving)
+	}
+}
+
+// newRand returns a generator of its own for one request: requests don't
+// contend for a lock and need no secrecy here.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/serve/service_call.go
+++ b/serve/service_call.go
@@ -23,6 +23,35 @@
 // HeaderTeam tells a plain service which team calls; a caller can't set it.
 const HeaderTeam = "X-Team"
 
+// EndpointClients are the HTTP clients to endpoints.
+type EndpointClients struct {
+	Shared *http.Client // for calls that may be repeated
+	// Once is for calls that may not: each has a connection of its own, so that
+	// a failure to connect proves that nothing was sent.
+	Once *http.Client
+}
+
+// NewEndpointClients returns clients with their own connections.
+func NewEndpointClients() *EndpointClients {
+	shared := http.DefaultTransport.(*http.Transport).Clone()
+	shared.Proxy = nil
+	shared.MaxIdleConns = 0
+	shared.MaxIdleConnsPerHost = idleConnsPerEndpoint
+	once := shared.Clone()
+	once.DisableKeepAlives = true
+	return &EndpointClients{Shared: &http.Client{Transport: shared}, Once: &http.Client{Transport: once}}
+}
+
+// idleConnsPerEndpoint is the number of connections kept for the next requests.
+const idleConnsPerEndpoint = 64
+
+func (c *EndpointClients) of(i contract.Idempotency) *http.Client {
+	if i == contract.NonIdempotent {
+		return c.Once
+	}
+	return c.Shared
+}
+
 // serviceCall is a checked call of a plain service.
 type serviceCall struct {
 	team    note.Team
@@ -85,6 +114,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "service call")
 	}
+	if c.call.Idempotency == contract.NonIdempotent {
+		forbidReplay(req)
+	}
 	req.Header = c.header.Clone()
 	for _, h := range hopHeaders {
 		req.Header.Del(h)
@@ -106,6 +138,14 @@
 	return &reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
+// forbidReplay keeps the transport from sending req a second time: it takes any
+// request with an Idempotency-Key header for one that may be repeated, unless
+// its body can't be read again.
+func forbidReplay(req *http.Request) {
+	req.GetBody = nil
+	req.Body = io.NopCloser(struct{ io.Reader }{req.Body})
+}
+
 // write passes the reply to the caller.
 func (p *reply) write(w http.ResponseWriter) {
 	for name, values := range p.header {
--- a/suspect/client.go
+++ b/suspect/client.go
@@ -12,6 +12,7 @@
 	"redwingknot/contract"
 	"redwingknot/metric"
 	"redwingknot/suspect/suspectpb"
+	"redwingknot/wire"
 )
 
 const (
@@ -25,18 +26,13 @@
 	busyRetry = time.Second
 )
 
-// Caller makes wire calls to one instance; *wire.Client is one.
-type Caller interface {
-	Call(ctx context.Context, method string, req, resp proto.Message) error
-}
-
 // ClientConfig sets up a Client.
 type ClientConfig struct {
 	Instance   string
 	DataCentre string
-	Members    func() []Member          // live instances of all data centres
-	Dial       func(addr string) Caller // returns the connection kept to addr
-	Local      *Keeper                  // that of this instance
+	Members    func() []Member               // live instances of all data centres
+	Dial       func(addr string) wire.Caller // returns the connection kept to addr
+	Local      *Keeper                       // that of this instance
 }
 
 // Client asks the homes of fingerprints on behalf of one entry instance. If no
--- a/team/exchange.go
+++ b/team/exchange.go
@@ -23,7 +23,7 @@
 
 // Run exchanges messages with the other instances until ctx ends. client
 // returns the client of an instance, nil if its address is not known.
-func (l *Limiter) Run(ctx context.Context, client func(instance string) *wire.Client) error {
+func (l *Limiter) Run(ctx context.Context, client func(instance string) wire.Caller) error {
 	ticker := time.NewTicker(l.cfg.Interval)
 	defer ticker.Stop()
 	for {
@@ -40,7 +40,7 @@
 
 // exchange sends one message and takes in the reply. A failure is left to the
 // next interval.
-func (l *Limiter) exchange(ctx context.Context, client func(string) *wire.Client, m *Message) {
+func (l *Limiter) exchange(ctx context.Context, client func(string) wire.Caller, m *Message) {
 	if m.To == l.cfg.Self {
 		l.Receive(l.cfg.Now(), l.Receive(l.cfg.Now(), m))
 		return
--- a/wire/server.go
+++ b/wire/server.go
@@ -130,6 +130,19 @@
 	return &wirepb.Response{Failure: string(FailureInternal), Detail: err.Error()}
 }
 
+// Call runs a method of this server itself, as a Client of it would.
+func (s *Server) Call(ctx context.Context, method string, req, resp proto.Message) error {
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return Fail(FailureMalformed, err.Error())
+	}
+	answer := s.dispatch(ctx, &wirepb.Request{Method: method, Payload: payload})
+	if answer.Failure != "" {
+		return &CallError{Method: method, Failure: Failure(answer.Failure), Detail: answer.Detail}
+	}
+	return proto.Unmarshal(answer.Payload, resp)
+}
+
 func (s *Server) track(session *yamux.Session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
