--- /dev/null
+++ b/internal/standin/kvs/server_test.go
@@ -0,0 +1,139 @@
+package kvs_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/internal/standin/kvs"
+	"redwingknot/platform"
+)
+
+const purpose = platform.Purpose("test")
+
+func start(t *testing.T, o kvs.Options) (*kvs.Server, *platform.Client) {
+	t.Helper()
+	s := kvs.New(o)
+	web := httptest.NewServer(s)
+	t.Cleanup(web.CloseClientConnections)
+	t.Cleanup(web.Close)
+	return s, platform.NewClient(platform.ClientOptions{URLs: []string{web.URL}})
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	ctx := t.Context()
+	_, c := start(t, kvs.Options{})
+	_, err := c.Get(ctx, purpose, "a")
+	assert.Assert(t, platform.IsCause(err, platform.CauseNotFound))
+	rev, err := c.Create(ctx, purpose, "a", []byte{0, 255}, 0)
+	assert.NilError(t, err)
+	_, err = c.Create(ctx, purpose, "a", nil, 0)
+	assert.Assert(t, platform.IsCause(err, platform.CauseExists))
+	_, err = c.Swap(ctx, purpose, "a", nil, rev+1, 0)
+	assert.Assert(t, platform.IsCause(err, platform.CauseConflict))
+	next, err := c.Swap(ctx, purpose, "a", []byte("2"), rev, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, next > rev)
+	_, err = c.Create(ctx, purpose, "b", []byte("3"), 0)
+	assert.NilError(t, err)
+	found, at, err := c.Range(ctx, purpose, "a", "z", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(found), 2)
+	assert.Equal(t, string(found[0].Value), "2")
+	assert.Assert(t, at > next)
+	assert.Assert(t, platform.IsCause(c.Delete(ctx, purpose, "a", rev), platform.CauseConflict))
+	assert.NilError(t, c.Delete(ctx, purpose, "a", next))
+	assert.NilError(t, c.DeleteRange(ctx, purpose, "a", "z"))
+	assert.Assert(t, platform.IsCause(c.Delete(ctx, purpose, "b", 0), platform.CauseNotFound))
+	_, err = c.Create(ctx, purpose, "big", make([]byte, platform.MaxValueBytes+1), 0)
+	assert.Assert(t, platform.IsCause(err, platform.CauseTooLarge))
+}
+
+func TestLeaseRemovesItsKeys(t *testing.T) {
+	ctx := t.Context()
+	s, c := start(t, kvs.Options{})
+	id, err := c.Grant(ctx, purpose, time.Second)
+	assert.NilError(t, err)
+	_, err = c.Create(ctx, purpose, "lead", nil, id)
+	assert.NilError(t, err)
+	ttl, err := c.KeepAlive(ctx, purpose, id)
+	assert.NilError(t, err)
+	assert.Equal(t, ttl, time.Second)
+	assert.NilError(t, c.Revoke(ctx, purpose, id))
+	assert.Equal(t, len(s.Store().Keys()), 0)
+	_, err = c.KeepAlive(ctx, purpose, id)
+	assert.Assert(t, platform.IsCause(err, platform.CauseLapsed))
+	_, err = c.Create(ctx, purpose, "lead", nil, id)
+	assert.Assert(t, platform.IsCause(err, platform.CauseLapsed))
+}
+
+func TestWatchSendsChangesAfterRevision(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s, c := start(t, kvs.Options{})
+	rev, err := c.Create(ctx, purpose, "w/1", []byte("1"), 0)
+	assert.NilError(t, err)
+	changes, err := c.Watch(ctx, purpose, "w/", "w0", rev)
+	assert.NilError(t, err)
+	_, err = c.Create(ctx, purpose, "w/2", []byte("2"), 0)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Delete(ctx, purpose, "w/1", 0))
+	first := <-changes
+	assert.Equal(t, first.Entry.Key, "w/2")
+	second := <-changes
+	assert.Assert(t, second.Deleted && second.Entry.Key == "w/1")
+	s.SetFault(kvs.Fault{Down: true})
+	_, open := <-changes
+	assert.Assert(t, !open)
+	cancel()
+}
+
+func TestErrorsSayWhetherTheCallTookEffect(t *testing.T) {
+	ctx := t.Context()
+	s, c := start(t, kvs.Options{})
+	s.SetFault(kvs.Fault{LoseNext: 1})
+	_, err := c.Create(ctx, purpose, "a", nil, 0)
+	assert.Assert(t, platform.IsUnknown(err), "%v", err)
+	assert.DeepEqual(t, s.Store().Keys(), []string{"a"})
+	s.SetFault(kvs.Fault{Down: true})
+	_, err = c.Create(ctx, purpose, "b", nil, 0)
+	assert.Assert(t, platform.IsUnknown(err), "%v", err)
+
+	closed := httptest.NewServer(s)
+	closed.Close()
+	away := platform.NewClient(platform.ClientOptions{URLs: []string{closed.URL}})
+	_, err = away.Create(ctx, purpose, "c", nil, 0)
+	var notSent *platform.NotSentError
+	assert.Assert(t, errors.As(err, &notSent), "%v", err)
+}
+
+func TestClientGoesOnToAnAddressThatAnswers(t *testing.T) {
+	s := kvs.New(kvs.Options{})
+	web := httptest.NewServer(s)
+	defer web.Close()
+	closed := httptest.NewServer(s)
+	closed.Close()
+	c := platform.NewClient(platform.ClientOptions{URLs: []string{closed.URL, web.URL}})
+	_, err := c.Create(t.Context(), purpose, "a", nil, 0)
+	assert.NilError(t, err)
+}
+
+func TestBudgetRefusesAtOnce(t *testing.T) {
+	ctx := t.Context()
+	s := kvs.New(kvs.Options{})
+	web := httptest.NewServer(s)
+	defer web.Close()
+	budget := platform.NewBudget(platform.BudgetOptions{WritesPerSecond: 1e-6, WriteBurst: 2})
+	c := platform.NewClient(platform.ClientOptions{URLs: []string{web.URL}, Budget: budget})
+	for _, key := range []string{"a", "b"} {
+		_, err := c.Create(ctx, purpose, key, nil, 0)
+		assert.NilError(t, err)
+	}
+	_, err := c.Create(ctx, purpose, "c", nil, 0)
+	assert.Assert(t, platform.IsCause(err, platform.CauseBudget))
+	_, err = c.Get(ctx, purpose, "a")
+	assert.NilError(t, err)
+}
