Fuzz blocks, directory and link budgets against oracles

The link fuzz found that a holder merged a lease that had not begun with one that would have ended by then, so a transfer could begin after its lease; such leases are no longer merged.

--- /dev/null
+++ b/block/directory_test.go
@@ -0,0 +1,176 @@
+package block
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/contract"
+	"redwingknot/store"
+)
+
+var testStart = time.Unix(1000, 0)
+
+func testChain(n int) []Key { return Chain("t", "m", "", "v", make([]byte, n), 1) }
+
+// TestListingDoesNotRestoreFreedBlock applies a listing that was fetched before
+// the free of a block reached the store.
+func TestListingDoesNotRestoreFreedBlock(t *testing.T) {
+	d := NewDirectory(testStart, DirectoryOptions{})
+	key := testChain(1)[0]
+	p := publication(key, 1, 1)
+	assert.NilError(t, d.Publish(testStart, p))
+	assert.Assert(t, d.Free(testStart, key, 1))
+	r := ListRequest{Store: "s", Partition: key.Partition()}
+	assert.NilError(t, d.ApplyListing(testStart, r, store.Listing{Epoch: "e", Seq: 1, Blocks: []store.Sealed{p.Sealed}}))
+	assert.Equal(t, d.Len(), 0)
+	assert.Equal(t, len(d.DueFrees(testStart)), 1)
+}
+
+func TestGapAsksForListing(t *testing.T) {
+	d := NewDirectory(testStart, DirectoryOptions{GapGrace: time.Second})
+	keys := testChain(4)
+	assert.NilError(t, d.Publish(testStart, publication(keys[0], 1, 1)))
+	assert.NilError(t, d.Publish(testStart, publication(keys[2], 3, 1)))
+	assert.Equal(t, len(d.Listings(testStart, 9)), 0)
+	later := testStart.Add(2 * time.Second)
+	assert.DeepEqual(t, d.Listings(later, 9), []ListRequest{{Store: "s", Partition: keys[0].Partition()}})
+	assert.NilError(t, d.Publish(later, publication(keys[1], 2, 1)))
+	assert.Equal(t, len(d.Listings(later, 9)), 0)
+}
+
+func TestFreeWaitsForGrant(t *testing.T) {
+	d := NewDirectory(testStart, DirectoryOptions{})
+	keys := testChain(1)
+	assert.NilError(t, d.Publish(testStart, publication(keys[0], 1, 1)))
+	assert.Equal(t, len(d.Lookup(testStart, Query{Keys: keys, Grant: 3 * time.Second}, nil)), 1)
+	assert.Assert(t, d.Free(testStart, keys[0], 1))
+	assert.Equal(t, len(d.Lookup(testStart, Query{Keys: keys}, nil)), 0)
+	assert.Equal(t, len(d.DueFrees(testStart.Add(2*time.Second))), 0)
+	assert.Equal(t, len(d.DueFrees(testStart.Add(3*time.Second))), 1)
+}
+
+func TestDirectoryRefuses(t *testing.T) {
+	d := NewDirectory(testStart, DirectoryOptions{MaxBlocks: 1})
+	keys := testChain(2)
+	unsealed := publication(keys[0], 0, 1)
+	assert.ErrorType(t, d.Publish(testStart, unsealed), &UnsealedError{})
+	assert.NilError(t, d.Publish(testStart, publication(keys[0], 1, 2)))
+	assert.ErrorType(t, d.Publish(testStart, publication(keys[0], 2, 1)), &StaleError{})
+	assert.ErrorType(t, d.Publish(testStart, publication(keys[1], 3, 1)), &TooManyError{})
+	other := publication(keys[0], 1, 9)
+	other.Sealed.Epoch = "f"
+	assert.ErrorType(t, d.Publish(testStart, other), &EpochError{})
+}
+
+func TestEvictTakesLeastAndEndsOfChains(t *testing.T) {
+	d := NewDirectory(testStart, DirectoryOptions{})
+	keys := testChain(3)
+	for i, k := range keys {
+		p := publication(k, uint64(i)+1, 1)
+		p.Position = i
+		assert.NilError(t, d.Publish(testStart, p))
+	}
+	d.Evict(testStart, "s", 150, func(Holding) float64 { return 1 })
+	assert.Equal(t, len(d.Lookup(testStart, Query{Keys: keys}, nil)), 1)
+	assert.Equal(t, d.Bytes("s"), int64(100))
+}
+
+func TestReturnsLearn(t *testing.T) {
+	r := NewReturns(map[string]Prior{"chat": {Returns: 0.5, Gap: time.Minute}})
+	for range 1000 {
+		r.Observe("chat", 0, 2*time.Minute, true)
+		r.Observe("chat", 0, 2*time.Hour, false)
+	}
+	young := r.Probability("chat", 0, 0, time.Hour)
+	old := r.Probability("chat", 0, time.Hour, time.Hour)
+	assert.Assert(t, young > 0.45 && young < 0.55, "%g", young)
+	assert.Assert(t, old < 0.05, "%g", old)
+}
+
+const (
+	benchPrompts = 680_000 / 380
+	benchPieces  = 50
+	benchStores  = 10
+)
+
+func benchDirectory(prompts int) (*Directory, [][]Key) {
+	d := NewDirectory(testStart, DirectoryOptions{})
+	var chains [][]Key
+	seq := map[ListRequest]uint64{}
+	for i := range prompts {
+		keys := Chain(fmt.Sprint("team", i), "m", "", "v", make([]byte, benchPieces), 1)
+		url := fmt.Sprintf("http://10.0.0.%d:7400", i%benchStores)
+		for j, k := range keys {
+			p := publication(k, 0, 1)
+			at := ListRequest{url, k.Partition()}
+			seq[at]++
+			p.Store, p.Position, p.Sealed.Seq = url, j, seq[at]
+			if err := d.Publish(testStart, p); err != nil {
+				panic(err)
+			}
+		}
+		chains = append(chains, keys)
+	}
+	return d, chains
+}
+
+// BenchmarkLookup looks up prompts of 50 pieces at one home's share of 680,000
+// prompts on 380 instances.
+func BenchmarkLookup(b *testing.B) {
+	d, chains := benchDirectory(benchPrompts)
+	found := make([]Located, 0, benchPieces)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q := Query{Keys: chains[i*7919%len(chains)], Class: "chat", Grant: time.Second}
+		if found = d.Lookup(testStart, q, found[:0]); len(found) != benchPieces {
+			b.Fatal(len(found))
+		}
+	}
+}
+
+// BenchmarkDirectoryMemory reports the bytes that a block and a prompt of 50
+// pieces take.
+func BenchmarkDirectoryMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d, chains := benchDirectory(benchPrompts)
+		chains = nil
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(chains)
+		bytes := float64(after.HeapAlloc - before.HeapAlloc)
+		b.ReportMetric(bytes/float64(d.Len()), "B/block")
+		b.ReportMetric(bytes/benchPrompts, "B/prompt")
+		b.ReportMetric(bytes/(1<<20), "MB")
+		runtime.KeepAlive(d)
+	}
+}
+
+// BenchmarkEvict frees one in twenty of a store's blocks.
+func BenchmarkEvict(b *testing.B) {
+	r := NewReturns(nil)
+	p := NewPlanner(PlannerOptions{})
+	for b.Loop() {
+		b.StopTimer()
+		d, _ := benchDirectory(benchPrompts)
+		url := "http://10.0.0.0:7400"
+		b.StartTimer()
+		d.Evict(testStart, url, d.Bytes(url)/20, func(h Holding) float64 {
+			return p.Score(r, Value{Class: contract.Class{Name: h.Class, Worth: 1}, Compute: time.Second, Bytes: h.Bytes}, h.Returns, h.Idle)
+		})
+	}
+}
+
+func BenchmarkChain(b *testing.B) {
+	prompt := make([]byte, benchPieces*8000)
+	b.ReportAllocs()
+	for b.Loop() {
+		Chain("team", "model", "", "v", prompt, 8000)
+	}
+}
--- a/link/budget.go
+++ b/link/budget.go
@@ -40,13 +40,14 @@
 	Expires time.Time
 }
 
-// Budget is a link's home instance's account of the link. When a lease begins,
-// the bytes of all leases before it are at most the burst plus the granted rate
-// times the time since the budget began, less what was returned, plus one
-// export. Bring-back is booked ahead, in order, as long as the requester would
-// wait; exports take what bring-back leaves, and keep a floor of their own. The
-// budget begins empty, so that a new home adds nothing to what the one before
-// it granted. Not safe for concurrent use.
+// Budget is a link's home instance's account of the link. When a bring-back
+// begins, the bytes of all leases before it are at most the burst plus the
+// granted rate times the time since the budget began, less what was returned,
+// plus one export; the same holds for exports among themselves. Bring-back is
+// booked ahead, in order, as long as the requester would wait; exports take what
+// bring-back leaves, and keep a floor of their own. The budget begins empty, so
+// that a new home adds nothing to what the one before it granted. Not safe for
+// concurrent use.
 type Budget struct {
 	opts   BudgetOptions
 	at     time.Time
--- /dev/null
+++ b/link/budget_test.go
@@ -0,0 +1,188 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"redwingknot/internal/fuzztest"
+)
+
+// budgetMachine checks a budget against a plain account: what was granted
+// before, and the integral of the granted rate over time.
+type budgetMachine struct {
+	budget  *Budget
+	now     time.Time
+	earned  float64 // granted rate times time since the start
+	granted [classes]float64
+	burst   float64 // the largest that there has been
+	export  float64 // the largest export granted
+	leases  []Lease
+}
+
+func (m *budgetMachine) advance(t *rapid.T) {
+	d := time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+	m.earned += float64(m.budget.Rate()+1) * d.Seconds()
+	m.now = m.now.Add(d)
+}
+
+func (m *budgetMachine) setRate(t *rapid.T) {
+	m.budget.SetRate(m.now, int64(rapid.SampledFrom([]int{0, 100, 1000, 10000}).Draw(t, "rate")))
+	m.burst = max(m.burst, float64(m.budget.Rate())*defaultBurst.Seconds())
+}
+
+func (m *budgetMachine) grant(t *rapid.T) {
+	class := rapid.SampledFrom([]Class{BringBack, Export}).Draw(t, "class")
+	want := int64(rapid.IntRange(-1, 20000).Draw(t, "want"))
+	within := time.Duration(rapid.IntRange(0, 5000).Draw(t, "within")) * time.Millisecond
+	l := m.budget.Grant(m.now, class, want, within)
+	if l.Bytes < 0 || l.Bytes > max(want, 0) {
+		t.Fatalf("granted %d of %d", l.Bytes, want)
+	}
+	if l.Bytes > 0 && l.StartIn > within {
+		t.Fatalf("granted a start in %v, within %v was wanted", l.StartIn, within)
+	}
+	if class == Export {
+		m.export = max(m.export, float64(l.Bytes))
+	}
+	if l.Bytes > 0 {
+		m.check(t, l)
+	}
+	m.granted[class] += float64(l.Bytes)
+	m.leases = append(m.leases, l)
+}
+
+// check holds the bound when a lease begins.
+func (m *budgetMachine) check(t *rapid.T, l Lease) {
+	earned := m.earned + float64(m.budget.Rate()+1)*l.StartIn.Seconds()
+	granted := m.granted[Export]
+	if l.Class == BringBack {
+		granted += m.granted[BringBack]
+	}
+	if bound := m.burst + earned + m.export + 1; granted > bound {
+		t.Fatalf("%g bytes granted before a lease begins, at most %g may be", granted, bound)
+	}
+}
+
+func (m *budgetMachine) giveBack(t *rapid.T) {
+	if len(m.leases) == 0 {
+		t.Skip("no lease")
+	}
+	l := m.leases[len(m.leases)-1]
+	m.leases = m.leases[:len(m.leases)-1]
+	if !m.now.Before(l.Expires) {
+		return
+	}
+	unused := rapid.Int64Range(0, l.Bytes).Draw(t, "unused")
+	m.budget.Return(m.now, l, unused)
+	m.granted[l.Class] -= float64(unused)
+}
+
+func TestFuzzBudgetIsNotExceeded(t *testing.T) {
+	fuzztest.Check(t, func(t *rapid.T) {
+		m := &budgetMachine{now: time.Unix(1000, 0)}
+		m.budget = NewBudget(m.now, BudgetOptions{})
+		m.setRate(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": m.advance, "setRate": m.setRate, "grant": m.grant, "grant2": m.grant, "giveBack": m.giveBack,
+		})
+	})
+}
+
+// TestFuzzHolderUsesOnlyItsLeases draws transfers against leases of two classes
+// and a home that comes and goes.
+func TestFuzzHolderUsesOnlyItsLeases(t *testing.T) {
+	const localRate = 500
+	fuzztest.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now := start
+		h := NewHolder(now, Share{Rate: localRate})
+		var leased, used [classes]int64
+		var lastLease [classes]Lease
+		var local float64
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"cut": func(*rapid.T) { h.Cut() },
+			"add": func(t *rapid.T) {
+				c := rapid.SampledFrom([]Class{BringBack, Export}).Draw(t, "class")
+				in := time.Duration(rapid.IntRange(0, 3000).Draw(t, "start")) * time.Millisecond
+				l := Lease{Class: c, Bytes: int64(rapid.IntRange(0, 1000).Draw(t, "bytes")), Rate: 1, StartIn: in, Expires: now.Add(in + time.Second)}
+				h.Add(now, l)
+				leased[c] += l.Bytes
+				if l.Bytes > 0 {
+					lastLease[c] = l
+				}
+			},
+			"take": func(t *rapid.T) {
+				c := rapid.SampledFrom([]Class{BringBack, Export}).Draw(t, "class")
+				n := int64(rapid.IntRange(1, 1000).Draw(t, "bytes"))
+				wasCut := h.isCut
+				p, ok := h.Take(now, c, n)
+				switch {
+				case !ok:
+				case p.Rate == localRate && wasCut:
+					local += float64(n)
+				default:
+					used[c] += n
+					if begin := now.Add(p.StartIn); !begin.Before(lastLease[c].Expires) {
+						t.Fatalf("transfer begins at %v, the lease ends at %v", begin, lastLease[c].Expires)
+					}
+				}
+				if used[c] > leased[c] {
+					t.Fatalf("%v: %d bytes used of %d leased", c, used[c], leased[c])
+				}
+				if bound := localRate * (1 + now.Sub(start).Seconds()); local > bound {
+					t.Fatalf("%g bytes of the local share used, at most %g may be", local, bound)
+				}
+			},
+		})
+	})
+}
+
+// TestBringBackComesFirst offers more exports than the link carries next to
+// some bring-back, which waits for none of them.
+func TestBringBackComesFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(now, BudgetOptions{Rate: 1250, LiveShare: 0.1, LocalShare: 0.1})
+	var exported int64
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		exported += b.Grant(now, Export, 100, 0).Bytes
+		l := b.Grant(now, BringBack, 60, 0)
+		assert.Equal(t, l.Bytes, int64(60))
+		assert.Equal(t, l.StartIn, time.Duration(0))
+	}
+	assert.Assert(t, exported > 60*250 && exported <= 60*400+1000, "%d", exported)
+}
+
+// TestExportsKeepTheirFloor offers more bring-back than the link carries.
+func TestExportsKeepTheirFloor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(now, BudgetOptions{Rate: 1250, LiveShare: 0.1, LocalShare: 0.1})
+	var exported, brought int64
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		brought += b.Grant(now, BringBack, 500, time.Second).Bytes
+		exported += b.Grant(now, Export, 50, 0).Bytes
+	}
+	assert.Assert(t, exported >= 60*90 && exported <= 60*110+50, "%d", exported)
+	assert.Assert(t, brought >= 60*850, "%d", brought)
+}
+
+func TestEstimateNoticesSlowLinkAndTriesAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewEstimate(now, 1e9, time.Millisecond)
+	for range 4 {
+		e.Observe(now, 1e8, time.Second, 0)
+	}
+	assert.Assert(t, e.Rate(now) < 1.3e8, "%g", e.Rate(now))
+	assert.Assert(t, e.Rate(now.Add(2*time.Minute)) > 8e8)
+	// A transfer held back by its grant says nothing of the link.
+	e = NewEstimate(now, 1e9, time.Millisecond)
+	e.Observe(now, 1e8, time.Second, 1e8)
+	assert.Assert(t, e.Rate(now) > 9.9e8)
+}
--- a/link/holder.go
+++ b/link/holder.go
@@ -81,7 +81,8 @@
 	}
 	fresh := holding{bytes: l.Bytes, rate: l.Rate, starts: now.Add(l.StartIn), expires: l.Expires}
 	old := h.held[l.Class]
-	if now.Before(old.expires) && old.bytes > 0 && fresh.starts.Before(old.expires) {
+	overlap := fresh.starts.Before(old.expires) && old.starts.Before(fresh.expires)
+	if now.Before(old.expires) && old.bytes > 0 && overlap {
 		fresh.bytes += old.bytes
 		if old.starts.After(fresh.starts) {
 			fresh.starts = old.starts
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -164,3 +164,18 @@
 	var unreachable *store.UnreachableError
 	assert.Assert(t, errors.As(err, &unreachable), "%v", err)
 }
+
+// TestOtherGenerationIsCorrupt takes a store that answers for the key alone.
+// Length and checksum agree, so only the generation tells.
+func TestOtherGenerationIsCorrupt(t *testing.T) {
+	_, c := start(t, storestandin.Options{Guards: storestandin.Guards{NoGeneration: true}})
+	sealed, err := c.Put(t.Context(), engine.BlockRef{Key: key, Generation: 2}, content(100), 0)
+	assert.NilError(t, err)
+	old := sealed.Ref
+	old.Generation = 1
+	_, err = c.Get(t.Context(), old, 0)
+	var corrupt *store.CorruptError
+	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+	_, err = c.Stat(t.Context(), old)
+	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+}
