Look up a chain along its neighbouring entries

A lookup of 50 pieces spent most of its time on cache misses in the map of 32-byte keys. A map of 8-byte fingerprints over packed entries alone gained nothing (24-50 us before, 31-41 us after, alternating runs on a busy machine) and was kept only for what it allows: the blocks of a chain lie next to each other, so the entry behind that of the block before is tried first.

go test ./block -bench Lookup, alternating old and new: 24-94 us before, 4.5-14 us after, 0 allocations in both. Two keys with one fingerprint can't be held together; the second is refused and computed again.

--- a/block/directory.go
+++ b/block/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -62,7 +63,7 @@
 type Directory struct {
 	opts    DirectoryOptions
 	start   time.Time
-	index   map[Key]uint32 // position in entries
+	index   map[fingerprint]uint32 // position in entries
 	entries []entry
 	spare   []uint32 // positions in entries not in use
 	stores  []storeState
@@ -77,9 +78,19 @@
 	curves *curves
 }
 
-// entry is packed because a home holds some hundred thousand of them, and lies
-// apart from the index so that a lookup changes it without a second hashing.
+// fingerprint is the part of a key by which the directory finds its entry. Two
+// keys with the same one can't both be in the directory.
+type fingerprint uint64
+
+func (k Key) fingerprint() fingerprint {
+	return fingerprint(binary.LittleEndian.Uint64(k[tagBytes:]))
+}
+
+// entry is packed because a home holds some hundred thousand of them. Entries
+// lie apart from the index, those of a chain next to each other, so that a
+// lookup touches little memory.
 type entry struct {
+	key        Key
 	generation uint64
 	checksum   uint64
 	length     uint32
@@ -122,7 +133,7 @@
 	if o.Returns == nil {
 		o.Returns = NewReturns(nil)
 	}
-	return &Directory{opts: o, start: start, index: map[Key]uint32{}, freed: map[generationID]time.Time{}}
+	return &Directory{opts: o, start: start, index: map[fingerprint]uint32{}, freed: map[generationID]time.Time{}}
 }
 
 // Len returns the number of blocks.
@@ -130,15 +141,26 @@
 
 // entry returns the entry of a key, nil if there is none.
 func (d *Directory) entry(key Key) *entry {
-	i, ok := d.index[key]
-	if !ok {
-		return nil
+	e, _ := d.next(key, -1)
+	return e
+}
+
+// next returns the entry of a key and its position. The blocks of a chain are
+// mostly published together, so that the entry behind that of the block before
+// is tried first: it saves the hashing and is in the processor's cache.
+func (d *Directory) next(key Key, previous int) (*entry, int) {
+	if i := previous + 1; previous >= 0 && i < len(d.entries) && d.entries[i].key == key {
+		return &d.entries[i], i
 	}
-	return &d.entries[i]
+	i, ok := d.index[key.fingerprint()]
+	if !ok || d.entries[i].key != key {
+		return nil, -1
+	}
+	return &d.entries[i], int(i)
 }
 
 // add puts an entry in for a key that has none.
-func (d *Directory) add(key Key, e entry) {
+func (d *Directory) add(e entry) {
 	i := uint32(len(d.entries))
 	if n := len(d.spare); n > 0 {
 		i = d.spare[n-1]
@@ -147,7 +169,7 @@
 	} else {
 		d.entries = append(d.entries, e)
 	}
-	d.index[key] = i
+	d.index[e.key.fingerprint()] = i
 	d.stores[e.store].bytes += int64(e.length)
 }
 
@@ -189,24 +211,27 @@
 		return &TooManyError{What: "bytes in a block", Limit: math.MaxUint32}
 	}
 	fresh := entry{
-		generation: ref.Generation, checksum: ref.Checksum, length: uint32(ref.Length), used: d.seconds(now),
+		key: key, generation: ref.Generation, checksum: ref.Checksum, length: uint32(ref.Length), used: d.seconds(now),
 		store: index, position: uint16(min(position, math.MaxUint16)), class: class,
 	}
 	old := d.entry(key)
+	if _, taken := d.index[key.fingerprint()]; taken && old == nil {
+		return &CollisionError{Key: key}
+	}
 	switch {
 	case old != nil && old.generation == ref.Generation && old.store == index:
 		return nil
 	case old != nil && old.generation >= ref.Generation:
-		d.free(now.Add(d.opts.MaxGrant), d.located(key, &fresh))
+		d.free(now.Add(d.opts.MaxGrant), d.located(&fresh))
 		return &StaleError{Key: key, Got: ref.Generation, Held: old.generation}
 	case old != nil:
 		fresh.returns = old.returns
 		d.remove(now, key)
 	case len(d.index) >= d.opts.MaxBlocks:
-		d.free(now, d.located(key, &fresh))
+		d.free(now, d.located(&fresh))
 		return &TooManyError{What: "blocks in the directory", Limit: d.opts.MaxBlocks}
 	}
-	d.add(key, fresh)
+	d.add(fresh)
 	return nil
 }
 
@@ -225,20 +250,22 @@
 	if err != nil {
 		return found
 	}
+	curves := d.classes[class].curves
 	used := d.seconds(now)
 	until := d.seconds(now.Add(min(q.Grant, d.opts.MaxGrant)).Add(time.Second - 1))
+	var e *entry
+	at := -1
 	for i, key := range q.Keys {
-		e := d.entry(key)
-		if e == nil || now.Before(d.stores[e.store].downUntil) {
+		if e, at = d.next(key, at); e == nil || now.Before(d.stores[e.store].downUntil) {
 			break
 		}
 		e.class = class
-		d.classes[class].curves.observe(int(e.returns), d.age(now, e), true)
+		curves.observe(int(e.returns), time.Duration(used-e.used)*time.Second, true)
 		e.used = used
 		e.granted = max(e.granted, until)
 		e.returns = min(e.returns, math.MaxUint8-1) + 1
 		e.position = uint16(min(q.First+i, math.MaxUint16))
-		found = append(found, d.located(key, e))
+		found = append(found, d.located(e))
 	}
 	return found
 }
@@ -263,16 +290,17 @@
 	if end := d.start.Add(time.Duration(e.granted) * time.Second); end.After(now) {
 		after = end
 	}
-	d.free(after, d.located(key, &e))
+	d.free(after, d.located(&e))
 }
 
 // forget takes a block out of the directory only.
 func (d *Directory) forget(key Key) {
-	i := d.index[key]
-	delete(d.index, key)
+	i := d.index[key.fingerprint()]
+	delete(d.index, key.fingerprint())
 	d.spare = append(d.spare, i)
 	e := &d.entries[i]
 	d.stores[e.store].bytes -= int64(e.length)
+	*e = entry{}
 }
 
 func (d *Directory) free(after time.Time, l Located) {
@@ -373,13 +401,13 @@
 // no use. Reads granted are not waited for here but before the free.
 func (d *Directory) candidates(now time.Time, index uint16, score func(Holding) float64) []candidate {
 	var all []candidate
-	for key, i := range d.index {
+	for _, i := range d.index {
 		e := &d.entries[i]
 		if e.store != index {
 			continue
 		}
 		h := Holding{Class: d.classes[e.class].name, Position: int(e.position), Returns: int(e.returns), Idle: d.age(now, e), Bytes: int64(e.length)}
-		all = append(all, candidate{key: key, score: score(h), position: e.position})
+		all = append(all, candidate{key: e.key, score: score(h), position: e.position})
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(b.position, a.position), slices.Compare(a.key[:], b.key[:]))
@@ -391,8 +419,8 @@
 	return time.Duration(d.seconds(now)-e.used) * time.Second
 }
 
-func (d *Directory) located(key Key, e *entry) Located {
-	return Located{Store: d.stores[e.store].url, Key: key, Generation: e.generation, Length: int64(e.length), Checksum: e.checksum}
+func (d *Directory) located(e *entry) Located {
+	return Located{Store: d.stores[e.store].url, Key: e.key, Generation: e.generation, Length: int64(e.length), Checksum: e.checksum}
 }
 
 func (d *Directory) seconds(t time.Time) uint32 {
--- a/block/errors.go
+++ b/block/errors.go
@@ -75,3 +75,10 @@
 func (e *NoHomeError) Error() string {
 	return fmt.Sprintf("no home in reach for partition %s", e.Partition.Prefix())
 }
+
+// CollisionError reports a key that shares its fingerprint with another one in
+// the directory.
+type CollisionError struct{ Key Key }
+
+// Error implements error.
+func (e *CollisionError) Error() string { return fmt.Sprintf("block %s: fingerprint in use", e.Key) }
--- a/block/fuzz_test.go
+++ b/block/fuzz_test.go
@@ -326,9 +326,10 @@
 func (m *blockMachine) apply(t *rapid.T) {
 	s := m.storeOf(m.listedAs.Store)
 	var before []Located
-	for key := range m.dir.index {
-		l := m.dir.located(key, m.dir.entry(key))
-		if _, ok := s.good[id(l)]; ok && l.Store == s.url && m.dir.stores[m.dir.entry(key).store].epoch == m.listing.Epoch {
+	for _, i := range m.dir.index {
+		e := &m.dir.entries[i]
+		l := m.dir.located(e)
+		if _, ok := s.good[id(l)]; ok && l.Store == s.url && m.dir.stores[e.store].epoch == m.listing.Epoch {
 			before = append(before, l)
 		}
 	}
@@ -388,10 +389,10 @@
 			held++
 		}
 	}
-	for key := range m.dir.index {
-		l := m.dir.located(key, m.dir.entry(key))
+	for _, i := range m.dir.index {
+		l := m.dir.located(&m.dir.entries[i])
 		if _, ok := m.storeOf(l.Store).good[id(l)]; !ok && !m.torn(t, l) {
-			t.Fatalf("directory has generation %d of %v, which %s does not hold", l.Generation, key, l.Store)
+			t.Fatalf("directory has generation %d of %v, which %s does not hold", l.Generation, l.Key, l.Store)
 		}
 	}
 }
--- a/block/rebuild.go
+++ b/block/rebuild.go
@@ -21,9 +21,10 @@
 	for _, p := range partitions {
 		owned[p] = true
 	}
-	for key := range d.index {
-		if !owned[key.Partition()] || !slices.Contains(stores, d.stores[d.entry(key).store].url) {
-			d.forget(key)
+	for _, i := range d.index {
+		e := &d.entries[i]
+		if !owned[e.key.Partition()] || !slices.Contains(stores, d.stores[e.store].url) {
+			d.forget(e.key)
 		}
 	}
 	d.frees = slices.DeleteFunc(d.frees, func(f pendingFree) bool { return !owned[f.block.Key.Partition()] })
@@ -115,9 +116,9 @@
 
 // restart forgets all blocks of a store that has started a new epoch.
 func (d *Directory) restart(index uint16, epoch string) {
-	for key := range d.index {
-		if d.entry(key).store == index {
-			d.forget(key)
+	for _, i := range d.index {
+		if e := &d.entries[i]; e.store == index {
+			d.forget(e.key)
 		}
 	}
 	s := &d.stores[index]
@@ -139,10 +140,10 @@
 			listed[generationID{key, b.Ref.Generation, index}] = true
 		}
 	}
-	for key, i := range d.index {
+	for _, i := range d.index {
 		e := &d.entries[i]
-		if e.store == index && key.Partition() == p && !listed[generationID{key, e.generation, index}] {
-			d.forget(key)
+		if e.store == index && e.key.Partition() == p && !listed[generationID{e.key, e.generation, index}] {
+			d.forget(e.key)
 		}
 	}
 }
