Membership: exchanges are aimed at the neighbour that differs

A stateful fuzz of twelve instances under kills, pauses, cuts, replacements and leaves found views that never agreed again.

A process whose settings name only dead addresses finds no one without the platform's list; that is a limit and not repaired here.

--- a/instance/membership.go
+++ b/instance/membership.go
@@ -178,8 +178,8 @@
 }
 
 // probe makes one heartbeat call and tells the view how it ended.
-func (m *Membership) probe(ctx context.Context, o outgoing) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (m *Membership) probe(parent context.Context, o outgoing) {
+	ctx, cancel := context.WithTimeout(parent, probeTimeout)
 	defer cancel()
 	var answer instancepb.Heartbeat
 	err := m.caller.Call(ctx, o.to.addr, methodHeartbeat, o.msg, &answer)
@@ -194,8 +194,9 @@
 		m.notify(nil)
 		return
 	}
-	m.view.answered(m.cfg.Now(), o.to, &answer)
+	more := m.view.answered(m.cfg.Now(), o.to, &answer)
 	m.notify(&answer)
+	m.send(parent, more)
 }
 
 func resultOf(err error) string {
--- a/instance/neighbours.go
+++ b/instance/neighbours.go
@@ -191,16 +191,3 @@
 	}
 	return list
 }
-
-// queueDiffering passes on what the answer of an exchange lacks.
-func (v *view) queueDiffering(theirs []uint64) {
-	if len(theirs) != bucketCount {
-		return
-	}
-	mine := v.bucketDigests()
-	for id := range v.records {
-		if b := bucketOf(id); mine[b] != theirs[b] {
-			v.updates[id] = max(v.updates[id], 1)
-		}
-	}
-}
--- a/instance/view.go
+++ b/instance/view.go
@@ -59,16 +59,16 @@
 	contacts map[string]time.Time // when a data centre was last heard from
 	updates  map[string]int       // records to pass on and how many times yet
 	numbers  map[Number]uint64    // published by this instance
-	heard    map[string]map[Number]uint64
 	seeds    []string
 	listed   map[string]uint64 // instances listed as leaving, by the incarnation meant
 
 	round      int
 	lastTick   time.Time
-	mismatch   int    // rounds in a row in which a neighbour's digest differed
-	announced  bool   // others may know this incarnation
-	superseded uint64 // incarnation of the process that took this identifier
-	generation uint64 // counts changes of the set of live members
+	mismatch   map[string]int // answers in a row in which a neighbour's digest differed
+	exchanged  int            // round of the last exchange
+	announced  bool           // others may know this incarnation
+	superseded uint64         // incarnation of the process that took this identifier
+	generation uint64         // counts changes of the set of live members
 }
 
 func newView(self Member, seeds []string, r *rand.Rand, now time.Time) *view {
@@ -79,8 +79,8 @@
 		contacts: map[string]time.Time{},
 		updates:  map[string]int{},
 		numbers:  map[Number]uint64{},
-		heard:    map[string]map[Number]uint64{},
 		listed:   map[string]uint64{},
+		mismatch: map[string]int{},
 		seeds:    seeds,
 		lastTick: now,
 	}
@@ -137,7 +137,7 @@
 func (v *view) accept(now time.Time, r *record) {
 	r.changed = now
 	if r.state == stateFailed {
-		delete(v.heard, r.ID)
+		delete(v.mismatch, r.ID)
 	}
 	v.records[r.ID] = r
 	v.updates[r.ID] = spreadFactor * (1 + bits.Len(uint(len(v.records))))
@@ -151,14 +151,25 @@
 	if r := v.records[to.id]; r != nil && r.state != stateAlive {
 		msg.Updates = append(msg.Updates, r.encode())
 	}
-	if v.mismatch >= exchangeRounds || to.id == "" {
-		v.mismatch = 0
+	if to.id == "" || v.exchangeDue(to.id) {
 		msg.Buckets = v.bucketDigests()
 	}
 	msg.Joining = !v.announced
 	return msg
 }
 
+// exchangeDue reports whether to compare views with a neighbour: its digest has
+// differed for longer than an update takes to arrive. Exchanges are spaced, for
+// while the fleet is replaced digests differ all the time.
+func (v *view) exchangeDue(id string) bool {
+	if v.mismatch[id] < exchangeRounds || v.round-v.exchanged < exchangeRounds {
+		return false
+	}
+	v.exchanged = v.round
+	delete(v.mismatch, id)
+	return true
+}
+
 // message builds the part that requests and answers share.
 func (v *view) message(now time.Time, local bool) *instancepb.Heartbeat {
 	msg := &instancepb.Heartbeat{From: v.self.encode(), Digest: v.digest(), Updates: v.takeUpdates()}
@@ -211,10 +222,27 @@
 		answer.Updates = append(answer.Updates, v.differing(msg.Buckets)...)
 		answer.Buckets = v.bucketDigests()
 	}
+	answer.Updates = append(answer.Updates, v.corrections(msg)...)
+	return answer
+}
+
+// corrections returns newer records than the sender holds: what is said of
+// itself, and those in place of its outdated updates.
+func (v *view) corrections(msg *instancepb.Heartbeat) []*instancepb.Record {
+	var list []*instancepb.Record
 	if own := v.records[msg.GetFrom().GetId()]; own != nil && contradicts(own, msg.From) {
-		answer.Updates = append(answer.Updates, own.encode())
+		list = append(list, own.encode())
 	}
-	return answer
+	for _, p := range msg.Updates {
+		theirs := decodeRecord(p)
+		if theirs == nil {
+			continue
+		}
+		if mine := v.records[theirs.ID]; mine != nil && mine != v.self && mine.newerThan(theirs) {
+			list = append(list, mine.encode())
+		}
+	}
+	return list
 }
 
 // contradicts reports whether the sender must hear what is said of it.
@@ -227,16 +255,23 @@
 }
 
 // answered handles the answer to a heartbeat. Another identifier at the
-// address proves that the instance meant has gone.
-func (v *view) answered(now time.Time, to target, msg *instancepb.Heartbeat) {
+// address proves that the instance meant has gone. It returns a second message
+// to the same instance if that holds outdated records.
+func (v *view) answered(now time.Time, to target, msg *instancepb.Heartbeat) []outgoing {
 	v.absorb(now, msg)
+	v.announced = true
 	if to.id != "" && msg.GetFrom().GetId() != to.id {
 		v.replaced(now, to)
+		return nil
 	}
-	if len(msg.Buckets) > 0 {
-		v.queueDiffering(msg.Buckets)
+	missing := append(v.corrections(msg), v.differing(msg.Buckets)...)
+	if len(missing) == 0 {
+		return nil
 	}
-	v.announced = true
+	next := v.message(now, to.local)
+	next.ToId = to.id
+	next.Updates = append(next.Updates, missing...)
+	return []outgoing{{to: to, msg: next}}
 }
 
 // replaced fails the instance whose address answers for another one.
@@ -270,7 +305,6 @@
 		v.merge(now, p)
 	}
 	v.absorbContacts(now, msg)
-	v.absorbNumbers(msg)
 	v.compare(msg)
 }
 
@@ -292,27 +326,13 @@
 	v.contacts[dc] = at
 }
 
-func (v *view) absorbNumbers(msg *instancepb.Heartbeat) {
-	if len(msg.Numbers) == 0 {
-		return
-	}
-	set := v.heard[msg.GetFrom().GetId()]
-	if set == nil {
-		set = map[Number]uint64{}
-		v.heard[msg.From.Id] = set
-	}
-	for _, n := range msg.Numbers {
-		set[Number(n.Kind)] = n.Value
-	}
-}
-
 // compare counts differing digests; a joining sender differs by itself.
 func (v *view) compare(msg *instancepb.Heartbeat) {
 	if msg.Joining || msg.Digest == v.digest() {
-		v.mismatch = 0
+		delete(v.mismatch, msg.From.Id)
 		return
 	}
-	v.mismatch++
+	v.mismatch[msg.From.Id]++
 }
 
 // merge takes a record if it is newer than the one held.
