--- a/instance/neighbours.go
+++ b/instance/neighbours.go
@@ -8,11 +8,12 @@
 	"redwingknot/instance/instancepb"
 )
 
-func compareStrings(a, b string) int { return cmp.Compare(a, b) }
-
 // ring returns the instances of the own data centre that have not failed, in
-// the order of their position.
+// the order of their position. Callers must not change it.
 func (v *view) ring() []*record {
+	if v.ringOf == v.generation && v.ringCache != nil {
+		return v.ringCache
+	}
 	var list []*record
 	for _, r := range v.records {
 		if v.isLocal(r) && r.state != stateFailed {
@@ -20,11 +21,12 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *record) int {
-		if c := cmp.Compare(Score("ring", a.ID), Score("ring", b.ID)); c != 0 {
+		if c := cmp.Compare(a.position, b.position); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.ID, b.ID)
 	})
+	v.ringCache, v.ringOf = list, v.generation
 	return list
 }
 
@@ -158,20 +160,18 @@
 	sums := make([]uint64, bucketCount)
 	for _, r := range v.records {
 		if r.state != stateFailed {
-			sums[bucketOf(r.ID)] ^= r.digest()
+			sums[r.bucket] ^= r.sum
 		}
 	}
 	return sums
 }
 
-func bucketOf(id string) int { return int(Score("bucket", id) % bucketCount) }
-
 // digest returns the digest of the whole view.
 func (v *view) digest() uint64 {
 	var sum uint64
 	for _, r := range v.records {
 		if r.state != stateFailed {
-			sum ^= r.digest()
+			sum ^= r.sum
 		}
 	}
 	return sum
@@ -185,7 +185,7 @@
 	mine := v.bucketDigests()
 	var list []*instancepb.Record
 	for _, r := range v.records {
-		if b := bucketOf(r.ID); mine[b] != theirs[b] {
+		if mine[r.bucket] != theirs[r.bucket] {
 			list = append(list, r.encode())
 		}
 	}
--- a/instance/record.go
+++ b/instance/record.go
@@ -26,6 +26,9 @@
 	state    state
 	deadline time.Time // when a suspect is held to have failed
 	changed  time.Time // when this view last changed the record
+	sum      uint64    // digest of the content
+	position uint64    // place on the ring
+	bucket   int       // part of the view that it belongs to
 }
 
 // newerThan orders records of one instance.
@@ -39,6 +42,13 @@
 	return r.state > o.state
 }
 
+// seal computes what is derived from the content, after each change of it.
+func (r *record) seal() {
+	r.sum = r.digest()
+	r.position = Score("ring", r.ID)
+	r.bucket = int(Score("bucket", r.ID) % bucketCount)
+}
+
 // digest identifies the content of the record.
 func (r *record) digest() uint64 {
 	buf := make([]byte, 0, 64)
--- a/instance/view.go
+++ b/instance/view.go
@@ -4,6 +4,7 @@
 	"math/bits"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"redwingknot/instance/instancepb"
@@ -68,7 +69,9 @@
 	exchanged  int            // round of the last exchange
 	announced  bool           // others may know this incarnation
 	superseded uint64         // incarnation of the process that took this identifier
-	generation uint64         // counts changes of the set of live members
+	generation uint64         // counts changes of records
+	ringCache  []*record
+	ringOf     uint64 // generation at which ringCache was made
 }
 
 func newView(self Member, seeds []string, r *rand.Rand, now time.Time) *view {
@@ -84,6 +87,7 @@
 		seeds:    seeds,
 		lastTick: now,
 	}
+	v.self.seal()
 	v.records[self.ID] = v.self
 	return v
 }
@@ -136,6 +140,7 @@
 // accept notes a changed record and passes it on.
 func (v *view) accept(now time.Time, r *record) {
 	r.changed = now
+	r.seal()
 	if r.state == stateFailed {
 		delete(v.mismatch, r.ID)
 	}
@@ -476,6 +481,6 @@
 			list = append(list, r.Member)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int { return compareStrings(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
