--- /dev/null
+++ b/datacentre/datacentretest/kv.go
@@ -0,0 +1,291 @@
+// Package datacentretest gives tests a key-value service in memory with leases,
+// watches, outages and lost answers, in the time of the caller's clock.
+package datacentretest
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"redwingknot/platform"
+)
+
+// Fault is what happens to one call.
+type Fault int
+
+// The faults.
+const (
+	FaultNone       Fault = iota
+	FaultNotSent          // the call does not reach the service
+	FaultLostAnswer       // the call takes effect and its answer is lost
+)
+
+// LostError is the cause of a call without an answer.
+type LostError struct{ Op string }
+
+// Error implements error.
+func (e *LostError) Error() string { return fmt.Sprintf("%s: no answer", e.Op) }
+
+// KV is a platform.KV in memory. It is safe for concurrent use.
+type KV struct {
+	// Delay is the time in nanoseconds that a call takes each way.
+	Delay atomic.Int64
+	// Fault decides the fate of each call; nil is no fault. It is called under
+	// the lock of the KV.
+	Fault func(op string) Fault
+
+	mu       sync.Mutex
+	now      func() time.Time
+	revision int64
+	leases   map[platform.LeaseID]*lease
+	entries  map[string]platform.Entry
+	watchers map[*watcher]struct{}
+	calls    map[string]int
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+type watcher struct {
+	from, to string
+	changes  chan platform.Change
+}
+
+// NewKV returns an empty service.
+func NewKV(now func() time.Time) *KV {
+	return &KV{
+		now:      now,
+		leases:   map[platform.LeaseID]*lease{},
+		entries:  map[string]platform.Entry{},
+		watchers: map[*watcher]struct{}{},
+		calls:    map[string]int{},
+	}
+}
+
+// Calls returns how often an operation was attempted.
+func (k *KV) Calls(op string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.calls[op]
+}
+
+// Expire ends the leases that have lapsed by now, as every call does.
+func (k *KV) Expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+}
+
+func (k *KV) expire() {
+	for id, l := range k.leases {
+		if !k.now().Before(l.end) {
+			k.drop(id)
+		}
+	}
+}
+
+func (k *KV) drop(id platform.LeaseID) {
+	delete(k.leases, id)
+	for key, e := range k.entries {
+		if e.Lease == id {
+			k.remove(key)
+		}
+	}
+}
+
+func (k *KV) remove(key string) {
+	k.revision++
+	e := k.entries[key]
+	delete(k.entries, key)
+	k.tell(platform.Change{Entry: e, Deleted: true})
+}
+
+func (k *KV) tell(c platform.Change) {
+	for w := range k.watchers {
+		if w.from <= c.Entry.Key && c.Entry.Key < w.to {
+			w.changes <- c
+		}
+	}
+}
+
+// do runs f as one call of the service.
+func (k *KV) do(ctx context.Context, op, key string, f func() error) error {
+	k.wait(ctx)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.calls[op]++
+	fault := FaultNone
+	if k.Fault != nil {
+		fault = k.Fault(op)
+	}
+	if fault == FaultNotSent || ctx.Err() != nil {
+		return &platform.NotSentError{Op: op, Key: key, Err: &LostError{Op: op}}
+	}
+	k.expire()
+	err := f()
+	k.mu.Unlock()
+	k.wait(ctx)
+	k.mu.Lock()
+	if fault == FaultLostAnswer || ctx.Err() != nil {
+		return &platform.UnknownOutcomeError{Op: op, Key: key, Err: &LostError{Op: op}}
+	}
+	return err
+}
+
+func (k *KV) wait(ctx context.Context) {
+	d := time.Duration(k.Delay.Load())
+	if d == 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func refused(op, key string, cause platform.Cause) error {
+	return &platform.RefusedError{Op: op, Key: key, Cause: cause}
+}
+
+// Get implements platform.KV.
+func (k *KV) Get(ctx context.Context, _ platform.Purpose, key string) (e platform.Entry, err error) {
+	err = k.do(ctx, "get", key, func() error {
+		var ok bool
+		if e, ok = k.entries[key]; !ok {
+			return refused("get", key, platform.CauseNotFound)
+		}
+		return nil
+	})
+	return e, err
+}
+
+// Range implements platform.KV.
+func (k *KV) Range(ctx context.Context, _ platform.Purpose, from, to string, limit int) (list []platform.Entry, rev int64, err error) {
+	err = k.do(ctx, "range", from, func() error {
+		rev = k.revision
+		for key, e := range k.entries {
+			if from <= key && key < to {
+				list = append(list, e)
+			}
+		}
+		slices.SortFunc(list, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+		if limit > 0 && len(list) > limit {
+			list = list[:limit]
+		}
+		return nil
+	})
+	return list, rev, err
+}
+
+// Create implements platform.KV.
+func (k *KV) Create(ctx context.Context, _ platform.Purpose, key string, value []byte, id platform.LeaseID) (rev int64, err error) {
+	err = k.do(ctx, "create", key, func() error {
+		if _, ok := k.entries[key]; ok {
+			return refused("create", key, platform.CauseExists)
+		}
+		if id != 0 && k.leases[id] == nil {
+			return refused("create", key, platform.CauseLapsed)
+		}
+		k.revision++
+		rev = k.revision
+		e := platform.Entry{Key: key, Value: value, CreateRevision: rev, ModRevision: rev, Lease: id}
+		k.entries[key] = e
+		k.tell(platform.Change{Entry: e})
+		return nil
+	})
+	return rev, err
+}
+
+// Swap implements platform.KV.
+func (k *KV) Swap(ctx context.Context, _ platform.Purpose, key string, value []byte, rev int64, id platform.LeaseID) (next int64, err error) {
+	err = k.do(ctx, "swap", key, func() error {
+		e, ok := k.entries[key]
+		if !ok || e.ModRevision != rev {
+			return refused("swap", key, platform.CauseConflict)
+		}
+		k.revision++
+		next = k.revision
+		e.Value, e.ModRevision, e.Lease = value, next, id
+		k.entries[key] = e
+		k.tell(platform.Change{Entry: e})
+		return nil
+	})
+	return next, err
+}
+
+// Delete implements platform.KV.
+func (k *KV) Delete(ctx context.Context, _ platform.Purpose, key string, rev int64) error {
+	return k.do(ctx, "delete", key, func() error {
+		e, ok := k.entries[key]
+		if !ok {
+			return refused("delete", key, platform.CauseNotFound)
+		}
+		if rev != 0 && e.ModRevision != rev {
+			return refused("delete", key, platform.CauseConflict)
+		}
+		k.remove(key)
+		return nil
+	})
+}
+
+// Grant implements platform.KV.
+func (k *KV) Grant(ctx context.Context, _ platform.Purpose, ttl time.Duration) (id platform.LeaseID, err error) {
+	err = k.do(ctx, "grant", "", func() error {
+		k.revision++
+		id = platform.LeaseID(k.revision)
+		k.leases[id] = &lease{ttl: ttl, end: k.now().Add(ttl)}
+		return nil
+	})
+	return id, err
+}
+
+// KeepAlive implements platform.KV.
+func (k *KV) KeepAlive(ctx context.Context, _ platform.Purpose, id platform.LeaseID) (ttl time.Duration, err error) {
+	err = k.do(ctx, "keepalive", "", func() error {
+		l := k.leases[id]
+		if l == nil {
+			return refused("keepalive", "", platform.CauseLapsed)
+		}
+		l.end = k.now().Add(l.ttl)
+		ttl = l.ttl
+		return nil
+	})
+	return ttl, err
+}
+
+// Revoke implements platform.KV.
+func (k *KV) Revoke(ctx context.Context, _ platform.Purpose, id platform.LeaseID) error {
+	return k.do(ctx, "revoke", "", func() error {
+		if k.leases[id] == nil {
+			return refused("revoke", "", platform.CauseLapsed)
+		}
+		k.drop(id)
+		return nil
+	})
+}
+
+// Watch implements platform.KV; a change of the past is not sent again.
+func (k *KV) Watch(ctx context.Context, _ platform.Purpose, from, to string, _ int64) (<-chan platform.Change, error) {
+	const buffer = 1024
+	w := &watcher{from: from, to: to, changes: make(chan platform.Change, buffer)}
+	err := k.do(ctx, "watch", from, func() error {
+		k.watchers[w] = struct{}{}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.watchers, w)
+		close(w.changes)
+	})
+	return w.changes, nil
+}
