--- /dev/null
+++ b/note/book_fuzz_test.go
@@ -0,0 +1,325 @@
+package note_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"redwingknot/internal/fuzztest"
+	"redwingknot/note"
+	"redwingknot/platform"
+	"redwingknot/platform/platformtest"
+)
+
+// member is an instance with its book; only leads have a platform.
+type member struct {
+	book *note.Book
+	kv   *platformtest.KV
+	head uint64 // highest head seen
+	plan []platformtest.Fault
+	// between runs once, before the call to the platform with this countdown.
+	between   func()
+	countdown int
+}
+
+func (m *member) hook(context.Context, platformtest.Op) platformtest.Fault {
+	m.countdown--
+	if m.between != nil && m.countdown < 0 {
+		do := m.between
+		m.between = nil
+		do()
+	}
+	if len(m.plan) == 0 {
+		return platformtest.None
+	}
+	f := m.plan[0]
+	m.plan = m.plan[1:]
+	return f
+}
+
+// submission is an operator's note and what was said about it.
+type submission struct {
+	serial int
+	number uint64
+	err    error
+}
+
+// bookMachine checks that every book at head h shows the note that the oracle
+// has under h. Each note sets the worth of one class to its own serial.
+type bookMachine struct {
+	store       *platformtest.Store
+	members     []*member
+	leads       int
+	started     int
+	serial      int
+	history     map[uint64]float64 // worth after each number
+	submissions []*submission
+	old         []note.Update // updates to be offered again later
+}
+
+func (m *bookMachine) start(i int) {
+	m.started++
+	b := &member{}
+	o := note.BookOptions{SnapshotEvery: 3, TrimMargin: 1}
+	if i < m.leads {
+		o.Writer = fmt.Sprintf("w%d", m.started)
+		b.kv = m.store.Client(o.Writer)
+		b.kv.SetHook(b.hook)
+		o.KV = b.kv
+	}
+	b.book = note.NewBook(o)
+	m.members[i] = b
+}
+
+func (m *bookMachine) submit(lead *member, base uint64) {
+	m.serial++
+	s := &submission{serial: m.serial}
+	m.submissions = append(m.submissions, s)
+	raw := fmt.Sprintf("title: n%d\nchange: {classes: [{name: x, worth: %d}]}\n", s.serial, s.serial)
+	if base == 0 {
+		raw = fmt.Sprintf("title: n%d\nadd: {classes: [{name: x, worth: %d, firstIn: 1s, deadline: 1s}]}\n", s.serial, s.serial)
+	}
+	s.number, s.err = lead.book.Submit(context.Background(), base, []byte(raw))
+	var unknown *platform.UnknownOutcomeError
+	if errors.As(s.err, &unknown) {
+		return
+	}
+	if s.err == nil && s.number != base+1 {
+		panic(fmt.Sprintf("accepted as %d over base %d", s.number, base))
+	}
+}
+
+// check compares every book with the history that was seen before.
+func (m *bookMachine) check(t *rapid.T) {
+	for i, b := range m.members {
+		s := b.book.State()
+		if s.Head < b.head {
+			t.Fatalf("member %d went back from %d to %d", i, b.head, s.Head)
+		}
+		b.head = s.Head
+		if s.Head == 0 {
+			continue
+		}
+		worth := s.Classes["x"].Worth
+		if known, ok := m.history[s.Head]; ok && known != worth {
+			t.Fatalf("member %d has note %v under %d, which was %v", i, worth, s.Head, known)
+		}
+		m.history[s.Head] = worth
+	}
+}
+
+// final replays the platform's log and judges the answers given.
+func (m *bookMachine) final(t *rapid.T) {
+	reader := note.NewBook(note.BookOptions{KV: m.store.Client("reader"), Writer: "reader"})
+	if err := reader.Sync(context.Background()); err != nil {
+		t.Fatalf("read of the notes: %v", err)
+	}
+	m.members = append(m.members, &member{book: reader})
+	m.check(t)
+	numbers := map[float64]uint64{}
+	for number, worth := range m.history {
+		if numbers[worth] != 0 {
+			t.Fatalf("note %v is in force as %d and %d", worth, number, numbers[worth])
+		}
+		numbers[worth] = number
+	}
+	for _, s := range m.submissions {
+		number, inForce := numbers[float64(s.serial)]
+		switch {
+		case s.err == nil && inForce && number != s.number:
+			t.Fatalf("note %d was accepted as %d and is %d", s.serial, s.number, number)
+		case s.err == nil && m.history[s.number] != 0 && m.history[s.number] != float64(s.serial):
+			t.Fatalf("note %d was accepted as %d, where %v is in force", s.serial, s.number, m.history[s.number])
+		case s.err == nil && s.number > reader.Head():
+			t.Fatalf("note %d was accepted as %d and the platform has %d", s.serial, s.number, reader.Head())
+		case s.err != nil && !platform.IsUnknown(s.err) && inForce:
+			t.Fatalf("note %d was refused (%v) and is in force as %d", s.serial, s.err, number)
+		}
+	}
+}
+
+var bookFaults = []platformtest.Fault{
+	platformtest.None, platformtest.None, platformtest.None,
+	platformtest.NotSent, platformtest.LostRequest, platformtest.LostAnswer, platformtest.Late,
+}
+
+func (m *bookMachine) run(t *rapid.T) {
+	anyOf := func(t *rapid.T) *member { return m.members[rapid.IntRange(0, len(m.members)-1).Draw(t, "member")] }
+	lead := func(t *rapid.T) *member { return m.members[rapid.IntRange(0, m.leads-1).Draw(t, "lead")] }
+	t.Repeat(map[string]func(*rapid.T){
+		"submit": func(t *rapid.T) {
+			a := lead(t)
+			a.plan = rapid.SliceOfN(rapid.SampledFrom(bookFaults), 0, 6).Draw(t, "faults")
+			m.submit(a, a.book.Head())
+			a.plan = nil
+		},
+		// Another operator's note is accepted between two calls of the first.
+		"race": func(t *rapid.T) {
+			a, b := lead(t), lead(t)
+			if a == b {
+				t.Skip()
+			}
+			a.countdown = rapid.IntRange(0, 4).Draw(t, "calls")
+			a.between = func() {
+				_ = b.book.Sync(context.Background())
+				m.submit(b, b.book.Head())
+			}
+			m.submit(a, a.book.Head())
+			a.between = nil
+		},
+		"old base": func(t *rapid.T) {
+			a := lead(t)
+			m.submit(a, uint64(rapid.IntRange(0, int(a.book.Head())).Draw(t, "base")))
+		},
+		"sync": func(t *rapid.T) {
+			a := lead(t)
+			a.plan = rapid.SliceOfN(rapid.SampledFrom(bookFaults), 0, 3).Draw(t, "faults")
+			_ = a.book.Sync(context.Background())
+			a.plan = nil
+		},
+		"offer": func(t *rapid.T) {
+			from, to := anyOf(t), anyOf(t)
+			u := from.book.Since(uint64(rapid.IntRange(0, int(to.book.Head())+1).Draw(t, "since")), rapid.SampledFrom([]int{1, 100, 10000}).Draw(t, "bytes"))
+			m.old = append(m.old, u)
+			m.offer(t, to, u)
+		},
+		"offer again": func(t *rapid.T) {
+			if len(m.old) == 0 {
+				t.Skip()
+			}
+			m.offer(t, anyOf(t), m.old[rapid.IntRange(0, len(m.old)-1).Draw(t, "update")])
+		},
+		"deliver": func(t *rapid.T) { lead(t).kv.Deliver() },
+		"crash":   func(t *rapid.T) { m.start(rapid.IntRange(0, len(m.members)-1).Draw(t, "member")) },
+		"outage": func(t *rapid.T) {
+			m.store.SetDown(rapid.Bool().Draw(t, "down"))
+		},
+		"": m.check,
+	})
+	m.store.SetDown(false)
+	time.Sleep(time.Minute)
+	m.final(t)
+}
+
+func (m *bookMachine) offer(t *rapid.T, to *member, u note.Update) {
+	err := to.book.Offer(u)
+	var gap *note.GapError
+	if err != nil && !errors.As(err, &gap) {
+		t.Fatalf("offer: %v", err)
+	}
+}
+
+// TestFuzzBooks races operators over leads with a faulty platform, passes
+// updates between peers in any order and again, and restarts instances.
+func TestFuzzBooks(t *testing.T) {
+	fuzztest.Check(t, func(rt *rapid.T) {
+		inBubble(t, func() {
+			m := &bookMachine{store: platformtest.NewStore(time.Now), leads: 2, members: make([]*member, 4), history: map[uint64]float64{}}
+			for i := range m.members {
+				m.start(i)
+			}
+			m.run(rt)
+		})
+	})
+}
+
+// inBubble runs f under a fake clock and passes its panic on, which is how
+// rapid ends a run.
+func inBubble(t *testing.T, f func()) {
+	var failure any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { failure = recover() }()
+		f()
+	})
+	// Minimizing tells failures apart by the line of the panic; a replay that
+	// ran out of data is not the failure.
+	if fmt.Sprintf("%T", failure) == "rapid.invalidData" {
+		panic(failure)
+	}
+	if failure != nil {
+		panic(failure)
+	}
+}
+
+func TestRestoredPlatformNeverReverts(t *testing.T) {
+	store := platformtest.NewStore(nil)
+	kv := store.Client("a")
+	book := note.NewBook(note.BookOptions{KV: kv, Writer: "a"})
+	submit := func(b *note.Book, text string) error {
+		_, err := b.Submit(t.Context(), b.Head(), []byte(text))
+		return err
+	}
+	if err := submit(book, "title: one\nadd: {classes: [{name: x, worth: 1, firstIn: 1s, deadline: 1s}]}"); err != nil {
+		t.Fatal(err)
+	}
+	old := store.Backup()
+	if err := submit(book, "title: two\nchange: {classes: [{name: x, worth: 2}]}"); err != nil {
+		t.Fatal(err)
+	}
+	store.Restore(old)
+	const three = "title: three\nchange: {classes: [{name: x, worth: 3}]}"
+	if err := submit(book, three); err == nil {
+		t.Fatal("a note was accepted over an older copy")
+	}
+	if book.Head() != 2 {
+		t.Fatalf("the head is %d", book.Head())
+	}
+	// An instance that has just started knows the newer notes from its peers.
+	fresh := note.NewBook(note.BookOptions{KV: kv, Writer: "b"})
+	if err := fresh.Offer(book.Since(0, 1<<20)); err != nil {
+		t.Fatal(err)
+	}
+	var behind *note.BehindError
+	if err := submit(fresh, three); !errors.As(err, &behind) {
+		t.Fatalf("submit: %v", err)
+	}
+	// One that knew no peer accepts a note; its history is a fork to the others.
+	lonely := note.NewBook(note.BookOptions{KV: kv, Writer: "c"})
+	if err := lonely.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := submit(lonely, three); err != nil {
+		t.Fatal(err)
+	}
+	var fork *note.ForkError
+	if err := book.Offer(lonely.Since(1, 1<<20)); err != nil && !errors.As(err, &fork) {
+		t.Fatalf("offer: %v", err)
+	}
+	if got := book.State().Classes["x"].Worth; got != 2 {
+		t.Fatalf("the worth is %v", got)
+	}
+}
+
+func TestMarksOnlyMoveForward(t *testing.T) {
+	kv := platformtest.New(nil)
+	for _, m := range []note.Mark{{DataCentre: "ilala", Head: 3}, {DataCentre: "temeke", Head: 5}, {DataCentre: "ilala", Head: 2}, {DataCentre: "ilala", Head: 4}} {
+		if err := note.MarkInForce(t.Context(), kv, m.DataCentre, m.Head); err != nil {
+			t.Fatal(err)
+		}
+	}
+	marks, err := note.InForce(t.Context(), kv)
+	if err != nil || len(marks) != 2 || marks[0].Head != 4 || marks[1].Head != 5 {
+		t.Fatalf("%v, %v", marks, err)
+	}
+}
+
+func TestSubmitOfTheSameNoteAgainIsAccepted(t *testing.T) {
+	kv := platformtest.New(nil)
+	book := note.NewBook(note.BookOptions{KV: kv, Writer: "a"})
+	raw := []byte("title: one\nauthor: amani\nadd: {classes: [{name: x, worth: 1, firstIn: 1s, deadline: 1s}]}")
+	for range 2 {
+		if number, err := book.Submit(t.Context(), 0, raw); err != nil || number != 1 {
+			t.Fatalf("%d, %v", number, err)
+		}
+	}
+	_, err := book.Submit(t.Context(), 0, []byte("title: two\nadd: {classes: [{name: y, worth: 1, firstIn: 1s, deadline: 1s}]}"))
+	var conflict *note.ConflictError
+	if !errors.As(err, &conflict) || conflict.Number != 1 || conflict.Title != "one" || conflict.Author != "amani" {
+		t.Fatalf("%v", err)
+	}
+}
--- /dev/null
+++ b/note/chain.go
@@ -0,0 +1,51 @@
+package note
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+)
+
+// chainBytes is the length of a Chain.
+const chainBytes = sha256.Size
+
+// Chain is the hash over all notes up to one number. Two histories with equal
+// chains are equal.
+type Chain [chainBytes]byte
+
+// next returns the chain after the note with the given number.
+func (c Chain) next(number uint64, raw []byte) Chain {
+	h := sha256.New()
+	h.Write(c[:])
+	h.Write(binary.BigEndian.AppendUint64(nil, number))
+	h.Write(raw)
+	return Chain(h.Sum(nil))
+}
+
+// encodeNote puts the chain after a note in front of its text.
+func encodeNote(c Chain, raw []byte) []byte {
+	return slices.Concat(c[:], raw)
+}
+
+func decodeNote(data []byte) (Chain, []byte, error) {
+	if len(data) < chainBytes {
+		return Chain{}, nil, &EncodingError{What: "note of an update"}
+	}
+	return Chain(data[:chainBytes]), data[chainBytes:], nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (c Chain) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, c[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *Chain) UnmarshalText(text []byte) error {
+	raw, err := hex.DecodeString(string(text))
+	if err != nil || len(raw) != chainBytes {
+		return &EncodingError{What: "hash chain", Err: err}
+	}
+	*c = Chain(raw)
+	return nil
+}
--- a/note/state.go
+++ b/note/state.go
@@ -30,17 +30,17 @@
 
 // Model is a model and the weight version in force.
 type Model struct {
-	Name       string
-	Version    string // weight version; part of every block key
-	PieceBytes int    // prompt bytes a cache piece holds, about 2,000 tokens
-	BlockBytes int    // size of a piece's KV cache in bytes
+	Name       string `yaml:"name"`
+	Version    string `yaml:"version"`    // weight version; part of every block key
+	PieceBytes int    `yaml:"pieceBytes"` // prompt bytes a cache piece holds, about 2,000 tokens
+	BlockBytes int    `yaml:"blockBytes"` // size of a piece's KV cache in bytes
 }
 
 // Adapter is a fine-tuned addition to a model.
 type Adapter struct {
-	Name    string
-	Model   string
-	Version string
+	Name    string `yaml:"name"`
+	Model   string `yaml:"model"`
+	Version string `yaml:"version"`
 }
 
 // Service is what callers address: a model or a plain application.
@@ -63,31 +63,31 @@
 
 // Team is a customer; its prompts, blocks and limits are apart from all others.
 type Team struct {
-	Name      string
-	TokenHash string   // hex SHA-256 of the team's bearer token
-	Services  []string // services the team may call
-	Classes   []string // model request classes the team may use; the first is the default
-	Rate      float64  // requests a second over the whole deployment
-	Burst     float64  // requests that may arrive at once
+	Name      string   `yaml:"name"`
+	TokenHash string   `yaml:"tokenHash"` // hex SHA-256 of the team's bearer token
+	Services  []string `yaml:"services"`  // services the team may call
+	Classes   []string `yaml:"classes"`   // model request classes the team may use; the first is the default
+	Rate      float64  `yaml:"rate"`      // requests a second over the whole deployment
+	Burst     float64  `yaml:"burst"`     // requests that may arrive at once
 }
 
 // Endpoint is a worker of a service.
 type Endpoint struct {
-	Name          string
-	DataCentre    string
-	Service       string
-	URL           string
-	ChecksFencing bool // refuses orders with an old fencing number
-	Slots         int  // requests it runs at once
+	Name          string `yaml:"name"`
+	DataCentre    string `yaml:"dataCentre"`
+	Service       string `yaml:"service"`
+	URL           string `yaml:"url"`
+	ChecksFencing bool   `yaml:"checksFencing"` // refuses orders with an old fencing number
+	Slots         int    `yaml:"slots"`         // requests it runs at once
 }
 
 // Store keeps KV cache blocks outside the engines.
 type Store struct {
-	Name        string
-	DataCentre  string
-	URL         string
-	MemoryBytes int64
-	DiskBytes   int64
-	LinkRate    int64         // bytes a second to the endpoints of its data centre
-	LinkDelay   time.Duration // one way
+	Name        string        `yaml:"name"`
+	DataCentre  string        `yaml:"dataCentre"`
+	URL         string        `yaml:"url"`
+	MemoryBytes int64         `yaml:"memoryBytes"`
+	DiskBytes   int64         `yaml:"diskBytes"`
+	LinkRate    int64         `yaml:"linkRate"`  // bytes a second to the endpoints of its data centre
+	LinkDelay   time.Duration `yaml:"linkDelay"` // one way
 }
