Export by price, end slow imports, estimate a link by its fastest transfer

Causes found, each seen in a trace of single requests: - Transfers that share a link look slow, and the budget sank to half the link. The estimate is now the fastest of the last four transfers, never more than three times the last one. - Exports had no order and were tried at one store only. They are ranked over stores, and a price that rises with each export without budget keeps the links for the highest scores.

--- a/block/keeper.go
+++ b/block/keeper.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -20,6 +21,9 @@
 	readGrant = 30 * time.Second
 	// downFor is how long a store that was out of reach is left alone.
 	downFor = 5 * time.Second
+	// exportTries is how often an export that gets no budget is tried again.
+	exportTries        = 10
+	defaultExportPause = 3 * time.Second
 )
 
 // KeeperOptions are what a keeper works with.
@@ -32,6 +36,9 @@
 	Returns *Returns // learns from the lookups of this instance; nil for a new one
 	Store   func(url string) *store.Client
 	Log     *slog.Logger
+	// ExportPause is the time between two tries of an export that gets no
+	// budget; 0 for the default.
+	ExportPause time.Duration
 }
 
 // Keeper brings kept blocks back to engines before a prompt is run, and has the
@@ -44,6 +51,7 @@
 	rng    *rand.Rand
 	stores []StoreView
 	down   map[string]time.Time
+	price  ExportPrice
 }
 
 // NewKeeper returns a keeper.
@@ -51,6 +59,7 @@
 	if o.Returns == nil {
 		o.Returns = NewReturns(nil)
 	}
+	o.ExportPause = cmp.Or(o.ExportPause, defaultExportPause)
 	return &Keeper{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), down: map[string]time.Time{}}
 }
 
@@ -62,6 +71,7 @@
 	Compute    time.Duration // of computing one piece at the engine
 	Queue      time.Duration // before the engine begins with the prompt
 	BlockBytes int64         // expected size of a block
+	Returns    int           // how often the prompt has returned, as far as known
 }
 
 // Return is the plan for a prompt and the transfers that carry it out.
@@ -114,7 +124,7 @@
 			break
 		}
 		s.permit = permit
-		n := k.importStep(ctx, eng, s, cached)
+		n := k.importStep(ctx, eng, s, cached, time.Duration(len(s.blocks))*p.Compute)
 		cached += n
 		if n < len(s.blocks) {
 			break
@@ -139,8 +149,9 @@
 }
 
 // importStep has the engine import a run of blocks and returns how many of them
-// are now in its cache.
-func (k *Keeper) importStep(ctx context.Context, eng engine.Engine, s step, cached int) int {
+// are now in its cache. It is ended when computing them would have been done:
+// a link that has become slow is not waited for.
+func (k *Keeper) importStep(ctx context.Context, eng engine.Engine, s step, cached int, limit time.Duration) int {
 	if !wait(ctx, s.permit.StartIn) {
 		return 0
 	}
@@ -149,18 +160,32 @@
 		t.Blocks = append(t.Blocks, b.Ref())
 	}
 	began := k.opts.Now()
-	got, err := eng.Import(ctx, t)
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	got, err := eng.Import(limited, t)
 	n := min(max(got-cached, 0), len(s.blocks))
-	if err == nil && n == len(s.blocks) {
+	switch {
+	case err == nil && n == len(s.blocks):
 		k.opts.Links.Observe(s.store, s.bytes, k.opts.Now().Sub(began), s.permit.Rate)
-		return n
-	}
-	if ctx.Err() == nil {
-		k.examine(ctx, s.blocks[min(n, len(s.blocks)-1)])
+	case ctx.Err() != nil || n == len(s.blocks):
+	case limited.Err() != nil:
+		metric.Counter("block_bring_timeouts_total").Inc(1)
+		moved := bytesOf(s.blocks[:n]) + s.blocks[n].Length/2
+		k.opts.Links.Observe(s.store, moved, k.opts.Now().Sub(began), s.permit.Rate)
+	default:
+		k.examine(ctx, s.blocks[n])
 	}
 	return n
 }
 
+func bytesOf(blocks []Located) int64 {
+	sum := int64(0)
+	for _, b := range blocks {
+		sum += b.Length
+	}
+	return sum
+}
+
 // examine finds out why a block was not imported: its store is out of reach, or
 // the directory is wrong about it.
 func (k *Keeper) examine(ctx context.Context, l Located) {
@@ -182,13 +207,12 @@
 // pieces that stores hold already. It returns the number published.
 func (k *Keeper) Keep(ctx context.Context, eng engine.Engine, p Prompt, kept int) (int, error) {
 	keys := p.Keys[min(kept, len(p.Keys)):]
-	url, ok := k.place(p)
-	if len(keys) == 0 || !ok {
+	if len(keys) == 0 {
 		return 0, nil
 	}
 	bytes := p.BlockBytes * int64(len(keys))
-	permit, err := k.opts.Links.Acquire(ctx, url, link.Export, bytes, 0)
-	if err != nil {
+	url, permit, err := k.exportPermit(ctx, p, bytes)
+	if err != nil || url == "" {
 		return 0, err
 	}
 	t := engine.Transfer{StoreURL: url, Rate: permit.Rate}
@@ -230,10 +254,41 @@
 	return k.opts.Client.Publish(ctx, t.StoreURL, p.Class.Name, kept, sealed[:whole])
 }
 
-// place returns the store for the prompt's blocks, if any is worth it.
-func (k *Keeper) place(p Prompt) (string, bool) {
+// exportPermit returns the store for the prompt's blocks and the permit to move
+// them, trying again for some time. The URL is empty if no store is worth it.
+func (k *Keeper) exportPermit(ctx context.Context, p Prompt, bytes int64) (string, link.Permit, error) {
+	score := k.score(p)
+	for try := 0; ; try++ {
+		urls := k.rank(score)
+		if len(urls) == 0 {
+			return "", link.Permit{}, nil
+		}
+		var err error
+		for _, url := range urls {
+			var permit link.Permit
+			if permit, err = k.opts.Links.Acquire(ctx, url, link.Export, bytes, 0); err == nil {
+				k.settle(score, true)
+				return url, permit, nil
+			}
+		}
+		if try >= exportTries || !wait(ctx, k.opts.ExportPause) {
+			k.settle(score, false)
+			return "", link.Permit{}, err
+		}
+	}
+}
+
+func (k *Keeper) score(p Prompt) float64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	v := Value{Class: p.Class, Compute: p.Compute, Bytes: p.BlockBytes}
+	return k.opts.Planner.Score(k.opts.Returns, v, p.Returns, 0)
+}
+
+// rank returns the stores for blocks of the score, none if the links carry
+// blocks of higher scores only.
+func (k *Keeper) rank(score float64) []string {
+	k.mu.Lock()
 	now := k.opts.Now()
 	stores := make([]StoreView, 0, len(k.stores))
 	for _, s := range k.stores {
@@ -241,8 +296,22 @@
 			stores = append(stores, s)
 		}
 	}
-	v := Value{Class: p.Class, Compute: p.Compute, Bytes: p.BlockBytes}
-	return k.opts.Planner.Place(k.opts.Planner.Score(k.opts.Returns, v, 0, 0), stores, k.opts.Links.Forecast)
+	accepted := k.price.Accepts(score)
+	k.mu.Unlock()
+	if !accepted {
+		return nil
+	}
+	return k.opts.Planner.Rank(score, stores, k.opts.Links.Forecast)
+}
+
+func (k *Keeper) settle(score float64, exported bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if exported {
+		k.price.Exported()
+		return
+	}
+	k.price.Refused(score)
 }
 
 // SetStores tells the keeper which stores there are before any lookup has.
--- a/block/plan.go
+++ b/block/plan.go
@@ -1,6 +1,8 @@
 package block
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"redwingknot/contract"
@@ -122,25 +124,55 @@
 	return 1 - float64(s.Used)/float64(s.Total)
 }
 
-// Place returns the store that should hold blocks of the score, or none if all
-// would free them soon: of the stores that take them, the one with the most
-// room for what its link carries.
-func (p *Planner) Place(score float64, stores []StoreView, forecast func(store string) (link.Forecast, bool)) (string, bool) {
-	best, bestFit := "", -1.0
+// Rank returns the stores that should hold blocks of the score, the best first:
+// of those that would not free them soon, the ones with the most room for what
+// their links carry. An export that gets no budget for one goes to the next.
+func (p *Planner) Rank(score float64, stores []StoreView, forecast func(store string) (link.Forecast, bool)) []string {
+	type ranked struct {
+		url string
+		fit float64
+	}
+	var all []ranked
 	for _, s := range stores {
-		if s.Down || score <= s.Price || score <= 0 {
-			continue
-		}
 		f, ok := forecast(s.URL)
-		if !ok {
-			continue
-		}
-		if fit := f.Rate * (minRoom + s.free()) / (1 + f.Wait.Seconds()); fit > bestFit {
-			best, bestFit = s.URL, fit
+		if ok && !s.Down && score > s.Price {
+			all = append(all, ranked{s.URL, f.Rate * (minRoom + s.free())})
 		}
 	}
-	return best, best != ""
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.fit, a.fit), cmp.Compare(a.url, b.url))
+	})
+	urls := make([]string, len(all))
+	for i, r := range all {
+		urls[i] = r.url
+	}
+	return urls
 }
 
 // minRoom keeps a full store with a fast link a candidate: it frees others.
 const minRoom = 0.1
+
+const (
+	// priceRise is the part of a score by which the price rises when an export
+	// of that score gets no budget.
+	priceRise = 0.002
+	// priceFall is the part of the price that each export takes off.
+	priceFall = 0.005
+)
+
+// ExportPrice is the score that an export has to exceed. It rises while exports
+// go without budget and falls with each that gets some, so that the links carry
+// those of the highest scores. The zero value is ready. Not safe for concurrent
+// use.
+type ExportPrice struct {
+	level float64
+}
+
+// Accepts reports whether an export of the score should be tried.
+func (p *ExportPrice) Accepts(score float64) bool { return score > p.level }
+
+// Exported records an export that got its budget.
+func (p *ExportPrice) Exported() { p.level *= 1 - priceFall }
+
+// Refused records that an export of the score got none in time.
+func (p *ExportPrice) Refused(score float64) { p.level += priceRise * score }
--- a/link/budget.go
+++ b/link/budget.go
@@ -16,9 +16,9 @@
 	defaultLocalShare  = 0.1
 )
 
-// exportRateShare of the granted rate is the most that one export moves at, so
-// that a bring-back that begins meanwhile finds room.
-const exportRateShare = 0.25
+// exportRateShare of the granted rate is the most that exports move at, one
+// after the other, so that a bring-back that begins meanwhile finds room.
+const exportRateShare = 0.5
 
 // BudgetOptions describes a link. Live traffic, which is not granted here but
 // uses the same link, keeps LiveShare of it; instances that can't reach the
@@ -140,7 +140,8 @@
 }
 
 // accrue adds what the time since the last call is worth. Exports get their
-// floor and what bring-back leaves; what they can't hold goes back.
+// floor and what bring-back leaves, but no more than they may move; what they
+// can't hold goes back.
 func (b *Budget) accrue(now time.Time) {
 	elapsed := now.Sub(b.at).Seconds()
 	if elapsed <= 0 {
@@ -150,7 +151,7 @@
 	b.main += b.mainRate() * elapsed
 	left := max(b.main-b.mainCap(), 0)
 	b.main -= left
-	b.export += b.rate*b.opts.ExportFloor*elapsed + left
+	b.export += min(b.rate*b.opts.ExportFloor*elapsed+left, b.rate*exportRateShare*elapsed)
 	over := max(b.export-b.exportCap(), 0)
 	b.export -= over
 	b.main = min(b.main+over, b.mainCap())
--- a/link/estimate.go
+++ b/link/estimate.go
@@ -2,17 +2,20 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 const (
-	// slowWeight and fastWeight are the weights of an observation that is
-	// slower or faster than the estimate: a slow link is noticed at once.
-	slowWeight = 0.5
-	fastWeight = 0.2
+	// window is the number of transfers of which the fastest counts. Transfers
+	// that share a link with others are slow without the link being so.
+	window = 4
+	// maxShared is how many times slower a transfer may be than the link for
+	// sharing it with others; beyond that the link itself is slow.
+	maxShared = 3
 	// forgetHalfLife is how fast an estimate returns to nominal without
 	// observations, so that a link found slow is tried again.
-	forgetHalfLife = 30 * time.Second
+	forgetHalfLife = time.Minute
 	// minObservedBytes is the least transfer that tells a rate: a smaller one
 	// tells the delay.
 	minObservedBytes = 64 << 10
@@ -21,12 +24,14 @@
 	cappedShare = 0.9
 )
 
-// Estimate is what a link carries, from the transfers seen on it. Not safe for
+// Estimate is what a link carries: the rate of the fastest of the last transfers
+// on it. Not safe for
 // concurrent use.
 type Estimate struct {
 	nominal float64 // bytes a second
 	delay   time.Duration
-	log     float64 // logarithm of the rate seen over nominal
+	logs    [window]float64 // logarithms of the rates lately seen over nominal
+	next    int             // the oldest of them
 	at      time.Time
 }
 
@@ -52,17 +57,17 @@
 func (e *Estimate) ObserveRate(now time.Time, bytesPerSecond float64) {
 	e.forget(now)
 	seen := math.Log(max(bytesPerSecond, 1) / e.nominal)
-	if seen < e.log {
-		e.log += slowWeight * (seen - e.log)
-		return
+	for i := range e.logs {
+		e.logs[i] = min(e.logs[i], seen+math.Log(maxShared))
 	}
-	e.log += fastWeight * (seen - e.log)
+	e.logs[e.next] = seen
+	e.next = (e.next + 1) % window
 }
 
 // Rate returns the bytes a second that the link is expected to carry.
 func (e *Estimate) Rate(now time.Time) float64 {
 	e.forget(now)
-	return e.nominal * math.Exp(e.log)
+	return e.nominal * math.Exp(slices.Max(e.logs[:]))
 }
 
 // Delay returns the time before the first byte.
@@ -75,5 +80,7 @@
 		return
 	}
 	e.at = now
-	e.log *= math.Exp2(-elapsed.Seconds() / forgetHalfLife.Seconds())
+	for i := range e.logs {
+		e.logs[i] *= math.Exp2(-elapsed.Seconds() / forgetHalfLife.Seconds())
+	}
 }
