--- a/block/plan.go
+++ b/block/plan.go
@@ -1,6 +1,8 @@
 package block
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"redwingknot/contract"
@@ -45,6 +47,7 @@
 	Cached  int           // leading pieces already in the engine's cache
 	Found   []Located     // blocks behind those, in order
 	Compute time.Duration // of computing one piece at the engine
+	Queue   time.Duration // before the engine begins with the prompt; transfers go on meanwhile
 }
 
 // Plan is the answer to a Question.
@@ -59,7 +62,7 @@
 // pieces without a block are computed after that.
 func (p *Planner) Plan(q Question, forecast func(store string) (link.Forecast, bool)) Plan {
 	missing := max(q.Pieces-q.Cached, 0)
-	plan := Plan{Recompute: time.Duration(missing) * q.Compute}
+	plan := Plan{Recompute: q.Queue + time.Duration(missing)*q.Compute}
 	plan.Expected = plan.Recompute
 	var brought time.Duration
 	for i, b := range q.Found[:min(len(q.Found), missing)] {
@@ -71,7 +74,7 @@
 			brought += f.Wait + f.Delay
 		}
 		brought += f.Time(b.Length) - f.Wait - f.Delay
-		total := brought + time.Duration(missing-i-1)*q.Compute
+		total := max(brought, q.Queue) + time.Duration(missing-i-1)*q.Compute
 		if total < plan.Expected-p.margin(q, i+1-plan.Bring) {
 			plan.Bring, plan.Expected = i+1, total
 		}
@@ -121,25 +124,55 @@
 	return 1 - float64(s.Used)/float64(s.Total)
 }
 
-// Place returns the store that should hold blocks of the score, or none if all
-// would free them soon: of the stores that take them, the one with the most
-// room for what its link carries.
-func (p *Planner) Place(score float64, stores []StoreView, forecast func(store string) (link.Forecast, bool)) (string, bool) {
-	best, bestFit := "", -1.0
+// Rank returns the stores that should hold blocks of the score, the best first:
+// of those that would not free them soon, the ones with the most room for what
+// their links carry. An export that gets no budget for one goes to the next.
+func (p *Planner) Rank(score float64, stores []StoreView, forecast func(store string) (link.Forecast, bool)) []string {
+	type ranked struct {
+		url string
+		fit float64
+	}
+	var all []ranked
 	for _, s := range stores {
-		if s.Down || score <= s.Price || score <= 0 {
-			continue
-		}
 		f, ok := forecast(s.URL)
-		if !ok {
-			continue
-		}
-		if fit := f.Rate * (minRoom + s.free()) / (1 + f.Wait.Seconds()); fit > bestFit {
-			best, bestFit = s.URL, fit
+		if ok && !s.Down && score > s.Price {
+			all = append(all, ranked{s.URL, f.Rate * (minRoom + s.free())})
 		}
 	}
-	return best, best != ""
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.fit, a.fit), cmp.Compare(a.url, b.url))
+	})
+	urls := make([]string, len(all))
+	for i, r := range all {
+		urls[i] = r.url
+	}
+	return urls
 }
 
 // minRoom keeps a full store with a fast link a candidate: it frees others.
 const minRoom = 0.1
+
+const (
+	// priceRise is the part of a score by which the price rises when an export
+	// of that score gets no budget.
+	priceRise = 0.002
+	// priceFall is the part of the price that each export takes off.
+	priceFall = 0.005
+)
+
+// ExportPrice is the score that an export has to exceed. It rises while exports
+// go without budget and falls with each that gets some, so that the links carry
+// those of the highest scores. The zero value is ready. Not safe for concurrent
+// use.
+type ExportPrice struct {
+	level float64
+}
+
+// Accepts reports whether an export of the score should be tried.
+func (p *ExportPrice) Accepts(score float64) bool { return score > p.level }
+
+// Exported records an export that got its budget.
+func (p *ExportPrice) Exported() { p.level *= 1 - priceFall }
+
+// Refused records that an export of the score got none in time.
+func (p *ExportPrice) Refused(score float64) { p.level += priceRise * score }
