Spread: trees of several roots no longer leave instances out

An instance reached first by one tree did not pass on the push of another, so that some below it in both trees were reached by neither. Every instance now passes on each root's push once.

--- a/datacentre/spread.go
+++ b/datacentre/spread.go
@@ -23,6 +23,7 @@
 )
 
 const (
+	maxOrigins    = 16       // roots of trees that are remembered
 	fanOut        = 4        // children of an instance in the tree of a data centre
 	pushBytes     = 64 << 10 // above this a push carries only the head
 	pullBytes     = 1 << 20  // notes in one answer to a pull
@@ -48,8 +49,9 @@
 	cfg SpreadConfig
 
 	mu      sync.Mutex
-	pushed  uint64 // head up to which the instances below have been told
-	highest uint64 // highest head heard of
+	pushed  uint64            // head up to which the instances below have been told
+	highest uint64            // highest head heard of
+	relayed map[string]uint64 // head last passed on, by the root of the tree
 	offers  chan offer
 }
 
@@ -58,6 +60,7 @@
 	addr       string
 	dataCentre string
 	head       uint64
+	origin     string // root of the tree that told of it, empty for a heartbeat
 }
 
 // NewSpread returns a Spread that does nothing before Run.
@@ -68,7 +71,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
-	s := &Spread{cfg: cfg, offers: make(chan offer, 1), pushed: cfg.Notes.Head()}
+	s := &Spread{cfg: cfg, relayed: map[string]uint64{}, offers: make(chan offer, 1), pushed: cfg.Notes.Head()}
 	cfg.Members.OnHeard(s.heard)
 	return s
 }
@@ -241,37 +244,57 @@
 	return "done"
 }
 
-// handlePush applies a push and passes it on. An origin in another data centre
-// makes this instance the root of its own.
+// handlePush applies a push and passes it on.
 func (s *Spread) handlePush(ctx context.Context, msg *datacentrepb.Push) (*datacentrepb.PushAnswer, error) {
-	head := s.cfg.Notes.Head()
-	if msg.Head <= head {
-		return &datacentrepb.PushAnswer{Head: head}, nil
-	}
+	before := s.cfg.Notes.Head()
 	u := Update{First: msg.First, Notes: msg.Notes}
-	if u.follows(head) {
+	if u.follows(before) {
 		s.apply(u)
 	}
 	now := s.cfg.Notes.Head()
 	if now < msg.Head {
-		s.offered(offer{addr: msg.SenderAddr, dataCentre: s.dataCentreOf(msg.SenderAddr), head: msg.Head})
-	}
-	if now > head {
-		s.relay(ctx, msg, head, now)
+		from := s.dataCentreOf(msg.SenderAddr)
+		s.offered(offer{addr: msg.SenderAddr, dataCentre: from, head: msg.Head, origin: msg.Origin})
 	}
+	s.relay(ctx, msg, before, now)
 	return &datacentrepb.PushAnswer{Head: now}, nil
 }
 
 // relay passes a push on in the background, so that the answer does not wait
-// for the whole subtree.
-func (s *Spread) relay(ctx context.Context, msg *datacentrepb.Push, before, head uint64) {
-	origin := msg.Origin
-	if s.tree(origin).position(origin) < 0 {
-		origin = s.cfg.Members.Self().ID
-	}
-	next := s.push(origin, before, head)
+// for the whole subtree. Trees of several origins cross: an instance that was
+// reached by another tree first still passes this one on, or those below it in
+// this tree may be reached by none. A push from another data centre makes this
+// instance the root in its own, if it brought anything new.
+func (s *Spread) relay(ctx context.Context, msg *datacentrepb.Push, before, now uint64) {
 	ctx = context.WithoutCancel(ctx)
-	go s.forward(ctx, next)
+	local := s.tree(msg.Origin).position(msg.Origin) >= 0
+	switch {
+	case local && now >= msg.Head && s.firstRelay(msg.Origin, msg.Head):
+		next := &datacentrepb.Push{
+			Origin:     msg.Origin,
+			First:      msg.First,
+			Notes:      msg.Notes,
+			Head:       msg.Head,
+			SenderAddr: s.cfg.Members.Self().Addr,
+		}
+		go s.forward(ctx, next)
+	case !local && now > before:
+		go s.originate(ctx, before, now, false)
+	}
+}
+
+// firstRelay reports whether a head of an origin has not been passed on yet.
+func (s *Spread) firstRelay(origin string, head uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relayed[origin] >= head {
+		return false
+	}
+	if len(s.relayed) >= maxOrigins {
+		clear(s.relayed)
+	}
+	s.relayed[origin] = head
+	return true
 }
 
 func (s *Spread) dataCentreOf(addr string) string {
@@ -297,10 +320,12 @@
 // take pulls from a peer that offered a higher head. What comes from another
 // data centre is new to this one and goes down its tree.
 func (s *Spread) take(ctx context.Context, o offer) {
-	select {
-	case <-time.After(s.jitter()):
-	case <-ctx.Done():
-		return
+	if o.origin == "" {
+		select {
+		case <-time.After(s.jitter()):
+		case <-ctx.Done():
+			return
+		}
 	}
 	before := s.cfg.Notes.Head()
 	if o.head <= before {
@@ -316,8 +341,11 @@
 		return
 	}
 	event.NotesPulled.Log(s.cfg.Logger, slog.String("addr", o.addr), slog.Uint64("head", now))
-	if o.dataCentre != s.cfg.Members.Self().DataCentre {
+	switch {
+	case o.dataCentre != s.cfg.Members.Self().DataCentre:
 		go s.originate(ctx, before, now, false)
+	case o.origin != "" && s.firstRelay(o.origin, now):
+		go s.forward(ctx, s.push(o.origin, before, now))
 	}
 }
 
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -13,7 +13,8 @@
 	"redwingknot/wire"
 )
 
-const methodHeartbeat = "instance.heartbeat"
+// MethodHeartbeat is the wire method of the heartbeats.
+const MethodHeartbeat = "instance.heartbeat"
 
 // listInterval is the time between two reads of the platform's list.
 const listInterval = 10 * time.Second
@@ -104,10 +105,11 @@
 
 // Register adds the heartbeat's handler to s.
 func (m *Membership) Register(s *wire.Server) {
-	wire.Handle(s, methodHeartbeat, m.receive)
+	wire.Handle(s, MethodHeartbeat, m.HandleHeartbeat)
 }
 
-func (m *Membership) receive(_ context.Context, req *instancepb.Heartbeat) (*instancepb.Heartbeat, error) {
+// HandleHeartbeat answers a heartbeat of another instance.
+func (m *Membership) HandleHeartbeat(_ context.Context, req *instancepb.Heartbeat) (*instancepb.Heartbeat, error) {
 	if decodeRecord(req.From) == nil {
 		return nil, wire.Fail(wire.FailureMalformed, "heartbeat without sender")
 	}
@@ -182,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(parent, probeTimeout)
 	defer cancel()
 	var answer instancepb.Heartbeat
-	err := m.caller.Call(ctx, o.to.addr, methodHeartbeat, o.msg, &answer)
+	err := m.caller.Call(ctx, o.to.addr, MethodHeartbeat, o.msg, &answer)
 	metric.Counter("instance_heartbeats_total", "result", resultOf(err)).Inc(1)
 	if context.Cause(ctx) == context.Canceled {
 		return
--- a/instance/membership_test.go
+++ b/instance/membership_test.go
@@ -26,7 +26,7 @@
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(ctx)
 	p := &process{Membership: m, stop: stop, done: make(chan error, 1)}
-	instancetest.Handle(n, self.Addr, methodHeartbeat, m.receive)
+	instancetest.Handle(n, self.Addr, MethodHeartbeat, m.HandleHeartbeat)
 	go func() {
 		err := m.Run(ctx)
 		n.Stop(self.Addr)
