--- a/instance/membership_test.go
+++ b/instance/membership_test.go
@@ -26,12 +26,13 @@
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(ctx)
 	p := &process{Membership: m, stop: stop, done: make(chan error, 1)}
-	instancetest.Handle(n, self.Addr, methodHeartbeat, m.receive)
+	instancetest.Handle(n, self.Addr, MethodHeartbeat, m.HandleHeartbeat)
 	go func() {
 		err := m.Run(ctx)
 		n.Stop(self.Addr)
 		stop()
 		p.done <- err
+		close(p.done)
 	}()
 	return p
 }
@@ -92,7 +93,12 @@
 		start(t, t.Context(), n, young, "ilala-0:1")
 		time.Sleep(10 * time.Second)
 		var superseded *SupersededError
-		assert.Assert(t, errors.As(<-old.done, &superseded))
+		select {
+		case err := <-old.done:
+			assert.Assert(t, errors.As(err, &superseded))
+		case <-time.After(time.Minute):
+			t.Fatal("the superseded process goes on")
+		}
 		assert.Equal(t, superseded.Other, uint64(2))
 	})
 }
