--- a/admit/controller.go
+++ b/admit/controller.go
@@ -16,6 +16,7 @@
 const (
 	defaultFill       = 0.8
 	defaultStep       = 0.6
+	defaultFirmStep   = 0.3
 	defaultRamp       = 0.5
 	defaultWindow     = 10 * time.Second
 	defaultRetryBase  = time.Second
@@ -30,6 +31,7 @@
 type Config struct {
 	Fill      float64       // share of its first-token time that the most valuable class may queue
 	Step      float64       // the same of each class relative to the next more valuable
+	FirmStep  float64       // Step once a third of the work is refused
 	Ramp      float64       // share of the allowed queue above which some are refused
 	Window    time.Duration // over which teams are compared
 	RetryBase time.Duration // least time to come back after
@@ -39,6 +41,7 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.Fill, defaultFill)
 	setDefault(&c.Step, defaultStep)
+	setDefault(&c.FirmStep, defaultFirmStep)
 	setDefault(&c.Ramp, defaultRamp)
 	setDefault(&c.Window, defaultWindow)
 	setDefault(&c.RetryBase, defaultRetryBase)
@@ -77,6 +80,7 @@
 	classes   map[string]*class
 	refreshed time.Time
 	miss      float64 // mean error of the expected time, in seconds
+	refused   float64 // share of recent work refused
 }
 
 // NewController returns a controller that has seen no request.
@@ -101,6 +105,7 @@
 	c.refresh(now)
 	refusal := c.decide(k, q, rng)
 	k.decided(refusal == nil)
+	c.weigh(k, q, refusal != nil)
 	if refusal == nil {
 		return nil
 	}
@@ -187,10 +192,28 @@
 		ranked = append(ranked, k)
 	}
 	slices.SortFunc(ranked, byDensity)
-	limit := math.Inf(1)
+	limit, step := math.Inf(1), c.step()
 	for _, k := range ranked {
 		k.allowance = min(k.spec.FirstIn.Seconds()*c.config.Fill, limit)
-		limit = k.allowance * c.config.Step
+		limit = k.allowance * step
 		k.setLevel(now, c.config.Window)
 	}
 }
+
+// weigh folds a decision into the share of work refused.
+func (c *Controller) weigh(k *class, q Query, refused bool) {
+	const weight = 0.02
+	w := weight * min(q.Cost.Seconds()/max(k.cost, 1e-6), 1/weight)
+	x := 0.0
+	if refused {
+		x = 1
+	}
+	c.refused = (1-w)*c.refused + w*x
+}
+
+// step is firmer the more is refused: a queue evens out bursts, and under a
+// lasting overload it only delays those that are admitted.
+func (c *Controller) step() float64 {
+	const firmAt = 1.0 / 3
+	return c.config.Step + (c.config.FirmStep-c.config.Step)*min(c.refused/firmAt, 1)
+}
--- a/internal/decisionbench/policy.go
+++ b/internal/decisionbench/policy.go
@@ -57,11 +57,12 @@
 	names  []string
 }
 
-func newScoreChooser(d Deployment) *scoreChooser {
+func newScoreChooser(s Setup) *scoreChooser {
 	c := &scoreChooser{ids: map[string]int{}}
-	c.router = route.NewRouter(route.Config{Service: "s", PieceTokens: pieceTokens, PrefillRate: prefillRate})
+	s.Route.Service, s.Route.PieceTokens, s.Route.PrefillRate = "s", pieceTokens, prefillRate
+	c.router = route.NewRouter(s.Route)
 	var list []note.Endpoint
-	for i := range d.Workers {
+	for i := range s.Deployment.Workers {
 		name := workerName(i)
 		c.names = append(c.names, name)
 		c.ids[name] = i
--- a/internal/decisionbench/sim.go
+++ b/internal/decisionbench/sim.go
@@ -58,6 +58,9 @@
 	Load       float64 // share of the capacity
 	Seconds    float64 // measured, after the warm-up
 	Seed       uint64
+
+	Route route.Config // of the score; zero fields take defaults
+	Admit admit.Config
 }
 
 const (
@@ -129,9 +132,9 @@
 }
 
 func (m *sim) newRouter(i int) *router {
-	r := &router{admit: admit.NewController(admit.Config{}), budget: retry.NewBudget(retry.BudgetConfig{})}
+	r := &router{admit: admit.NewController(m.setup.Admit), budget: retry.NewBudget(retry.BudgetConfig{})}
 	if m.setup.Routing == Score {
-		r.chooser = newScoreChooser(m.setup.Deployment)
+		r.chooser = newScoreChooser(m.setup)
 	} else {
 		r.chooser = newRival(m.setup.Routing, m.workers, i)
 	}
--- a/internal/decisionbench/worker.go
+++ b/internal/decisionbench/worker.go
@@ -24,7 +24,6 @@
 type worker struct {
 	id      int
 	clock   *clock
-	running int
 	waiting []*attempt
 	filling []*attempt // in the batch, prompt not yet processed
 	streams []*attempt
--- a/route/config.go
+++ b/route/config.go
@@ -15,7 +15,8 @@
 	defaultCrossDelay      = 1500 * time.Microsecond
 	defaultReportTTL       = 30 * time.Second
 	defaultMemory          = 500 * time.Millisecond
-	defaultCopyPrice       = 0.5
+	defaultCopyPrice       = 1.0
+	defaultOwnWeight       = 4.0
 	defaultTolerance       = 0.10
 	defaultSlack           = 5 * time.Millisecond
 	defaultFailuresToEject = 3
@@ -37,6 +38,7 @@
 	ReportTTL   time.Duration // older reports don't prove a weight version
 	Memory      time.Duration // age at which a report counts as much as the mean of all
 	CopyPrice   float64       // price of another copy of a prefix, as a share of its processing
+	OwnWeight   float64       // of the router's own load at an endpoint against the mean of all
 
 	Tolerance float64       // relative distance from the best that counts as equal
 	Slack     time.Duration // absolute distance from the best that counts as equal
@@ -60,6 +62,7 @@
 	setDefault(&c.ReportTTL, defaultReportTTL)
 	setDefault(&c.Memory, defaultMemory)
 	setDefault(&c.CopyPrice, defaultCopyPrice)
+	setDefault(&c.OwnWeight, defaultOwnWeight)
 	setDefault(&c.Tolerance, defaultTolerance)
 	setDefault(&c.Slack, defaultSlack)
 	setDefault(&c.FailuresToEject, defaultFailuresToEject)
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -14,8 +14,9 @@
 	attempt  string
 	at       time.Time
 	tokens   float64 // prompt tokens to process
-	model    float64 // expected seconds to first token before calibration
-	expected float64 // the same after it
+	expected float64 // seconds to first token
+	queue    float64 // part of expected spent waiting
+	slow     float64 // slowness that expected counts with
 	answered bool
 }
 
@@ -39,9 +40,12 @@
 	inFlight map[string]*dispatch
 	pending  []*dispatch // in order of dispatch, the first not yet answered
 
+	pendingTokens float64 // of own attempts without a first token
+
 	queuedSince  float64 // tokens added less tokens processed since the report
 	runningSince int     // requests added less requests ended since the report
 
+	recent recentWait
 	slow   float64   // time to first token relative to that of the service
 	slowAt time.Time // when slow was last corrected
 	health health
@@ -79,6 +83,7 @@
 	e.inFlight[d.attempt] = d
 	e.pending = append(e.pending, d)
 	e.queuedSince += d.tokens
+	e.pendingTokens += d.tokens
 	e.runningSince++
 }
 
@@ -86,6 +91,7 @@
 func (e *endpoint) firstToken(d *dispatch) {
 	d.answered = true
 	e.queuedSince -= d.tokens
+	e.pendingTokens -= d.tokens
 	e.trimPending()
 }
 
@@ -116,30 +122,16 @@
 	return max(now.Sub(d.at).Seconds()-2*d.expected-grace, 0)
 }
 
-// trust is the weight of the last report against the mean of all: a queue that
-// was long a while ago says little about now, and routers that all act on it
-// fill the endpoint that was empty then.
-func (e *endpoint) trust(c *Config, now time.Time) float64 {
-	x := now.Sub(e.report.At).Seconds() / c.Memory.Seconds()
-	return 1 / (1 + x*x)
-}
-
-// outstanding returns the estimated number of requests at the endpoint.
-func (e *endpoint) outstanding(trust, mean float64) float64 {
-	reported := float64(e.report.Running + e.report.Waiting)
-	return max(mean+trust*(reported-mean)+float64(e.runningSince), float64(len(e.inFlight)))
+// outstanding returns the number of requests at the endpoint by its last
+// report.
+func (e *endpoint) outstanding() int {
+	return max(e.report.Running+e.report.Waiting+e.runningSince, len(e.inFlight))
 }
 
-// lastOutstanding is outstanding by the last report alone.
-func (e *endpoint) lastOutstanding() float64 { return e.outstanding(1, 0) }
-
-// own returns the number of this router's requests at the endpoint.
-func (e *endpoint) own() int { return len(e.inFlight) }
-
-// queuedTokens returns the estimated number of prompt tokens not yet processed.
-func (e *endpoint) queuedTokens(trust, mean float64) float64 {
-	reported := float64(e.report.QueuedTokens)
-	return max(mean+trust*(reported-mean)+e.queuedSince, 0)
+// queuedTokens returns the number of prompt tokens not yet processed by its
+// last report.
+func (e *endpoint) queuedTokens() float64 {
+	return max(float64(e.report.QueuedTokens)+e.queuedSince, e.pendingTokens, 0)
 }
 
 // slowness returns the relative slowness at now. It fades so that an endpoint
--- a/route/query.go
+++ b/route/query.go
@@ -77,7 +77,7 @@
 	Considered   []Candidate   // only if the query asks for it
 
 	prefill float64 // seconds of processing that the choice adds to the endpoint
-	model   float64 // expected seconds before calibration
+	slow    float64 // slowness of the endpoint that Expected counts with
 }
 
 // NoEndpointError reports that no endpoint may run a request.
--- a/route/router.go
+++ b/route/router.go
@@ -30,14 +30,13 @@
 	view      *cacheView
 	blocksPer int
 
-	calibration float64 // observed over modelled time to first token
+	calibration float64 // observed over modelled time of processing a prompt
 	hold        float64 // seconds a request holds a slot
 	ejected     int
 
-	meanQueued      float64 // of the endpoints' last reports, in tokens
-	meanOutstanding float64 // the same in requests
-
-	jitter *rand.Rand // of ejections
+	pending float64 // own seconds of processing without a first token
+	recent  recentWait
+	jitter  *rand.Rand // of ejections
 
 	cached []uint16 // scratch of a decision, by slot
 	scores []score
@@ -79,7 +78,6 @@
 	}
 	r.blocksPer = max(r.config.MaxBlocks/max(len(r.byName), 1), minBlocksPerEndpoint)
 	r.cached = make([]uint16, len(r.endpoints))
-	r.average()
 }
 
 func (r *Router) setEndpoint(spec note.Endpoint) {
@@ -111,6 +109,7 @@
 	if e.health.ejected() {
 		r.ejected--
 	}
+	r.pending -= e.pendingTokens / r.config.PrefillRate
 	r.endpoints[e.slot] = nil
 	delete(r.byName, e.spec.Name)
 }
@@ -156,21 +155,7 @@
 	if e.reported && e.report.Epoch != report.Epoch && !report.At.Before(e.report.At) {
 		r.view.reset(e.slot)
 	}
-	before := e.report
 	e.observe(report)
-	n := float64(len(r.byName))
-	r.meanQueued += float64(e.report.QueuedTokens-before.QueuedTokens) / n
-	r.meanOutstanding += float64(e.report.Running+e.report.Waiting-before.Running-before.Waiting) / n
-}
-
-// average works out the means again after the endpoints changed.
-func (r *Router) average() {
-	r.meanQueued, r.meanOutstanding = 0, 0
-	n := float64(max(len(r.byName), 1))
-	for _, e := range r.byName {
-		r.meanQueued += float64(e.report.QueuedTokens) / n
-		r.meanOutstanding += float64(e.report.Running+e.report.Waiting) / n
-	}
 }
 
 // CacheEvents takes a batch of an endpoint's cache events. A gap or another
@@ -230,13 +215,16 @@
 	if !ok {
 		return
 	}
-	e.dispatched(&dispatch{
+	d := &dispatch{
 		attempt:  attempt,
 		at:       now,
 		tokens:   c.prefill * r.config.PrefillRate,
-		model:    c.model,
+		queue:    c.Queue.Seconds(),
 		expected: c.Expected.Seconds(),
-	})
+		slow:     orOne(c.slow),
+	}
+	e.dispatched(d)
+	r.pending += c.prefill
 	e.health.dispatched(attempt)
 	for _, p := range q.Pieces {
 		r.view.add(e.slot, xxhash.Sum64String(p), r.blocksPer)
@@ -252,18 +240,26 @@
 		return
 	}
 	e.firstToken(d)
+	r.pending -= d.tokens / r.config.PrefillRate
+	waited := now.Sub(d.at).Seconds() - (d.expected - d.queue)
+	r.recent.add(waited, now)
+	e.recent.add(waited, now)
 	r.learn(e, d, now)
 }
 
 // learn corrects the service's calibration slowly and the endpoint's slowness
-// fast, so that a slow endpoint differs from a slow service.
+// fast, so that a slow endpoint differs from a slow service. Attempts that were
+// to wait for most of the time say little about the speed of processing.
 func (r *Router) learn(e *endpoint, d *dispatch, now time.Time) {
 	const floor = 0.01 // seconds below which a ratio is mostly noise
-	const weight, low, high = 0.02, 0.1, 10
-	ratio := (now.Sub(d.at).Seconds() + floor) / (d.model + floor)
-	bounded := min(max(ratio, r.calibration/4), r.calibration*4)
-	r.calibration = min(max((1-weight)*r.calibration+weight*bounded, low), high)
-	e.learn(ratio/r.calibration, now)
+	const weight, low, high = 0.01, 0.1, 10
+	ratio := (now.Sub(d.at).Seconds() + floor) / (d.expected/d.slow + floor)
+	if d.queue < d.expected/2 {
+		// Towards the median: a few attempts that met a queue don't count for more.
+		r.calibration *= 1 + weight*math.Copysign(1, ratio-1)
+		r.calibration = min(max(r.calibration, low), high)
+	}
+	e.learn(ratio, now)
 }
 
 // Ended records the end of an attempt.
@@ -274,6 +270,9 @@
 	if d == nil {
 		return
 	}
+	if !d.answered {
+		r.pending -= d.tokens / r.config.PrefillRate
+	}
 	e.end(d)
 	switch outcome {
 	case Succeeded:
@@ -325,8 +324,7 @@
 	rank      float64 // total and the price of another copy of the prefix
 	queue     float64
 	prefill   float64
-	model     float64 // queue and prefill before the factor
-	factor    float64 // learned, of the service and the endpoint
+	slow      float64 // learned, of the endpoint
 	verdict   Verdict
 	bringBack bool
 }
@@ -384,25 +382,38 @@
 	}
 	tokens := float64(q.PromptTokens - int(r.cached[slot])*r.config.PieceTokens)
 	s.prefill = max(tokens, 1) / r.config.PrefillRate
-	trust := e.trust(&r.config, now)
-	wait := e.queuedTokens(trust, r.meanQueued) / r.config.PrefillRate
+	s.slow = e.slowness(now)
+	s.queue = r.wait(e, now) * s.slow
+	s.total = s.queue + s.prefill*r.calibration*s.slow + r.network(q, e) + e.overdue(now)
+}
+
+// wait returns the seconds that a prompt is expected to queue at e. The report
+// counts by its freshness; the rest is what this router's own requests waited
+// of late anywhere, plus how far its load here is from its mean.
+func (r *Router) wait(e *endpoint, now time.Time) float64 {
+	told := e.queuedTokens() / r.config.PrefillRate * r.calibration
 	if slots := e.spec.Slots; slots > 0 {
-		over := e.outstanding(trust, r.meanOutstanding) + 1 - float64(slots)
-		wait = max(wait, over*r.hold/float64(slots))
+		over := float64(e.outstanding() + 1 - slots)
+		told = max(told, over*r.hold/float64(slots))
 	}
-	s.model = wait + s.prefill
-	s.factor = r.calibration * e.slowness(now)
-	s.queue = wait * s.factor
-	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
+	if !r.recent.fresh(now) {
+		return told
+	}
+	usual := r.recent.wait
+	local := freshness(now.Sub(e.recent.at), r.config.Memory)
+	usual = local*e.recent.wait + (1-local)*usual
+	own := e.pendingTokens / r.config.PrefillRate
+	usual += r.config.OwnWeight * (own - r.pending/float64(len(r.byName)))
+	trust := freshness(now.Sub(e.report.At), r.config.Memory)
+	return trust*told + (1-trust)*max(usual, own)
 }
 
 // scorePlain scores by outstanding requests: plain endpoints report no load.
 func (r *Router) scorePlain(s *score, q *Query, e *endpoint, now time.Time) {
 	s.prefill = 0
-	s.queue = float64(e.own()) * r.hold / float64(max(e.spec.Slots, 1))
-	s.model = s.queue + r.hold
-	s.factor = e.slowness(now)
-	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
+	s.queue = float64(len(e.inFlight)) * r.hold / float64(max(e.spec.Slots, 1))
+	s.slow = e.slowness(now)
+	s.total = (s.queue+r.hold)*s.slow + r.network(q, e) + e.overdue(now)
 }
 
 // home returns the slot with the highest rendezvous weight for the prefix that
@@ -451,44 +462,59 @@
 }
 
 // weighBringBack lowers scores by importing the missing pieces where that is
-// faster. Only endpoints that could then beat the best are asked about.
+// faster. Only endpoints that could then beat the best are asked about, the
+// home first: if nothing can be brought there, a copy elsewhere has no price.
 func (r *Router) weighBringBack(q *Query, best float64, rng *rand.Rand) float64 {
 	const maxAsked = 16
+	home := r.home()
+	priced := home < 0 || r.tryBringBack(q, home, true)
+	if home >= 0 && r.scores[home].verdict == NearBest {
+		best = min(best, r.scores[home].rank)
+	}
 	asked := 0
 	start := rng.IntN(len(r.scores))
 	for i := range r.scores {
 		slot := (start + i) % len(r.scores)
-		s := &r.scores[slot]
-		missing := len(q.Pieces) - int(r.cached[slot])
-		if s.verdict != NearBest || missing <= 0 || s.queue >= best {
+		if slot == home || r.scores[slot].queue >= best {
 			continue
 		}
 		if asked++; asked > maxAsked {
 			break
 		}
-		r.tryBringBack(s, q, r.endpoints[slot], missing)
-		best = min(best, s.rank)
+		if r.tryBringBack(q, slot, priced) {
+			best = min(best, r.scores[slot].rank)
+		}
 	}
 	return best
 }
 
-func (r *Router) tryBringBack(s *score, q *Query, e *endpoint, missing int) {
-	cost, ok := q.BringBack(e.spec.Name, missing)
+// tryBringBack scores slot with an import of its missing pieces if there is one
+// and it is faster. It reports whether slot can have the pieces, by an import or as it is.
+func (r *Router) tryBringBack(q *Query, slot int, priced bool) bool {
+	s := &r.scores[slot]
+	missing := len(q.Pieces) - int(r.cached[slot])
+	if s.verdict != NearBest || missing <= 0 {
+		return true
+	}
+	cost, ok := q.BringBack(r.endpoints[slot].spec.Name, missing)
 	if !ok {
-		return
+		return false
 	}
 	rest := max(float64(q.PromptTokens-len(q.Pieces)*r.config.PieceTokens), 1) / r.config.PrefillRate
 	// The endpoint's queue moves on while the pieces are copied.
 	wait := max(s.queue, cost.Seconds())
-	total := s.total - s.queue - s.prefill*s.factor + wait + rest*s.factor
+	total := s.total - s.queue + wait - (s.prefill-rest)*r.calibration*s.slow
 	if total >= s.total {
-		return
+		return true
 	}
 	s.rank += total - s.total
+	if !priced {
+		s.rank = total
+	}
 	s.total = total
-	s.model = (wait + rest*s.factor) / s.factor
 	s.prefill = rest
 	s.bringBack = true
+	return true
 }
 
 // pick draws among the endpoints that are near the best, the nearer the
@@ -532,7 +558,7 @@
 		if s.verdict != NearBest && s.verdict != Slower {
 			continue
 		}
-		if r.endpoints[i].lastOutstanding() < r.endpoints[slot].lastOutstanding() {
+		if r.endpoints[i].outstanding() < r.endpoints[slot].outstanding() {
 			slot = i
 		}
 	}
@@ -549,7 +575,7 @@
 		CachedPieces: int(r.cached[slot]),
 		BringBack:    s.bringBack,
 		prefill:      s.prefill,
-		model:        s.model,
+		slow:         s.slow,
 	}
 	if q.Explain {
 		c.Considered = r.considered()
@@ -585,3 +611,11 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// orOne is the slowness of a choice that was not made by Choose.
+func orOne(slow float64) float64 {
+	if slow == 0 {
+		return 1
+	}
+	return slow
+}
