--- a/internal/decisionbench/sim.go
+++ b/internal/decisionbench/sim.go
@@ -68,6 +68,7 @@
 	reportInterval = 0.25
 	reportLag      = 0.1
 	lateLag        = 2.0
+	redial         = 0.02 // pause of the unlimited retries
 )
 
 // attempt is one dispatch of a request.
@@ -207,6 +208,9 @@
 		expected: d.expected, outLeft: r.load.out,
 	}
 	rt.chooser.dispatched(a, d, m.clock.now)
+	if m.counts(r) {
+		m.result.attempts++
+	}
 	deliver := func() {
 		if d.bring > 0 && !a.worker.dead {
 			a.worker.store(r.doc, len(r.doc.pieces))
@@ -266,7 +270,7 @@
 	r.tries++
 	r.tried = append(r.tried, workerName(a.worker.id))
 	if m.setup.Retries == Unlimited {
-		m.clock.after(m.setup.Deployment.CrossDelay, func() { r.tried = nil; m.try(r) })
+		m.clock.after(redial, func() { r.tried = nil; m.try(r) })
 		return
 	}
 	m.retry(a.router(), r)
--- a/route/router.go
+++ b/route/router.go
@@ -38,7 +38,10 @@
 	recent  recentWait
 	jitter  *rand.Rand // of ejections
 
+	homes []uint64 // by slot: the endpoint's hash, 0 if it can't be a home
+
 	cached []uint16 // scratch of a decision, by slot
+	sought []bool   // the same: whether the slot is in scores
 	scores []score
 	blocks []uint64
 }
@@ -78,6 +81,11 @@
 	}
 	r.blocksPer = max(r.config.MaxBlocks/max(len(r.byName), 1), minBlocksPerEndpoint)
 	r.cached = make([]uint16, len(r.endpoints))
+	r.sought = make([]bool, len(r.endpoints))
+	r.homes = make([]uint64, len(r.endpoints))
+	for _, e := range r.byName {
+		r.setHome(e)
+	}
 }
 
 func (r *Router) setEndpoint(spec note.Endpoint) {
@@ -103,6 +111,14 @@
 	return uint16(len(r.endpoints) - 1)
 }
 
+// setHome says whether prefixes may have their home at e.
+func (r *Router) setHome(e *endpoint) {
+	r.homes[e.slot] = e.hash
+	if e.leaving || e.report.Leaving {
+		r.homes[e.slot] = 0
+	}
+}
+
 func (r *Router) withdraw(e *endpoint) {
 	e.withdrawn = true
 	r.view.reset(e.slot)
@@ -126,6 +142,7 @@
 	}
 	if e, ok := r.byName[name]; ok {
 		e.leaving = leaving
+		r.setHome(e)
 	}
 }
 
@@ -156,6 +173,7 @@
 		r.view.reset(e.slot)
 	}
 	e.observe(report)
+	r.setHome(e)
 }
 
 // CacheEvents takes a batch of an endpoint's cache events. A gap or another
@@ -320,6 +338,7 @@
 
 // score is an endpoint's expected time to first token in seconds.
 type score struct {
+	slot      int
 	total     float64
 	rank      float64 // total and the price of another copy of the prefix
 	queue     float64
@@ -334,15 +353,71 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lookUp(q.Pieces)
-	best := r.scoreAll(&q, now)
+	home := r.home()
+	r.seek(&q, home, rng)
+	best := r.scoreAll(&q, home, now)
+	if math.IsInf(best, 1) {
+		r.seekAll()
+		best = r.scoreAll(&q, home, now)
+	}
 	if math.IsInf(best, 1) {
 		return Choice{}, r.noEndpoint()
 	}
 	if q.BringBack != nil && len(q.Pieces) > 0 {
-		best = r.weighBringBack(&q, best, rng)
+		best = r.weighBringBack(&q, home, best, rng)
+	}
+	return r.choice(&q, r.pick(&q, best, rng)), nil
+}
+
+// sampled is the number of endpoints that a decision draws at random, and the
+// most that it takes for having the prefix cached. A service of up to twice as
+// many is scored whole.
+const sampled = 32
+
+// seek fills scores with the endpoints to be scored: the prefix's home, some
+// that have it cached and some at random, or all if they are few.
+func (r *Router) seek(q *Query, home int, rng *rand.Rand) {
+	n := len(r.endpoints)
+	if q.Explain || q.Alone || n <= 2*sampled {
+		r.seekAll()
+		return
+	}
+	clear(r.sought)
+	r.scores = r.scores[:0]
+	if home >= 0 {
+		r.add(home)
+	}
+	start := rng.IntN(n)
+	r.addCached(start, n)
+	r.addCached(0, start)
+	for range sampled {
+		r.add(rng.IntN(n))
+	}
+}
+
+func (r *Router) addCached(from, to int) {
+	for slot := from; slot < to && len(r.scores) < sampled; slot++ {
+		if r.cached[slot] > 0 {
+			r.add(slot)
+		}
+	}
+}
+
+func (r *Router) add(slot int) {
+	if r.sought[slot] || r.endpoints[slot] == nil {
+		return
+	}
+	r.sought[slot] = true
+	r.scores = append(r.scores, score{slot: slot})
+}
+
+func (r *Router) seekAll() {
+	r.scores = r.scores[:0]
+	for slot, e := range r.endpoints {
+		if e != nil {
+			r.scores = append(r.scores, score{slot: slot})
+		}
 	}
-	slot := r.pick(&q, best, rng)
-	return r.choice(&q, slot), nil
 }
 
 // lookUp fills the scratch with each endpoint's cached prefix.
@@ -355,32 +430,29 @@
 	r.view.prefix(r.blocks, r.cached)
 }
 
-// scoreAll scores every endpoint without bringing back and returns the best.
-func (r *Router) scoreAll(q *Query, now time.Time) float64 {
+// scoreAll scores without bringing back and returns the best rank.
+func (r *Router) scoreAll(q *Query, home int, now time.Time) float64 {
 	best := math.Inf(1)
-	home := r.home()
-	r.scores = r.scores[:0]
-	for slot, e := range r.endpoints {
-		s := score{verdict: Withdrawn}
-		if e != nil {
-			s.verdict = e.verdict(q, &r.config, now)
-		}
-		if s.verdict == NearBest {
-			r.score(&s, q, e, slot, now)
-			s.rank = s.total + r.copyPrice(q, slot, home)
-			best = min(best, s.rank)
+	for i := range r.scores {
+		s := &r.scores[i]
+		e := r.endpoints[s.slot]
+		s.verdict = e.verdict(q, &r.config, now)
+		if s.verdict != NearBest {
+			continue
 		}
-		r.scores = append(r.scores, s)
+		r.score(s, q, e, now)
+		s.rank = s.total + r.copyPrice(q, s.slot, home)
+		best = min(best, s.rank)
 	}
 	return best
 }
 
-func (r *Router) score(s *score, q *Query, e *endpoint, slot int, now time.Time) {
+func (r *Router) score(s *score, q *Query, e *endpoint, now time.Time) {
 	if r.config.Kind == note.KindPlain {
 		r.scorePlain(s, q, e, now)
 		return
 	}
-	tokens := float64(q.PromptTokens - int(r.cached[slot])*r.config.PieceTokens)
+	tokens := float64(q.PromptTokens - int(r.cached[s.slot])*r.config.PieceTokens)
 	s.prefill = max(tokens, 1) / r.config.PrefillRate
 	s.slow = e.slowness(now)
 	s.queue = r.wait(e, now) * s.slow
@@ -424,11 +496,8 @@
 	if len(r.blocks) == 0 {
 		return home
 	}
-	for slot, e := range r.endpoints {
-		if e == nil || e.leaving {
-			continue
-		}
-		if w := mix(r.blocks[0] ^ e.hash); home < 0 || w > highest {
+	for slot, hash := range r.homes {
+		if w := mix(r.blocks[0] ^ hash); hash != 0 && w > highest {
 			home, highest = slot, w
 		}
 	}
@@ -464,39 +533,50 @@
 // weighBringBack lowers scores by importing the missing pieces where that is
 // faster. Only endpoints that could then beat the best are asked about, the
 // home first: if nothing can be brought there, a copy elsewhere has no price.
-func (r *Router) weighBringBack(q *Query, best float64, rng *rand.Rand) float64 {
+func (r *Router) weighBringBack(q *Query, home int, best float64, rng *rand.Rand) float64 {
 	const maxAsked = 16
-	home := r.home()
-	priced := home < 0 || r.tryBringBack(q, home, true)
-	if home >= 0 && r.scores[home].verdict == NearBest {
-		best = min(best, r.scores[home].rank)
+	priced := true
+	if i := r.position(home); i >= 0 {
+		priced = r.tryBringBack(q, &r.scores[i], true)
+		if r.scores[i].verdict == NearBest {
+			best = min(best, r.scores[i].rank)
+		}
 	}
 	asked := 0
 	start := rng.IntN(len(r.scores))
 	for i := range r.scores {
-		slot := (start + i) % len(r.scores)
-		if slot == home || r.scores[slot].queue >= best {
+		s := &r.scores[(start+i)%len(r.scores)]
+		if s.slot == home || s.queue >= best {
 			continue
 		}
 		if asked++; asked > maxAsked {
 			break
 		}
-		if r.tryBringBack(q, slot, priced) {
-			best = min(best, r.scores[slot].rank)
+		if r.tryBringBack(q, s, priced) && s.verdict == NearBest {
+			best = min(best, s.rank)
 		}
 	}
 	return best
 }
 
-// tryBringBack scores slot with an import of its missing pieces if there is one
-// and it is faster. It reports whether slot can have the pieces, by an import or as it is.
-func (r *Router) tryBringBack(q *Query, slot int, priced bool) bool {
-	s := &r.scores[slot]
-	missing := len(q.Pieces) - int(r.cached[slot])
+// position returns where slot is in scores, -1 if it is not.
+func (r *Router) position(slot int) int {
+	for i := range r.scores {
+		if r.scores[i].slot == slot {
+			return i
+		}
+	}
+	return -1
+}
+
+// tryBringBack scores an endpoint with an import of its missing pieces if there is one
+// and it is faster. It reports whether the endpoint can have them, by an import or as it is.
+func (r *Router) tryBringBack(q *Query, s *score, priced bool) bool {
+	missing := len(q.Pieces) - int(r.cached[s.slot])
 	if s.verdict != NearBest || missing <= 0 {
 		return true
 	}
-	cost, ok := q.BringBack(r.endpoints[slot].spec.Name, missing)
+	cost, ok := q.BringBack(r.endpoints[s.slot].spec.Name, missing)
 	if !ok {
 		return false
 	}
@@ -518,7 +598,8 @@
 }
 
 // pick draws among the endpoints that are near the best, the nearer the
-// likelier, so that routers with the same late reports choose differently.
+// likelier, so that routers with the same late reports choose differently. It
+// returns a position in scores.
 func (r *Router) pick(q *Query, best float64, rng *rand.Rand) int {
 	limit := best + max(best*r.config.Tolerance, r.config.Slack.Seconds())
 	sum := 0.0
@@ -534,45 +615,45 @@
 		sum += limit - s.rank
 	}
 	at := rng.Float64() * sum
-	slot := -1
+	picked := -1
 	for i := range r.scores {
 		s := &r.scores[i]
 		if s.verdict != NearBest {
 			continue
 		}
-		slot = i
+		picked = i
 		if at -= limit - s.rank; at < 0 {
 			break
 		}
 	}
 	if q.Alone {
-		slot = r.idlest(slot)
+		picked = r.idlest(picked)
 	}
-	return slot
+	return picked
 }
 
 // idlest returns the eligible endpoint with the fewest requests.
-func (r *Router) idlest(slot int) int {
+func (r *Router) idlest(picked int) int {
 	for i := range r.scores {
 		s := &r.scores[i]
 		if s.verdict != NearBest && s.verdict != Slower {
 			continue
 		}
-		if r.endpoints[i].outstanding() < r.endpoints[slot].outstanding() {
-			slot = i
+		if r.endpoints[s.slot].outstanding() < r.endpoints[r.scores[picked].slot].outstanding() {
+			picked = i
 		}
 	}
-	return slot
+	return picked
 }
 
-func (r *Router) choice(q *Query, slot int) Choice {
-	s := &r.scores[slot]
+func (r *Router) choice(q *Query, picked int) Choice {
+	s := &r.scores[picked]
 	s.verdict = Chosen
 	c := Choice{
-		Endpoint:     r.endpoints[slot].spec.Name,
+		Endpoint:     r.endpoints[s.slot].spec.Name,
 		Expected:     seconds(s.total),
 		Queue:        seconds(s.queue),
-		CachedPieces: int(r.cached[slot]),
+		CachedPieces: int(r.cached[s.slot]),
 		BringBack:    s.bringBack,
 		prefill:      s.prefill,
 		slow:         s.slow,
@@ -585,27 +666,23 @@
 
 func (r *Router) considered() []Candidate {
 	list := make([]Candidate, 0, len(r.scores))
-	for slot, s := range r.scores {
-		if e := r.endpoints[slot]; e != nil {
-			list = append(list, Candidate{
-				Endpoint:     e.spec.Name,
-				Verdict:      s.verdict,
-				Expected:     seconds(s.total),
-				Queue:        seconds(s.queue),
-				CachedPieces: int(r.cached[slot]),
-				BringBack:    s.bringBack,
-			})
-		}
+	for _, s := range r.scores {
+		list = append(list, Candidate{
+			Endpoint:     r.endpoints[s.slot].spec.Name,
+			Verdict:      s.verdict,
+			Expected:     seconds(s.total),
+			Queue:        seconds(s.queue),
+			CachedPieces: int(r.cached[s.slot]),
+			BringBack:    s.bringBack,
+		})
 	}
 	return list
 }
 
 func (r *Router) noEndpoint() error {
 	err := &NoEndpointError{Service: r.config.Service}
-	for slot, s := range r.scores {
-		if r.endpoints[slot] != nil {
-			err.Verdicts[s.verdict]++
-		}
+	for _, s := range r.scores {
+		err.Verdicts[s.verdict]++
 	}
 	return err
 }
