Tests that fail without their guard: second home, slot race, attempts, silence

Six guards could be taken out unnoticed. The tests of a silent endpoint drew from a fresh source each time; the slot race, the second home, a clean run after a refusal and the limit of attempts had no test that reached them.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -64,6 +64,9 @@
 	if !errors.As(err, &refusal) || refusal.Ran != contract.NotRun {
 		t.Fatalf("refused with %v", err)
 	}
+	if hopeless := q.Expected-q.Queue >= left; hopeless != (refusal.Reason == contract.ReasonDeadline) {
+		t.Fatalf("refused as %s with %s of work and %s left", refusal.Reason, q.Expected-q.Queue, left)
+	}
 	overload := refusal.Reason == contract.ReasonOverload
 	if overload != (refusal.RetryAfter >= defaultRetryBase && refusal.RetryAfter <= defaultRetryMax) {
 		t.Fatalf("%s says to return after %s", refusal.Reason, refusal.RetryAfter)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -20,7 +20,7 @@
 // ones and the part that successes earn, and none begins past its deadline.
 func TestFuzzRetriesAreBounded(t *testing.T) {
 	fuzztest.Check(t, func(t *rapid.T) {
-		c := BudgetConfig{Ratio: 0.1, Max: 5, Initial: 2}
+		c := BudgetConfig{Ratio: 0.1, Max: 5, Initial: 4}
 		b, rng, now := NewBudget(c), rand.New(rand.NewPCG(1, 1)), epoch
 		successes, granted := 0, 0
 		run := NewRun(Policy{Attempts: 3}, b, now.Add(time.Second))
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -137,12 +137,12 @@
 func TestSilentEndpointIsAvoided(t *testing.T) {
 	r, q := newTestRouter(2), query()
 	r.Dispatched("hung", q, Choice{Endpoint: "w0", Expected: 200 * time.Millisecond}, epoch)
-	now := epoch.Add(5 * time.Second)
+	now, rng := epoch.Add(5*time.Second), newRNG()
 	for _, n := range []string{"w0", "w1"} {
 		r.Observe(n, report(now), now)
 	}
 	for range 50 {
-		c, err := r.Choose(q, now, newRNG())
+		c, err := r.Choose(q, now, rng)
 		assert.NilError(t, err)
 		assert.Equal(t, c.Endpoint, "w1")
 	}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	keepers map[string]*Keeper
 	clients []*Client
 	down    map[string]bool // unreachable instances
+	before  func(method string)
 }
 
 // caller reaches one keeper as a wire client does.
@@ -38,6 +40,9 @@
 	if c.fleet.down[c.addr] {
 		return &wire.LinkError{Addr: c.addr}
 	}
+	if c.fleet.before != nil {
+		c.fleet.before(method)
+	}
 	return c.fleet.keepers[c.addr].serve(ctx, method, req, resp)
 }
 
@@ -282,6 +287,62 @@
 	}
 }
 
+// clientAwayFrom returns a client whose instance is none of the homes.
+func (f *fleet) clientAwayFrom(away ...Member) *Client {
+	for _, c := range f.clients {
+		if !slices.ContainsFunc(away, func(m Member) bool { return m.Instance == c.config.Instance }) {
+			return c
+		}
+	}
+	return nil
+}
+
+// TestVerdictIsCheckedWithTheSlot: a request that becomes refused between its
+// verdict and its slot does not run.
+func TestVerdictIsCheckedWithTheSlot(t *testing.T) {
+	f := newFleet(1, 4)
+	fp := fingerprint(culprit)
+	c := f.clientAwayFrom(f.clients[0].slotHome())
+	first, err := c.Begin(t.Context(), fp, "a", time.Now().Add(runTime), rand.New(rand.NewPCG(1, 1)))
+	assert.NilError(t, err)
+	first.Crashed(t.Context(), Crash{Endpoint: "e1"})
+	f.before = func(method string) {
+		if method != methodAcquire {
+			return
+		}
+		f.before = nil
+		other := &Permit{client: c, fingerprint: fp, Alone: true}
+		other.Crashed(t.Context(), Crash{Endpoint: "e2"})
+	}
+	_, err = c.Begin(t.Context(), fp, "b", time.Now().Add(runTime), rand.New(rand.NewPCG(1, 1)))
+	var refusal *contract.Refusal
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.Reason, contract.ReasonSuspectRefused)
+}
+
+// TestSecondHomeTakesOver: what the first home knew survives it.
+func TestSecondHomeTakesOver(t *testing.T) {
+	f := newFleet(1, 4)
+	fp := fingerprint(culprit)
+	away := homes(fp.String(), f.members, 2)
+	c := f.clientAwayFrom(away...)
+	p, err := c.Begin(t.Context(), fp, "a", time.Now().Add(runTime), rand.New(rand.NewPCG(1, 1)))
+	assert.NilError(t, err)
+	p.Crashed(t.Context(), Crash{Endpoint: "e1"})
+	f.down[away[0].Instance] = true
+	other := f.clientAwayFrom(append(away, Member{Instance: c.config.Instance})...)
+	assert.Equal(t, other.ask(t.Context(), fp).Verdict, RunAlone)
+}
+
+func TestRefusalSurvivesACleanRun(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry(Config{})
+	r.Report(fingerprint(1), Crash{Endpoint: "a"}, false, now)
+	r.Report(fingerprint(1), Crash{Endpoint: "b"}, true, now)
+	r.Clean(fingerprint(1), now)
+	assert.Equal(t, r.Ask(fingerprint(1), now).Verdict, Refused)
+}
+
 func TestRegistryForgets(t *testing.T) {
 	now := time.Now()
 	r := NewRegistry(Config{MaxEntries: 3})
