Admission looks past a queue on a prefix's home while little is refused

The class's allowance is now compared with the lesser of the chosen endpoint's queue and the mean, and with the chosen endpoint's alone as refusals near a third.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -63,6 +63,7 @@
 	Left     time.Duration // until the first token is due; zero means Class.FirstIn
 	Expected time.Duration // to first token, of the chosen endpoint
 	Queue    time.Duration // the part of Expected spent waiting
+	Load     time.Duration // mean wait at the service's endpoints; zero means Queue
 	Cost     time.Duration // processing time that the request takes from an endpoint
 }
 
@@ -100,6 +101,7 @@
 	if q.Left == 0 {
 		q.Left = q.Class.FirstIn
 	}
+	q.Load = c.load(q)
 	k := c.class(q.Class)
 	k.offered(q, now, c.config.Window)
 	c.refresh(now)
@@ -211,9 +213,24 @@
 	c.refused = (1-w)*c.refused + w*x
 }
 
+// firmness grows from 0 to 1 as the share of work refused nears a third.
+func (c *Controller) firmness() float64 {
+	const firmAt = 1.0 / 3
+	return min(c.refused/firmAt, 1)
+}
+
 // step is firmer the more is refused: a queue evens out bursts, and under a
 // lasting overload it only delays those that are admitted.
 func (c *Controller) step() float64 {
-	const firmAt = 1.0 / 3
-	return c.config.Step + (c.config.FirmStep-c.config.Step)*min(c.refused/firmAt, 1)
+	return c.config.Step + (c.config.FirmStep-c.config.Step)*c.firmness()
+}
+
+// load is the wait that decides on a class. A queue at the chosen endpoint
+// alone may be a burst on a prefix's home and is no reason to refuse; under a
+// lasting overload it is.
+func (c *Controller) load(q Query) time.Duration {
+	if q.Load == 0 || q.Load >= q.Queue {
+		return q.Queue
+	}
+	return q.Load + time.Duration(c.firmness()*float64(q.Queue-q.Load))
 }
--- a/internal/decisionbench/sim.go
+++ b/internal/decisionbench/sim.go
@@ -189,7 +189,7 @@
 
 func (m *sim) admitted(rt *router, r *request, d decision) (contract.Reason, bool) {
 	err := rt.admit.Admit(admit.Query{
-		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue),
+		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue), Load: d.choice.MeanQueue,
 		Cost: toDuration(d.fill() + float64(r.load.out)*perToken),
 	}, m.clock.time(), m.rng)
 	var refusal *contract.Refusal
--- a/route/router.go
+++ b/route/router.go
@@ -653,6 +653,7 @@
 		Endpoint:     r.endpoints[s.slot].spec.Name,
 		Expected:     seconds(s.total),
 		Queue:        seconds(s.queue),
+		MeanQueue:    seconds(r.meanQueue()),
 		CachedPieces: int(r.cached[s.slot]),
 		BringBack:    s.bringBack,
 		prefill:      s.prefill,
@@ -664,6 +665,17 @@
 	return c
 }
 
+func (r *Router) meanQueue() float64 {
+	sum, n := 0.0, 0.0
+	for i := range r.scores {
+		if v := r.scores[i].verdict; v == Chosen || v == NearBest || v == Slower {
+			sum += r.scores[i].queue
+			n++
+		}
+	}
+	return sum / n
+}
+
 func (r *Router) considered() []Candidate {
 	list := make([]Candidate, 0, len(r.scores))
 	for _, s := range r.scores {
