--- a/internal/decisionbench/table_test.go
+++ b/internal/decisionbench/table_test.go
@@ -127,3 +127,38 @@
 		func(s *Setup) { s.Admission, s.Retries, s.Seconds = FirstCome, Unlimited, 15 },
 		func(s *Setup) { s.Admission, s.Retries, s.Seconds = FirstCome, Budgeted, 15 })
 }
+
+// TestNoise prints the spread over seeds of the two best ways to route, to tell
+// a difference from noise.
+func TestNoise(t *testing.T) {
+	if os.Getenv(benchEnv) == "" {
+		t.Skip("set " + benchEnv + "=1")
+	}
+	const seeds = 8
+	fmt.Printf("%-10s %-10s %4s %-13s %18s %8s\n", "deployment", "fault", "load", "routing", "worth (range)", "p95 ms")
+	for _, d := range []Deployment{Authority(), CoOp()} {
+		for _, f := range []Fault{Calm, LateReports} {
+			for _, s := range cells(d, []Fault{f}, func(s *Setup) { s.Routing = BoundedHash }, func(s *Setup) {}) {
+				printNoise(s, seeds)
+			}
+		}
+	}
+}
+
+func printNoise(s Setup, seeds int) {
+	setups := make([]Setup, seeds)
+	for i := range setups {
+		setups[i] = s
+		setups[i].Seed = uint64(i)
+	}
+	mean, low, high, p95 := 0.0, 10.0, 0.0, 0.0
+	results := runAll(setups)
+	for i := range results {
+		w := results[i].WorthShare()
+		mean += w / float64(seeds)
+		p95 += results[i].Quantile(0.95) / float64(seeds)
+		low, high = min(low, w), max(high, w)
+	}
+	fmt.Printf("%-10s %-10s %4.1f %-13s %5.1f%% (%.1f..%.1f) %8.0f\n",
+		s.Deployment.Name, s.Fault, s.Load, s.Routing, 100*mean, 100*low, 100*high, 1000*p95)
+}
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -147,3 +148,56 @@
 		assert.Equal(t, c.Endpoint, "w1")
 	}
 }
+
+func TestRouterIsSafeForConcurrentUse(t *testing.T) {
+	r := newTestRouter(4)
+	var group sync.WaitGroup
+	for g := range 4 {
+		group.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(g), 1))
+			for i := range 200 {
+				attempt := fmt.Sprint(g, "/", i)
+				c, err := r.Choose(query(), epoch, rng)
+				if err != nil {
+					continue
+				}
+				r.Dispatched(attempt, query(), c, epoch)
+				r.Observe(c.Endpoint, report(epoch), epoch)
+				r.FirstToken(c.Endpoint, attempt, epoch)
+				r.Ended(c.Endpoint, attempt, Succeeded, epoch)
+			}
+		})
+	}
+	group.Wait()
+	for _, e := range r.byName {
+		assert.Equal(t, len(e.inFlight), 0)
+	}
+}
+
+func TestPlainServiceSpreadsByOutstanding(t *testing.T) {
+	r := NewRouter(Config{Service: testService, Kind: note.KindPlain})
+	r.SetEndpoints([]note.Endpoint{spec(0), spec(1), spec(2)})
+	rng, count := newRNG(), map[string]int{}
+	for i := range 30 {
+		c, err := r.Choose(Query{Service: testService, DataCentre: "dc0"}, epoch, rng)
+		assert.NilError(t, err)
+		r.Dispatched(fmt.Sprint(i), Query{}, c, epoch)
+		count[c.Endpoint]++
+	}
+	for _, n := range count {
+		assert.Assert(t, n >= 9 && n <= 11, "%v", count)
+	}
+}
+
+func TestExplainNamesEveryEndpoint(t *testing.T) {
+	r, q := newTestRouter(3), query()
+	r.SetLeaving("w1", true)
+	q.Explain = true
+	c, err := r.Choose(q, epoch, newRNG())
+	assert.NilError(t, err)
+	verdicts := map[Verdict]int{}
+	for _, k := range c.Considered {
+		verdicts[k.Verdict]++
+	}
+	assert.DeepEqual(t, verdicts, map[Verdict]int{Chosen: 1, NearBest: 1, Leaving: 1})
+}
--- /dev/null
+++ b/suspect/wire_test.go
@@ -0,0 +1,49 @@
+package suspect
+
+import (
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/wire"
+)
+
+// TestKeeperOverTheWire: two entries without state of their own share a keeper
+// behind a real connection.
+func TestKeeperOverTheWire(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := wire.NewServer([]byte("k"))
+	NewKeeper(Config{}, nil).Register(server)
+	go server.Serve(t.Context(), l)
+	conn := wire.NewClient(l.Addr().String(), []byte("k"), nil)
+	defer conn.Close()
+	home := Member{Instance: "home", DataCentre: "dc0", Addr: l.Addr().String()}
+	entry := func(name string) *Client {
+		return NewClient(ClientConfig{
+			Instance: name, DataCentre: "dc0", Local: NewKeeper(Config{}, nil),
+			Members: func() []Member { return []Member{home} },
+			Dial:    func(string) Caller { return conn },
+		})
+	}
+	a, b := entry("a"), entry("b")
+	rng, deadline := rand.New(rand.NewPCG(1, 1)), time.Now().Add(runTime)
+	p, err := a.Begin(t.Context(), fingerprint(culprit), "1", deadline, rng)
+	assert.NilError(t, err)
+	p.Crashed(t.Context(), Crash{Endpoint: "e1", Epoch: "x"})
+
+	p, err = b.Begin(t.Context(), fingerprint(culprit), "2", deadline, rng)
+	assert.NilError(t, err)
+	assert.Assert(t, p.Alone)
+	assert.DeepEqual(t, p.Exclude, []string{"e1"})
+	_, err = a.Begin(t.Context(), fingerprint(culprit), "3", deadline, rng)
+	assert.ErrorContains(t, err, "suspect-running")
+	p.Clean(t.Context())
+
+	p, err = a.Begin(t.Context(), fingerprint(culprit), "4", deadline, rng)
+	assert.NilError(t, err)
+	assert.Assert(t, !p.Alone)
+}
