--- a/internal/decisionbench/sim.go
+++ b/internal/decisionbench/sim.go
@@ -58,6 +58,9 @@
 	Load       float64 // share of the capacity
 	Seconds    float64 // measured, after the warm-up
 	Seed       uint64
+
+	Route route.Config // of the score; zero fields take defaults
+	Admit admit.Config
 }
 
 const (
@@ -65,6 +68,7 @@
 	reportInterval = 0.25
 	reportLag      = 0.1
 	lateLag        = 2.0
+	redial         = 0.02 // pause of the unlimited retries
 )
 
 // attempt is one dispatch of a request.
@@ -129,9 +133,9 @@
 }
 
 func (m *sim) newRouter(i int) *router {
-	r := &router{admit: admit.NewController(admit.Config{}), budget: retry.NewBudget(retry.BudgetConfig{})}
+	r := &router{admit: admit.NewController(m.setup.Admit), budget: retry.NewBudget(retry.BudgetConfig{})}
 	if m.setup.Routing == Score {
-		r.chooser = newScoreChooser(m.setup.Deployment)
+		r.chooser = newScoreChooser(m.setup)
 	} else {
 		r.chooser = newRival(m.setup.Routing, m.workers, i)
 	}
@@ -185,7 +189,7 @@
 
 func (m *sim) admitted(rt *router, r *request, d decision) (contract.Reason, bool) {
 	err := rt.admit.Admit(admit.Query{
-		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue),
+		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue), Load: d.choice.MeanQueue,
 		Cost: toDuration(d.fill() + float64(r.load.out)*perToken),
 	}, m.clock.time(), m.rng)
 	var refusal *contract.Refusal
@@ -204,6 +208,9 @@
 		expected: d.expected, outLeft: r.load.out,
 	}
 	rt.chooser.dispatched(a, d, m.clock.now)
+	if m.counts(r) {
+		m.result.attempts++
+	}
 	deliver := func() {
 		if d.bring > 0 && !a.worker.dead {
 			a.worker.store(r.doc, len(r.doc.pieces))
@@ -263,7 +270,7 @@
 	r.tries++
 	r.tried = append(r.tried, workerName(a.worker.id))
 	if m.setup.Retries == Unlimited {
-		m.clock.after(m.setup.Deployment.CrossDelay, func() { r.tried = nil; m.try(r) })
+		m.clock.after(redial, func() { r.tried = nil; m.try(r) })
 		return
 	}
 	m.retry(a.router(), r)
--- a/internal/decisionbench/worker.go
+++ b/internal/decisionbench/worker.go
@@ -14,7 +14,7 @@
 	stepPerStream = 0.0006   // seconds a stream adds to a step
 	slots         = 32
 	cachePieces   = 240
-	maxWaiting    = 400
+	maxWaiting    = 64
 	rejectCost    = 0.002 // seconds of work that a rejected request costs
 	perToken      = stepPerStream + stepBase/slots
 )
@@ -24,7 +24,6 @@
 type worker struct {
 	id      int
 	clock   *clock
-	running int
 	waiting []*attempt
 	filling []*attempt // in the batch, prompt not yet processed
 	streams []*attempt
--- a/route/query.go
+++ b/route/query.go
@@ -72,12 +72,13 @@
 	Endpoint     string
 	Expected     time.Duration // to first token
 	Queue        time.Duration // part of Expected spent waiting
+	MeanQueue    time.Duration // mean of all eligible endpoints that were scored
 	CachedPieces int           // pieces from the start of the prefix already cached
 	BringBack    bool          // import the missing pieces before dispatch
 	Considered   []Candidate   // only if the query asks for it
 
 	prefill float64 // seconds of processing that the choice adds to the endpoint
-	model   float64 // expected seconds before calibration
+	slow    float64 // slowness of the endpoint that Expected counts with
 }
 
 // NoEndpointError reports that no endpoint may run a request.
--- a/route/router.go
+++ b/route/router.go
@@ -30,16 +30,18 @@
 	view      *cacheView
 	blocksPer int
 
-	calibration float64 // observed over modelled time to first token
+	calibration float64 // observed over modelled time of processing a prompt
 	hold        float64 // seconds a request holds a slot
 	ejected     int
 
-	meanQueued      float64 // of the endpoints' last reports, in tokens
-	meanOutstanding float64 // the same in requests
+	pending float64 // own seconds of processing without a first token
+	recent  recentWait
+	jitter  *rand.Rand // of ejections
 
-	jitter *rand.Rand // of ejections
+	homes []uint64 // by slot: the endpoint's hash, 0 if it can't be a home
 
 	cached []uint16 // scratch of a decision, by slot
+	sought []bool   // the same: whether the slot is in scores
 	scores []score
 	blocks []uint64
 }
@@ -79,7 +81,11 @@
 	}
 	r.blocksPer = max(r.config.MaxBlocks/max(len(r.byName), 1), minBlocksPerEndpoint)
 	r.cached = make([]uint16, len(r.endpoints))
-	r.average()
+	r.sought = make([]bool, len(r.endpoints))
+	r.homes = make([]uint64, len(r.endpoints))
+	for _, e := range r.byName {
+		r.setHome(e)
+	}
 }
 
 func (r *Router) setEndpoint(spec note.Endpoint) {
@@ -105,12 +111,21 @@
 	return uint16(len(r.endpoints) - 1)
 }
 
+// setHome says whether prefixes may have their home at e.
+func (r *Router) setHome(e *endpoint) {
+	r.homes[e.slot] = e.hash
+	if e.leaving || e.report.Leaving {
+		r.homes[e.slot] = 0
+	}
+}
+
 func (r *Router) withdraw(e *endpoint) {
 	e.withdrawn = true
 	r.view.reset(e.slot)
 	if e.health.ejected() {
 		r.ejected--
 	}
+	r.pending -= e.pendingTokens / r.config.PrefillRate
 	r.endpoints[e.slot] = nil
 	delete(r.byName, e.spec.Name)
 }
@@ -127,6 +142,7 @@
 	}
 	if e, ok := r.byName[name]; ok {
 		e.leaving = leaving
+		r.setHome(e)
 	}
 }
 
@@ -156,21 +172,8 @@
 	if e.reported && e.report.Epoch != report.Epoch && !report.At.Before(e.report.At) {
 		r.view.reset(e.slot)
 	}
-	before := e.report
 	e.observe(report)
-	n := float64(len(r.byName))
-	r.meanQueued += float64(e.report.QueuedTokens-before.QueuedTokens) / n
-	r.meanOutstanding += float64(e.report.Running+e.report.Waiting-before.Running-before.Waiting) / n
-}
-
-// average works out the means again after the endpoints changed.
-func (r *Router) average() {
-	r.meanQueued, r.meanOutstanding = 0, 0
-	n := float64(max(len(r.byName), 1))
-	for _, e := range r.byName {
-		r.meanQueued += float64(e.report.QueuedTokens) / n
-		r.meanOutstanding += float64(e.report.Running+e.report.Waiting) / n
-	}
+	r.setHome(e)
 }
 
 // CacheEvents takes a batch of an endpoint's cache events. A gap or another
@@ -230,13 +233,16 @@
 	if !ok {
 		return
 	}
-	e.dispatched(&dispatch{
+	d := &dispatch{
 		attempt:  attempt,
 		at:       now,
 		tokens:   c.prefill * r.config.PrefillRate,
-		model:    c.model,
+		queue:    c.Queue.Seconds(),
 		expected: c.Expected.Seconds(),
-	})
+		slow:     orOne(c.slow),
+	}
+	e.dispatched(d)
+	r.pending += c.prefill
 	e.health.dispatched(attempt)
 	for _, p := range q.Pieces {
 		r.view.add(e.slot, xxhash.Sum64String(p), r.blocksPer)
@@ -252,18 +258,26 @@
 		return
 	}
 	e.firstToken(d)
+	r.pending -= d.tokens / r.config.PrefillRate
+	waited := now.Sub(d.at).Seconds() - (d.expected - d.queue)
+	r.recent.add(waited, now)
+	e.recent.add(waited, now)
 	r.learn(e, d, now)
 }
 
 // learn corrects the service's calibration slowly and the endpoint's slowness
-// fast, so that a slow endpoint differs from a slow service.
+// fast, so that a slow endpoint differs from a slow service. Attempts that were
+// to wait for most of the time say little about the speed of processing.
 func (r *Router) learn(e *endpoint, d *dispatch, now time.Time) {
 	const floor = 0.01 // seconds below which a ratio is mostly noise
-	const weight, low, high = 0.02, 0.1, 10
-	ratio := (now.Sub(d.at).Seconds() + floor) / (d.model + floor)
-	bounded := min(max(ratio, r.calibration/4), r.calibration*4)
-	r.calibration = min(max((1-weight)*r.calibration+weight*bounded, low), high)
-	e.learn(ratio/r.calibration, now)
+	const weight, low, high = 0.01, 0.1, 10
+	ratio := (now.Sub(d.at).Seconds() + floor) / (d.expected/d.slow + floor)
+	if d.queue < d.expected/2 {
+		// Towards the median: a few attempts that met a queue don't count for more.
+		r.calibration *= 1 + weight*math.Copysign(1, ratio-1)
+		r.calibration = min(max(r.calibration, low), high)
+	}
+	e.learn(ratio, now)
 }
 
 // Ended records the end of an attempt.
@@ -274,6 +288,9 @@
 	if d == nil {
 		return
 	}
+	if !d.answered {
+		r.pending -= d.tokens / r.config.PrefillRate
+	}
 	e.end(d)
 	switch outcome {
 	case Succeeded:
@@ -321,12 +338,12 @@
 
 // score is an endpoint's expected time to first token in seconds.
 type score struct {
+	slot      int
 	total     float64
 	rank      float64 // total and the price of another copy of the prefix
 	queue     float64
 	prefill   float64
-	model     float64 // queue and prefill before the factor
-	factor    float64 // learned, of the service and the endpoint
+	slow      float64 // learned, of the endpoint
 	verdict   Verdict
 	bringBack bool
 }
@@ -336,15 +353,71 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lookUp(q.Pieces)
-	best := r.scoreAll(&q, now)
+	home := r.home()
+	r.seek(&q, home, rng)
+	best := r.scoreAll(&q, home, now)
+	if math.IsInf(best, 1) {
+		r.seekAll()
+		best = r.scoreAll(&q, home, now)
+	}
 	if math.IsInf(best, 1) {
 		return Choice{}, r.noEndpoint()
 	}
 	if q.BringBack != nil && len(q.Pieces) > 0 {
-		best = r.weighBringBack(&q, best, rng)
+		best = r.weighBringBack(&q, home, best, rng)
+	}
+	return r.choice(&q, r.pick(&q, best, rng)), nil
+}
+
+// sampled is the number of endpoints that a decision draws at random, and the
+// most that it takes for having the prefix cached. A service of up to twice as
+// many is scored whole.
+const sampled = 32
+
+// seek fills scores with the endpoints to be scored: the prefix's home, some
+// that have it cached and some at random, or all if they are few.
+func (r *Router) seek(q *Query, home int, rng *rand.Rand) {
+	n := len(r.endpoints)
+	if q.Explain || q.Alone || n <= 2*sampled {
+		r.seekAll()
+		return
+	}
+	clear(r.sought)
+	r.scores = r.scores[:0]
+	if home >= 0 {
+		r.add(home)
+	}
+	start := rng.IntN(n)
+	r.addCached(start, n)
+	r.addCached(0, start)
+	for range sampled {
+		r.add(rng.IntN(n))
+	}
+}
+
+func (r *Router) addCached(from, to int) {
+	for slot := from; slot < to && len(r.scores) < sampled; slot++ {
+		if r.cached[slot] > 0 {
+			r.add(slot)
+		}
+	}
+}
+
+func (r *Router) add(slot int) {
+	if r.sought[slot] || r.endpoints[slot] == nil {
+		return
+	}
+	r.sought[slot] = true
+	r.scores = append(r.scores, score{slot: slot})
+}
+
+func (r *Router) seekAll() {
+	r.scores = r.scores[:0]
+	for slot, e := range r.endpoints {
+		if e != nil {
+			r.scores = append(r.scores, score{slot: slot})
+		}
 	}
-	slot := r.pick(&q, best, rng)
-	return r.choice(&q, slot), nil
 }
 
 // lookUp fills the scratch with each endpoint's cached prefix.
@@ -357,52 +430,62 @@
 	r.view.prefix(r.blocks, r.cached)
 }
 
-// scoreAll scores every endpoint without bringing back and returns the best.
-func (r *Router) scoreAll(q *Query, now time.Time) float64 {
+// scoreAll scores without bringing back and returns the best rank.
+func (r *Router) scoreAll(q *Query, home int, now time.Time) float64 {
 	best := math.Inf(1)
-	home := r.home()
-	r.scores = r.scores[:0]
-	for slot, e := range r.endpoints {
-		s := score{verdict: Withdrawn}
-		if e != nil {
-			s.verdict = e.verdict(q, &r.config, now)
-		}
-		if s.verdict == NearBest {
-			r.score(&s, q, e, slot, now)
-			s.rank = s.total + r.copyPrice(q, slot, home)
-			best = min(best, s.rank)
+	for i := range r.scores {
+		s := &r.scores[i]
+		e := r.endpoints[s.slot]
+		s.verdict = e.verdict(q, &r.config, now)
+		if s.verdict != NearBest {
+			continue
 		}
-		r.scores = append(r.scores, s)
+		r.score(s, q, e, now)
+		s.rank = s.total + r.copyPrice(q, s.slot, home)
+		best = min(best, s.rank)
 	}
 	return best
 }
 
-func (r *Router) score(s *score, q *Query, e *endpoint, slot int, now time.Time) {
+func (r *Router) score(s *score, q *Query, e *endpoint, now time.Time) {
 	if r.config.Kind == note.KindPlain {
 		r.scorePlain(s, q, e, now)
 		return
 	}
-	tokens := float64(q.PromptTokens - int(r.cached[slot])*r.config.PieceTokens)
+	tokens := float64(q.PromptTokens - int(r.cached[s.slot])*r.config.PieceTokens)
 	s.prefill = max(tokens, 1) / r.config.PrefillRate
-	trust := e.trust(&r.config, now)
-	wait := e.queuedTokens(trust, r.meanQueued) / r.config.PrefillRate
+	s.slow = e.slowness(now)
+	s.queue = r.wait(e, now) * s.slow
+	s.total = s.queue + s.prefill*r.calibration*s.slow + r.network(q, e) + e.overdue(now)
+}
+
+// wait returns the seconds that a prompt is expected to queue at e. The report
+// counts by its freshness; the rest is what this router's own requests waited
+// of late anywhere, plus how far its load here is from its mean.
+func (r *Router) wait(e *endpoint, now time.Time) float64 {
+	told := e.queuedTokens() / r.config.PrefillRate * r.calibration
 	if slots := e.spec.Slots; slots > 0 {
-		over := e.outstanding(trust, r.meanOutstanding) + 1 - float64(slots)
-		wait = max(wait, over*r.hold/float64(slots))
+		over := float64(e.outstanding() + 1 - slots)
+		told = max(told, over*r.hold/float64(slots))
+	}
+	if !r.recent.fresh(now) {
+		return told
 	}
-	s.model = wait + s.prefill
-	s.factor = r.calibration * e.slowness(now)
-	s.queue = wait * s.factor
-	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
+	usual := r.recent.wait
+	local := freshness(now.Sub(e.recent.at), r.config.Memory)
+	usual = local*e.recent.wait + (1-local)*usual
+	own := e.pendingTokens / r.config.PrefillRate
+	usual += r.config.OwnWeight * (own - r.pending/float64(len(r.byName)))
+	trust := freshness(now.Sub(e.report.At), r.config.Memory)
+	return trust*told + (1-trust)*max(usual, own)
 }
 
 // scorePlain scores by outstanding requests: plain endpoints report no load.
 func (r *Router) scorePlain(s *score, q *Query, e *endpoint, now time.Time) {
 	s.prefill = 0
-	s.queue = float64(e.own()) * r.hold / float64(max(e.spec.Slots, 1))
-	s.model = s.queue + r.hold
-	s.factor = e.slowness(now)
-	s.total = s.model*s.factor + r.network(q, e) + e.overdue(now)
+	s.queue = float64(len(e.inFlight)) * r.hold / float64(max(e.spec.Slots, 1))
+	s.slow = e.slowness(now)
+	s.total = (s.queue+r.hold)*s.slow + r.network(q, e) + e.overdue(now)
 }
 
 // home returns the slot with the highest rendezvous weight for the prefix that
@@ -413,11 +496,8 @@
 	if len(r.blocks) == 0 {
 		return home
 	}
-	for slot, e := range r.endpoints {
-		if e == nil || e.leaving {
-			continue
-		}
-		if w := mix(r.blocks[0] ^ e.hash); home < 0 || w > highest {
+	for slot, hash := range r.homes {
+		if w := mix(r.blocks[0] ^ hash); hash != 0 && w > highest {
 			home, highest = slot, w
 		}
 	}
@@ -451,48 +531,75 @@
 }
 
 // weighBringBack lowers scores by importing the missing pieces where that is
-// faster. Only endpoints that could then beat the best are asked about.
-func (r *Router) weighBringBack(q *Query, best float64, rng *rand.Rand) float64 {
+// faster. Only endpoints that could then beat the best are asked about, the
+// home first: if nothing can be brought there, a copy elsewhere has no price.
+func (r *Router) weighBringBack(q *Query, home int, best float64, rng *rand.Rand) float64 {
 	const maxAsked = 16
+	priced := true
+	if i := r.position(home); i >= 0 {
+		priced = r.tryBringBack(q, &r.scores[i], true)
+		if r.scores[i].verdict == NearBest {
+			best = min(best, r.scores[i].rank)
+		}
+	}
 	asked := 0
 	start := rng.IntN(len(r.scores))
 	for i := range r.scores {
-		slot := (start + i) % len(r.scores)
-		s := &r.scores[slot]
-		missing := len(q.Pieces) - int(r.cached[slot])
-		if s.verdict != NearBest || missing <= 0 || s.queue >= best {
+		s := &r.scores[(start+i)%len(r.scores)]
+		if s.slot == home || s.queue >= best {
 			continue
 		}
 		if asked++; asked > maxAsked {
 			break
 		}
-		r.tryBringBack(s, q, r.endpoints[slot], missing)
-		best = min(best, s.rank)
+		if r.tryBringBack(q, s, priced) && s.verdict == NearBest {
+			best = min(best, s.rank)
+		}
 	}
 	return best
 }
 
-func (r *Router) tryBringBack(s *score, q *Query, e *endpoint, missing int) {
-	cost, ok := q.BringBack(e.spec.Name, missing)
+// position returns where slot is in scores, -1 if it is not.
+func (r *Router) position(slot int) int {
+	for i := range r.scores {
+		if r.scores[i].slot == slot {
+			return i
+		}
+	}
+	return -1
+}
+
+// tryBringBack scores an endpoint with an import of its missing pieces if there is one
+// and it is faster. It reports whether the endpoint can have them, by an import or as it is.
+func (r *Router) tryBringBack(q *Query, s *score, priced bool) bool {
+	missing := len(q.Pieces) - int(r.cached[s.slot])
+	if s.verdict != NearBest || missing <= 0 {
+		return true
+	}
+	cost, ok := q.BringBack(r.endpoints[s.slot].spec.Name, missing)
 	if !ok {
-		return
+		return false
 	}
 	rest := max(float64(q.PromptTokens-len(q.Pieces)*r.config.PieceTokens), 1) / r.config.PrefillRate
 	// The endpoint's queue moves on while the pieces are copied.
 	wait := max(s.queue, cost.Seconds())
-	total := s.total - s.queue - s.prefill*s.factor + wait + rest*s.factor
+	total := s.total - s.queue + wait - (s.prefill-rest)*r.calibration*s.slow
 	if total >= s.total {
-		return
+		return true
 	}
 	s.rank += total - s.total
+	if !priced {
+		s.rank = total
+	}
 	s.total = total
-	s.model = (wait + rest*s.factor) / s.factor
 	s.prefill = rest
 	s.bringBack = true
+	return true
 }
 
 // pick draws among the endpoints that are near the best, the nearer the
-// likelier, so that routers with the same late reports choose differently.
+// likelier, so that routers with the same late reports choose differently. It
+// returns a position in scores.
 func (r *Router) pick(q *Query, best float64, rng *rand.Rand) int {
 	limit := best + max(best*r.config.Tolerance, r.config.Slack.Seconds())
 	sum := 0.0
@@ -508,48 +615,49 @@
 		sum += limit - s.rank
 	}
 	at := rng.Float64() * sum
-	slot := -1
+	picked := -1
 	for i := range r.scores {
 		s := &r.scores[i]
 		if s.verdict != NearBest {
 			continue
 		}
-		slot = i
+		picked = i
 		if at -= limit - s.rank; at < 0 {
 			break
 		}
 	}
 	if q.Alone {
-		slot = r.idlest(slot)
+		picked = r.idlest(picked)
 	}
-	return slot
+	return picked
 }
 
 // idlest returns the eligible endpoint with the fewest requests.
-func (r *Router) idlest(slot int) int {
+func (r *Router) idlest(picked int) int {
 	for i := range r.scores {
 		s := &r.scores[i]
 		if s.verdict != NearBest && s.verdict != Slower {
 			continue
 		}
-		if r.endpoints[i].lastOutstanding() < r.endpoints[slot].lastOutstanding() {
-			slot = i
+		if r.endpoints[s.slot].outstanding() < r.endpoints[r.scores[picked].slot].outstanding() {
+			picked = i
 		}
 	}
-	return slot
+	return picked
 }
 
-func (r *Router) choice(q *Query, slot int) Choice {
-	s := &r.scores[slot]
+func (r *Router) choice(q *Query, picked int) Choice {
+	s := &r.scores[picked]
 	s.verdict = Chosen
 	c := Choice{
-		Endpoint:     r.endpoints[slot].spec.Name,
+		Endpoint:     r.endpoints[s.slot].spec.Name,
 		Expected:     seconds(s.total),
 		Queue:        seconds(s.queue),
-		CachedPieces: int(r.cached[slot]),
+		MeanQueue:    seconds(r.meanQueue()),
+		CachedPieces: int(r.cached[s.slot]),
 		BringBack:    s.bringBack,
 		prefill:      s.prefill,
-		model:        s.model,
+		slow:         s.slow,
 	}
 	if q.Explain {
 		c.Considered = r.considered()
@@ -557,31 +665,46 @@
 	return c
 }
 
+func (r *Router) meanQueue() float64 {
+	sum, n := 0.0, 0.0
+	for i := range r.scores {
+		if v := r.scores[i].verdict; v == Chosen || v == NearBest || v == Slower {
+			sum += r.scores[i].queue
+			n++
+		}
+	}
+	return sum / n
+}
+
 func (r *Router) considered() []Candidate {
 	list := make([]Candidate, 0, len(r.scores))
-	for slot, s := range r.scores {
-		if e := r.endpoints[slot]; e != nil {
-			list = append(list, Candidate{
-				Endpoint:     e.spec.Name,
-				Verdict:      s.verdict,
-				Expected:     seconds(s.total),
-				Queue:        seconds(s.queue),
-				CachedPieces: int(r.cached[slot]),
-				BringBack:    s.bringBack,
-			})
-		}
+	for _, s := range r.scores {
+		list = append(list, Candidate{
+			Endpoint:     r.endpoints[s.slot].spec.Name,
+			Verdict:      s.verdict,
+			Expected:     seconds(s.total),
+			Queue:        seconds(s.queue),
+			CachedPieces: int(r.cached[s.slot]),
+			BringBack:    s.bringBack,
+		})
 	}
 	return list
 }
 
 func (r *Router) noEndpoint() error {
 	err := &NoEndpointError{Service: r.config.Service}
-	for slot, s := range r.scores {
-		if r.endpoints[slot] != nil {
-			err.Verdicts[s.verdict]++
-		}
+	for _, s := range r.scores {
+		err.Verdicts[s.verdict]++
 	}
 	return err
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// orOne is the slowness of a choice that was not made by Choose.
+func orOne(slow float64) float64 {
+	if slow == 0 {
+		return 1
+	}
+	return slow
+}
