--- /dev/null
+++ b/link/caller.go
@@ -0,0 +1,6 @@
+package link
+
+import "redwingknot/wire"
+
+// Caller makes calls to another process.
+type Caller = wire.Caller
