--- a/ledger/fake_test.go
+++ b/ledger/fake_test.go
@@ -59,6 +59,12 @@
 	f.fault = x
 }
 
+func (f *fakeService) currentFault() fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fault
+}
+
 // fakeLog is one instance's view of a shard's log.
 type fakeLog struct {
 	service *fakeService
@@ -94,9 +100,7 @@
 
 func (l *fakeLog) Append(ctx context.Context, entry []byte) (uint64, error) {
 	l.service.wait(ctx)
-	l.service.mu.Lock()
-	x := l.service.fault
-	l.service.mu.Unlock()
+	x := l.service.currentFault()
 	switch {
 	case l.dead() || x == faultDown:
 		return 0, &platform.NotSentError{Op: "append", Err: errFault}
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -17,6 +17,7 @@
 	"redwingknot/contract"
 	"redwingknot/internal/fuzztest"
 	"redwingknot/platform"
+	"redwingknot/platform/platformtest"
 )
 
 const (
@@ -135,6 +136,7 @@
 // sim is the simulated deployment and its oracle.
 type sim struct {
 	service *fakeService
+	store   *platformtest.Store // nil for the fake log
 	skews   []time.Duration
 
 	mu       sync.Mutex
@@ -148,8 +150,11 @@
 	calls    sync.WaitGroup
 }
 
-func newSim(skews []time.Duration, ages []time.Duration) *sim {
+func newSim(platformLog bool, skews, ages []time.Duration) *sim {
 	s := &sim{service: newFakeService(), skews: skews, byName: map[string]*entry{}}
+	if platformLog {
+		s.store = platformtest.NewStore(time.Now)
+	}
 	for i := range simInstances {
 		s.entries = append(s.entries, s.start(i))
 	}
@@ -170,20 +175,55 @@
 		MaxSkew:  2 * keyAgeSpread,
 		Now:      func() time.Time { return time.Now().Add(s.skews[i]) },
 		Rand:     func() float64 { return 0.5 },
-		Open: func(n int, f platform.Folder) platform.Log {
-			l := s.service.open(n, f, e.unreached).(*fakeLog)
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.logs = append(e.logs, l)
-			return l
-		},
-		Alive:  func(name string) bool { return !s.find(name).gone() },
-		Owner:  func(n int) (string, bool) { o := s.owner(n); return o, o == e.name },
-		Remote: fakeRemote{ledger: s.reach, link: s.linkFault},
+		Open:     func(n int, f platform.Folder) platform.Log { return s.open(e, n, f) },
+		Alive:    func(name string) bool { return !s.find(name).gone() },
+		Owner:    func(n int) (string, bool) { o := s.owner(n); return o, o == e.name },
+		Remote:   fakeRemote{ledger: s.reach, link: s.linkFault},
 	})
 	return e
 }
 
+// open returns an entry's view of a shard: on the platform's log if there is a
+// store, else on the fake one.
+func (s *sim) open(e *entry, n int, f platform.Folder) platform.Log {
+	if s.store != nil {
+		return platform.OpenLog(s.connect(e), platform.LogOptions{
+			Name: fmt.Sprint("claims-", n), Folder: f, Writer: e.name, SnapshotEvery: 6, TrimMargin: 1,
+		})
+	}
+	l := s.service.open(n, f, e.unreached).(*fakeLog)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.logs = append(e.logs, l)
+	return l
+}
+
+// connect returns an entry's connection to the store under the faults drawn.
+func (s *sim) connect(e *entry) platform.KV {
+	kv := s.store.Client(e.name)
+	kv.SetHook(func(ctx context.Context, op platformtest.Op) platformtest.Fault {
+		x := s.service.currentFault()
+		switch {
+		case e.unreached() || x == faultDown:
+			return platformtest.NotSent
+		case !op.Write:
+			return platformtest.None
+		case x == faultLost:
+			return platformtest.LostAnswer
+		case x == faultDropped:
+			return platformtest.LostRequest
+		case x == faultLater:
+			time.AfterFunc(landsAfter, func() { kv.Deliver() })
+			return platformtest.Late
+		case x == faultHang:
+			<-ctx.Done()
+			return platformtest.LostAnswer
+		}
+		return platformtest.None
+	})
+	return kv
+}
+
 func (s *sim) find(name string) *entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -411,25 +451,32 @@
 // instances with unequal clocks under kills, platform faults, cut links, owner
 // changes and snapshots. The script is drawn first, so that a failure shrinks.
 func TestFuzzAtMostOnce(t *testing.T) {
-	fuzztest.Check(t, func(rt *rapid.T) {
-		skew := rapid.SampledFrom([]time.Duration{-10 * time.Minute, 0, 10 * time.Minute})
-		skews := rapid.SliceOfN(skew, simInstances, simInstances).Draw(rt, "skews")
-		age := rapid.SampledFrom([]time.Duration{0, simWindow - keyAgeSpread, simWindow - time.Minute})
-		ages := rapid.SliceOfN(age, simKeys, simKeys).Draw(rt, "ages")
-		script := rapid.SliceOfN(rapid.Custom(drawStep), 5, 60).Draw(rt, "script")
-		problems := play(t, skews, ages, script)
-		if len(problems) > 0 {
-			rt.Fatalf("%s", strings.Join(problems, "\n"))
-		}
-	})
+	fuzztest.Check(t, func(rt *rapid.T) { fuzzAtMostOnce(t, rt, false) })
+}
+
+// TestFuzzAtMostOnceOnPlatformLog does the same over the platform's log, with
+// snapshots and trims every few entries.
+func TestFuzzAtMostOnceOnPlatformLog(t *testing.T) {
+	fuzztest.Check(t, func(rt *rapid.T) { fuzzAtMostOnce(t, rt, true) })
+}
+
+func fuzzAtMostOnce(t *testing.T, rt *rapid.T, platformLog bool) {
+	skew := rapid.SampledFrom([]time.Duration{-10 * time.Minute, 0, 10 * time.Minute})
+	skews := rapid.SliceOfN(skew, simInstances, simInstances).Draw(rt, "skews")
+	age := rapid.SampledFrom([]time.Duration{0, simWindow - keyAgeSpread, simWindow - time.Minute})
+	ages := rapid.SliceOfN(age, simKeys, simKeys).Draw(rt, "ages")
+	script := rapid.SliceOfN(rapid.Custom(drawStep), 5, 60).Draw(rt, "script")
+	if problems := play(t, platformLog, skews, ages, script); len(problems) > 0 {
+		rt.Fatalf("%s", strings.Join(problems, "\n"))
+	}
 }
 
 // play runs a script in simulated time and returns what the oracle found. One
 // processor makes a failing script repeat itself.
-func play(t *testing.T, skews, ages []time.Duration, script []simStep) (problems []string) {
+func play(t *testing.T, platformLog bool, skews, ages []time.Duration, script []simStep) (problems []string) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(*testing.T) {
-		s := newSim(skews, ages)
+		s := newSim(platformLog, skews, ages)
 		for _, st := range script {
 			s.do(st)
 		}
