Thin whole path: notes, entries, engines, stores and claims run together

Cause: every part met for the first time. Found: the platform budget's burst of one call refused the log's second read; it is now one second's calls.

--- a/cmd/redwingknot/note.go
+++ b/cmd/redwingknot/note.go
@@ -25,13 +25,13 @@
 	return &cobra.Command{
 		Use: "check FILE...", Short: "Check notes offline, in order", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
-			state := note.Empty()
+			state := note.NewState()
 			for _, f := range files {
 				raw, err := os.ReadFile(f)
 				if err != nil {
 					return errors.Wrap(err, "note")
 				}
-				if state, err = note.ApplyRaw(state, raw); err != nil {
+				if state, err = applyNote(state, raw); err != nil {
 					return errors.Wrap(err, f)
 				}
 				fmt.Fprintf(cmd.OutOrStdout(), "%s: good\n", f)
@@ -41,6 +41,14 @@
 	}
 }
 
+func applyNote(s *note.State, raw []byte) (*note.State, error) {
+	n, err := note.Parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	return s.Apply(n)
+}
+
 func noteSubmit() *cobra.Command {
 	var conn connection
 	var base int64
--- a/cmd/redwingknot/status.go
+++ b/cmd/redwingknot/status.go
@@ -53,7 +53,7 @@
 		case !dc.Known:
 			fmt.Fprintf(w, "data centre %-14s unknown: the platform can't be asked (heard of lately: %t)\n", dc.Name, dc.Reachable)
 		case dc.InForce >= head:
-			fmt.Fprintf(w, "data centre %-14s note %d in force since %s\n", dc.Name, dc.InForce, dc.Since.Format(time.RFC3339))
+			fmt.Fprintf(w, "data centre %-14s note %d in force\n", dc.Name, dc.InForce)
 		default:
 			fmt.Fprintf(w, "data centre %-14s behind: note %d in force, %d wanted (heard of lately: %t)\n", dc.Name, dc.InForce, head, dc.Reachable)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,14 +16,12 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"redwingknot/block"
 	"redwingknot/datacentre"
 	"redwingknot/endpoint"
 	"redwingknot/engine"
 	"redwingknot/event"
 	"redwingknot/instance"
 	"redwingknot/ledger"
-	"redwingknot/link"
 	"redwingknot/note"
 	"redwingknot/platform"
 	"redwingknot/serve"
@@ -52,7 +50,6 @@
 	peers    peers
 	members  *instance.Membership
 	book     *note.Book
-	notes    *platform.SharedLog
 	lead     *datacentre.Lead
 	spread   *datacentre.Spread
 	view     *endpoint.View
@@ -75,17 +72,18 @@
 func New(o Options, log *slog.Logger) (*Entry, error) {
 	e := &Entry{o: o, log: log, wire: wire.NewServer([]byte(o.SharedKey)), services: serve.NewServices(), clients: serve.NewEndpointClients()}
 	e.kv = platform.NewClient(platform.ClientOptions{
-		URLs:   o.Platform,
-		HTTP:   &http.Client{Transport: e.clients.Shared.Transport},
-		Budget: platform.NewBudget(platform.BudgetOptions{ReadsPerSecond: o.PlatformReads, WritesPerSecond: o.PlatformWrites}),
+		URLs: o.Platform,
+		HTTP: &http.Client{Transport: e.clients.Shared.Transport},
+		Budget: platform.NewBudget(platform.BudgetOptions{
+			ReadsPerSecond: o.PlatformReads, ReadBurst: int(o.PlatformReads),
+			WritesPerSecond: o.PlatformWrites, WriteBurst: int(o.PlatformWrites),
+		}),
 	})
 	e.lists = &lists{kv: e.kv}
 	if err := e.newMembership(); err != nil {
 		return nil, err
 	}
-	if err := e.newNotes(); err != nil {
-		return nil, err
-	}
+	e.book = note.NewBook(note.BookOptions{KV: e.kv, Writer: e.processName(), Logger: log})
 	e.newEndpoints()
 	e.newLedger()
 	e.newSuspects()
@@ -118,7 +116,7 @@
 		KV: e.kv, DataCentre: e.o.DataCentre, Self: e.o.ID, Logger: e.log,
 		Candidate: func() bool { return e.follows() && !e.draining.Load() },
 	})
-	e.spread = datacentre.NewSpread(datacentre.SpreadConfig{Notes: e.book, Members: e.members, Logger: e.log})
+	e.spread = datacentre.NewSpread(datacentre.SpreadConfig{Notes: spreadNotes{e.book}, Members: e.members, Logger: e.log})
 	e.spread.Register(e.wire)
 	e.view = endpoint.NewView(endpoint.ViewConfig{
 		Members: e.members, State: e.book.State, Engine: e.engine, PlatformList: e.lists.endpointList(e.o.DataCentre),
@@ -166,6 +164,13 @@
 	return e.o.ID + epochSeparator + strconv.FormatUint(e.members.Self().Incarnation, 10)
 }
 
+// openClaimLog opens the log of a shard of claims.
+func (e *Entry) openClaimLog(shard int, f platform.Folder) platform.Log {
+	return platform.OpenLog(e.kv, platform.LogOptions{
+		Name: claimLog + strconv.Itoa(shard), Folder: f, Writer: e.processName(), Purpose: purposeClaims, Logger: e.log,
+	})
+}
+
 // isAlive reports whether the process of that name may still run.
 func (e *Entry) isAlive(process string) bool {
 	id, epoch, _ := strings.Cut(process, epochSeparator)
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +18,6 @@
 )
 
 const (
-	noteLog  = "notes"
 	claimLog = "claims-"
 	// markInterval is the time between two checks whether the whole data centre
 	// has the head in force.
@@ -26,12 +26,8 @@
 	statusTimeout = 2 * time.Second
 )
 
-// Purposes of the calls to the platform.
-const (
-	purposeNotes  platform.Purpose = "notes"
-	purposeClaims platform.Purpose = "claims"
-	purposeMarks  platform.Purpose = "marks"
-)
+// purposeClaims labels the calls to the platform for claims.
+const purposeClaims platform.Purpose = "claims"
 
 // followNotes reads the log of notes while this instance is a follower; all
 // other instances hear of notes from their peers.
@@ -57,7 +53,7 @@
 			cancel()
 		}
 	})
-	err := e.notes.Follow(ctx)
+	err := e.book.Follow(ctx)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -100,7 +96,7 @@
 		a.Faults = invalid.Faults
 		return http.StatusUnprocessableEntity, a
 	case errors.As(err, &conflict):
-		a.Other = conflict.Head
+		a.Other = conflict.Number
 		return http.StatusConflict, a
 	case platform.IsUnknown(err):
 		a.Unknown = true
@@ -110,28 +106,31 @@
 }
 
 func (e *Entry) showNote(w http.ResponseWriter, r *http.Request) {
-	raw, err := e.readNote(r.Context(), mux.Vars(r)["number"])
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusNotFound)
+	number, err := strconv.ParseUint(mux.Vars(r)["number"], 10, 64)
+	raw, ok := e.book.Raw(number)
+	if err != nil || !ok {
+		http.Error(w, "this instance does not keep the text of that note", http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/yaml")
 	w.Write(raw)
 }
 
-// dataCentres returns what the marks say of every data centre in the
-// configuration. Without the platform only this instance's own is known.
+// dataCentres returns what the marks say of every data centre. Without the
+// platform nothing is claimed.
 func (e *Entry) dataCentres(r *http.Request) []operator.DataCentreStatus {
 	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
 	defer cancel()
+	marks, err := note.InForce(ctx, e.kv)
+	heads := map[string]uint64{}
+	for _, m := range marks {
+		heads[m.DataCentre] = m.Head
+	}
 	var list []operator.DataCentreStatus
 	for _, name := range dataCentreNames(e.book.State()) {
-		s := operator.DataCentreStatus{Name: name, Reachable: e.members.Reachable(name)}
-		mark, err := note.InForce(ctx, e.kv, name)
-		if err == nil {
-			s.Known, s.InForce, s.Since = true, mark.Head, mark.At
-		}
-		list = append(list, s)
+		list = append(list, operator.DataCentreStatus{
+			Name: name, Known: err == nil, InForce: heads[name], Reachable: e.members.Reachable(name),
+		})
 	}
 	return list
 }
--- a/ledger/remote_test.go
+++ b/ledger/remote_test.go
@@ -39,7 +39,7 @@
 		},
 		Alive: func(string) bool { return true },
 		Owner: func(int) (string, bool) { return "owner", false },
-		Remote: WireRemote{Client: func(string) *wire.Client {
+		Remote: WireRemote{Client: func(string) wire.Caller {
 			if known {
 				return client
 			}
--- a/operator/message.go
+++ b/operator/message.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"time"
-
 	"redwingknot/engine"
 	"redwingknot/note"
 )
@@ -25,10 +23,9 @@
 // DataCentreStatus is what is known of the notes in force in a data centre.
 type DataCentreStatus struct {
 	Name      string
-	InForce   uint64    // head that all its live instances had in force
-	Since     time.Time // when the mark was written
-	Known     bool      // the platform could be asked
-	Reachable bool      // an instance there was heard of lately
+	InForce   uint64 // head that all its live instances had in force
+	Known     bool   // the platform could be asked
+	Reachable bool   // an instance there was heard of lately
 }
 
 // Status is the state of the deployment as one instance knows it.
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -59,7 +59,7 @@
 		f.clients = append(f.clients, NewClient(ClientConfig{
 			Instance: m.Instance, DataCentre: m.DataCentre, Local: f.keepers[m.Instance],
 			Members: func() []Member { return f.members },
-			Dial:    func(addr string) Caller { return &caller{fleet: f, addr: addr} },
+			Dial:    func(addr string) wire.Caller { return &caller{fleet: f, addr: addr} },
 		}))
 	}
 	return f
--- a/suspect/wire_test.go
+++ b/suspect/wire_test.go
@@ -26,7 +26,7 @@
 		return NewClient(ClientConfig{
 			Instance: name, DataCentre: "dc0", Local: NewKeeper(Config{}, nil),
 			Members: func() []Member { return []Member{home} },
-			Dial:    func(string) Caller { return conn },
+			Dial:    func(string) wire.Caller { return conn },
 		})
 	}
 	a, b := entry("a"), entry("b")
