A slow sender's connection is closed; the demo evicts instead of filling

Cause: TestSlowBodyIsRefused hung: after the refusal the HTTP server waited for the rest of the body, because the read deadline had been taken back. Ruled out: the body limit, which does close the connection. Change: after a body that failed the deadline stays and the connection closes.

--- a/cmd/standin/get.go
+++ b/cmd/standin/get.go
@@ -27,6 +27,17 @@
 	}}
 }
 
+// postCommand posts an empty body; scripts control the stand-ins with it.
+func postCommand() *cobra.Command {
+	return &cobra.Command{Use: "post URL", Short: "Post an empty body", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		resp, err := http.Post(args[0], "", nil)
+		if err != nil {
+			return errors.Wrap(err, "post")
+		}
+		return resp.Body.Close()
+	}}
+}
+
 // metricCommand prints the value of one series of an entry instance, 0 if there
 // is none yet.
 func metricCommand() *cobra.Command {
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// evictAll empties the cache, as other work would in time.
+func (c *cache) evictAll() {
+	for c.order.Len() > 0 {
+		oldest := c.order.Remove(c.order.Back()).(string)
+		delete(c.blocks, oldest)
+		c.tell(oldest, true)
+	}
+}
+
 func (c *cache) tell(key string, removed bool) {
 	c.seq++
 	c.events = append(c.events, engine.Event{Seq: c.seq, Block: key, Removed: removed})
@@ -80,6 +89,13 @@
 	writeJSON(w, http.StatusOK, engine.Events{Epoch: s.epoch, Last: s.cache.seq, Gap: gap, List: events})
 }
 
+func (s *Server) serveEvict(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache.evictAll()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // BlockContent returns the content of a block, which its key determines.
 func BlockContent(key string, size int) []byte {
 	rng := rand.New(rand.NewPCG(xxhash.Sum64String(key), uint64(size)))
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -79,6 +79,7 @@
 	s.router.HandleFunc("/export", s.serveExport).Methods(http.MethodPost)
 	s.router.HandleFunc("/import", s.serveImport).Methods(http.MethodPost)
 	s.router.HandleFunc("/leave", s.serveLeave).Methods(http.MethodPost)
+	s.router.HandleFunc("/evict", s.serveEvict).Methods(http.MethodPost)
 	s.router.HandleFunc("/runs", s.serveRuns).Methods(http.MethodGet)
 	s.router.HandleFunc("/v1/chat/completions", s.serveGenerate).Methods(http.MethodPost)
 	return s
--- a/serve/chat_request.go
+++ b/serve/chat_request.go
@@ -56,12 +56,18 @@
 	return contract.Refuse(http.StatusBadRequest, contract.ReasonMalformed, detail)
 }
 
-// readBody reads a whole body within the limits of size and time.
+// readBody reads a whole body within the limits of size and time. After a
+// failure the connection is closed and its read deadline stays: the server
+// would otherwise wait for the rest of the body.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Now().Add(timeout))
-	defer rc.SetReadDeadline(time.Time{})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		w.Header().Set("Connection", "close")
+	} else {
+		rc.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
