--- a/note/book.go
+++ b/note/book.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"redwingknot/event"
+	"redwingknot/metric"
 	"redwingknot/platform"
 )
 
@@ -20,6 +21,7 @@
 	maxRecentNotes        = 256
 	maxRecentBytes        = 4 << 20
 	defaultResolveTimeout = 5 * time.Second
+	behindInterval        = 30 * time.Second
 )
 
 // BookOptions configure a Book.
@@ -51,6 +53,7 @@
 	older   []Chain         // chains known from a snapshot, up to the number before recent
 	changed chan struct{}   // closed at the next change
 	encoded *encodedHistory // snapshot of the current head, nil until asked for
+	forked  uint64          // number of the last fork logged
 }
 
 // record is a note in force with its chain.
@@ -133,9 +136,25 @@
 	if b.log == nil {
 		return &NoPlatformError{}
 	}
+	go b.watchBehind(ctx)
 	return b.log.Follow(ctx)
 }
 
+// watchBehind looks for a platform that knows less than the peers, which the
+// log alone can't see.
+func (b *Book) watchBehind(ctx context.Context) {
+	tick := time.NewTicker(behindInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			_ = b.Sync(ctx) // logs a platform that is behind; Follow repeats the rest
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Sync reads the platform's notes. A platform that knows fewer notes than were
 // in force before the read was restored from an older copy: a *BehindError.
 func (b *Book) Sync(ctx context.Context) error {
@@ -268,9 +287,12 @@
 }
 
 func (b *Book) fork(number uint64) error {
-	err := &ForkError{Number: number}
-	event.NoteFork.Log(b.o.Logger, slog.Uint64("number", number))
-	return err
+	metric.Counter("note_forks_total").Inc(1)
+	if b.forked != number { // a peer repeats its offers
+		b.forked = number
+		event.NoteFork.Log(b.o.Logger, slog.Uint64("number", number))
+	}
+	return &ForkError{Number: number}
 }
 
 // applied returns the state after the note. A note that can't be applied counts
