--- a/block/client.go
+++ b/block/client.go
@@ -20,10 +20,12 @@
 	return &Client{home: home}
 }
 
-// Answer is the outcome of a lookup: the blocks found and the state of stores.
+// Answer is the outcome of a lookup: the blocks found, the state of stores, and
+// the chances of a return of the class's prompts by the number of returns before.
 type Answer struct {
-	Found  []Located
-	Stores []StoreView
+	Found   []Located
+	Stores  []StoreView
+	Chances []float32
 }
 
 // Lookup asks the home of the chain for the blocks of q. All keys of q are of
@@ -48,7 +50,7 @@
 }
 
 func answerOf(q Query, resp *blockpb.LookupResponse) (Answer, error) {
-	var a Answer
+	a := Answer{Chances: resp.Chances}
 	for _, s := range resp.Stores {
 		a.Stores = append(a.Stores, StoreView{URL: s.Url, Down: s.Down, Used: s.Used, Total: s.Total, Price: s.Price})
 	}
--- a/block/directory_test.go
+++ b/block/directory_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"redwingknot/block/blockpb"
 	"redwingknot/contract"
 	"redwingknot/store"
 )
@@ -162,7 +164,7 @@
 		url := "http://10.0.0.0:7400"
 		b.StartTimer()
 		d.Evict(testStart, url, d.Bytes(url)/20, func(h Holding) float64 {
-			return p.Score(r, Value{Class: contract.Class{Name: h.Class, Worth: 1}, Compute: time.Second, Bytes: h.Bytes}, h.Returns, h.Idle)
+			return p.Score(p.Chance(r, h.Class, h.Returns, h.Idle), Value{Class: contract.Class{Worth: 1}, Compute: time.Second, Bytes: h.Bytes})
 		})
 	}
 }
@@ -174,3 +176,28 @@
 		Chain("team", "model", "", "v", prompt, 8000)
 	}
 }
+
+// BenchmarkMessages reports the bytes on the wire that a prompt of 50 pieces
+// takes: its lookup, found whole at one of ten stores, and its publication.
+func BenchmarkMessages(b *testing.B) {
+	keys := testChain(benchPieces)
+	lookup := &blockpb.LookupRequest{Class: "chat", GrantMs: 30_000}
+	publish := &blockpb.PublishRequest{Store: "http://10.0.0.1:7400", Class: "chat"}
+	h := NewHome(time.Now, NewDirectory(testStart, DirectoryOptions{}))
+	var stores []string
+	var found []Located
+	for i := range benchStores {
+		stores = append(stores, fmt.Sprintf("http://10.0.0.%d:7400", i))
+	}
+	h.Own(nil, stores)
+	for i := range keys {
+		lookup.Keys = append(lookup.Keys, keys[i][:])
+		found = append(found, Located{Store: stores[1], Key: keys[i], Generation: 1 << 60, Length: 160 << 20, Checksum: 1 << 60})
+		publish.Blocks = append(publish.Blocks, &blockpb.Sealed{Key: keys[i][:], Generation: 1 << 60, Length: 160 << 20, Checksum: 1 << 60, Epoch: "e1f7c6a0-0000-4000-8000-000000000000", Seq: 1 << 20})
+	}
+	for b.Loop() {
+		b.ReportMetric(float64(proto.Size(lookup)), "B/lookup")
+		b.ReportMetric(float64(proto.Size(h.lookupResponse(found))), "B/answer")
+		b.ReportMetric(float64(proto.Size(publish)), "B/publication")
+	}
+}
--- a/block/home.go
+++ b/block/home.go
@@ -25,7 +25,8 @@
 // Home is the directory of the partitions that this instance is home of,
 // together with the upkeep of the blocks in them. It is safe for concurrent use.
 type Home struct {
-	now func() time.Time
+	now     func() time.Time
+	planner *Planner
 
 	mu     sync.Mutex
 	dir    *Directory
@@ -34,7 +35,7 @@
 
 // NewHome returns a home over dir, which it owns from now on.
 func NewHome(now func() time.Time, dir *Directory) *Home {
-	return &Home{now: now, dir: dir, stores: map[string]StoreView{}}
+	return &Home{now: now, planner: NewPlanner(PlannerOptions{}), dir: dir, stores: map[string]StoreView{}}
 }
 
 // Register adds the home's calls to s.
@@ -118,7 +119,11 @@
 	found := h.dir.Lookup(h.now(), query, make([]Located, 0, len(keys)))
 	metric.Counter("block_lookups_total").Inc(1)
 	metric.Counter("block_lookups_found_total").Inc(int64(len(found)))
-	return h.lookupResponse(found), nil
+	answer := h.lookupResponse(found)
+	for returns := range returnLevels {
+		answer.Chances = append(answer.Chances, float32(h.planner.Chance(h.dir.opts.Returns, q.Class, returns, 0)))
+	}
+	return answer, nil
 }
 
 func (h *Home) lookupResponse(found []Located) *blockpb.LookupResponse {
--- a/block/keeper.go
+++ b/block/keeper.go
@@ -24,6 +24,8 @@
 	// exportTries is how often an export that gets no budget is tried again.
 	exportTries        = 10
 	defaultExportPause = 3 * time.Second
+	// defaultChance of a return is assumed until a home has told better.
+	defaultChance = 0.5
 )
 
 // KeeperOptions are what a keeper works with.
@@ -33,7 +35,6 @@
 	Client  *Client
 	Links   *link.Client // links are named by the URL of the store
 	Planner *Planner
-	Returns *Returns // learns from the lookups of this instance; nil for a new one
 	Store   func(url string) *store.Client
 	Log     *slog.Logger
 	// ExportPause is the time between two tries of an export that gets no
@@ -52,15 +53,13 @@
 	stores []StoreView
 	down   map[string]time.Time
 	price  ExportPrice
+	chance map[string][]float32 // of a return, by class and returns before
 }
 
 // NewKeeper returns a keeper.
 func NewKeeper(o KeeperOptions) *Keeper {
-	if o.Returns == nil {
-		o.Returns = NewReturns(nil)
-	}
 	o.ExportPause = cmp.Or(o.ExportPause, defaultExportPause)
-	return &Keeper{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), down: map[string]time.Time{}}
+	return &Keeper{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), down: map[string]time.Time{}, chance: map[string][]float32{}}
 }
 
 // Prompt is a prompt at an engine.
@@ -102,7 +101,7 @@
 	if err != nil {
 		return r, err
 	}
-	k.setStores(answer.Stores)
+	k.learn(p.Class.Name, answer)
 	r.Found = answer.Found
 	question := Question{Pieces: len(p.Keys), Cached: p.Cached, Found: r.Found, Compute: p.Compute, Queue: p.Queue}
 	r.Plan = k.opts.Planner.Plan(question, k.forecast)
@@ -281,8 +280,11 @@
 func (k *Keeper) score(p Prompt) float64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	v := Value{Class: p.Class, Compute: p.Compute, Bytes: p.BlockBytes}
-	return k.opts.Planner.Score(k.opts.Returns, v, p.Returns, 0)
+	chance := defaultChance
+	if known := k.chance[p.Class.Name]; len(known) > 0 {
+		chance = float64(known[min(max(p.Returns, 0), len(known)-1)])
+	}
+	return k.opts.Planner.Score(chance, Value{Class: p.Class, Compute: p.Compute, Bytes: p.BlockBytes})
 }
 
 // rank returns the stores for blocks of the score, none if the links carry
@@ -315,14 +317,20 @@
 }
 
 // SetStores tells the keeper which stores there are before any lookup has.
-func (k *Keeper) SetStores(stores []StoreView) { k.setStores(stores) }
-
-func (k *Keeper) setStores(stores []StoreView) {
+func (k *Keeper) SetStores(stores []StoreView) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stores = stores
 }
 
+// learn takes in what a home has told.
+func (k *Keeper) learn(class string, a Answer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stores = a.Stores
+	k.chance[class] = a.Chances
+}
+
 func (k *Keeper) markDown(url string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/block/plan.go
+++ b/block/plan.go
@@ -95,15 +95,19 @@
 	Bytes   int64
 }
 
+// Chance returns how likely a block idle for the given time is to return within
+// the planner's horizon.
+func (p *Planner) Chance(r *Returns, class string, returns int, idle time.Duration) float64 {
+	return r.Probability(class, returns, idle, p.opts.Horizon)
+}
+
 // Score returns the worth of the seconds that a block is expected to save for
-// each byte it takes: the chance of a return within the horizon times what the
-// return saves.
-func (p *Planner) Score(r *Returns, v Value, returns int, idle time.Duration) float64 {
+// each byte it takes, given the chance of its return.
+func (p *Planner) Score(chance float64, v Value) float64 {
 	saved := (v.Compute - v.Bring).Seconds()
 	if saved <= 0 || v.Bytes <= 0 {
 		return 0
 	}
-	chance := r.Probability(v.Class.Name, returns, idle, p.opts.Horizon)
 	return chance * saved * max(v.Class.Worth, 0) / float64(v.Bytes)
 }
 
@@ -155,7 +159,7 @@
 const (
 	// priceRise is the part of a score by which the price rises when an export
 	// of that score gets no budget.
-	priceRise = 0.002
+	priceRise = 0.001
 	// priceFall is the part of the price that each export takes off.
 	priceFall = 0.005
 )
--- a/internal/keepbench/bench.go
+++ b/internal/keepbench/bench.go
@@ -327,7 +327,7 @@
 	if first >= end {
 		return
 	}
-	score := b.planner.Score(b.returns, b.value(s.kind), min(s.visits-1, 3), 0)
+	score := b.planner.Score(b.planner.Chance(b.returns, s.kind.Class.Name, s.visits-1, 0), b.value(s.kind))
 	stores := b.rank(score)
 	for _, m := range stores {
 		bytes := int64(end-first) * b.d.PieceBytes
@@ -418,7 +418,7 @@
 	}
 	for i := range b.d.Kinds {
 		if k := &b.d.Kinds[i]; k.Class.Name == h.Class {
-			return b.planner.Score(b.returns, b.value(k), h.Returns, h.Idle)
+			return b.planner.Score(b.planner.Chance(b.returns, h.Class, h.Returns, h.Idle), b.value(k))
 		}
 	}
 	return 0
