Look up by fingerprints and send the stores only when asked

A lookup of 50 pieces took 1,710 bytes of keys and 450 bytes of stores in each answer. Most lookups find nothing, and every request with a full piece makes one.

--- a/block/client.go
+++ b/block/client.go
@@ -30,7 +30,7 @@
 
 // Lookup asks the home of the chain for the blocks of q. All keys of q are of
 // one chain, so that one call serves a prompt.
-func (c *Client) Lookup(ctx context.Context, q Query) (Answer, error) {
+func (c *Client) Lookup(ctx context.Context, q Query, wantStores bool) (Answer, error) {
 	if len(q.Keys) == 0 {
 		return Answer{}, nil
 	}
@@ -38,9 +38,9 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	req := &blockpb.LookupRequest{Class: q.Class, First: int32(q.First), GrantMs: q.Grant.Milliseconds()}
+	req := &blockpb.LookupRequest{Class: q.Class, First: int32(q.First), GrantMs: q.Grant.Milliseconds(), WantStores: wantStores}
 	for i := range q.Keys {
-		req.Keys = append(req.Keys, q.Keys[i][:])
+		req.Fingerprints = append(req.Fingerprints, uint64(q.Keys[i].Fingerprint()))
 	}
 	var resp blockpb.LookupResponse
 	if err := home.Call(ctx, methodLookup, req, &resp); err != nil {
@@ -72,15 +72,18 @@
 	if len(blocks) == 0 {
 		return 0, nil
 	}
-	req := &blockpb.PublishRequest{Store: url, Class: class, First: int32(first)}
+	req := &blockpb.PublishRequest{Store: url, Class: class, First: int32(first), Epoch: blocks[0].Epoch}
 	for _, b := range blocks {
+		if b.Epoch != req.Epoch {
+			break
+		}
 		key, err := ParseKey(b.Ref.Key)
 		if err != nil {
 			return 0, err
 		}
 		req.Blocks = append(req.Blocks, &blockpb.Sealed{
 			Key: key[:], Generation: b.Ref.Generation, Length: b.Ref.Length, Checksum: b.Ref.Checksum,
-			Epoch: b.Epoch, Seq: b.Seq,
+			Seq: b.Seq,
 		})
 	}
 	home, err := c.homeOf(Key(req.Blocks[0].Key))
--- a/block/directory.go
+++ b/block/directory.go
@@ -63,7 +63,7 @@
 type Directory struct {
 	opts    DirectoryOptions
 	start   time.Time
-	index   map[fingerprint]uint32 // position in entries
+	index   map[Fingerprint]uint32 // position in entries
 	entries []entry
 	spare   []uint32 // positions in entries not in use
 	stores  []storeState
@@ -78,12 +78,13 @@
 	curves *curves
 }
 
-// fingerprint is the part of a key by which the directory finds its entry. Two
+// Fingerprint is the part of a key by which the directory finds its entry. Two
 // keys with the same one can't both be in the directory.
-type fingerprint uint64
+type Fingerprint uint64
 
-func (k Key) fingerprint() fingerprint {
-	return fingerprint(binary.LittleEndian.Uint64(k[tagBytes:]))
+// Fingerprint returns the fingerprint of the key, which is never 0.
+func (k Key) Fingerprint() Fingerprint {
+	return Fingerprint(1 | binary.LittleEndian.Uint64(k[tagBytes:]))
 }
 
 // entry is packed because a home holds some hundred thousand of them. Entries
@@ -133,7 +134,7 @@
 	if o.Returns == nil {
 		o.Returns = NewReturns(nil)
 	}
-	return &Directory{opts: o, start: start, index: map[fingerprint]uint32{}, freed: map[generationID]time.Time{}}
+	return &Directory{opts: o, start: start, index: map[Fingerprint]uint32{}, freed: map[generationID]time.Time{}}
 }
 
 // Len returns the number of blocks.
@@ -141,24 +142,30 @@
 
 // entry returns the entry of a key, nil if there is none.
 func (d *Directory) entry(key Key) *entry {
-	e, _ := d.next(key, -1)
+	e, _ := d.next(key.Fingerprint(), -1)
+	if e == nil || e.key != key {
+		return nil
+	}
 	return e
 }
 
-// next returns the entry of a key and its position. The blocks of a chain are
+// next returns the entry of a fingerprint and its position. The blocks of a chain are
 // mostly published together, so that the entry behind that of the block before
 // is tried first: it saves the hashing and is in the processor's cache.
-func (d *Directory) next(key Key, previous int) (*entry, int) {
-	if i := previous + 1; previous >= 0 && i < len(d.entries) && d.entries[i].key == key {
+func (d *Directory) next(f Fingerprint, previous int) (*entry, int) {
+	if i := previous + 1; previous >= 0 && i < len(d.entries) && d.entries[i].is(f) {
 		return &d.entries[i], i
 	}
-	i, ok := d.index[key.fingerprint()]
-	if !ok || d.entries[i].key != key {
+	i, ok := d.index[f]
+	if !ok {
 		return nil, -1
 	}
 	return &d.entries[i], int(i)
 }
 
+// is reports whether the entry is in use and has the fingerprint.
+func (e *entry) is(f Fingerprint) bool { return e.key != Key{} && e.key.Fingerprint() == f }
+
 // add puts an entry in for a key that has none.
 func (d *Directory) add(e entry) {
 	i := uint32(len(d.entries))
@@ -169,7 +176,7 @@
 	} else {
 		d.entries = append(d.entries, e)
 	}
-	d.index[e.key.fingerprint()] = i
+	d.index[e.key.Fingerprint()] = i
 	d.stores[e.store].bytes += int64(e.length)
 }
 
@@ -215,7 +222,7 @@
 		store: index, position: uint16(min(position, math.MaxUint16)), class: class,
 	}
 	old := d.entry(key)
-	if _, taken := d.index[key.fingerprint()]; taken && old == nil {
+	if _, taken := d.index[key.Fingerprint()]; taken && old == nil {
 		return &CollisionError{Key: key}
 	}
 	switch {
@@ -238,11 +245,21 @@
 // Query asks for the blocks of a prompt.
 type Query struct {
 	Keys  []Key
+	Marks []Fingerprint // in place of Keys, if those are not at hand
 	First int           // position of Keys[0] in its chain
 	Class string        // class of the request
 	Grant time.Duration // how long the blocks found may be read
 }
 
+func (q Query) len() int { return max(len(q.Keys), len(q.Marks)) }
+
+func (q Query) fingerprint(i int) Fingerprint {
+	if len(q.Keys) > 0 {
+		return q.Keys[i].Fingerprint()
+	}
+	return q.Marks[i]
+}
+
 // Lookup appends to found the blocks of the query's keys from the first one on,
 // up to the first that no store in service holds, and grants reads of them.
 func (d *Directory) Lookup(now time.Time, q Query, found []Located) []Located {
@@ -255,8 +272,8 @@
 	until := d.seconds(now.Add(min(q.Grant, d.opts.MaxGrant)).Add(time.Second - 1))
 	var e *entry
 	at := -1
-	for i, key := range q.Keys {
-		if e, at = d.next(key, at); e == nil || now.Before(d.stores[e.store].downUntil) {
+	for i := range q.len() {
+		if e, at = d.next(q.fingerprint(i), at); e == nil || now.Before(d.stores[e.store].downUntil) {
 			break
 		}
 		e.class = class
@@ -295,8 +312,8 @@
 
 // forget takes a block out of the directory only.
 func (d *Directory) forget(key Key) {
-	i := d.index[key.fingerprint()]
-	delete(d.index, key.fingerprint())
+	i := d.index[key.Fingerprint()]
+	delete(d.index, key.Fingerprint())
 	d.spare = append(d.spare, i)
 	e := &d.entries[i]
 	d.stores[e.store].bytes -= int64(e.length)
--- a/block/directory_test.go
+++ b/block/directory_test.go
@@ -141,11 +141,9 @@
 	for b.Loop() {
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		d, chains := benchDirectory(benchPrompts)
-		chains = nil
+		d, _ := benchDirectory(benchPrompts)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
-		runtime.KeepAlive(chains)
 		bytes := float64(after.HeapAlloc - before.HeapAlloc)
 		b.ReportMetric(bytes/float64(d.Len()), "B/block")
 		b.ReportMetric(bytes/benchPrompts, "B/prompt")
@@ -182,7 +180,7 @@
 func BenchmarkMessages(b *testing.B) {
 	keys := testChain(benchPieces)
 	lookup := &blockpb.LookupRequest{Class: "chat", GrantMs: 30_000}
-	publish := &blockpb.PublishRequest{Store: "http://10.0.0.1:7400", Class: "chat"}
+	publish := &blockpb.PublishRequest{Store: "http://10.0.0.1:7400", Class: "chat", Epoch: "e1f7c6a0-0000-4000-8000-000000000000"}
 	h := NewHome(time.Now, NewDirectory(testStart, DirectoryOptions{}))
 	var stores []string
 	var found []Located
@@ -191,13 +189,15 @@
 	}
 	h.Own(nil, stores)
 	for i := range keys {
-		lookup.Keys = append(lookup.Keys, keys[i][:])
+		lookup.Fingerprints = append(lookup.Fingerprints, uint64(keys[i].Fingerprint()))
 		found = append(found, Located{Store: stores[1], Key: keys[i], Generation: 1 << 60, Length: 160 << 20, Checksum: 1 << 60})
-		publish.Blocks = append(publish.Blocks, &blockpb.Sealed{Key: keys[i][:], Generation: 1 << 60, Length: 160 << 20, Checksum: 1 << 60, Epoch: "e1f7c6a0-0000-4000-8000-000000000000", Seq: 1 << 20})
+		publish.Blocks = append(publish.Blocks, &blockpb.Sealed{Key: keys[i][:], Generation: 1 << 60, Length: 160 << 20, Checksum: 1 << 60, Seq: 1 << 20})
 	}
 	for b.Loop() {
 		b.ReportMetric(float64(proto.Size(lookup)), "B/lookup")
-		b.ReportMetric(float64(proto.Size(h.lookupResponse(found))), "B/answer")
+		b.ReportMetric(float64(proto.Size(h.lookupResponse(nil, false))), "B/empty-answer")
+		b.ReportMetric(float64(proto.Size(h.lookupResponse(found, false))), "B/answer")
+		b.ReportMetric(float64(proto.Size(h.lookupResponse(found, true))), "B/full-answer")
 		b.ReportMetric(float64(proto.Size(publish)), "B/publication")
 	}
 }
--- a/block/home.go
+++ b/block/home.go
@@ -75,7 +75,7 @@
 	now := h.now()
 	var answer blockpb.PublishResponse
 	for i, b := range q.Blocks {
-		p := Publication{Store: q.Store, Class: q.Class, Position: int(q.First) + i, Sealed: sealedOf(b)}
+		p := Publication{Store: q.Store, Class: q.Class, Position: int(q.First) + i, Sealed: sealedOf(b, q.Epoch)}
 		if err := h.dir.Publish(now, p); err != nil {
 			metric.Counter("block_publications_refused_total").Inc(1)
 			continue
@@ -88,7 +88,7 @@
 
 // sealedOf returns the store's account in a message. A malformed key stays
 // malformed and is refused by the directory.
-func sealedOf(b *blockpb.Sealed) store.Sealed {
+func sealedOf(b *blockpb.Sealed, epoch string) store.Sealed {
 	var key Key
 	text := ""
 	if copy(key[:], b.Key) == KeyBytes && len(b.Key) == KeyBytes {
@@ -96,51 +96,54 @@
 	}
 	return store.Sealed{
 		Ref:   engine.BlockRef{Key: text, Generation: b.Generation, Length: b.Length, Checksum: b.Checksum},
-		Epoch: b.Epoch,
+		Epoch: epoch,
 		Seq:   b.Seq,
 	}
 }
 
 func (h *Home) lookup(_ context.Context, q *blockpb.LookupRequest) (*blockpb.LookupResponse, error) {
-	if len(q.Keys) > maxKeys {
+	if len(q.Fingerprints) > maxKeys {
 		return nil, wire.Fail(wire.FailureMalformed, "too many keys")
 	}
-	keys := make([]Key, len(q.Keys))
-	for i, b := range q.Keys {
-		key, err := keyFromBytes(b)
-		if err != nil {
-			return nil, wire.Fail(wire.FailureMalformed, err.Error())
-		}
-		keys[i] = key
+	marks := make([]Fingerprint, len(q.Fingerprints))
+	for i, f := range q.Fingerprints {
+		marks[i] = Fingerprint(f)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	query := Query{Keys: keys, First: int(q.First), Class: q.Class, Grant: time.Duration(q.GrantMs) * time.Millisecond}
-	found := h.dir.Lookup(h.now(), query, make([]Located, 0, len(keys)))
+	query := Query{Marks: marks, First: int(q.First), Class: q.Class, Grant: time.Duration(q.GrantMs) * time.Millisecond}
+	found := h.dir.Lookup(h.now(), query, make([]Located, 0, len(marks)))
 	metric.Counter("block_lookups_total").Inc(1)
 	metric.Counter("block_lookups_found_total").Inc(int64(len(found)))
-	answer := h.lookupResponse(found)
-	for returns := range returnLevels {
+	answer := h.lookupResponse(found, q.WantStores)
+	for returns := 0; q.WantStores && returns < returnLevels; returns++ {
 		answer.Chances = append(answer.Chances, float32(h.planner.Chance(h.dir.opts.Returns, q.Class, returns, 0)))
 	}
 	return answer, nil
 }
 
-func (h *Home) lookupResponse(found []Located) *blockpb.LookupResponse {
+// lookupResponse names all stores only if asked to: most lookups find nothing
+// and their answers should stay small.
+func (h *Home) lookupResponse(found []Located, wantStores bool) *blockpb.LookupResponse {
 	var answer blockpb.LookupResponse
-	index := make(map[string]int32, len(h.stores))
-	for url, s := range h.stores {
-		index[url] = int32(len(answer.Stores))
-		answer.Stores = append(answer.Stores, &blockpb.StoreState{Url: url, Down: s.Down, Used: s.Used, Total: s.Total, Price: s.Price})
-	}
-	for _, l := range found {
-		i, ok := index[l.Store]
+	index := make(map[string]int32)
+	name := func(url string) int32 {
+		i, ok := index[url]
 		if !ok {
 			i = int32(len(answer.Stores))
-			index[l.Store] = i
-			answer.Stores = append(answer.Stores, &blockpb.StoreState{Url: l.Store})
+			index[url] = i
+			s := h.stores[url]
+			answer.Stores = append(answer.Stores, &blockpb.StoreState{Url: url, Down: s.Down, Used: s.Used, Total: s.Total, Price: s.Price})
 		}
-		answer.Found = append(answer.Found, &blockpb.Found{Store: i, Generation: l.Generation, Length: l.Length, Checksum: l.Checksum})
+		return i
+	}
+	if wantStores {
+		for url := range h.stores {
+			name(url)
+		}
+	}
+	for _, l := range found {
+		answer.Found = append(answer.Found, &blockpb.Found{Store: name(l.Store), Generation: l.Generation, Length: l.Length, Checksum: l.Checksum})
 	}
 	return &answer
 }
--- a/block/keeper.go
+++ b/block/keeper.go
@@ -51,6 +51,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	stores []StoreView
+	asked  map[string]time.Time // for stores and chances, by class
 	down   map[string]time.Time
 	price  ExportPrice
 	chance map[string][]float32 // of a return, by class and returns before
@@ -59,7 +60,7 @@
 // NewKeeper returns a keeper.
 func NewKeeper(o KeeperOptions) *Keeper {
 	o.ExportPause = cmp.Or(o.ExportPause, defaultExportPause)
-	return &Keeper{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), down: map[string]time.Time{}, chance: map[string][]float32{}}
+	return &Keeper{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), down: map[string]time.Time{}, chance: map[string][]float32{}, asked: map[string]time.Time{}}
 }
 
 // Prompt is a prompt at an engine.
@@ -97,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	q := Query{Keys: p.Keys[p.Cached:], First: p.Cached, Class: p.Class.Name, Grant: readGrant}
-	answer, err := k.opts.Client.Lookup(ctx, q)
+	answer, err := k.opts.Client.Lookup(ctx, q, k.wantsStores(p.Class.Name))
 	if err != nil {
 		return r, err
 	}
@@ -323,8 +324,24 @@
 	k.stores = stores
 }
 
-// learn takes in what a home has told.
+// wantsStores reports whether the next lookup for a class should also ask for
+// the state of the stores.
+func (k *Keeper) wantsStores(class string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opts.Now()
+	if now.Sub(k.asked[class]) < statusInterval {
+		return false
+	}
+	k.asked[class] = now
+	return true
+}
+
+// learn takes in what a home has told, if it was asked.
 func (k *Keeper) learn(class string, a Answer) {
+	if len(a.Chances) == 0 {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stores = a.Stores
