Lead: each contender's calls fare by themselves in the fuzz

Four guards could be taken out unseen: the faults hit all contenders alike, so nobody could take a lease while its holder's answers came late.

--- a/datacentre/datacentretest/kv.go
+++ b/datacentre/datacentretest/kv.go
@@ -30,14 +30,22 @@
 // Error implements error.
 func (e *LostError) Error() string { return fmt.Sprintf("%s: no answer", e.Op) }
 
-// KV is a platform.KV in memory. It is safe for concurrent use.
+// KV is a platform.KV in memory as one process reaches it. It is safe for
+// concurrent use.
 type KV struct {
-	// Delay is the time in nanoseconds that a call takes each way.
-	Delay atomic.Int64
+	// RequestDelay and AnswerDelay are the nanoseconds that a call takes each
+	// way.
+	RequestDelay atomic.Int64
+	AnswerDelay  atomic.Int64
 	// Fault decides the fate of each call; nil is no fault. It is called under
-	// the lock of the KV.
+	// the lock of the service.
 	Fault func(op string) Fault
 
+	*service
+}
+
+// service is what all processes share.
+type service struct {
 	mu       sync.Mutex
 	now      func() time.Time
 	revision int64
@@ -59,30 +67,33 @@
 
 // NewKV returns an empty service.
 func NewKV(now func() time.Time) *KV {
-	return &KV{
+	return &KV{service: &service{
 		now:      now,
 		leases:   map[platform.LeaseID]*lease{},
 		entries:  map[string]platform.Entry{},
 		watchers: map[*watcher]struct{}{},
 		calls:    map[string]int{},
-	}
+	}}
 }
 
+// Client returns the same service as another process reaches it.
+func (k *KV) Client() *KV { return &KV{service: k.service} }
+
 // Calls returns how often an operation was attempted.
-func (k *KV) Calls(op string) int {
+func (k *service) Calls(op string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.calls[op]
 }
 
 // Expire ends the leases that have lapsed by now, as every call does.
-func (k *KV) Expire() {
+func (k *service) Expire() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
 }
 
-func (k *KV) expire() {
+func (k *service) expire() {
 	for id, l := range k.leases {
 		if !k.now().Before(l.end) {
 			k.drop(id)
@@ -90,7 +101,7 @@
 	}
 }
 
-func (k *KV) drop(id platform.LeaseID) {
+func (k *service) drop(id platform.LeaseID) {
 	delete(k.leases, id)
 	for key, e := range k.entries {
 		if e.Lease == id {
@@ -99,14 +110,14 @@
 	}
 }
 
-func (k *KV) remove(key string) {
+func (k *service) remove(key string) {
 	k.revision++
 	e := k.entries[key]
 	delete(k.entries, key)
 	k.tell(platform.Change{Entry: e, Deleted: true})
 }
 
-func (k *KV) tell(c platform.Change) {
+func (k *service) tell(c platform.Change) {
 	for w := range k.watchers {
 		if w.from <= c.Entry.Key && c.Entry.Key < w.to {
 			w.changes <- c
@@ -116,7 +127,7 @@
 
 // do runs f as one call of the service.
 func (k *KV) do(ctx context.Context, op, key string, f func() error) error {
-	k.wait(ctx)
+	wait(ctx, &k.RequestDelay)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.calls[op]++
@@ -130,7 +141,7 @@
 	k.expire()
 	err := f()
 	k.mu.Unlock()
-	k.wait(ctx)
+	wait(ctx, &k.AnswerDelay)
 	k.mu.Lock()
 	if fault == FaultLostAnswer || ctx.Err() != nil {
 		return &platform.UnknownOutcomeError{Op: op, Key: key, Err: &LostError{Op: op}}
@@ -138,8 +149,8 @@
 	return err
 }
 
-func (k *KV) wait(ctx context.Context) {
-	d := time.Duration(k.Delay.Load())
+func wait(ctx context.Context, delay *atomic.Int64) {
+	d := time.Duration(delay.Load())
 	if d == 0 {
 		return
 	}
--- a/datacentre/lead_test.go
+++ b/datacentre/lead_test.go
@@ -25,6 +25,29 @@
 	stop context.CancelFunc
 	done chan struct{}
 	dead atomic.Bool
+	mode atomic.Value // how its calls fare: "up", "down" or "lossy"
+}
+
+// faulty is a contender whose calls fare by its mode.
+func faulty(ctx context.Context, kv *datacentretest.KV, self string, seed uint64) *contender {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var c *contender
+	ready := make(chan struct{})
+	fault := kv.Client()
+	fault.Fault = func(string) datacentretest.Fault {
+		<-ready
+		switch c.mode.Load() {
+		case "down":
+			return datacentretest.FaultNotSent
+		case "lossy":
+			return datacentretest.Fault(r.IntN(3))
+		}
+		return datacentretest.FaultNone
+	}
+	c = contend(ctx, fault, self, seed)
+	c.mode.Store("up")
+	close(ready)
+	return c
 }
 
 // KeepAlive does not reach the service from a dead process.
@@ -48,7 +71,10 @@
 }
 
 func contendIn(ctx context.Context, kv *datacentretest.KV, dataCentre, self string, seed uint64) *contender {
-	c := &contender{KV: kv, done: make(chan struct{})}
+	c := &contender{KV: kv.Client(), done: make(chan struct{})}
+	c.RequestDelay.Store(kv.RequestDelay.Load())
+	c.AnswerDelay.Store(kv.AnswerDelay.Load())
+	c.Fault = kv.Fault
 	ctx, c.stop = context.WithCancel(ctx)
 	c.Lead = NewLead(LeadConfig{
 		KV:         c,
@@ -124,9 +150,9 @@
 		}
 		acts := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) act {
 			return act{
-				kind:  rapid.SampledFrom([]string{"down", "lossy", "up", "slow", "stop", "start"}).Draw(t, "kind"),
+				kind:  rapid.SampledFrom([]string{"down", "lossy", "up", "slow request", "slow answer", "slow answer", "stop", "start"}).Draw(t, "kind"),
 				who:   rapid.IntRange(0, 3).Draw(t, "who"),
-				delay: time.Duration(rapid.IntRange(0, 2500).Draw(t, "delay")) * time.Millisecond,
+				delay: time.Duration(rapid.IntRange(0, 1900).Draw(t, "delay")) * time.Millisecond,
 				wait:  time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait")) * time.Millisecond,
 			}
 		}), 1, 25).Draw(rt, "acts")
@@ -134,21 +160,9 @@
 		wrong := ""
 		synctest.Test(t, func(t *testing.T) {
 			kv := datacentretest.NewKV(time.Now)
-			r := rand.New(rand.NewPCG(seed, 2))
-			var mode atomic.Value
-			mode.Store("up")
-			kv.Fault = func(string) datacentretest.Fault {
-				switch {
-				case mode.Load() == "down":
-					return datacentretest.FaultNotSent
-				case mode.Load() == "lossy":
-					return datacentretest.Fault(r.IntN(3))
-				}
-				return datacentretest.FaultNone
-			}
 			all := make([]*contender, 4)
 			for i := range all {
-				all[i] = contend(t.Context(), kv, fmt.Sprint(i), seed+uint64(i))
+				all[i] = faulty(t.Context(), kv, fmt.Sprint(i), seed+uint64(i))
 			}
 			var last int64
 			watch := func(d time.Duration) {
@@ -167,22 +181,28 @@
 				}
 			}
 			for _, a := range acts {
+				c := all[a.who]
 				switch a.kind {
-				case "slow":
-					kv.Delay.Store(int64(a.delay))
+				case "slow request":
+					c.RequestDelay.Store(int64(a.delay))
+				case "slow answer":
+					c.AnswerDelay.Store(int64(a.delay))
 				case "stop":
-					all[a.who].stop()
+					c.stop()
 				case "start":
-					if all[a.who].stopped() {
-						all[a.who] = contend(t.Context(), kv, fmt.Sprint(a.who), seed+7)
+					if c.stopped() {
+						all[a.who] = faulty(t.Context(), kv, fmt.Sprint(a.who), seed+7)
 					}
 				default:
-					mode.Store(a.kind)
+					c.mode.Store(a.kind)
 				}
 				watch(a.wait)
 			}
-			mode.Store("up")
-			kv.Delay.Store(0)
+			for _, c := range all {
+				c.mode.Store("up")
+				c.RequestDelay.Store(0)
+				c.AnswerDelay.Store(0)
+			}
 			all = append(all, contend(t.Context(), kv, "last", seed+9))
 			watch(time.Minute)
 			if len(holders(all)) != 1 {
@@ -219,7 +239,8 @@
 
 func measureLeads(t *testing.T, dataCentres, candidates int) {
 	kv := datacentretest.NewKV(time.Now)
-	kv.Delay.Store(int64(2 * time.Millisecond))
+	kv.RequestDelay.Store(int64(2 * time.Millisecond))
+	kv.AnswerDelay.Store(int64(2 * time.Millisecond))
 	var down atomic.Bool
 	kv.Fault = func(string) datacentretest.Fault {
 		if down.Load() {
