--- a/datacentre/lead_test.go
+++ b/datacentre/lead_test.go
@@ -168,6 +168,7 @@
 			watch := func(d time.Duration) {
 				const step = 50 * time.Millisecond
 				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
+					kv.Expire()
 					held := holders(all)
 					if len(held) > 1 {
 						wrong = fmt.Sprintf("%d hold the lead", len(held))
--- a/endpoint/orders_test.go
+++ b/endpoint/orders_test.go
@@ -57,7 +57,7 @@
 	engine.Engine
 	mu     sync.Mutex
 	worker *worker
-	silent bool // does not answer
+	silent bool // obeys orders and answers nothing
 	lost   bool // obeys orders and loses the answers
 	delay  time.Duration
 }
@@ -77,11 +77,11 @@
 func (e *liveEngine) Order(_ context.Context, o engine.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.silent || !e.worker.up {
+	if !e.worker.up {
 		return &engine.StatusError{Op: "order"}
 	}
 	err := e.worker.arrive(time.Now(), o, e.delay)
-	if e.lost {
+	if e.silent || e.lost {
 		return &engine.StatusError{Op: "order"}
 	}
 	return err
@@ -97,7 +97,8 @@
 // site is one data centre's lead with its orders.
 type site struct {
 	lead *datacentre.Lead
-	stop context.CancelFunc
+	kill context.CancelFunc // ends it without a farewell
+	stop context.CancelFunc // ends it as planned
 	done sync.WaitGroup
 }
 
@@ -153,8 +154,10 @@
 	s := &site{}
 	dead := &atomic.Bool{}
 	ctx, cancel := context.WithCancel(ctx)
-	s.stop = func() { dead.Store(true); cancel() }
-	kv := dyingKV{KV: w.kv, dead: dead}
+	s.stop = cancel
+	s.kill = func() { dead.Store(true); cancel() }
+	kv := dyingKV{KV: w.kv.Client(), dead: dead}
+	kv.Fault = w.kv.Fault
 	client := func(e note.Endpoint) engine.Engine { return w.engines[e.Name] }
 	s.lead = datacentre.NewLead(datacentre.LeadConfig{
 		KV: kv, DataCentre: dc, Self: id, Candidate: func() bool { return true }, Rand: rand.New(rand.NewPCG(1, uint64(len(w.sites)))),
@@ -232,7 +235,7 @@
 // TestFuzzOrdersOverDataCentres lets leads die, engines fall silent and answers
 // get lost while versions change, and counts the loads over the whole fleet.
 func TestFuzzOrdersOverDataCentres(t *testing.T) {
-	const dcs, each = 2, 3
+	const dcs, each = 2, 5
 	type act struct {
 		kind string
 		who  int
@@ -242,7 +245,7 @@
 		loads := rapid.IntRange(1, 2).Draw(rt, "loads")
 		acts := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) act {
 			return act{
-				kind: rapid.SampledFrom([]string{"change", "kill lead", "silent", "lose answers", "slow", "crash", "heal", "platform"}).Draw(t, "kind"),
+				kind: rapid.SampledFrom([]string{"change", "change", "kill lead", "stop lead", "silent", "lose answers", "slow", "crash", "heal", "platform"}).Draw(t, "kind"),
 				who:  rapid.IntRange(0, dcs*each-1).Draw(t, "who"),
 				wait: time.Duration(rapid.IntRange(0, 15000).Draw(t, "wait")) * time.Millisecond,
 			}
@@ -268,8 +271,11 @@
 				switch a.kind {
 				case "change":
 					w.setVersion(dcs, each, loads, fmt.Sprint("v", n+2))
-				case "kill lead":
+				case "kill lead", "stop lead":
 					dc := a.who % dcs
+					if a.kind == "kill lead" {
+						last[dc].kill()
+					}
 					last[dc].stop()
 					last[dc] = w.start(t.Context(), fmt.Sprint("dc", dc), fmt.Sprint("i", n+dcs))
 				case "silent":
--- a/endpoint/planner_test.go
+++ b/endpoint/planner_test.go
@@ -34,6 +34,7 @@
 type worker struct {
 	endpoint note.Endpoint
 	up       bool
+	silent   bool // obeys orders and gives no report
 	version  string
 	adapters []string
 	fence    int64
@@ -160,8 +161,8 @@
 			continue
 		}
 		old := f.reports[name]
-		x := Worker{Endpoint: w.endpoint, Report: old.Report, Fresh: w.up}
-		if w.up {
+		x := Worker{Endpoint: w.endpoint, Report: old.Report, Fresh: w.up && !w.silent}
+		if x.Fresh {
 			x.Report = w.report(f.now)
 		}
 		f.reports[name] = x
@@ -273,13 +274,14 @@
 				w := f.workers[name()]
 				w.up, w.version, w.loading, w.begun = false, "", nil, nil
 			},
-			"start": func(*rapid.T) { f.workers[name()].up = true },
+			"silent": func(*rapid.T) { w := f.workers[name()]; w.silent = !w.silent },
+			"start":  func(*rapid.T) { f.workers[name()].up = true },
 		})
 		for len(f.stale) > 0 {
 			f.resume()
 		}
 		for _, w := range f.workers {
-			w.up = true
+			w.up, w.silent = true, false
 		}
 		f.queue = nil
 		fail(f.pass(2 * settleTime)) // orders given on outdated reports come to their end
