Tests: draws of waits and delays are spread, not mostly near zero

The library draws small integers most often, so that the fuzz of the lead passed with its guards out.

--- a/datacentre/lead_test.go
+++ b/datacentre/lead_test.go
@@ -152,10 +152,10 @@
 			return act{
 				kind:  rapid.SampledFrom([]string{"down", "lossy", "up", "slow request", "slow answer", "slow answer", "stop", "start"}).Draw(t, "kind"),
 				who:   rapid.IntRange(0, 3).Draw(t, "who"),
-				delay: time.Duration(rapid.IntRange(0, 1900).Draw(t, "delay")) * time.Millisecond,
-				wait:  time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait")) * time.Millisecond,
+				delay: time.Duration(rapid.SampledFrom([]int{0, 300, 900, 1400, 1900}).Draw(t, "delay")) * time.Millisecond,
+				wait:  time.Duration(rapid.SampledFrom([]int{0, 200, 1000, 2500, 7000}).Draw(t, "wait")) * time.Millisecond,
 			}
-		}), 1, 25).Draw(rt, "acts")
+		}), 10, 40).Draw(rt, "acts")
 		seed := rapid.Uint64().Draw(rt, "seed")
 		wrong := ""
 		synctest.Test(t, func(t *testing.T) {
--- a/datacentre/spread_test.go
+++ b/datacentre/spread_test.go
@@ -190,9 +190,9 @@
 			return act{
 				kind: rapid.SampledFrom([]string{"accept", "accept", "cut", "lossy", "heal", "replace"}).Draw(t, "kind"),
 				who:  rapid.IntRange(0, 5).Draw(t, "who"),
-				wait: time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond,
+				wait: time.Duration(rapid.SampledFrom([]int{0, 100, 700, 3000}).Draw(t, "wait")) * time.Millisecond,
 			}
-		}), 1, 15).Draw(rt, "acts")
+		}), 3, 15).Draw(rt, "acts")
 		wrong := ""
 		synctest.Test(t, func(t *testing.T) {
 			n := instancetest.NewNetwork()
--- a/endpoint/orders_test.go
+++ b/endpoint/orders_test.go
@@ -247,9 +247,9 @@
 			return act{
 				kind: rapid.SampledFrom([]string{"change", "change", "kill lead", "stop lead", "silent", "lose answers", "slow", "crash", "heal", "platform"}).Draw(t, "kind"),
 				who:  rapid.IntRange(0, dcs*each-1).Draw(t, "who"),
-				wait: time.Duration(rapid.IntRange(0, 15000).Draw(t, "wait")) * time.Millisecond,
+				wait: time.Duration(rapid.SampledFrom([]int{0, 500, 1500, 4000, 9000, 25000}).Draw(t, "wait")) * time.Millisecond,
 			}
-		}), 1, 12).Draw(rt, "acts")
+		}), 8, 25).Draw(rt, "acts")
 		wrong := ""
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(dcs, each, loads)
