--- a/datacentre/lead_test.go
+++ b/datacentre/lead_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -226,6 +227,50 @@
 	}
 }
 
+// TestHoldingEndsBeforeTheLease cuts a holder off whose answers come late, in
+// its first tenure and after a renewal.
+func TestHoldingEndsBeforeTheLease(t *testing.T) {
+	for _, cutAfter := range []time.Duration{2 * time.Second, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			kv := datacentretest.NewKV(time.Now)
+			c := faulty(t.Context(), kv, "a", 1)
+			c.AnswerDelay.Store(int64(650 * time.Millisecond))
+			time.Sleep(cutAfter)
+			_, held := c.Held()
+			assert.Assert(t, held)
+			c.mode.Store("down")
+			for range 1000 {
+				time.Sleep(10 * time.Millisecond)
+				kv.Expire()
+				_, err := kv.Get(t.Context(), PurposeLead, "lead/ilala")
+				_, held := c.Held()
+				assert.Assert(t, err == nil || !held, "held after the lease has lapsed")
+			}
+			_, held = c.Held()
+			assert.Assert(t, !held)
+			stopAll([]*contender{c})
+		})
+	}
+}
+
+func TestLostAnswerOfARefusedCreateIsNoLead(t *testing.T) {
+	kv := datacentretest.NewKV(time.Now)
+	_, err := kv.Create(t.Context(), PurposeLead, "lead/ilala", []byte("other"), 0)
+	assert.NilError(t, err)
+	kv.Fault = func(op string) datacentretest.Fault {
+		if op == "create" {
+			return datacentretest.FaultLostAnswer
+		}
+		return datacentretest.FaultNone
+	}
+	l := NewLead(LeadConfig{KV: kv, DataCentre: "ilala", Self: "a"})
+	id, err := kv.Grant(t.Context(), PurposeLead, LeaseTTL)
+	assert.NilError(t, err)
+	_, err = l.create(t.Context(), id)
+	var unknown *platform.UnknownOutcomeError
+	assert.Assert(t, errors.As(err, &unknown))
+}
+
 // measureEnv prints tables of measurements.
 const measureEnv = "REDWINGKNOT_MEASURE"
 
