--- a/admit/controller.go
+++ b/admit/controller.go
@@ -31,7 +31,7 @@
 type Config struct {
 	Fill      float64       // share of its first-token time that the most valuable class may queue
 	Step      float64       // the same of each class relative to the next more valuable
-	FirmStep  float64       // Step once a third of the work is refused
+	FirmStep  float64       // Step once a tenth of the work is refused
 	Ramp      float64       // share of the allowed queue above which some are refused
 	Window    time.Duration // over which teams are compared
 	RetryBase time.Duration // least time to come back after
@@ -106,8 +106,10 @@
 	k.offered(q, now, c.config.Window)
 	c.refresh(now)
 	refusal := c.decide(k, q, rng)
-	k.decided(refusal == nil)
-	c.weigh(k, q, refusal != nil)
+	if refusal == nil || refusal.Reason == contract.ReasonOverload {
+		k.decided(refusal == nil)
+		c.weigh(k, q, refusal != nil)
+	}
 	if refusal == nil {
 		return nil
 	}
@@ -213,9 +215,9 @@
 	c.refused = (1-w)*c.refused + w*x
 }
 
-// firmness grows from 0 to 1 as the share of work refused nears a third.
+// firmness grows from 0 to 1 as the share of work refused nears a tenth.
 func (c *Controller) firmness() float64 {
-	const firmAt = 1.0 / 3
+	const firmAt = 0.1
 	return min(c.refused/firmAt, 1)
 }
 
--- a/internal/decisionbench/sim.go
+++ b/internal/decisionbench/sim.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,12 +49,24 @@
 	Budgeted  Retries = "budgeted"
 )
 
+// Patience says whether callers leave before their class's first-token time,
+// and whether they tell.
+type Patience string
+
+// The values of Patience.
+const (
+	FullTime Patience = ""
+	Hidden   Patience = "hidden" // they leave early without a budget header
+	Told     Patience = "told"   // their budget header says so
+)
+
 // Setup is one cell of a table.
 type Setup struct {
 	Deployment Deployment
 	Routing    Routing
 	Admission  Admission
 	Retries    Retries
+	Patience   Patience
 	Fault      Fault
 	Load       float64 // share of the capacity
 	Seconds    float64 // measured, after the warm-up
@@ -68,6 +81,7 @@
 	reportInterval = 0.25
 	reportLag      = 0.1
 	lateLag        = 2.0
+	leastPatience  = 0.1  // of the first-token time
 	redial         = 0.02 // pause of the unlimited retries
 )
 
@@ -151,6 +165,9 @@
 	}
 	m.clock.after(gap, func() {
 		r := m.traffic.next(m.clock.now)
+		if m.setup.Patience != FullTime {
+			r.patience *= leastPatience + (1-leastPatience)*m.traffic.rng.Float64()
+		}
 		if m.counts(r) {
 			m.result.offered++
 			m.result.demand[r.load.class.Name]++
@@ -190,6 +207,7 @@
 func (m *sim) admitted(rt *router, r *request, d decision) (contract.Reason, bool) {
 	err := rt.admit.Admit(admit.Query{
 		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue), Load: d.choice.MeanQueue,
+		Left: m.left(r),
 		Cost: toDuration(d.fill() + float64(r.load.out)*perToken),
 	}, m.clock.time(), m.rng)
 	var refusal *contract.Refusal
@@ -199,6 +217,14 @@
 	return "", true
 }
 
+// left is the budget that the caller told, zero if none.
+func (m *sim) left(r *request) time.Duration {
+	if m.setup.Patience != Told {
+		return 0
+	}
+	return toDuration(r.patience)
+}
+
 func (d decision) fill() float64 { return d.expected - d.queue }
 
 func (m *sim) send(rt *router, r *request, d decision) {
@@ -244,7 +270,7 @@
 		m.result.returned += len(r.doc.pieces)
 		m.result.recomputed += a.recomputed
 	}
-	if took <= r.load.class.FirstIn.Seconds() {
+	if took <= r.patience {
 		m.result.worth += r.load.class.Worth
 	}
 }
--- a/internal/decisionbench/table_test.go
+++ b/internal/decisionbench/table_test.go
@@ -77,6 +77,7 @@
 		if d.Workers <= todayWorkers {
 			printTable(d, "admission", admissionCells(d))
 			printTable(d, "retries", retryCells(d))
+			printTable(d, "caller budgets", budgetCells(d))
 		}
 	}
 }
@@ -128,6 +129,13 @@
 		func(s *Setup) { s.Admission, s.Retries, s.Seconds = FirstCome, Budgeted, 15 })
 }
 
+// budgetCells have callers that leave early; the hidden ones come first.
+func budgetCells(d Deployment) []Setup {
+	return cells(d, []Fault{Calm, LateReports},
+		func(s *Setup) { s.Patience = Hidden },
+		func(s *Setup) { s.Patience = Told })
+}
+
 // TestNoise prints the spread over seeds of the two best ways to route, to tell
 // a difference from noise.
 func TestNoise(t *testing.T) {
--- a/internal/decisionbench/workload.go
+++ b/internal/decisionbench/workload.go
@@ -108,8 +108,10 @@
 	router int
 	at     float64
 	gaveUp float64
-	tries  int
-	tried  []string
+
+	patience float64 // seconds to first token after which its worth is lost
+	tries    int
+	tried    []string
 }
 
 func (r *request) tokens() int { return len(r.doc.pieces)*pieceTokens + r.load.suffix }
@@ -184,6 +186,7 @@
 	}
 	l := &t.d.Loads[i]
 	r := &request{id: t.nextID, load: l, at: now, router: t.rng.IntN(t.d.Routers)}
+	r.patience = l.class.FirstIn.Seconds()
 	r.gaveUp = now + l.class.Deadline.Seconds()
 	r.team = fmt.Sprint("team", t.rank(t.teams))
 	if t.rng.Float64() < newShare {
