--- a/route/cacheview.go
+++ b/route/cacheview.go
@@ -18,12 +18,15 @@
 // slotSet is a bit set of endpoint slots.
 type slotSet []uint64
 
-func (s *slotSet) add(slot uint16) {
-	word := int(slot / 64)
+// add reports whether the slot is new.
+func (s *slotSet) add(slot uint16) bool {
+	word, bit := int(slot/64), uint64(1)<<(slot%64)
 	for len(*s) <= word {
 		*s = append(*s, 0)
 	}
-	(*s)[word] |= 1 << (slot % 64)
+	isNew := (*s)[word]&bit == 0
+	(*s)[word] |= bit
+	return isNew
 }
 
 func (s slotSet) remove(slot uint16) (empty bool) {
@@ -67,11 +70,11 @@
 	ring.push(block)
 }
 
+// insert reports whether slot did not have block.
 func (v *cacheView) insert(slot uint16, block uint64) bool {
 	h := v.blocks[block]
 	if h.count == wideCount {
-		v.wide[block].add(slot)
-		return true
+		return v.wide[block].add(slot)
 	}
 	for _, s := range h.slots[:h.count] {
 		if s == slot {
--- a/route/health.go
+++ b/route/health.go
@@ -45,12 +45,12 @@
 // failed counts a failure and reports whether it ejects the endpoint. mayEject
 // is false while too many endpoints are ejected already.
 func (h *health) failed(attempt string, c *Config, mayEject bool, now time.Time, rng *rand.Rand) bool {
+	if h.probing && h.probe != attempt {
+		return false // dispatched before the ejection
+	}
 	h.failures++
 	h.abandoned(attempt)
-	if h.failures < c.FailuresToEject && !h.probing {
-		return false
-	}
-	if !h.probing && !mayEject {
+	if !h.probing && (h.failures < c.FailuresToEject || !mayEject) {
 		return false
 	}
 	h.probing = true
--- a/route/query.go
+++ b/route/query.go
@@ -73,6 +73,7 @@
 	Expected     time.Duration // to first token
 	Queue        time.Duration // part of Expected spent waiting
 	MeanQueue    time.Duration // mean of all eligible endpoints that were scored
+	Others       int           // requests at the endpoint, as far as known
 	CachedPieces int           // pieces from the start of the prefix already cached
 	BringBack    bool          // import the missing pieces before dispatch
 	Considered   []Candidate   // only if the query asks for it
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -201,3 +201,34 @@
 	}
 	assert.DeepEqual(t, verdicts, map[Verdict]int{Chosen: 1, NearBest: 1, Leaving: 1})
 }
+
+// TestPopularBlockIsCountedOnce: dispatching a prefix that all endpoints have
+// does not push other blocks out of the view.
+func TestPopularBlockIsCountedOnce(t *testing.T) {
+	v := newCacheView()
+	const limit = 4
+	v.add(0, 1, limit)
+	for slot := range uint16(2 * inlineHolders) {
+		for range 3 * limit {
+			v.add(slot, 2, limit)
+		}
+	}
+	var cached [2 * inlineHolders]uint16
+	v.prefix([]uint64{1, 2}, cached[:])
+	assert.Equal(t, cached[0], uint16(2))
+}
+
+// TestCrashWithManyAttemptsEjectsOnce: the attempts that were in flight at the
+// ejection don't prolong it.
+func TestCrashWithManyAttemptsEjectsOnce(t *testing.T) {
+	r, q := newTestRouter(2), query()
+	for i := range 40 {
+		r.Dispatched(fmt.Sprint(i), q, Choice{Endpoint: "w0"}, epoch)
+	}
+	for i := range 40 {
+		r.Ended("w0", fmt.Sprint(i), Crashed, epoch)
+	}
+	q.Exclude = []string{"w1"}
+	_, err := r.Choose(q, epoch.Add(3*defaultEjectBase/2), newRNG())
+	assert.NilError(t, err)
+}
