--- a/route/router_test.go
+++ b/route/router_test.go
@@ -209,9 +209,10 @@
 	const limit = 4
 	v.add(0, 1, limit)
 	for slot := range uint16(2 * inlineHolders) {
-		for range 3 * limit {
-			v.add(slot, 2, limit)
-		}
+		v.add(slot, 2, limit)
+	}
+	for range 3 * limit {
+		v.add(0, 2, limit)
 	}
 	var cached [2 * inlineHolders]uint16
 	v.prefix([]uint64{1, 2}, cached[:])
