--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -136,3 +137,25 @@
 		c.Admit(Query{Team: names[i%teams], Class: question, Cost: time.Millisecond, Expected: time.Millisecond}, now, rng)
 	}
 }
+
+// BenchmarkTeam reports the memory of a team that has offered work of late.
+func BenchmarkTeam(b *testing.B) {
+	const teams = 28_000
+	rng := newRNG()
+	for range b.N {
+		before := heapBytes()
+		c := NewController(Config{})
+		for i := range teams {
+			c.Admit(Query{Team: fmt.Sprint("team", i), Class: question, Cost: time.Second}, epoch, rng)
+		}
+		b.ReportMetric(float64(heapBytes()-before)/teams, "B/team")
+		runtime.KeepAlive(c)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/suspect/wire_test.go
+++ b/suspect/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -47,3 +48,48 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !p.Alone)
 }
+
+// BenchmarkAskOverTheWire is what each model request costs its entry and its
+// fingerprint's home together.
+func BenchmarkAskOverTheWire(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := wire.NewServer([]byte("k"))
+	NewKeeper(Config{}, nil).Register(server)
+	go server.Serve(b.Context(), l)
+	conn := wire.NewClient(l.Addr().String(), []byte("k"), nil)
+	defer conn.Close()
+	home := Member{Instance: "home", DataCentre: "dc0", Addr: l.Addr().String()}
+	c := NewClient(ClientConfig{
+		Instance: "a", DataCentre: "dc0", Local: NewKeeper(Config{}, nil),
+		Members: func() []Member { return []Member{home} },
+		Dial:    func(string) Caller { return conn },
+	})
+	f := fingerprint(1)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		c.ask(b.Context(), f)
+	}
+}
+
+// BenchmarkSuspect reports the memory of a fingerprint kept.
+func BenchmarkSuspect(b *testing.B) {
+	const entries = 4000
+	for range b.N {
+		before := heapBytes()
+		r := NewRegistry(Config{})
+		for i := range entries {
+			r.Report(fingerprint(i), Crash{Endpoint: "endpoint", Epoch: "epoch"}, false, time.Unix(0, 0))
+		}
+		b.ReportMetric(float64(heapBytes()-before)/entries, "B/suspect")
+		runtime.KeepAlive(r)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
