--- a/internal/decisionbench/result.go
+++ b/internal/decisionbench/result.go
@@ -19,7 +19,7 @@
 	worth      float64
 	bound      float64
 	refusals   map[contract.Reason]int
-	demand     map[string]int
+	demand     map[item]int
 }
 
 // Quantile returns a quantile of the time to first token in seconds.
--- a/internal/decisionbench/sim.go
+++ b/internal/decisionbench/sim.go
@@ -1,6 +1,7 @@
 package decisionbench
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -142,7 +143,7 @@
 		m.routers = append(m.routers, m.newRouter(i))
 	}
 	m.result.refusals = map[contract.Reason]int{}
-	m.result.demand = map[string]int{}
+	m.result.demand = map[item]int{}
 	return m
 }
 
@@ -170,7 +171,7 @@
 		}
 		if m.counts(r) {
 			m.result.offered++
-			m.result.demand[r.load.class.Name]++
+			m.result.demand[item{r.load, r.fresh}]++
 		}
 		m.try(r)
 		m.arrive(end)
@@ -361,25 +362,30 @@
 	return m.result
 }
 
-// bound is the worth that the workers could serve at the least cost, filled
-// from the class with the most worth for its cost.
+// bound is the worth that the workers could serve with a full batch and every
+// returning document cached, filled from the requests with the most worth for
+// their cost. Work carried over the end of the measured time is taken to equal
+// that carried over its start.
 func (m *sim) bound() float64 {
 	alive := float64(m.setup.Deployment.Workers) * m.setup.Seconds
 	if m.setup.Fault == WorkerLost {
 		alive -= m.setup.Seconds * 3 / 4
 	}
-	loads := slices.Clone(m.setup.Deployment.Loads)
-	slices.SortFunc(loads, func(a, b load) int {
-		if a.class.Worth/a.cost() > b.class.Worth/b.cost() {
-			return -1
-		}
-		return 1
-	})
 	sum := 0.0
-	for _, l := range loads {
-		n := min(float64(m.result.demand[l.class.Name]), alive/l.cost())
-		alive -= n * l.cost()
-		sum += n * l.class.Worth
+	for _, i := range m.itemsByDensity() {
+		n := min(float64(m.result.demand[i]), alive/i.cost())
+		alive -= n * i.cost()
+		sum += n * i.load.class.Worth
 	}
 	return sum
 }
+
+func (m *sim) itemsByDensity() []item {
+	var items []item
+	for l := range m.setup.Deployment.Loads {
+		load := &m.setup.Deployment.Loads[l]
+		items = append(items, item{load, false}, item{load, true})
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(b.density(), a.density()) })
+	return items
+}
--- a/internal/decisionbench/workload.go
+++ b/internal/decisionbench/workload.go
@@ -27,13 +27,24 @@
 	out    int     // tokens of the answer
 }
 
-// cost is the least processing time of a request, in seconds: its document is
-// cached unless new, and the batch is full.
-func (l load) cost() float64 {
-	tokens := float64(l.suffix) + newShare*float64(l.pieces*pieceTokens)
-	return tokens/prefillRate + float64(l.out)*perToken
+// item is a kind of request that costs the same.
+type item struct {
+	load  *load
+	fresh bool // the document was never seen
+}
+
+// cost is the least processing time of a request, in seconds: the batch is full
+// and its document cached unless new.
+func (i item) cost() float64 {
+	tokens := i.load.suffix
+	if i.fresh {
+		tokens += i.load.pieces * pieceTokens
+	}
+	return float64(tokens)/prefillRate + float64(i.load.out)*perToken
 }
 
+func (i item) density() float64 { return i.load.class.Worth / i.cost() }
+
 // Deployment is a set of workers and its traffic.
 type Deployment struct {
 	Name       string
@@ -85,8 +96,9 @@
 // least cost.
 func (d Deployment) capacity() float64 {
 	mean := 0.0
-	for _, l := range d.Loads {
-		mean += l.share * l.cost()
+	for i := range d.Loads {
+		l := &d.Loads[i]
+		mean += l.share * ((1-newShare)*item{l, false}.cost() + newShare*item{l, true}.cost())
 	}
 	return float64(d.Workers) / mean
 }
