Routing: what others may add orders endpoints, and no longer refuses requests

Four times the router's own deviation counted in the expected wait, so one long prompt in flight at a home looked like a queue of seconds. It now counts in the ranking only.

--- a/route/bringback.go
+++ b/route/bringback.go
@@ -64,7 +64,7 @@
 	}
 	s.rank += total - s.total
 	if !priced {
-		s.rank = total
+		s.rank = total + s.hint
 	}
 	s.total = total
 	s.prefill = rest
--- a/route/choose.go
+++ b/route/choose.go
@@ -12,7 +12,8 @@
 type score struct {
 	slot      int
 	total     float64
-	rank      float64 // total and the price of another copy of the prefix
+	rank      float64 // total, hint and the price of another copy of the prefix
+	hint      float64 // seconds that others' requests are likely to add
 	queue     float64
 	prefill   float64
 	slow      float64 // learned, of the endpoint
--- a/route/score.go
+++ b/route/score.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		r.score(s, q, e, now)
-		s.rank = s.total + r.copyPrice(q, s.slot, home)
+		s.rank = s.total + s.hint + r.copyPrice(q, s.slot, home)
 		best = min(best, s.rank)
 	}
 	return best
@@ -32,29 +32,33 @@
 	tokens := float64(q.PromptTokens - int(r.cached[s.slot])*r.config.PieceTokens)
 	s.prefill = max(tokens, 1) / r.config.PrefillRate
 	s.slow = e.slowness(now)
-	s.queue = r.wait(e, now) * s.slow
+	wait, hint := r.wait(e, now)
+	s.queue = wait * s.slow
+	s.hint = hint * s.slow
 	s.total = s.queue + s.prefill*r.calibration*s.slow + r.network(q, e) + e.overdue(now)
 }
 
 // wait returns the seconds that a prompt is expected to queue at e. The report
 // counts by its freshness; the rest is what this router's own requests waited
-// of late anywhere, plus how far its load here is from its mean.
-func (r *Router) wait(e *endpoint, now time.Time) float64 {
+// of late anywhere, plus how far its load here is from its mean. The hint is
+// what other routers, which share the prefixes' homes, are likely to add to
+// that: it orders endpoints but is too rough to refuse a request by.
+func (r *Router) wait(e *endpoint, now time.Time) (wait, hint float64) {
 	told := e.queuedTokens() / r.config.PrefillRate * r.calibration
 	if slots := e.spec.Slots; slots > 0 {
 		over := float64(e.outstanding() + 1 - slots)
 		told = max(told, over*r.hold/float64(slots))
 	}
 	if !r.recent.fresh(now) {
-		return told
+		return told, 0
 	}
-	usual := r.recent.wait
 	local := freshness(now.Sub(e.recent.at), r.config.Memory)
-	usual = local*e.recent.wait + (1-local)*usual
+	usual := local*e.recent.wait + (1-local)*r.recent.wait
 	own := e.pendingTokens / r.config.PrefillRate
-	usual += r.config.OwnWeight * (own - r.pending/float64(len(r.byName)))
-	trust := freshness(now.Sub(e.report.At), r.config.Memory)
-	return trust*told + (1-trust)*max(usual, own)
+	apart := own - r.pending/float64(len(r.byName))
+	old := 1 - freshness(now.Sub(e.report.At), r.config.Memory)
+	wait = (1-old)*told + old*max(usual+apart, own)
+	return wait, old * (r.config.OwnWeight - 1) * apart
 }
 
 // scorePlain scores by outstanding requests: plain endpoints report no load.
