--- a/entry/blocks.go
+++ b/entry/blocks.go
@@ -36,14 +36,14 @@
 }
 
 func newBlocks(e *Entry) *blocks {
+	returns := block.NewReturns(nil)
 	b := &blocks{
 		entry: e, client: e.clients.Shared, planner: block.NewPlanner(block.PlannerOptions{}),
-		home: block.NewHome(time.Now, block.NewDirectory(time.Now(), block.DirectoryOptions{})),
+		home: block.NewHome(time.Now, block.NewDirectory(time.Now(), block.DirectoryOptions{Returns: returns})),
 	}
 	b.links = link.NewHome(time.Now, b.linkBudget)
 	b.home.Register(e.wire)
 	b.links.Register(e.wire)
-	returns := block.NewReturns(nil)
 	b.upkeep = &block.Upkeep{
 		Home: b.home, Store: b.store, Log: e.log,
 		Score: func(h block.Holding) float64 { return b.score(returns, h) },
@@ -89,7 +89,7 @@
 		return 0
 	}
 	v := block.Value{Class: state.Classes[h.Class], Compute: b.meanCompute(state), Bytes: h.Bytes}
-	return b.planner.Score(r, v, h.Returns, h.Idle)
+	return b.planner.Score(b.planner.Chance(r, h.Class, h.Returns, h.Idle), v)
 }
 
 // meanCompute is the time to compute a piece of any model.
--- a/suspect/wire_test.go
+++ b/suspect/wire_test.go
@@ -63,7 +63,7 @@
 	c := NewClient(ClientConfig{
 		Instance: "a", DataCentre: "dc0", Local: NewKeeper(Config{}, nil),
 		Members: func() []Member { return []Member{home} },
-		Dial:    func(string) Caller { return conn },
+		Dial:    func(string) wire.Caller { return conn },
 	})
 	f := fingerprint(1)
 	b.ReportAllocs()
