--- a/entry/feed.go
+++ b/entry/feed.go
@@ -25,8 +25,7 @@
 	view     *endpoint.View
 	services *serve.Services
 	engine   func(e note.Endpoint) engine.Engine
-	local    string // own data centre
-	mine     func(endpoint string) bool
+	local    string               // own data centre
 	seen     map[string]time.Time // of the last report passed on
 	events   map[string]uint64    // last event passed on
 }
@@ -79,14 +78,13 @@
 	if state == nil {
 		return
 	}
-	for name, e := range state.Endpoints {
+	for _, e := range state.Endpoints {
 		if e.DataCentre == f.local && state.Services[e.Service].Kind == note.KindModel {
 			f.readEngine(ctx, e)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		_ = name
 	}
 }
 
--- a/serve/bed_test.go
+++ b/serve/bed_test.go
@@ -40,7 +40,6 @@
 	hosts   []*httptest.Server
 	app     *appstandin.Server
 	kv      *platformtest.KV
-	epochs  int
 }
 
 type noLimits struct{ refuse bool }
