--- a/internal/standin/kvs/server_test.go
+++ b/internal/standin/kvs/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -137,3 +138,15 @@
 	_, err = c.Get(ctx, purpose, "a")
 	assert.NilError(t, err)
 }
+
+// TestWatchOfASilentServiceFails has a service that takes the request and
+// never answers.
+func TestWatchOfASilentServiceFails(t *testing.T) {
+	stop := make(chan struct{})
+	web := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop }))
+	defer web.Close()
+	defer close(stop)
+	c := platform.NewClient(platform.ClientOptions{URLs: []string{web.URL}})
+	_, err := c.Watch(t.Context(), purpose, "a", "b", 0)
+	assert.Assert(t, platform.IsUnknown(err), "%v", err)
+}
