--- a/note/book.go
+++ b/note/book.go
@@ -54,6 +54,11 @@
 	changed chan struct{}   // closed at the next change
 	encoded *encodedHistory // snapshot of the current head, nil until asked for
 	forked  uint64          // number of the last fork logged
+
+	// logChain is the chain over the platform's notes, as far as the log has
+	// read them; logFork is set for good once they differ from those in force.
+	logChain Chain
+	logFork  error
 }
 
 // record is a note in force with its chain.
@@ -164,6 +169,9 @@
 	if err := b.log.Sync(ctx); err != nil {
 		return err
 	}
+	if err := b.platformFork(); err != nil {
+		return err
+	}
 	if known := b.log.Head(); known < before {
 		err := &BehindError{InForce: before, Platform: known}
 		event.NoteBehind.Log(b.o.Logger, slog.Any("error", err))
@@ -172,6 +180,14 @@
 	return nil
 }
 
+// platformFork returns the *ForkError of a platform whose notes are not those
+// in force; nothing is accepted there.
+func (b *Book) platformFork() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.logFork
+}
+
 // Submit offers a note written against the head base and returns its number
 // once it is accepted. A *ConflictError names the note that came first; an
 // *InvalidError lists the faults; a *platform.UnknownOutcomeError leaves open
@@ -253,11 +269,22 @@
 	return Chain{}, false
 }
 
-// Apply implements platform.Folder.
+// Apply implements platform.Folder. A note of the platform is only taken if all
+// notes before it there are those in force.
 func (b *Book) Apply(index uint64, entry []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_ = b.take(index, entry, nil) // logged there
+	b.logChain = b.logChain.next(index, entry)
+	if b.logFork != nil {
+		return
+	}
+	if ours, ok := b.chainAt(index); ok && ours != b.logChain {
+		b.logFork = b.fork(index)
+		return
+	}
+	if index > b.state.Head {
+		b.logFork = b.take(index, entry, &b.logChain)
+	}
 }
 
 // take applies note number if it is the next. A number already in force must
@@ -353,35 +380,43 @@
 }
 
 // Restore implements platform.Folder: it never moves the head back.
-func (b *Book) Restore(_ uint64, parts [][]byte) error {
+func (b *Book) Restore(index uint64, parts [][]byte) error {
 	s, err := decodeSnapshot(parts)
 	if err != nil {
 		return err
 	}
+	chain, ok := s.chainAt(index)
+	if !ok {
+		return &EncodingError{What: "snapshot"}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.adopt(s)
+	if err := b.adopt(s); err != nil {
+		return err
+	}
+	b.logChain = chain
+	return nil
 }
 
 // adopt takes a newer snapshot over, if its history is known to contain the
 // notes in force or is too far ahead to tell. b.mu is held.
 func (b *Book) adopt(s snapshot) error {
 	theirs := s.State.Head
+	last, ok := s.chainAt(theirs)
+	if !ok {
+		return &EncodingError{What: "snapshot"}
+	}
 	if theirs <= b.state.Head {
-		if ours, ok := b.chainAt(theirs); ok && len(s.Chains) > 0 && ours != s.Chains[len(s.Chains)-1] {
+		if ours, ok := b.chainAt(theirs); ok && ours != last {
 			return b.fork(theirs)
 		}
 		return nil
 	}
-	if len(s.Chains) == 0 {
-		return &EncodingError{What: "snapshot"}
-	}
-	ahead := theirs - b.state.Head
-	if b.state.Head > 0 && ahead < uint64(len(s.Chains)) && s.Chains[uint64(len(s.Chains))-1-ahead] != b.chain {
+	if same, ok := s.chainAt(b.state.Head); ok && same != b.chain {
 		return b.fork(b.state.Head)
 	}
 	b.state = s.State
-	b.chain = s.Chains[len(s.Chains)-1]
+	b.chain = last
 	b.older = s.Chains
 	b.recent = nil
 	b.bytes = 0
--- a/note/book_fuzz_test.go
+++ b/note/book_fuzz_test.go
@@ -74,7 +74,8 @@
 	serial      int
 	history     map[uint64]float64 // worth after each number
 	submissions []*submission
-	old         []note.Update // updates to be offered again later
+	parent      map[float64]float64 // note before each note, as its operator saw it
+	old         []note.Update       // updates to be offered again later
 }
 
 func (m *bookMachine) start(i int) {
@@ -95,6 +96,9 @@
 	m.serial++
 	s := &submission{serial: m.serial}
 	m.submissions = append(m.submissions, s)
+	if state := lead.book.State(); state.Head == base {
+		m.parent[float64(s.serial)] = state.Classes["x"].Worth
+	}
 	raw := fmt.Sprintf("title: n%d\nadd: {classes: [{name: n%d, worth: 1, firstIn: 1s, deadline: 1s}]}\nchange: {classes: [{name: x, worth: %d}]}\n", s.serial, s.serial, s.serial)
 	if base == 0 {
 		raw = fmt.Sprintf("title: n%d\nadd: {classes: [{name: x, worth: %d, firstIn: 1s, deadline: 1s}]}\n", s.serial, s.serial)
@@ -146,6 +150,13 @@
 				t.Fatalf("member %d lost %s between notes %d and %d", i, name, b.last.Head, s.Head)
 			}
 		}
+		before := worth
+		for range s.Head - b.last.Head {
+			before = m.parent[before]
+		}
+		if before != b.last.Classes["x"].Worth {
+			t.Fatalf("member %d has note %v in force at %d, which was not written over note %v at %d", i, worth, s.Head, b.last.Classes["x"].Worth, b.last.Head)
+		}
 		b.last = s
 	}
 }
@@ -298,7 +309,7 @@
 }
 
 func newBookMachine() *bookMachine {
-	m := &bookMachine{store: platformtest.NewStore(time.Now), leads: 2, members: make([]*member, 4), history: map[uint64]float64{}}
+	m := &bookMachine{store: platformtest.NewStore(time.Now), leads: 2, members: make([]*member, 4), history: map[uint64]float64{}, parent: map[float64]float64{}}
 	for i := range m.members {
 		m.start(i)
 	}
--- a/note/snapshot.go
+++ b/note/snapshot.go
@@ -20,6 +20,14 @@
 	Chains []Chain // of the last numbers up to State.Head
 }
 
+// chainAt returns the chain after a number, if it is one of Chains.
+func (s snapshot) chainAt(number uint64) (Chain, bool) {
+	if number > s.State.Head || s.State.Head-number >= uint64(len(s.Chains)) {
+		return Chain{}, false
+	}
+	return s.Chains[uint64(len(s.Chains))-1-(s.State.Head-number)], true
+}
+
 // Encode returns the state in parts that each fit into one value of the
 // platform: JSON, compressed and cut.
 func (s *State) Encode() [][]byte {
