--- a/note/book_fuzz_test.go
+++ b/note/book_fuzz_test.go
@@ -378,6 +378,14 @@
 	if err := book.Offer(lonely.Since(1, 1<<20)); err != nil && !errors.As(err, &fork) {
 		t.Fatalf("offer: %v", err)
 	}
+	// One that knows the newer notes accepts nothing on the fork.
+	knowing := note.NewBook(note.BookOptions{KV: kv, Writer: "d"})
+	if err := knowing.Offer(book.Since(0, 1<<20)); err != nil {
+		t.Fatal(err)
+	}
+	if err := submit(knowing, three); !errors.As(err, &fork) {
+		t.Fatalf("submit: %v", err)
+	}
 	if got := book.State().Classes["x"].Worth; got != 2 {
 		t.Fatalf("the worth is %v", got)
 	}
