--- a/block/plan.go
+++ b/block/plan.go
@@ -11,7 +11,7 @@
 
 // Defaults of PlannerOptions.
 const (
-	defaultHorizon = time.Hour
+	defaultHorizon = 20 * time.Minute
 	defaultMargin  = 0.05
 )
 
