--- a/block/home.go
+++ b/block/home.go
@@ -158,3 +158,16 @@
 	}
 	return &blockpb.RejectResponse{}, nil
 }
+
+// Score returns the score by which the home's blocks are evicted; value says
+// what a block is worth. A block known from a listing alone has no class and
+// counts with a worth of 1.
+func (h *Home) Score(value func(Holding) Value) func(Holding) float64 {
+	return func(b Holding) float64 {
+		v := value(b)
+		if b.Class == "" {
+			v.Class.Worth = 1
+		}
+		return h.planner.Score(h.planner.Chance(h.dir.opts.Returns, b.Class, b.Returns, b.Idle), v)
+	}
+}
--- a/block/keeper_test.go
+++ b/block/keeper_test.go
@@ -213,3 +213,26 @@
 	s.upkeep.Round(t.Context())
 	assert.Equal(t, s.home.Len(), 0)
 }
+
+// TestFullStoreFreesTheLeast fills a store and has the upkeep evict from it.
+func TestFullStoreFreesTheLeast(t *testing.T) {
+	s := newSite(t, 1)
+	p, e := testPrompt(10)
+	assert.Equal(t, s.export(t, e, p), 10)
+	s.upkeep.Score = s.home.Score(func(h Holding) Value { return Value{Class: p.Class, Compute: p.Compute, Bytes: h.Bytes} })
+	full := store.Status{Epoch: s.epoch(t), Capacity: store.Capacity{MemoryUsed: 100, MemoryTotal: 100}}
+	assert.Equal(t, s.home.setStatus(s.urls[0], full, s.upkeep.Score), 1)
+	s.upkeep.Round(t.Context())
+	n, _ := s.bring(t, p)
+	assert.Equal(t, n, 9)
+	status, err := s.upkeep.Store(s.urls[0]).Status(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, status.Capacity.Used(), int64(9*testBytes))
+}
+
+func (s *site) epoch(t *testing.T) string {
+	t.Helper()
+	status, err := s.upkeep.Store(s.urls[0]).Status(t.Context())
+	assert.NilError(t, err)
+	return status.Epoch
+}
--- a/block/upkeep.go
+++ b/block/upkeep.go
@@ -22,6 +22,9 @@
 	// down to which it goes.
 	highFill = 0.95
 	lowFill  = 0.90
+	// evictionsAtOnce bounds the stores evicted from after one poll: each orders
+	// all of a store's blocks.
+	evictionsAtOnce = 3
 )
 
 // Upkeep keeps a home's directory in agreement with the stores: it lists what is
@@ -34,6 +37,7 @@
 
 	polled time.Time
 	listed time.Time
+	first  int // store to poll first, so that each gets its turn to evict
 }
 
 // Run works until ctx ends.
@@ -67,22 +71,36 @@
 
 // poll asks the stores for their state and evicts where they are full.
 func (u *Upkeep) poll(ctx context.Context) {
-	for _, url := range u.Home.storeURLs() {
-		ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
-		status, err := u.Store(url).Status(ctx)
-		cancel()
-		if err != nil {
-			if u.Home.setDown(url) {
-				event.StoreUnreachable.Log(u.Log, slog.String("store", url), slog.Any("error", err))
-			}
-			continue
+	urls := u.Home.storeURLs()
+	u.first++
+	evictions := 0
+	for i := range urls {
+		url := urls[(u.first+i)%len(urls)]
+		score := u.Score
+		if evictions >= evictionsAtOnce {
+			score = nil
 		}
-		if evicted := u.Home.setStatus(url, status, u.Score); evicted > 0 {
+		if evicted := u.pollStore(ctx, url, score); evicted > 0 {
+			evictions++
 			metric.Counter("block_evicted_total").Inc(int64(evicted))
 		}
 	}
 }
 
+// pollStore takes in one store's state and returns the number of blocks evicted.
+func (u *Upkeep) pollStore(ctx context.Context, url string, score func(Holding) float64) int {
+	ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
+	defer cancel()
+	status, err := u.Store(url).Status(ctx)
+	if err == nil {
+		return u.Home.setStatus(url, status, score)
+	}
+	if ctx.Err() != context.Canceled && u.Home.setDown(url) {
+		event.StoreUnreachable.Log(u.Log, slog.String("store", url), slog.Any("error", err))
+	}
+	return 0
+}
+
 func (u *Upkeep) wantListings() {
 	h := u.Home
 	h.mu.Lock()
