--- a/block/upkeep.go
+++ b/block/upkeep.go
@@ -148,17 +148,21 @@
 }
 
 // free sends the frees that are due. The store answers when its own read grants
-// have ended, so the wait for it is bounded.
+// have ended, so the wait for it is bounded. A store out of reach is not tried
+// again in this round; listings find what it keeps.
 func (u *Upkeep) free(ctx context.Context) {
 	h := u.Home
 	h.mu.Lock()
 	due := h.dir.DueFrees(h.now())
 	h.mu.Unlock()
+	unreachable := map[string]bool{}
 	for _, l := range due {
-		ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
-		freed, err := u.Store(l.Store).Free(ctx, l.Ref())
-		cancel()
+		if unreachable[l.Store] {
+			continue
+		}
+		freed, err := u.freeOne(ctx, l)
 		if err != nil {
+			unreachable[l.Store] = !store.IsRefusal(err)
 			continue
 		}
 		h.mu.Lock()
@@ -167,6 +171,12 @@
 	}
 }
 
+func (u *Upkeep) freeOne(ctx context.Context, l Located) (store.Freed, error) {
+	ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
+	defer cancel()
+	return u.Store(l.Store).Free(ctx, l.Ref())
+}
+
 func (h *Home) storeURLs() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
