Forget the frees of a store's old epoch

A long search found a block that stayed in a store and out of the directory: it had been due to be freed in the epoch before, and the mark against restoring it outlived the epoch. Nothing wrong could be read; the room was lost until the hourly listing. Marks now go with the epoch, and with the partition.

--- a/block/directory_test.go
+++ b/block/directory_test.go
@@ -32,6 +32,20 @@
 	assert.Equal(t, len(d.DueFrees(testStart)), 1)
 }
 
+// TestNewEpochForgetsFrees has a store start over while one of its blocks is to
+// be freed, and hold the same generation of it again.
+func TestNewEpochForgetsFrees(t *testing.T) {
+	d := NewDirectory(testStart, DirectoryOptions{})
+	key := testChain(1)[0]
+	p := publication(key, 1, 1)
+	assert.NilError(t, d.Publish(testStart, p))
+	assert.Assert(t, d.Free(testStart, key, 1))
+	r := ListRequest{Store: "s", Partition: key.Partition()}
+	assert.NilError(t, d.ApplyListing(testStart, r, store.Listing{Epoch: "f", Seq: 1, Blocks: []store.Sealed{p.Sealed}}))
+	assert.Equal(t, d.Len(), 1)
+	assert.Equal(t, len(d.DueFrees(testStart)), 0)
+}
+
 func TestGapAsksForListing(t *testing.T) {
 	d := NewDirectory(testStart, DirectoryOptions{GapGrace: time.Second})
 	keys := testChain(4)
--- a/block/rebuild.go
+++ b/block/rebuild.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 		}
 	}
 	d.frees = slices.DeleteFunc(d.frees, func(f pendingFree) bool { return !owned[f.block.Key.Partition()] })
+	maps.DeleteFunc(d.freed, func(id generationID, _ time.Time) bool { return !owned[id.key.Partition()] })
 	for _, url := range stores {
 		index, err := d.storeIndex(url)
 		if err != nil {
@@ -114,7 +116,8 @@
 	return nil
 }
 
-// restart forgets all blocks of a store that has started a new epoch.
+// restart forgets all blocks of a store that has started a new epoch, and what
+// was to be freed in the one before.
 func (d *Directory) restart(index uint16, epoch string) {
 	for _, i := range d.index {
 		if e := &d.entries[i]; e.store == index {
@@ -129,6 +132,7 @@
 	}
 	s.epoch = epoch
 	d.frees = slices.DeleteFunc(d.frees, func(f pendingFree) bool { return f.block.Store == s.url })
+	maps.DeleteFunc(d.freed, func(id generationID, _ time.Time) bool { return id.store == index })
 }
 
 // dropUnlisted forgets the blocks of the partition that a listing at least as
