Hold back frees of blocks learnt from listings

A block learnt from a listing is now held as if a read of the longest time had been granted at that moment.

--- a/block/directory.go
+++ b/block/directory.go
@@ -47,7 +47,7 @@
 	return engine.BlockRef{Key: l.Key.String(), Generation: l.Generation, Length: l.Length, Checksum: l.Checksum}
 }
 
-// Publication announces a sealed block.
+// Publication announces a sealed block. A block is announced once.
 type Publication struct {
 	Store    string
 	Class    string // class of the request whose prompt it belongs to
@@ -206,21 +206,20 @@
 		return err
 	}
 	s.sequence(key.Partition()).seen(now, p.Sealed.Seq)
-	return d.put(now, key, index, class, p.Position, p.Sealed.Ref)
+	fresh := entry{key: key, used: d.seconds(now), store: index, class: class, position: uint16(min(p.Position, math.MaxUint16))}
+	return d.put(now, fresh, p.Sealed.Ref)
 }
 
-// put adds an entry unless a newer generation is there.
-func (d *Directory) put(now time.Time, key Key, index uint16, class uint8, position int, ref engine.BlockRef) error {
+// put adds an entry for ref unless a newer generation is there.
+func (d *Directory) put(now time.Time, fresh entry, ref engine.BlockRef) error {
+	key, index := fresh.key, fresh.store
 	if _, gone := d.freed[generationID{key, ref.Generation, index}]; gone {
 		return &FreedError{Key: key, Generation: ref.Generation}
 	}
 	if ref.Length < 0 || ref.Length > math.MaxUint32 {
 		return &TooManyError{What: "bytes in a block", Limit: math.MaxUint32}
 	}
-	fresh := entry{
-		key: key, generation: ref.Generation, checksum: ref.Checksum, length: uint32(ref.Length), used: d.seconds(now),
-		store: index, position: uint16(min(position, math.MaxUint16)), class: class,
-	}
+	fresh.generation, fresh.checksum, fresh.length = ref.Generation, ref.Checksum, uint32(ref.Length)
 	old := d.entry(key)
 	if _, taken := d.index[key.Fingerprint()]; taken && old == nil {
 		return &CollisionError{Key: key}
--- a/block/directory_test.go
+++ b/block/directory_test.go
@@ -69,6 +69,19 @@
 	assert.Equal(t, len(d.DueFrees(testStart.Add(3*time.Second))), 1)
 }
 
+// TestAdoptedBlockMayBeGranted covers a home that learns of a block from a
+// listing: the home before it may have granted a read.
+func TestAdoptedBlockMayBeGranted(t *testing.T) {
+	d := NewDirectory(testStart, DirectoryOptions{MaxGrant: 3 * time.Second})
+	key := testChain(1)[0]
+	r := ListRequest{Store: "s", Partition: key.Partition()}
+	l := store.Listing{Epoch: "e", Seq: 1, Blocks: []store.Sealed{publication(key, 1, 1).Sealed}}
+	assert.NilError(t, d.ApplyListing(testStart, r, l))
+	assert.Assert(t, d.Free(testStart, key, 1))
+	assert.Equal(t, len(d.DueFrees(testStart.Add(3*time.Second))), 0)
+	assert.Equal(t, len(d.DueFrees(testStart.Add(4*time.Second))), 1)
+}
+
 func TestDirectoryRefuses(t *testing.T) {
 	d := NewDirectory(testStart, DirectoryOptions{MaxBlocks: 1})
 	keys := testChain(2)
--- a/block/rebuild.go
+++ b/block/rebuild.go
@@ -105,13 +105,16 @@
 	if err != nil {
 		return err
 	}
+	// Another home, or this one before it forgot the block, may have granted
+	// reads of it.
+	granted := d.seconds(now.Add(d.opts.MaxGrant)) + 1
 	for _, b := range l.Blocks {
 		key, err := ParseKey(b.Ref.Key)
 		if err != nil || key.Partition() != r.Partition {
 			continue
 		}
 		// A refusal here is about one block, which is then freed or unwanted.
-		_ = d.put(now, key, index, class, 0, b.Ref)
+		_ = d.put(now, entry{key: key, used: d.seconds(now), granted: granted, store: index, class: class}, b.Ref)
 	}
 	return nil
 }
