Endpoint view: observations reach all instances in rounds of doubling distance

The exchange with six fixed partners left half of the reports older than 57 s at 42 instances and 77 endpoints with ever-changing loads, whatever fits its byte bound. Weighed: a larger bound (gossip tells everything several times), one collector (its receive rate alone is near the budget of a node), and rounds in which an instance tells the one at distance 2^r what it polled or heard in this cycle. The last tells each instance everything about once. State besides the load goes along in one cycle of four and after a change.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"redwingknot/endpoint/endpointpb"
@@ -13,8 +14,11 @@
 
 // Timing of observations.
 const (
-	freshFor        = 10 * time.Second // age up to which a report is believed
-	refreshInterval = 3 * time.Second  // an unchanged report is passed on this often
+	freshFor   = 10 * time.Second // age up to which a report is believed
+	cycle      = 3 * time.Second  // time in which observations reach all instances
+	urgentTime = 2 * cycle        // how long a change of more than load is repeated
+	// clockSlack is how early a message of the next cycle may arrive here.
+	clockSlack = 200 * time.Millisecond
 )
 
 // minAdvance is how much newer a passed-on report must seem to count as newer.
@@ -27,11 +31,8 @@
 	listingLeaving = 2
 )
 
-// exchangeBytes bounds the observations in one message of an exchange.
-const exchangeBytes = 700
-
-// loadStep is the relative change of load that is passed on at once.
-const loadStep = 8 // one part in loadStep
+// exchangeBytes bounds the observations in one message.
+const exchangeBytes = 4 << 10
 
 // observation is the newest knowledge of one endpoint.
 type observation struct {
@@ -41,9 +42,8 @@
 	leaving   string    // epoch that said it leaves; it never takes that back
 	isLeaving bool
 	listing   listing
-	changed   uint64    // step of the table at the last change to pass on
-	urgent    bool      // the change concerns more than load
-	passed    time.Time // when the change was last numbered
+	urgent    time.Time // until when the observation is repeated in full
+	heard     time.Time // when another instance last gave a newer report
 }
 
 // listing is what the platform's list says of an endpoint. A leaving mark counts
@@ -74,11 +74,13 @@
 
 // table merges observations of endpoints; it has one owner.
 type table struct {
-	step uint64
-	list map[string]*observation
+	list  map[string]*observation
+	fresh map[string]bool // endpoints with news in the present cycle
 }
 
-func newTable() *table { return &table{list: map[string]*observation{}} }
+func newTable() *table {
+	return &table{list: map[string]*observation{}, fresh: map[string]bool{}}
+}
 
 func (t *table) at(name string) *observation {
 	o := t.list[name]
@@ -89,26 +91,24 @@
 	return o
 }
 
-// observe takes a report if it is newer than the one held. Within one epoch a
-// leaving mark is kept whatever the order in which reports arrive.
-func (t *table) observe(now time.Time, name string, r engine.Report) {
+// observe takes a report if it is newer than the one held, and says whether it
+// did. Within one epoch a leaving mark is kept whatever the order in which
+// reports arrive.
+func (t *table) observe(now time.Time, name string, r engine.Report) bool {
 	o := t.at(name)
 	if r.Leaving && !(o.isLeaving && o.leaving == r.Epoch) {
 		o.isLeaving, o.leaving = true, r.Epoch
-		t.touch(now, o, true)
+		t.hurry(now, name, o)
 	}
 	if o.known && !r.At.After(o.report.At) {
-		return
+		return false
 	}
-	old := o.report
-	wasReachable := o.reachable(now)
+	changed := !o.reachable(now) || differs(o.report, r)
 	o.report, o.known = r, true
-	switch {
-	case !wasReachable || differs(old, r):
-		t.touch(now, o, true)
-	case loadDiffers(old, r) || now.Sub(o.passed) > refreshInterval:
-		t.touch(now, o, false)
+	if changed {
+		t.hurry(now, name, o)
 	}
+	return true
 }
 
 // fail takes a poll that got no answer.
@@ -120,15 +120,15 @@
 	wasReachable := o.reachable(now)
 	o.failedAt = at
 	if wasReachable && !o.reachable(now) {
-		t.touch(now, o, true)
+		t.hurry(now, name, o)
 	}
 }
 
-func (t *table) touch(now time.Time, o *observation, urgent bool) {
-	t.step++
-	o.changed = t.step
-	o.urgent = urgent
-	o.passed = now
+// hurry marks a change of more than load, which every instance that hears of it
+// repeats for a while.
+func (t *table) hurry(now time.Time, name string, o *observation) {
+	o.urgent = now.Add(urgentTime)
+	t.fresh[name] = true
 }
 
 // differs reports a change of more than load.
@@ -137,20 +137,12 @@
 		a.Role != b.Role || a.Leaving != b.Leaving || !slices.Equal(a.Adapters, b.Adapters)
 }
 
-func loadDiffers(a, b engine.Report) bool {
-	return stepped(a.Running, b.Running) || stepped(a.Waiting, b.Waiting) || stepped(a.QueuedTokens, b.QueuedTokens)
-}
-
-func stepped(a, b int) bool {
-	change := max(a, b) - min(a, b)
-	return change*loadStep > max(a, b)
-}
-
 // forget drops endpoints that keep does not report.
 func (t *table) forget(keep func(name string) bool) {
 	for name := range t.list {
 		if !keep(name) {
 			delete(t.list, name)
+			delete(t.fresh, name)
 		}
 	}
 }
@@ -162,58 +154,75 @@
 	if leaving && o.listing.leaving {
 		next.epoch = o.listing.epoch
 	}
-	t.takeListing(now, o, next)
+	t.takeListing(now, name, o, next)
 }
 
 // takeListing merges a listing; the newest reading of the list wins.
-func (t *table) takeListing(now time.Time, o *observation, next listing) {
+func (t *table) takeListing(now time.Time, name string, o *observation, next listing) {
 	if !next.known || o.listing.known && !next.at.After(o.listing.at) {
 		return
 	}
 	changed := next.leaving != o.listing.leaving || next.leaving && next.epoch != o.listing.epoch
 	o.listing = next
 	if changed {
-		t.touch(now, o, true)
+		t.hurry(now, name, o)
+	}
+}
+
+// begin starts a cycle with what this instance has polled itself and with the
+// urgent changes. A second poller's observation is left out while the first's
+// arrives.
+func (t *table) begin(now time.Time, first, second []string) {
+	clear(t.fresh)
+	for _, name := range first {
+		t.fresh[name] = true
+	}
+	for _, name := range second {
+		if now.Sub(t.at(name).heard) > 2*cycle {
+			t.fresh[name] = true
+		}
+	}
+	for name, o := range t.list {
+		if now.Before(o.urgent) || now.Sub(o.heard) < clockSlack {
+			t.fresh[name] = true
+		}
 	}
 }
 
-// batch returns the changes after step, the urgent ones first, up to
-// exchangeBytes, and the step up to which the receiver is told.
-func (t *table) batch(now time.Time, after uint64) ([]*endpointpb.Observation, uint64) {
-	names := t.changedAfter(after)
+// batch returns the news of the present cycle, the urgent ones first, up to
+// exchangeBytes. The others are told in full in some cycles only.
+func (t *table) batch(now time.Time, full bool) []*endpointpb.Observation {
 	var list []*endpointpb.Observation
-	told := t.step
 	size := 0
-	for _, name := range names {
-		p := encode(now, name, t.list[name])
-		size += proto.Size(p)
-		if size > exchangeBytes && len(list) > 0 {
-			told = min(told, t.list[name].changed-1)
+	for _, name := range t.freshNames(now) {
+		o := t.list[name]
+		if o == nil || !o.known && !o.listing.known && o.failedAt.IsZero() {
 			continue
 		}
+		p := encode(now, name, o, full || now.Before(o.urgent))
+		if size += proto.Size(p); size > exchangeBytes {
+			break
+		}
 		list = append(list, p)
 	}
-	return list, max(told, after)
+	return list
 }
 
-// changedAfter returns the names of changed endpoints: urgent changes first,
-// then the oldest change first so that what does not fit is told next time.
-func (t *table) changedAfter(after uint64) []string {
-	var names []string
-	for name, o := range t.list {
-		if o.changed > after {
-			names = append(names, name)
-		}
+// freshNames returns the endpoints with news: the urgent ones, then the newest.
+func (t *table) freshNames(now time.Time) []string {
+	names := make([]string, 0, len(t.fresh))
+	for name := range t.fresh {
+		names = append(names, name)
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		x, y := t.list[a], t.list[b]
-		if x.urgent != y.urgent {
-			if x.urgent {
-				return -1
-			}
-			return 1
+		x, y := t.at(a), t.at(b)
+		if c := flag(now.Before(y.urgent)) - flag(now.Before(x.urgent)); c != 0 {
+			return c
 		}
-		return cmp.Compare(x.changed, y.changed)
+		if c := y.report.At.Compare(x.report.At); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
 	})
 	return names
 }
@@ -232,18 +241,23 @@
 // report seem newer than it is; within minAdvance it is the same report.
 func (t *table) absorbOne(now time.Time, p *endpointpb.Observation) {
 	o := t.at(p.Endpoint)
-	t.takeListing(now, o, decodeListing(now, p))
+	t.takeListing(now, p.Endpoint, o, decodeListing(now, p))
 	at := before(now, p.AgeMs)
 	switch {
 	case p.Unobserved:
 	case p.Unreachable && at.Sub(o.failedAt) > minAdvance:
 		t.fail(now, at, p.Endpoint)
 	case p.Unreachable:
+	case p.Epoch == "" && p.Content != contentOf(o.report):
+		// Only the load is told, and this instance lacks the state it is of.
 	default:
 		if at.Sub(o.report.At) < minAdvance {
 			at = o.report.At
 		}
-		t.observe(now, p.Endpoint, decode(p, at))
+		if t.observe(now, p.Endpoint, decode(p, at, o.report)) {
+			o.heard = now
+			t.fresh[p.Endpoint] = true
+		}
 	}
 }
 
@@ -272,14 +286,25 @@
 	}
 }
 
-func encode(now time.Time, name string, o *observation) *endpointpb.Observation {
-	p := encodeReport(now, o)
+// contentOf identifies all of a report but its load.
+func contentOf(r engine.Report) uint32 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range append([]string{r.Epoch, r.Model, r.Version, r.Loading, r.Role}, r.Adapters...) {
+		d.WriteString(part)
+		d.Write([]byte{0})
+	}
+	return uint32(d.Sum64())
+}
+
+func encode(now time.Time, name string, o *observation, full bool) *endpointpb.Observation {
+	p := encodeReport(now, o, full)
 	p.Endpoint = name
 	encodeListing(now, o, p)
 	return p
 }
 
-func encodeReport(now time.Time, o *observation) *endpointpb.Observation {
+func encodeReport(now time.Time, o *observation, full bool) *endpointpb.Observation {
 	switch {
 	case o.failedAt.After(o.report.At):
 		return &endpointpb.Observation{Unreachable: true, AgeMs: ageMillis(now, o.failedAt)}
@@ -287,39 +312,34 @@
 		return &endpointpb.Observation{Unobserved: true}
 	}
 	r := o.report
-	return &endpointpb.Observation{
-		Epoch:        r.Epoch,
-		Model:        r.Model,
-		Version:      r.Version,
-		Loading:      r.Loading,
-		Adapters:     r.Adapters,
-		Role:         r.Role,
-		Fence:        r.Fence,
+	p := &endpointpb.Observation{
+		Content:      contentOf(r),
 		Running:      uint32(r.Running),
 		Waiting:      uint32(r.Waiting),
 		QueuedTokens: uint32(r.QueuedTokens),
 		Leaving:      r.Leaving || o.saysLeaving(),
 		AgeMs:        ageMillis(now, r.At),
 	}
+	if full {
+		p.Epoch, p.Model, p.Version, p.Loading = r.Epoch, r.Model, r.Version, r.Loading
+		p.Adapters, p.Role, p.Fence = r.Adapters, r.Role, r.Fence
+	}
+	return p
 }
 
 func ageMillis(now, at time.Time) uint32 {
 	return uint32(max(now.Sub(at).Milliseconds(), 0))
 }
 
-func decode(p *endpointpb.Observation, at time.Time) engine.Report {
-	return engine.Report{
-		Epoch:        p.Epoch,
-		Model:        p.Model,
-		Version:      p.Version,
-		Loading:      p.Loading,
-		Adapters:     p.Adapters,
-		Role:         p.Role,
-		Fence:        p.Fence,
-		Running:      int(p.Running),
-		Waiting:      int(p.Waiting),
-		QueuedTokens: int(p.QueuedTokens),
-		Leaving:      p.Leaving,
-		At:           at,
+// decode returns the report that p tells; without the state it is that of held.
+func decode(p *endpointpb.Observation, at time.Time, held engine.Report) engine.Report {
+	r := held
+	if p.Epoch != "" {
+		r.Epoch, r.Model, r.Version, r.Loading = p.Epoch, p.Model, p.Version, p.Loading
+		r.Adapters, r.Role, r.Fence = p.Adapters, p.Role, p.Fence
 	}
+	r.Running, r.Waiting, r.QueuedTokens = int(p.Running), int(p.Waiting), int(p.QueuedTokens)
+	r.Leaving = p.Leaving
+	r.At = at
+	return r
 }
--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -1,8 +1,10 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
+	"math/bits"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,17 +20,16 @@
 
 // Timing of polls and exchanges.
 const (
-	pollInterval     = time.Second
-	pollTimeout      = 800 * time.Millisecond
-	exchangeInterval = time.Second
-	exchangeTimeout  = time.Second
-	listInterval     = 10 * time.Second
+	pollInterval    = time.Second
+	pollTimeout     = 800 * time.Millisecond
+	exchangeTimeout = time.Second
+	listInterval    = 10 * time.Second
 )
 
 const (
 	pollers     = 2 // instances that poll an endpoint
 	listReaders = 2 // instances of a data centre that read the platform's list
-	partners    = 6 // instances with which observations are exchanged in turn
+	fullCycles  = 4 // one cycle in fullCycles tells observations in full
 )
 
 // Listed is an endpoint in the platform's lagging list.
@@ -48,14 +49,13 @@
 	Caller() instance.Caller
 }
 
-// ViewConfig is what a View needs. PlatformList, Now and Rand may be left out.
+// ViewConfig is what a View needs. PlatformList and Now may be left out.
 type ViewConfig struct {
 	Members      Members
 	State        func() *note.State // configuration in force, nil for none
 	Engine       func(e note.Endpoint) engine.Engine
 	PlatformList PlatformList
 	Now          func() time.Time
-	Rand         *rand.Rand
 }
 
 // View is what this instance knows of the endpoints of its data centre, merged
@@ -67,8 +67,7 @@
 
 	mu    sync.Mutex
 	table *table
-	told  map[string]uint64 // step of the table up to which an instance was told
-	round int
+	cycle int64 // number of the cycle that the table's news belong to
 }
 
 // NewView returns a View that does nothing before Run.
@@ -76,10 +75,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	if cfg.Rand == nil {
-		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	}
-	return &View{cfg: cfg, table: newTable(), told: map[string]uint64{}}
+	return &View{cfg: cfg, table: newTable()}
 }
 
 // Register adds the exchange's handler to s.
@@ -92,7 +88,7 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { v.every(ctx, pollInterval, v.poll) })
-	tasks.Go(func() { v.every(ctx, exchangeInterval, v.exchange) })
+	tasks.Go(func() { v.exchangeAll(ctx) })
 	tasks.Go(func() { v.every(ctx, listInterval, v.readList) })
 	<-ctx.Done()
 	return nil
@@ -245,55 +241,92 @@
 	return "done"
 }
 
-// exchange trades observations with one partner, each in turn.
-func (v *View) exchange(ctx context.Context) {
-	to, ok := v.partner()
-	if !ok {
+// exchangeAll runs the rounds of the exchange until ctx ends. In round r of a
+// cycle each instance tells the one at distance 2^r on the ring what it has
+// polled or heard in this cycle, so that after log2(instances) rounds all know
+// all, and each is told everything about once. Rounds are cut by the clock;
+// clocks that differ cost freshness only.
+func (v *View) exchangeAll(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		round := cycle / time.Duration(roundsOf(len(v.ring())))
+		wait := round - time.Duration(v.cfg.Now().UnixNano())%round
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+			calls.Go(func() { v.exchange(ctx, round) })
+		}
+	}
+}
+
+// roundsOf returns the rounds in which one of n instances can tell all.
+func roundsOf(n int) int { return max(bits.Len(uint(n-1)), 1) }
+
+// ring returns the instances of the data centre by identifier.
+func (v *View) ring() []instance.Member {
+	list := v.cfg.Members.In(v.cfg.Members.Self().DataCentre)
+	slices.SortFunc(list, func(a, b instance.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// exchange makes the call of the present round.
+func (v *View) exchange(ctx context.Context, round time.Duration) {
+	ring := v.ring()
+	self := v.cfg.Members.Self()
+	at := slices.IndexFunc(ring, func(m instance.Member) bool { return m.ID == self.ID })
+	now := v.cfg.Now()
+	r := time.Duration(now.UnixNano()) % cycle / round
+	list := v.news(now)
+	if at < 0 || len(ring) < 2 || len(list) == 0 {
+		return
+	}
+	to := ring[(at+1<<r)%len(ring)]
+	if to.ID == self.ID {
 		return
 	}
-	v.mu.Lock()
-	after := v.told[to.ID]
-	list, step := v.table.batch(v.cfg.Now(), after)
-	v.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	req := &endpointpb.Exchange{From: v.cfg.Members.Self().ID, Observations: list}
-	var answer endpointpb.Exchange
-	if err := v.cfg.Members.Caller().Call(ctx, to.Addr, methodExchange, req, &answer); err != nil {
+	req := &endpointpb.Exchange{Observations: list}
+	if err := v.cfg.Members.Caller().Call(ctx, to.Addr, methodExchange, req, &endpointpb.Exchange{}); err != nil {
 		metric.Counter("endpoint_exchange_failures_total").Inc(1)
-		return
 	}
+}
+
+// news returns what to tell now, and starts a new cycle when it is time.
+func (v *View) news(now time.Time) []*endpointpb.Observation {
+	first, second := v.polled()
+	number := now.UnixNano() / int64(cycle)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.told[to.ID] = step
-	v.table.absorb(v.cfg.Now(), answer.Observations, v.known)
+	if number != v.cycle {
+		v.cycle = number
+		v.table.begin(now, first, second)
+	}
+	return v.table.batch(now, number%fullCycles == 0)
 }
 
-// partner returns the next of a fixed few members of the data centre.
-func (v *View) partner() (instance.Member, bool) {
+// polled returns the endpoints that this instance polls as the first and as a
+// further poller.
+func (v *View) polled() (first, second []string) {
 	self := v.cfg.Members.Self()
-	ranked := instance.Rank(self.ID, v.cfg.Members.In(self.DataCentre))
-	others := make([]instance.Member, 0, partners)
-	for _, m := range ranked {
-		if m.ID != self.ID && len(others) < partners {
-			others = append(others, m)
+	local := v.cfg.Members.In(self.DataCentre)
+	for _, e := range v.share() {
+		if instance.Owner(e.Name, local).ID == self.ID {
+			first = append(first, e.Name)
+		} else {
+			second = append(second, e.Name)
 		}
 	}
-	if len(others) == 0 {
-		return instance.Member{}, false
-	}
-	v.round++
-	return others[v.round%len(others)], true
+	return first, second
 }
 
 func (v *View) handleExchange(_ context.Context, req *endpointpb.Exchange) (*endpointpb.Exchange, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.cfg.Now()
-	list, step := v.table.batch(now, v.told[req.From])
-	v.told[req.From] = step
-	v.table.absorb(now, req.Observations, v.known)
-	return &endpointpb.Exchange{Observations: list}, nil
+	v.table.absorb(v.cfg.Now(), req.Observations, v.known)
+	return &endpointpb.Exchange{}, nil
 }
 
 // readList merges the platform's list on a few instances of the data centre.
