--- a/endpoint/orders_test.go
+++ b/endpoint/orders_test.go
@@ -319,3 +319,17 @@
 		}
 	})
 }
+
+// lapsedLead is a lead whose lease has lapsed since it planned.
+type lapsedLead struct{}
+
+func (lapsedLead) Held() (int64, bool)             { return 0, false }
+func (lapsedLead) Lease() (platform.LeaseID, bool) { return 0, false }
+
+func TestPausedLeadChecksBeforeEachOrder(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	e := w.engines["w0"]
+	o := NewOrders(OrdersConfig{Lead: lapsedLead{}, State: w.state.Load, Engine: func(note.Endpoint) engine.Engine { return e }})
+	o.give(t.Context(), 1, Instruction{Endpoint: w.state.Load().Endpoints["w0"], Order: engine.Order{Version: "v2", Expires: orderExpiry}})
+	assert.Equal(t, len(e.worker.begun), 0)
+}
--- a/endpoint/view_test.go
+++ b/endpoint/view_test.go
@@ -160,7 +160,7 @@
 		v.until(func(x *View) bool { return x.Usable("w3") && x.Usable("w4") })
 
 		v.engines["w4"].set(func(e *loadedEngine) { e.down = true })
-		assert.Assert(t, v.until(func(x *View) bool { return !x.Usable("w4") }) < leaveBound)
+		assert.Assert(t, v.until(func(x *View) bool { return !x.Usable("w4") }) < 2*cycle, "a failed poll counts before the report is outdated")
 
 		fewer := stateOf("v1", 3, 2)
 		v.state.Store(fewer)
