--- a/internal/decisionbench/sim.go
+++ b/internal/decisionbench/sim.go
@@ -1,10 +1,12 @@
 package decisionbench
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,16 +50,31 @@
 	Budgeted  Retries = "budgeted"
 )
 
+// Patience says whether callers leave before their class's first-token time,
+// and whether they tell.
+type Patience string
+
+// The values of Patience.
+const (
+	FullTime Patience = ""
+	Hidden   Patience = "hidden" // they leave early without a budget header
+	Told     Patience = "told"   // their budget header says so
+)
+
 // Setup is one cell of a table.
 type Setup struct {
 	Deployment Deployment
 	Routing    Routing
 	Admission  Admission
 	Retries    Retries
+	Patience   Patience
 	Fault      Fault
 	Load       float64 // share of the capacity
 	Seconds    float64 // measured, after the warm-up
 	Seed       uint64
+
+	Route route.Config // of the score; zero fields take defaults
+	Admit admit.Config
 }
 
 const (
@@ -65,6 +82,8 @@
 	reportInterval = 0.25
 	reportLag      = 0.1
 	lateLag        = 2.0
+	leastPatience  = 0.1  // of the first-token time
+	redial         = 0.02 // pause of the unlimited retries
 )
 
 // attempt is one dispatch of a request.
@@ -124,14 +143,14 @@
 		m.routers = append(m.routers, m.newRouter(i))
 	}
 	m.result.refusals = map[contract.Reason]int{}
-	m.result.demand = map[string]int{}
+	m.result.demand = map[item]int{}
 	return m
 }
 
 func (m *sim) newRouter(i int) *router {
-	r := &router{admit: admit.NewController(admit.Config{}), budget: retry.NewBudget(retry.BudgetConfig{})}
+	r := &router{admit: admit.NewController(m.setup.Admit), budget: retry.NewBudget(retry.BudgetConfig{})}
 	if m.setup.Routing == Score {
-		r.chooser = newScoreChooser(m.setup.Deployment)
+		r.chooser = newScoreChooser(m.setup)
 	} else {
 		r.chooser = newRival(m.setup.Routing, m.workers, i)
 	}
@@ -147,9 +166,12 @@
 	}
 	m.clock.after(gap, func() {
 		r := m.traffic.next(m.clock.now)
+		if m.setup.Patience != FullTime {
+			r.patience *= leastPatience + (1-leastPatience)*m.traffic.rng.Float64()
+		}
 		if m.counts(r) {
 			m.result.offered++
-			m.result.demand[r.load.class.Name]++
+			m.result.demand[item{r.load, r.fresh}]++
 		}
 		m.try(r)
 		m.arrive(end)
@@ -185,7 +207,8 @@
 
 func (m *sim) admitted(rt *router, r *request, d decision) (contract.Reason, bool) {
 	err := rt.admit.Admit(admit.Query{
-		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue),
+		Team: r.team, Class: r.load.class, Expected: toDuration(d.expected), Queue: toDuration(d.queue), Load: d.choice.MeanQueue,
+		Left: m.left(r),
 		Cost: toDuration(d.fill() + float64(r.load.out)*perToken),
 	}, m.clock.time(), m.rng)
 	var refusal *contract.Refusal
@@ -195,6 +218,14 @@
 	return "", true
 }
 
+// left is the budget that the caller told, zero if none.
+func (m *sim) left(r *request) time.Duration {
+	if m.setup.Patience != Told {
+		return 0
+	}
+	return toDuration(r.patience)
+}
+
 func (d decision) fill() float64 { return d.expected - d.queue }
 
 func (m *sim) send(rt *router, r *request, d decision) {
@@ -204,6 +235,9 @@
 		expected: d.expected, outLeft: r.load.out,
 	}
 	rt.chooser.dispatched(a, d, m.clock.now)
+	if m.counts(r) {
+		m.result.attempts++
+	}
 	deliver := func() {
 		if d.bring > 0 && !a.worker.dead {
 			a.worker.store(r.doc, len(r.doc.pieces))
@@ -237,7 +271,7 @@
 		m.result.returned += len(r.doc.pieces)
 		m.result.recomputed += a.recomputed
 	}
-	if took <= r.load.class.FirstIn.Seconds() {
+	if took <= r.patience {
 		m.result.worth += r.load.class.Worth
 	}
 }
@@ -263,7 +297,7 @@
 	r.tries++
 	r.tried = append(r.tried, workerName(a.worker.id))
 	if m.setup.Retries == Unlimited {
-		m.clock.after(m.setup.Deployment.CrossDelay, func() { r.tried = nil; m.try(r) })
+		m.clock.after(redial, func() { r.tried = nil; m.try(r) })
 		return
 	}
 	m.retry(a.router(), r)
@@ -328,25 +362,30 @@
 	return m.result
 }
 
-// bound is the worth that the workers could serve at the least cost, filled
-// from the class with the most worth for its cost.
+// bound is the worth that the workers could serve with a full batch and every
+// returning document cached, filled from the requests with the most worth for
+// their cost. Work carried over the end of the measured time is taken to equal
+// that carried over its start.
 func (m *sim) bound() float64 {
 	alive := float64(m.setup.Deployment.Workers) * m.setup.Seconds
 	if m.setup.Fault == WorkerLost {
 		alive -= m.setup.Seconds * 3 / 4
 	}
-	loads := slices.Clone(m.setup.Deployment.Loads)
-	slices.SortFunc(loads, func(a, b load) int {
-		if a.class.Worth/a.cost() > b.class.Worth/b.cost() {
-			return -1
-		}
-		return 1
-	})
 	sum := 0.0
-	for _, l := range loads {
-		n := min(float64(m.result.demand[l.class.Name]), alive/l.cost())
-		alive -= n * l.cost()
-		sum += n * l.class.Worth
+	for _, i := range m.itemsByDensity() {
+		n := min(float64(m.result.demand[i]), alive/i.cost())
+		alive -= n * i.cost()
+		sum += n * i.load.class.Worth
 	}
 	return sum
 }
+
+func (m *sim) itemsByDensity() []item {
+	var items []item
+	for l := range m.setup.Deployment.Loads {
+		load := &m.setup.Deployment.Loads[l]
+		items = append(items, item{load, false}, item{load, true})
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(b.density(), a.density()) })
+	return items
+}
--- a/ledger/fake_test.go
+++ b/ledger/fake_test.go
@@ -31,16 +31,27 @@
 
 // fakeService holds the logs of all shards for several instances.
 type fakeService struct {
-	mu     sync.Mutex
-	logs   map[int][][]byte
-	fault  fault
-	slot   time.Duration // least time between two writes, as of a rate limit
-	next   time.Time
-	writes int
-	bytes  int
+	mu    sync.Mutex
+	logs  map[int][][]byte
+	saved map[int]saved
+	fault fault
+	slot  time.Duration // least time between two writes, as of a rate limit
+	next  time.Time
+	// latency is how long a write takes.
+	latency time.Duration
+	writes  int
+	bytes   int
 }
 
-func newFakeService() *fakeService { return &fakeService{logs: map[int][][]byte{}} }
+// saved is a snapshot of a shard that new instances start from.
+type saved struct {
+	index int
+	parts [][]byte
+}
+
+func newFakeService() *fakeService {
+	return &fakeService{logs: map[int][][]byte{}, saved: map[int]saved{}}
+}
 
 func (f *fakeService) setFault(x fault) {
 	f.mu.Lock()
@@ -48,6 +59,12 @@
 	f.fault = x
 }
 
+func (f *fakeService) currentFault() fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fault
+}
+
 // fakeLog is one instance's view of a shard's log.
 type fakeLog struct {
 	service *fakeService
@@ -59,14 +76,31 @@
 }
 
 func (f *fakeService) open(shard int, folder platform.Folder, dead func() bool) platform.Log {
-	return &fakeLog{service: f, shard: shard, folder: folder, dead: dead}
+	l := &fakeLog{service: f, shard: shard, folder: folder, dead: dead}
+	f.mu.Lock()
+	s := f.saved[shard]
+	f.mu.Unlock()
+	if s.index > 0 {
+		folder.Restore(uint64(s.index), s.parts)
+		l.head = s.index
+	}
+	return l
+}
+
+// save takes a snapshot from an instance's view.
+func (l *fakeLog) save() {
+	l.order.Lock()
+	defer l.order.Unlock()
+	l.service.mu.Lock()
+	defer l.service.mu.Unlock()
+	if l.head > l.service.saved[l.shard].index {
+		l.service.saved[l.shard] = saved{l.head, l.folder.Snapshot()}
+	}
 }
 
 func (l *fakeLog) Append(ctx context.Context, entry []byte) (uint64, error) {
 	l.service.wait(ctx)
-	l.service.mu.Lock()
-	x := l.service.fault
-	l.service.mu.Unlock()
+	x := l.service.currentFault()
 	switch {
 	case l.dead() || x == faultDown:
 		return 0, &platform.NotSentError{Op: "append", Err: errFault}
@@ -97,7 +131,7 @@
 	f.next = at.Add(f.slot)
 	f.mu.Unlock()
 	select {
-	case <-time.After(time.Until(at)):
+	case <-time.After(time.Until(at) + f.latency):
 	case <-ctx.Done():
 	}
 }
--- a/ledger/remote.go
+++ b/ledger/remote.go
@@ -29,11 +29,10 @@
 		return nil, wire.Fail(failureNotWritten, "malformed operation")
 	}
 	resp, err := l.Submit(ctx, int(q.Shard), q.Op)
-	var never *NotWrittenError
 	switch {
 	case err == nil:
 		return resp, nil
-	case errors.As(err, &never):
+	case notWritten(err):
 		return nil, wire.Fail(failureNotWritten, err.Error())
 	}
 	return nil, wire.Fail(failureUnresolved, err.Error())
@@ -42,7 +41,7 @@
 // WireRemote is a Remote over connections between instances.
 type WireRemote struct {
 	// Client returns the client of an instance, nil if it is not known.
-	Client func(instance string) *wire.Client
+	Client func(instance string) wire.Caller
 }
 
 // Submit implements Remote.
--- a/serve/chat_request.go
+++ b/serve/chat_request.go
@@ -21,8 +21,7 @@
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderClass          = "X-Request-Class"
-	HeaderBudget         = "X-Deadline-Budget" // remaining time, a duration such as 1.5s
-	HeaderRequestID      = "X-Request-Id"      // set in every answer
+	HeaderRequestID      = "X-Request-Id" // set in every answer
 )
 
 // chatRequest is a checked request for a model's answer.
@@ -57,12 +56,18 @@
 	return contract.Refuse(http.StatusBadRequest, contract.ReasonMalformed, detail)
 }
 
-// readBody reads a whole body within the limits of size and time.
+// readBody reads a whole body within the limits of size and time. After a
+// failure the connection is closed and its read deadline stays: the server
+// would otherwise wait for the rest of the body.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Now().Add(timeout))
-	defer rc.SetReadDeadline(time.Time{})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		w.Header().Set("Connection", "close")
+	} else {
+		rc.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -136,20 +141,3 @@
 	}
 	return b.Bytes()
 }
-
-// deadline returns when the whole answer must have ended. The caller's budget
-// can only shorten what the class allows.
-func deadline(now time.Time, class contract.Class, header string) (time.Time, error) {
-	limit := class.Deadline
-	if header == "" {
-		return now.Add(limit), nil
-	}
-	budget, err := time.ParseDuration(header)
-	if err != nil {
-		return time.Time{}, malformed(HeaderBudget + " is no duration")
-	}
-	if budget <= 0 {
-		return time.Time{}, contract.Refuse(http.StatusGatewayTimeout, contract.ReasonDeadline, "the caller's budget is spent")
-	}
-	return now.Add(min(limit, budget)), nil
-}
