--- a/datacentre/spread.go
+++ b/datacentre/spread.go
@@ -248,7 +248,7 @@
 func (s *Spread) handlePush(ctx context.Context, msg *datacentrepb.Push) (*datacentrepb.PushAnswer, error) {
 	before := s.cfg.Notes.Head()
 	u := Update{First: msg.First, Notes: msg.Notes}
-	if u.follows(before) {
+	if follows(u, before) {
 		s.apply(u)
 	}
 	now := s.cfg.Notes.Head()
@@ -309,7 +309,7 @@
 // apply offers an update to the book. Its notes are marked as told first: the
 // way that brought them here tells the others too.
 func (s *Spread) apply(u Update) bool {
-	s.advance(u.last())
+	s.advance(lastOf(u))
 	if err := s.cfg.Notes.Offer(u); err != nil {
 		event.NotesRefused.Log(s.cfg.Logger, slog.Any("error", err))
 		return false
@@ -364,7 +364,7 @@
 		if err != nil {
 			return err
 		}
-		if !u.follows(head) || !s.apply(u) || s.cfg.Notes.Head() <= head {
+		if !follows(u, head) || !s.apply(u) || s.cfg.Notes.Head() <= head {
 			return &StalledError{Addr: o.addr, Head: head}
 		}
 	}
--- a/datacentre/update.go
+++ b/datacentre/update.go
@@ -1,13 +1,10 @@
 package datacentre
 
+import "redwingknot/note"
+
 // Update is a run of accepted notes, or a snapshot of the configuration and
 // the notes that follow it.
-type Update struct {
-	First        uint64   // number of Notes[0]
-	Notes        [][]byte // consecutive notes
-	SnapshotHead uint64   // number of the last note in Snapshot, 0 for none
-	Snapshot     [][]byte // parts of the snapshot
-}
+type Update = note.Update
 
 // Notes is the local book of accepted notes that a Spread keeps up to date.
 // Head never falls, and Offer applies note n only after n-1.
@@ -22,18 +19,18 @@
 	Offer(u Update) error
 }
 
-// last returns the head after the update.
-func (u Update) last() uint64 {
+// lastOf returns the head after an update.
+func lastOf(u Update) uint64 {
 	if len(u.Notes) > 0 {
 		return u.First + uint64(len(u.Notes)) - 1
 	}
 	return u.SnapshotHead
 }
 
-// follows reports whether the update can be applied to a book at head.
-func (u Update) follows(head uint64) bool {
+// follows reports whether u can be applied to a book at head.
+func follows(u Update, head uint64) bool {
 	if u.SnapshotHead > head {
 		return true
 	}
-	return len(u.Notes) > 0 && u.First <= head+1 && u.last() > head
+	return len(u.Notes) > 0 && u.First <= head+1 && lastOf(u) > head
 }
