--- a/endpoint/orders.go
+++ b/endpoint/orders.go
@@ -234,7 +234,7 @@
 		}
 		s.limit = max(state.Services[name].LoadsAtOnce, 1)
 		loading := plan.Loading[name] + ordersOf(plan, name)
-		if err := s.sync(ctx, o.cfg.Now(), lease, plan.Wanting[name]+plan.Loading[name], loading); err != nil {
+		if err := s.sync(ctx, o.cfg.Now(), lease, plan.Useful[name], loading); err != nil {
 			metric.Counter("load_slot_failures_total").Inc(1)
 		}
 	}
--- a/endpoint/planner.go
+++ b/endpoint/planner.go
@@ -72,6 +72,9 @@
 	// Wanting is the number of workers of each service that lack the wanted
 	// state and don't load.
 	Wanting map[string]int
+	// Useful is how many slots of each service this data centre can use: swaps
+	// that the floor does not allow leave them to other data centres.
+	Useful map[string]int
 }
 
 // given is an order whose effect is not yet known from a report.
@@ -120,7 +123,7 @@
 
 // Plan returns the orders to give now. Every order returned counts as given.
 func (p *Planner) Plan(now time.Time, in Input) Plan {
-	plan := Plan{Loading: map[string]int{}, Wanting: map[string]int{}}
+	plan := Plan{Loading: map[string]int{}, Wanting: map[string]int{}, Useful: map[string]int{}}
 	if in.State == nil {
 		return plan
 	}
@@ -227,6 +230,7 @@
 	name := g.service.Name
 	plan.Loading[name], plan.Wanting[name] = loading, len(wanting)
 	floor := Floor(p.floor, len(g.workers))
+	plan.Useful[name] = loading + startable(wanting, serving-floor)
 	most := min(in.Slots[name], loading+in.Starts[name])
 	for _, w := range wanting {
 		if loading >= most {
@@ -247,6 +251,20 @@
 	}
 }
 
+// startable returns how many of the wanting workers may load at the same time
+// if spare serving ones can be taken.
+func startable(wanting []Worker, spare int) int {
+	count, served := 0, 0
+	for _, w := range wanting {
+		if w.serves() {
+			served++
+		} else {
+			count++
+		}
+	}
+	return count + min(served, max(spare, 0))
+}
+
 // loading reports whether a worker loads, or may begin to by an order given. A
 // worker without weights may be loading under an order of an earlier lead.
 func (p *Planner) loading(w Worker) bool {
