--- a/datacentre/spread.go
+++ b/datacentre/spread.go
@@ -121,7 +121,7 @@
 	for {
 		changed := s.cfg.Notes.Changed()
 		s.cfg.Members.Publish(instance.NumberHead, s.cfg.Notes.Head())
-		if after, head := s.advance(s.cfg.Notes.Head()); after < head {
+		if after, head := s.advance(s.cfg.Notes.Head()); isNews(after, head) {
 			tasks.Go(func() { s.originate(ctx, after, head, true) })
 		}
 		select {
@@ -132,6 +132,12 @@
 	}
 }
 
+// isNews reports whether a rise of the head is worth a push. An instance that
+// starts reads all notes at once, which the others have.
+func isNews(after, head uint64) bool {
+	return after < head && (after > 0 || head == 1)
+}
+
 // pullAll takes offers one after the other until ctx ends.
 func (s *Spread) pullAll(ctx context.Context) {
 	for {
--- a/endpoint/orders_test.go
+++ b/endpoint/orders_test.go
@@ -128,6 +128,7 @@
 	state   atomic.Pointer[note.State]
 	engines map[string]*liveEngine
 	sites   []*site
+	rate    float64 // loads a second that the weight store allows
 }
 
 func newWorld(dcs, each, loadsAtOnce int) *world {
@@ -164,7 +165,7 @@
 	})
 	members := alone{self: instance.Member{ID: id, DataCentre: dc}}
 	view := NewView(ViewConfig{Members: members, State: w.state.Load, Engine: client})
-	orders := NewOrders(OrdersConfig{View: view, Lead: s.lead, KV: kv, Self: id, State: w.state.Load, Engine: client})
+	orders := NewOrders(OrdersConfig{View: view, Lead: s.lead, KV: kv, Self: id, State: w.state.Load, Engine: client, LoadsPerSecond: w.rate})
 	s.done.Go(func() { s.lead.Run(ctx) })
 	s.done.Go(func() { view.Run(ctx) })
 	s.done.Go(func() { orders.Run(ctx) })
@@ -232,6 +233,28 @@
 	})
 }
 
+func TestLoadsKeepTheWeightStoresRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dcs, each, loads = 2, 4, 2
+		w := newWorld(dcs, each, loads)
+		w.rate = 0.2
+		for i := range dcs {
+			w.start(t.Context(), fmt.Sprint("dc", i), fmt.Sprint("i", i))
+		}
+		w.watch(20 * time.Second)
+		w.setVersion(dcs, each, loads, "v2")
+		start := time.Now()
+		for len(w.lacking()) > 0 && time.Since(start) < 10*time.Minute {
+			w.watch(time.Second)
+			swapped := dcs*each - len(w.lacking())
+			allowed := float64(dcs) + w.rate*time.Since(start).Seconds()
+			assert.Assert(t, float64(swapped) <= allowed, "%d swapped after %v", swapped, time.Since(start))
+		}
+		assert.Equal(t, len(w.lacking()), 0)
+		w.close()
+	})
+}
+
 // TestFuzzOrdersOverDataCentres lets leads die, engines fall silent and answers
 // get lost while versions change, and counts the loads over the whole fleet.
 func TestFuzzOrdersOverDataCentres(t *testing.T) {
