--- a/route/recent.go
+++ b/route/recent.go
@@ -16,6 +16,15 @@
 	w.at = now
 }
 
+// expected returns the wait at now: a queue drains while nothing more is seen
+// of it, though slower than by the clock since others go on adding to it.
+// Without it, a router that refuses everything would never learn that the queue
+// is gone.
+func (w *recentWait) expected(now time.Time) float64 {
+	const drain = 0.1 // seconds of queue a second
+	return max(w.wait-drain*now.Sub(w.at).Seconds(), 0)
+}
+
 func (w *recentWait) fresh(now time.Time) bool {
 	const lifetime = 2 * time.Second
 	return now.Sub(w.at) < lifetime
--- a/route/score.go
+++ b/route/score.go
@@ -53,7 +53,7 @@
 		return told, 0
 	}
 	local := freshness(now.Sub(e.recent.at), r.config.Memory)
-	usual := local*e.recent.wait + (1-local)*r.recent.wait
+	usual := local*e.recent.expected(now) + (1-local)*r.recent.expected(now)
 	own := e.pendingTokens / r.config.PrefillRate
 	apart := own - r.pending/float64(len(r.byName))
 	old := 1 - freshness(now.Sub(e.report.At), r.config.Memory)
