--- a/route/query.go
+++ b/route/query.go
@@ -10,7 +10,8 @@
 
 // BringBack returns the time to import the missing last pieces of a prefix to
 // an endpoint from a store; ok is false if no store has them or its link has
-// no share left.
+// no share left. It is called while the router is locked: it must answer from
+// memory and not call the router.
 type BringBack func(endpoint string, missing int) (cost time.Duration, ok bool)
 
 // Query describes a request to be placed.
