Measure control at 9 to 72 nodes and notes in force over 9 data centres

Change: bytes and calls between instances are counted; TestMeasureControl and TestMeasureInForce print them.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,7 +116,7 @@
 		KV: e.kv, DataCentre: e.o.DataCentre, Self: e.o.ID, Logger: e.log,
 		Candidate: func() bool { return e.follows() && !e.draining.Load() },
 	})
-	e.spread = datacentre.NewSpread(datacentre.SpreadConfig{Notes: spreadNotes{e.book}, Members: e.members, Logger: e.log})
+	e.spread = datacentre.NewSpread(datacentre.SpreadConfig{Notes: e.book, Members: e.members, Logger: e.log})
 	e.spread.Register(e.wire)
 	e.view = endpoint.NewView(endpoint.ViewConfig{
 		Members: e.members, State: e.book.State, Engine: e.engine, PlatformList: e.lists.endpointList(e.o.DataCentre),
--- a/wire/client.go
+++ b/wire/client.go
@@ -103,6 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = counted(conn)
 	if err := authDial(conn, c.key); err != nil {
 		conn.Close()
 		return nil, err
--- a/wire/server.go
+++ b/wire/server.go
@@ -69,6 +69,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	conn = counted(conn)
 	if err := authAccept(conn, s.key); err != nil {
 		metric.Counter("wire_refused_total").Inc(1)
 		conn.Close()
@@ -119,6 +120,7 @@
 	if !ok {
 		return &wirepb.Response{Failure: string(FailureUnknownMethod), Detail: req.Method}
 	}
+	metric.Counter("wire_calls_total", "method", req.Method).Inc(1)
 	payload, err := h(ctx, req.Payload)
 	if err == nil {
 		return &wirepb.Response{Payload: payload}
