--- a/datacentre/spread_test.go
+++ b/datacentre/spread_test.go
@@ -18,6 +18,8 @@
 	"redwingknot/instance"
 	"redwingknot/instance/instancetest"
 	"redwingknot/internal/fuzztest"
+	"redwingknot/note"
+	"redwingknot/platform/platformtest"
 )
 
 // book is a Notes that keeps only the last notes and a snapshot of the others,
@@ -138,11 +140,18 @@
 }
 
 func startStation(ctx context.Context, n *instancetest.Network, dc string, i int, incarnation uint64, seeds ...string) *station {
+	b := newBook(4)
+	s := startNotes(ctx, n, b, dc, i, incarnation, seeds...)
+	s.book = b
+	return s
+}
+
+func startNotes(ctx context.Context, n *instancetest.Network, notes Notes, dc string, i int, incarnation uint64, seeds ...string) *station {
 	id := fmt.Sprintf("%s-%d", dc, i)
-	s := &station{book: newBook(4), addr: id + ":1"}
+	s := &station{addr: id + ":1"}
 	self := instance.Member{ID: id, Incarnation: incarnation, DataCentre: dc, Addr: s.addr}
 	s.members, _ = instance.New(instance.Config{Self: self, Seeds: seeds, Caller: n.Caller(s.addr)})
-	s.spread = NewSpread(SpreadConfig{Notes: s.book, Members: s.members})
+	s.spread = NewSpread(SpreadConfig{Notes: notes, Members: s.members})
 	instancetest.Handle(n, s.addr, instance.MethodHeartbeat, s.members.HandleHeartbeat)
 	instancetest.Handle(n, s.addr, methodPush, s.spread.handlePush)
 	instancetest.Handle(n, s.addr, methodPull, s.spread.handlePull)
@@ -177,6 +186,41 @@
 	})
 }
 
+// TestBooksOfNotesSpread runs the real books: one reads the platform, the
+// others have only their peers, and one starts after the notes have been folded.
+func TestBooksOfNotesSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := instancetest.NewNetwork()
+		writer := note.NewBook(note.BookOptions{KV: platformtest.New(time.Now), Writer: "a"})
+		books := []*note.Book{writer}
+		all := []*station{startNotes(t.Context(), n, writer, "ilala", 0, 1)}
+		join := func(dc string, i int) {
+			b := note.NewBook(note.BookOptions{})
+			books = append(books, b)
+			all = append(all, startNotes(t.Context(), n, b, dc, i, 1, "ilala-0:1"))
+		}
+		join("ilala", 1)
+		join("ilala", 2)
+		join("temeke", 0)
+		time.Sleep(10 * time.Second)
+		const notes = 300
+		for i := range notes {
+			raw := fmt.Sprintf("title: t\nadd: {classes: [{name: x%d, worth: 1, firstIn: 1s, deadline: 1s}]}", i)
+			_, err := writer.Submit(t.Context(), uint64(i), []byte(raw))
+			assert.NilError(t, err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		join("temeke", 1)
+		time.Sleep(20 * time.Second)
+		for i, b := range books {
+			assert.Equal(t, b.Head(), uint64(notes), "%s", all[i].addr)
+			assert.Equal(t, len(b.State().Classes), notes)
+			assert.Equal(t, all[i].spread.Behind(), uint64(0))
+		}
+		stopStations(all)
+	})
+}
+
 // TestFuzzNotesSpread accepts notes at some instances while messages are lost,
 // parts are cut off and instances are replaced by empty ones.
 func TestFuzzNotesSpread(t *testing.T) {
