Count only grants of blocks that their store still has

A stale directory may grant a read of a block that its store has lost or freed by itself; the same generation written again is another block. Such grants are not recorded, or voided with the block.

--- a/block/fuzz_test.go
+++ b/block/fuzz_test.go
@@ -210,7 +210,10 @@
 		if l.Key != chain[i] {
 			t.Fatalf("lookup gave block %v in place of %v", l.Key, chain[i])
 		}
-		m.grants = append(m.grants, fuzzGrant{l, m.now.Add(grant)})
+		// A grant of a block that its store has lost protects nothing.
+		if _, ok := m.storeOf(l.Store).good[id(l)]; ok {
+			m.grants = append(m.grants, fuzzGrant{l, m.now.Add(grant)})
+		}
 		m.read(t, l)
 	}
 	m.seen = append(m.seen, found...)
@@ -294,6 +297,7 @@
 	s := m.storeOf(l.Store)
 	if _, err := s.client.Free(t.Context(), l.Ref()); err == nil {
 		delete(s.good, id(l))
+		m.grants = slices.DeleteFunc(m.grants, func(g fuzzGrant) bool { return g.block.Store == s.url && id(g.block) == id(l) })
 	}
 }
 
