--- a/datacentre/spread.go
+++ b/datacentre/spread.go
@@ -121,7 +121,7 @@
 	for {
 		changed := s.cfg.Notes.Changed()
 		s.cfg.Members.Publish(instance.NumberHead, s.cfg.Notes.Head())
-		if after, head := s.advance(s.cfg.Notes.Head()); after < head {
+		if after, head := s.advance(s.cfg.Notes.Head()); isNews(after, head) {
 			tasks.Go(func() { s.originate(ctx, after, head, true) })
 		}
 		select {
@@ -132,6 +132,12 @@
 	}
 }
 
+// isNews reports whether a rise of the head is worth a push. An instance that
+// starts reads all notes at once, which the others have.
+func isNews(after, head uint64) bool {
+	return after < head && (after > 0 || head == 1)
+}
+
 // pullAll takes offers one after the other until ctx ends.
 func (s *Spread) pullAll(ctx context.Context) {
 	for {
@@ -248,7 +254,7 @@
 func (s *Spread) handlePush(ctx context.Context, msg *datacentrepb.Push) (*datacentrepb.PushAnswer, error) {
 	before := s.cfg.Notes.Head()
 	u := Update{First: msg.First, Notes: msg.Notes}
-	if u.follows(before) {
+	if follows(u, before) {
 		s.apply(u)
 	}
 	now := s.cfg.Notes.Head()
@@ -309,7 +315,7 @@
 // apply offers an update to the book. Its notes are marked as told first: the
 // way that brought them here tells the others too.
 func (s *Spread) apply(u Update) bool {
-	s.advance(u.last())
+	s.advance(lastOf(u))
 	if err := s.cfg.Notes.Offer(u); err != nil {
 		event.NotesRefused.Log(s.cfg.Logger, slog.Any("error", err))
 		return false
@@ -364,7 +370,7 @@
 		if err != nil {
 			return err
 		}
-		if !u.follows(head) || !s.apply(u) || s.cfg.Notes.Head() <= head {
+		if !follows(u, head) || !s.apply(u) || s.cfg.Notes.Head() <= head {
 			return &StalledError{Addr: o.addr, Head: head}
 		}
 	}
--- a/route/query.go
+++ b/route/query.go
@@ -10,7 +10,8 @@
 
 // BringBack returns the time to import the missing last pieces of a prefix to
 // an endpoint from a store; ok is false if no store has them or its link has
-// no share left.
+// no share left. It is called while the router is locked: it must answer from
+// memory and not call the router.
 type BringBack func(endpoint string, missing int) (cost time.Duration, ok bool)
 
 // Query describes a request to be placed.
@@ -73,6 +74,7 @@
 	Expected     time.Duration // to first token
 	Queue        time.Duration // part of Expected spent waiting
 	MeanQueue    time.Duration // mean of all eligible endpoints that were scored
+	Others       int           // requests at the endpoint, as far as known
 	CachedPieces int           // pieces from the start of the prefix already cached
 	BringBack    bool          // import the missing pieces before dispatch
 	Considered   []Candidate   // only if the query asks for it
