Requests spill to other data centres; wiring of routing, admission and blocks

Cause: a data centre whose engines had all ended refused every prompt, because only local engines are polled. Also: admission gets the mean queue, routers the configured rate and a shared bound of remembered blocks, stores are told to the keeper, refusals are counted once, the platform's list is asked for at most 4 times in quick succession. Ruled out: polling all engines of all data centres, 31 KB/s a node at the target.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"redwingknot/contract"
-	"redwingknot/metric"
 )
 
 // Defaults of Config.
@@ -113,7 +112,6 @@
 	if refusal == nil {
 		return nil
 	}
-	metric.Refused(refusal.Reason)
 	return refusal
 }
 
--- a/entry/blocks.go
+++ b/entry/blocks.go
@@ -36,18 +36,14 @@
 }
 
 func newBlocks(e *Entry) *blocks {
-	returns := block.NewReturns(nil)
 	b := &blocks{
 		entry: e, client: e.clients.Shared, planner: block.NewPlanner(block.PlannerOptions{}),
-		home: block.NewHome(time.Now, block.NewDirectory(time.Now(), block.DirectoryOptions{Returns: returns})),
+		home: block.NewHome(time.Now, block.NewDirectory(time.Now(), block.DirectoryOptions{})),
 	}
 	b.links = link.NewHome(time.Now, b.linkBudget)
 	b.home.Register(e.wire)
 	b.links.Register(e.wire)
-	b.upkeep = &block.Upkeep{
-		Home: b.home, Store: b.store, Log: e.log,
-		Score: func(h block.Holding) float64 { return b.score(returns, h) },
-	}
+	b.upkeep = &block.Upkeep{Home: b.home, Store: b.store, Log: e.log, Score: b.home.Score(b.value)}
 	b.keeper = &keeper{
 		keeper: block.NewKeeper(block.KeeperOptions{
 			Now: time.Now, Seed: rand.Uint64(), Client: block.NewClient(b.homeOf),
@@ -82,14 +78,10 @@
 // bytesPerToken is the usual length of a token.
 const bytesPerToken = 4
 
-// score is the worth of keeping a block that a directory holds.
-func (b *blocks) score(r *block.Returns, h block.Holding) float64 {
+// value is what keeping a block that the directory holds saves.
+func (b *blocks) value(h block.Holding) block.Value {
 	state := b.entry.book.State()
-	if state == nil {
-		return 0
-	}
-	v := block.Value{Class: state.Classes[h.Class], Compute: b.meanCompute(state), Bytes: h.Bytes}
-	return b.planner.Score(b.planner.Chance(r, h.Class, h.Returns, h.Idle), v)
+	return block.Value{Class: state.Classes[h.Class], Compute: b.meanCompute(state), Bytes: h.Bytes}
 }
 
 // meanCompute is the time to compute a piece of any model.
@@ -151,11 +143,24 @@
 	if slices.Equal(names, b.sharers) && slices.Equal(urls, b.stores) {
 		return
 	}
+	if !slices.Equal(urls, b.stores) {
+		b.keeper.keeper.SetStores(b.storeViews(urls))
+	}
 	b.sharers, b.stores = names, urls
 	b.home.Own(b.partitions(names), urls)
 	b.links.Drop(func(url string) bool { return b.entry.members.Home("link/"+url).ID == b.entry.o.ID })
 }
 
+// storeViews is what is known of the stores before their homes have told more.
+func (b *blocks) storeViews(urls []string) []block.StoreView {
+	views := make([]block.StoreView, len(urls))
+	for i, url := range urls {
+		s, _ := b.find(url)
+		views[i] = block.StoreView{URL: url, Total: s.MemoryBytes + s.DiskBytes}
+	}
+	return views
+}
+
 func (b *blocks) localStores(state *note.State) []string {
 	var urls []string
 	for _, s := range state.Stores {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,6 +36,8 @@
 	// headerTimeout bounds the arrival of a request's header.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// maxRememberedBlocks bounds what the routers remember of engines' caches.
+	maxRememberedBlocks = 1 << 18
 	// epochSeparator stands between an instance's name and its incarnation.
 	epochSeparator = "#"
 )
@@ -70,7 +71,7 @@
 
 // New assembles an instance; it does nothing before Run.
 func New(o Options, log *slog.Logger) (*Entry, error) {
-	e := &Entry{o: o, log: log, wire: wire.NewServer([]byte(o.SharedKey)), services: serve.NewServices(), clients: serve.NewEndpointClients()}
+	e := &Entry{o: o, log: log, wire: wire.NewServer([]byte(o.SharedKey)), clients: serve.NewEndpointClients()}
 	e.kv = platform.NewClient(platform.ClientOptions{
 		URLs: o.Platform,
 		HTTP: &http.Client{Transport: e.clients.Shared.Transport},
@@ -80,6 +81,7 @@
 		}),
 	})
 	e.lists = &lists{kv: e.kv}
+	e.services = serve.NewServices(serve.ServicesOptions{PrefillRate: o.PrefillRate, MaxBlocks: maxRememberedBlocks})
 	if err := e.newMembership(); err != nil {
 		return nil, err
 	}
@@ -293,7 +295,8 @@
 		{"reports", f.runReports},
 		{"events", f.runEvents},
 		{"limits", e.limits.run(e.peers)},
-		{"lists", e.readLists},
+		{"lists", e.lists.run},
+		{"spill", f.runSpill},
 		{"marks", e.markInForce},
 	}
 	return append(list, e.blocks.components()...)
@@ -305,22 +308,3 @@
 		local: e.o.DataCentre, seen: map[string]time.Time{}, events: map[string]uint64{},
 	}
 }
-
-// listInterval is the time between two reads of the platform's list of
-// instances, which bounds the limits of teams.
-const listInterval = 30 * time.Second
-
-// readLists keeps the names of the listed instances for the limits of teams.
-func (e *Entry) readLists(ctx context.Context) error {
-	for {
-		// A list that can't be read stays as it was.
-		_, _ = e.lists.instanceList(ctx)
-		wait := listInterval + time.Duration(rand.Int64N(int64(listInterval)))
-		if len(e.lists.names()) == 0 {
-			wait /= 10
-		}
-		if !sleep(ctx, wait) {
-			return nil
-		}
-	}
-}
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -54,6 +56,30 @@
 	return list, nil
 }
 
+// listInterval is the time between two reads of the platform's list of
+// instances, which bounds the limits of teams. The first reads are sooner, in
+// case an instance starts while the platform is away.
+const (
+	listInterval = 30 * time.Second
+	quickReads   = 4
+	quickDivisor = 10
+)
+
+// run keeps the names of the listed instances up to date. A list that can't be
+// read stays as it was.
+func (l *lists) run(ctx context.Context) error {
+	for n := 0; ; n++ {
+		_, _ = l.instanceList(ctx)
+		wait := listInterval + time.Duration(rand.Int64N(int64(listInterval)))
+		if n < quickReads && len(l.names()) == 0 {
+			wait /= quickDivisor
+		}
+		if !sleep(ctx, wait) {
+			return nil
+		}
+	}
+}
+
 // names returns the instances last listed, nil before the first list.
 func (l *lists) names() []string {
 	l.mu.Lock()
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -196,6 +196,21 @@
 	assert.NilError(t, err)
 }
 
+// TestDataCentreWithoutEngines kills all engines of a data centre: its callers
+// are answered by engines elsewhere.
+func TestDataCentreWithoutEngines(t *testing.T) {
+	f := newFleet(t)
+	f.entry("e1", "ilala")
+	f.entry("e2", "kinondoni")
+	f.waitHead(f.submit("e1", f.firstNote("ilala", "kinondoni")), "e1", "e2")
+	f.waitServing("e1")
+	f.kill("engine-ilala-0")
+	f.kill("engine-ilala-1")
+	f.waitServing("e1")
+	answered := f.fetch("engine-kinondoni-0", "/runs") + f.fetch("engine-kinondoni-1", "/runs")
+	assert.Assert(t, len(answered) > len("null\nnull\n"), answered)
+}
+
 // TestBadSettings expects every fault at once and exit code 2.
 func TestBadSettings(t *testing.T) {
 	f := newFleet(t)
--- a/serve/bed_test.go
+++ b/serve/bed_test.go
@@ -110,7 +110,7 @@
 }
 
 func (b *bed) start() {
-	services := NewServices()
+	services := NewServices(ServicesOptions{})
 	services.Apply(b.state)
 	claims := ledger.New(ledger.Config{
 		Shards: 2, Instance: "entry-1#1", Alive: func(string) bool { return true }, Interval: time.Millisecond,
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -133,7 +133,7 @@
 	}
 	err := c.svc.admit.Admit(admit.Query{
 		Team: c.q.team.Name, Class: c.q.class, Left: min(c.q.class.FirstIn, c.deadline.Sub(now)),
-		Expected: choice.Expected, Queue: choice.Queue, Cost: choice.Expected - choice.Queue,
+		Expected: choice.Expected, Queue: choice.Queue, Load: choice.MeanQueue, Cost: choice.Expected - choice.Queue,
 	}, now, c.rng)
 	c.admitted = err == nil
 	c.expected = choice.Expected
--- a/serve/service.go
+++ b/serve/service.go
@@ -42,14 +42,22 @@
 // Services holds the services of the configuration in force. It is safe for
 // concurrent use.
 type Services struct {
+	o ServicesOptions
+
 	mu     sync.RWMutex
 	byName map[string]*Service
 	urls   map[string]string // of endpoints by name
 }
 
+// ServicesOptions set up the routers of all services.
+type ServicesOptions struct {
+	PrefillRate float64 // prompt tokens a second, before any was measured; 0 for the default
+	MaxBlocks   int     // cached blocks remembered over all services; 0 for the default of each
+}
+
 // NewServices returns an empty set.
-func NewServices() *Services {
-	return &Services{byName: map[string]*Service{}, urls: map[string]string{}}
+func NewServices(o ServicesOptions) *Services {
+	return &Services{o: o, byName: map[string]*Service{}, urls: map[string]string{}}
 }
 
 // Apply brings the set to a configuration. Services that stay keep what they
@@ -60,7 +68,7 @@
 	lists := endpointsByService(state)
 	for name, svc := range state.Services {
 		if s.byName[name] == nil {
-			s.byName[name] = newService(svc)
+			s.byName[name] = s.newService(svc, len(state.Services))
 		}
 		s.byName[name].Router.SetEndpoints(lists[name])
 	}
@@ -75,10 +83,12 @@
 	}
 }
 
-func newService(svc note.Service) *Service {
+func (s *Services) newService(svc note.Service, services int) *Service {
 	return &Service{
-		Name:   svc.Name,
-		Router: route.NewRouter(route.Config{Service: svc.Name, Kind: svc.Kind}),
+		Name: svc.Name,
+		Router: route.NewRouter(route.Config{
+			Service: svc.Name, Kind: svc.Kind, PrefillRate: s.o.PrefillRate, MaxBlocks: s.o.MaxBlocks / services,
+		}),
 		admit:  admit.NewController(admit.Config{}),
 		budget: retry.NewBudget(retry.BudgetConfig{}),
 		epochs: map[string]string{},
--- a/suspect/client.go
+++ b/suspect/client.go
@@ -74,7 +74,6 @@
 }
 
 func refuseFinally() error {
-	metric.Refused(contract.ReasonSuspectRefused)
 	return contract.Refuse(http.StatusUnprocessableEntity, contract.ReasonSuspectRefused,
 		"this request has crashed endpoints and is not run again")
 }
@@ -103,7 +102,6 @@
 	if err == nil && resp.Acquired {
 		return nil
 	}
-	metric.Refused(contract.ReasonSuspectBusy)
 	wait := busyRetry + time.Duration(rng.Int64N(int64(busyRetry)))
 	return contract.Overloaded(contract.ReasonSuspectBusy, wait,
 		"an endpoint ended while this request ran, and another such request is being run now")
