--- a/processtest/measure_test.go
+++ b/processtest/measure_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"redwingknot/load"
 )
 
 // measureEnv, if set, runs the measurements; their figures depend on the
@@ -191,3 +193,45 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestMeasureRequests prints what requests cost an instance of a data centre of
+// six: bytes between instances and processor time, idle and at several rates.
+func TestMeasureRequests(t *testing.T) {
+	skipUnlessMeasuring(t)
+	const nodes, window = 6, 10 * time.Second
+	f := newFleet(t)
+	names := f.entries(nodes, 1)
+	f.waitHead(f.submit(names[0], f.firstNote("dc0")), names...)
+	for _, n := range names {
+		f.waitServing(n)
+	}
+	urls := make([]string, nodes)
+	for i, n := range names {
+		urls[i] = f.urls[n]
+	}
+	fmt.Println("requests/s a node  cpu % of a core  in B/s  out B/s  first token p50 ms  p99 ms")
+	for _, rate := range []float64{0, 7, 13, 26, 52} {
+		before := f.usages(names)
+		r := &load.Report{}
+		if rate > 0 {
+			r = load.Run(t.Context(), load.Options{
+				URLs: urls, Token: teamToken, Service: "llm", Rate: rate * nodes, Duration: window, PromptTokens: 200, Seed: uint64(rate),
+			})
+		} else {
+			time.Sleep(window)
+		}
+		after := f.usages(names)
+		var ticks, in, out int
+		for i := range names {
+			ticks += after[i].ticks - before[i].ticks
+			in += after[i].in - before[i].in
+			out += after[i].out - before[i].out
+		}
+		s := window.Seconds() * nodes
+		p50, p99 := 0.0, 0.0
+		if r.FirstToken != nil {
+			p50, p99 = float64(r.FirstToken.ValueAtQuantile(50))/1000, float64(r.FirstToken.ValueAtQuantile(99))/1000
+		}
+		fmt.Printf("%17.0f  %15.2f  %6.0f  %7.0f  %18.2f  %6.2f\n", rate, float64(ticks)/s, float64(in)/s, float64(out)/s, p50, p99)
+	}
+}
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -152,6 +152,10 @@
 // execute runs one attempt at the chosen endpoint and returns its failure.
 func (c *chatRun) execute(ctx context.Context, attempt string, q route.Query, choice route.Choice, permit *suspect.Permit, at *AttemptTrace) failure {
 	c.svc.Router.Dispatched(attempt, q, choice, time.Now())
+	if permit.Alone {
+		c.svc.Router.Quarantine(choice.Endpoint, true)
+		defer c.svc.Router.Quarantine(choice.Endpoint, false)
+	}
 	if choice.BringBack {
 		c.bringBack(ctx, choice)
 	}
