--- a/processtest/measure_test.go
+++ b/processtest/measure_test.go
@@ -82,7 +82,7 @@
 func TestMeasureControl(t *testing.T) {
 	skipUnlessMeasuring(t)
 	fmt.Println("nodes  cpu % of a core  resident MiB  in B/s  out B/s  platform calls/s (all)")
-	for _, nodes := range []int{9, 18, 36, 72} {
+	for _, nodes := range []int{9, 18, 36, 72, 108} {
 		t.Run(strconv.Itoa(nodes), func(t *testing.T) { measureControl(t, nodes) })
 	}
 }
