--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -200,9 +200,10 @@
 	return l
 }
 
-// connect returns an entry's connection to the store under the faults drawn. A
-// request that lands late is left to the fake log: platformtest.Late writes the
-// results of a call that has returned, which the race detector reports.
+// lateness is when a write whose caller has given up takes effect.
+const lateness = 3 * time.Second
+
+// connect returns an entry's connection to the store under the faults drawn.
 func (s *sim) connect(e *entry) platform.KV {
 	kv := s.store.Client(e.name)
 	kv.SetHook(func(ctx context.Context, op platformtest.Op) platformtest.Fault {
@@ -214,8 +215,11 @@
 			return platformtest.None
 		case x == faultLost:
 			return platformtest.LostAnswer
-		case x == faultDropped, x == faultLater:
+		case x == faultDropped:
 			return platformtest.LostRequest
+		case x == faultLater:
+			time.AfterFunc(lateness, func() { kv.Deliver() })
+			return platformtest.Late
 		case x == faultHang:
 			<-ctx.Done()
 			return platformtest.LostAnswer
