--- /dev/null
+++ b/engine/stream_test.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+const wholeStream = `data: {"id":"a","offset":0,"choices":[{"delta":{"content":"x \"y\""},"finish_reason":null}]}
+
+: a comment
+data: {"id":"a","offset":1,"choices":[{"delta":{"content":"z"},"finish_reason":"stop"}]}
+
+data: [DONE]
+`
+
+func TestStreamReadsFrames(t *testing.T) {
+	s := NewStream(io.NopCloser(strings.NewReader(wholeStream)), "v1")
+	f, err := s.Next()
+	assert.NilError(t, err)
+	text, err := f.Text()
+	assert.NilError(t, err)
+	assert.Equal(t, text, `x "y"`)
+	f, err = s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, f.Finish, "stop")
+	assert.Equal(t, f.Offset, 1)
+	_, err = s.Next()
+	assert.Assert(t, errors.Is(err, io.EOF))
+}
+
+func TestStreamWithoutEndMarkerIsTruncated(t *testing.T) {
+	s := NewStream(io.NopCloser(strings.NewReader(strings.TrimSuffix(wholeStream, "data: [DONE]\n"))), "v1")
+	var err error
+	for err == nil {
+		_, err = s.Next()
+	}
+	var truncated *TruncatedError
+	assert.Assert(t, errors.As(err, &truncated))
+}
+
+// FuzzStream feeds answers of engines: each ends, and one without the end
+// marker never ends as whole.
+func FuzzStream(f *testing.F) {
+	for _, s := range []string{wholeStream, "", "data:", "data: {}", "data: [DONE]", "data: {\"choices\":[{}]}\n"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		s := NewStream(io.NopCloser(strings.NewReader(body)), "v1")
+		for range len(body) + 2 {
+			frame, err := s.Next()
+			if errors.Is(err, io.EOF) && !strings.Contains(body, doneMarker) {
+				t.Fatal("whole without an end marker")
+			}
+			if err != nil {
+				return
+			}
+			frame.Text()
+		}
+		t.Fatal("more frames than bytes")
+	})
+}
--- /dev/null
+++ b/wire/frame_test.go
@@ -0,0 +1,45 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"redwingknot/wire/wirepb"
+)
+
+func TestFrameAboveTheLimitIsRefused(t *testing.T) {
+	var frame *FrameError
+	err := writeFrame(&bytes.Buffer{}, &wirepb.Request{Payload: make([]byte, MaxFrameBytes+1)})
+	assert.Assert(t, errors.As(err, &frame))
+	err = readFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}), &wirepb.Request{})
+	assert.Assert(t, errors.As(err, &frame))
+}
+
+// FuzzReadFrame feeds what a peer may send; what is read can be written and
+// read again.
+func FuzzReadFrame(f *testing.F) {
+	var b bytes.Buffer
+	if err := writeFrame(&b, &wirepb.Request{Method: "m", BudgetMs: 5, Payload: []byte("p")}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b.Bytes())
+	f.Add([]byte{0, 0, 0, 1})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var first, second wirepb.Request
+		if readFrame(bytes.NewReader(data), &first) != nil {
+			return
+		}
+		var again bytes.Buffer
+		if err := writeFrame(&again, &first); err != nil {
+			t.Fatal(err)
+		}
+		if err := readFrame(&again, &second); err != nil || !proto.Equal(&first, &second) {
+			t.Fatalf("%v: %v became %v", err, &first, &second)
+		}
+	})
+}
