A caller that takes nothing ends its attempt; claim shards and window are constants

Cause: TestCallerThatDoesNotRead did not end in 30 s: a write to a caller that reads nothing blocked for ever, and the watchdog took the endpoint for stalled. Change: each token has a write deadline, and the endpoint is not waited for while the caller is written to. Result: the attempt ends after the stall timeout and is made once. Tried: taking the deadline back for the next request; net/http does so itself, TestKeptConnectionServesAgain passes without it, so it is not done. Also: two instances with different numbers of claim logs, or windows, could grant one key twice, so both are constants; the interval between writes to a log is 100 ms by default (16 logs: at most 160 writes a second).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,10 @@
 	idleTimeout   = 2 * time.Minute
 	// maxRememberedBlocks bounds what the routers remember of engines' caches.
 	maxRememberedBlocks = 1 << 18
+	// claimShards and claimWindow must be the same in all instances at all times,
+	// or a key could be claimed twice; hence they are no settings.
+	claimShards = 16
+	claimWindow = time.Hour
 	// epochSeparator stands between an instance's name and its incarnation.
 	epochSeparator = "#"
 )
@@ -131,7 +135,7 @@
 
 func (e *Entry) newLedger() {
 	e.ledger = ledger.New(ledger.Config{
-		Shards: e.o.ClaimShards, Interval: e.o.ClaimInterval, Window: e.o.ClaimWindow,
+		Shards: claimShards, Interval: e.o.ClaimInterval, Window: claimWindow,
 		Open:     e.openClaimLog,
 		Instance: e.processName(),
 		Alive:    e.isAlive,
--- a/entry/options.go
+++ b/entry/options.go
@@ -32,9 +32,7 @@
 	MaxHeaderKiB  int
 	FirstFactor   float64
 	Attempts      int
-	ClaimShards   int
 	ClaimInterval time.Duration
-	ClaimWindow   time.Duration
 	PrefillRate   float64
 	LogLevel      string
 }
@@ -70,7 +68,5 @@
 }
 
 func (o *Options) bindClaims(set *settings.Set) {
-	set.Int(&o.ClaimShards, "claim-shards", 16, 1, 1024, "logs", "logs of claims; the same in all instances")
-	set.Duration(&o.ClaimInterval, "claim-interval", 20*time.Millisecond, time.Millisecond, time.Second, "least time between two writes to a log of claims")
-	set.Duration(&o.ClaimWindow, "claim-window", time.Hour, time.Minute, 24*time.Hour, "time for which an idempotency key can be used")
+	set.Duration(&o.ClaimInterval, "claim-interval", 100*time.Millisecond, time.Millisecond, time.Second, "least time between two writes to a log of claims")
 }
--- a/serve/answer_writer.go
+++ b/serve/answer_writer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"redwingknot/contract"
 	"redwingknot/engine"
@@ -31,6 +32,7 @@
 	w       http.ResponseWriter
 	id      string
 	model   string
+	timeout time.Duration // for the caller to take a token
 	started bool
 	buf     []byte
 }
@@ -48,10 +50,15 @@
 func (s *streamWriter) token(f engine.Frame) error {
 	s.start()
 	s.buf = appendChunk(s.buf[:0], s.id, s.model, f)
+	// A caller that takes nothing must not hold the instance's memory.
+	rc := http.NewResponseController(s.w)
+	if err := rc.SetWriteDeadline(time.Now().Add(s.timeout)); err != nil {
+		return err
+	}
 	if _, err := s.w.Write(s.buf); err != nil {
 		return err
 	}
-	return http.NewResponseController(s.w).Flush()
+	return rc.Flush()
 }
 
 // emptyContent is the content of a frame without text.
--- a/serve/assembler.go
+++ b/serve/assembler.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 
 	"redwingknot/engine"
 )
@@ -40,6 +41,14 @@
 	return nil
 }
 
+// end reports whether a stream that has ended was whole.
+func (a *assembler) end() error {
+	if a.complete {
+		return nil
+	}
+	return &engine.TruncatedError{Err: io.ErrUnexpectedEOF}
+}
+
 // accept says whether f is the next token to deliver. Late and crossed frames
 // are dropped; a gap is a *GapError.
 func (a *assembler) accept(f engine.Frame) (bool, error) {
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -62,36 +62,27 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// relayResult is how one attempt ended.
-type relayResult struct {
-	complete bool
-	err      error
-}
-
-// relay passes the frames of one attempt to out until the answer is whole or
-// the attempt fails.
-func relay(a *assembler, s *engine.Stream, out func(engine.Frame) error) relayResult {
+// relay passes the frames of one attempt to deliver until the answer is whole
+// or the attempt fails.
+func relay(a *assembler, s *engine.Stream, deliver func(engine.Frame) error) error {
 	for {
 		f, err := s.Next()
-		if errors.Is(err, io.EOF) && a.complete {
-			return relayResult{complete: true}
-		}
 		if errors.Is(err, io.EOF) {
-			return relayResult{err: &engine.TruncatedError{Err: io.ErrUnexpectedEOF}}
+			return a.end()
 		}
 		if err != nil {
-			return relayResult{err: err}
+			return err
 		}
-		deliver, err := a.accept(f)
+		next, err := a.accept(f)
 		if err != nil {
-			return relayResult{err: err}
+			return err
 		}
-		if !deliver {
+		if !next {
 			countDropped()
 			continue
 		}
-		if err := out(f); err != nil {
-			return relayResult{err: &CallerGoneError{Err: err}}
+		if err := deliver(f); err != nil {
+			return &CallerGoneError{Err: err}
 		}
 	}
 }
--- a/serve/chat.go
+++ b/serve/chat.go
@@ -50,13 +50,13 @@
 	defer cancel()
 	run := s.newChatRun(q, tr, deadline, attempts)
 	run.explain = r.Header.Get(HeaderExplain) != ""
-	run.out = newAnswerWriter(w, q, tr.Request)
+	run.out = s.newAnswerWriter(w, q, tr.Request)
 	return run.do(ctx)
 }
 
-func newAnswerWriter(w http.ResponseWriter, q *chatRequest, id string) answerWriter {
+func (s *Server) newAnswerWriter(w http.ResponseWriter, q *chatRequest, id string) answerWriter {
 	if q.stream {
-		return &streamWriter{w: w, id: id, model: q.service.Name}
+		return &streamWriter{w: w, id: id, model: q.service.Name, timeout: s.o.StallTimeout}
 	}
 	return &wholeWriter{w: w, id: id, model: q.service.Name}
 }
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -164,12 +164,16 @@
 	defer cancel()
 	w := newWatchdog(cancel, c.firstTokenLimit(choice))
 	defer w.stop()
-	err := c.stream(ctx, attempt, choice.Endpoint, func() {
-		w.extend(c.s.o.StallTimeout)
+	err := c.stream(ctx, attempt, choice.Endpoint, func(f engine.Frame) error {
+		// While the caller is written to, the endpoint is not waited for.
+		w.stop()
+		defer w.extend(c.s.o.StallTimeout)
 		if at.FirstToken == 0 {
 			at.FirstToken = time.Since(started)
 			c.svc.Router.FirstToken(choice.Endpoint, attempt, time.Now())
 		}
+		c.noteFirstToken(time.Now())
+		return c.out.token(f)
 	})
 	if err == nil {
 		return c.succeeded(ctx, attempt, choice.Endpoint, permit, at)
@@ -190,8 +194,8 @@
 	return max(time.Duration(float64(choice.Expected)*c.s.o.FirstFactor), minFirstToken)
 }
 
-// stream relays one attempt's tokens to the caller; progress is called for each.
-func (c *chatRun) stream(ctx context.Context, attempt, endpoint string, progress func()) error {
+// stream relays one attempt's tokens to deliver.
+func (c *chatRun) stream(ctx context.Context, attempt, endpoint string, deliver func(engine.Frame) error) error {
 	s, err := c.s.engineOf(endpoint).Generate(ctx, c.engineRequest(attempt))
 	if !isNotConnected(err) {
 		c.sent = true
@@ -206,12 +210,7 @@
 	if s.Version != c.version() {
 		return &VersionError{Want: c.q.model.Version, Got: s.Version}
 	}
-	res := relay(&c.asm, s, func(f engine.Frame) error {
-		progress()
-		c.noteFirstToken(time.Now())
-		return c.out.token(f)
-	})
-	return res.err
+	return relay(&c.asm, s, deliver)
 }
 
 func (c *chatRun) succeeded(ctx context.Context, attempt, endpoint string, permit *suspect.Permit, at *AttemptTrace) failure {
--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -193,6 +193,45 @@
 	assert.Assert(t, strings.Contains(string(got), string(contract.ReasonSlowBody)), string(got))
 }
 
+// TestCallerThatDoesNotRead expects an attempt whose caller takes nothing to be
+// ended, and not to be repeated: the engine is not at fault.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	b := newBed(t, enginestandin.Options{AnswerTokens: 1 << 20}, enginestandin.Options{AnswerTokens: 1 << 20})
+	b.server.o.StallTimeout = 200 * time.Millisecond
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	body := chatJSON("endless", true)
+	io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+teamToken+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	attempts := func() int {
+		b.server.traces.mu.Lock()
+		defer b.server.traces.mu.Unlock()
+		for _, tr := range b.server.traces.byID {
+			return len(tr.Attempts)
+		}
+		return 0
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if attempts() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the request goes on")
+	}, poll.WithTimeout(30*time.Second))
+	assert.Equal(t, attempts(), 1)
+}
+
+// TestKeptConnectionServesAgain sends another request on a connection after the
+// time that the caller of a stream had to take a token.
+func TestKeptConnectionServesAgain(t *testing.T) {
+	b := newBed(t, enginestandin.Options{})
+	b.server.o.StallTimeout = 50 * time.Millisecond
+	got := b.do("POST", "/v1/chat/completions", teamToken, chatJSON("again", true))
+	_, whole := texts(t, got.body)
+	assert.Assert(t, whole, got.body)
+	time.Sleep(2 * b.server.o.StallTimeout)
+	assert.Equal(t, b.do("GET", "/svc/app/roster/juma", teamToken, "").status, http.StatusOK)
+}
+
 // TestCallerThatLeavesCancels expects the engine to stop for a caller that is
 // gone.
 func TestCallerThatLeavesCancels(t *testing.T) {
