--- a/cmd/entryd/main.go
+++ b/cmd/entryd/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,7 @@
 func run(o entry.Options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	debug.SetMemoryLimit(int64(o.MemoryMiB) << 20)
 	log := newLogger(o.LogLevel)
 	e, err := entry.New(o, log)
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,7 +37,7 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// maxRememberedBlocks bounds what the routers remember of engines' caches.
-	maxRememberedBlocks = 1 << 18
+	maxRememberedBlocks = 1 << 17
 	// claimShards and claimWindow must be the same in all instances at all times,
 	// or a key could be claimed twice; hence they are no settings.
 	claimShards = 16
@@ -309,6 +309,6 @@
 func (e *Entry) newFeed() *feed {
 	return &feed{
 		state: e.book.State, view: e.view, services: e.services, engine: e.engine,
-		local: e.o.DataCentre, seen: map[string]time.Time{}, events: map[string]uint64{},
+		local: e.o.DataCentre, seen: map[string]time.Time{}, events: map[string]uint64{}, due: map[string]time.Time{},
 	}
 }
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -13,11 +13,18 @@
 
 // Intervals of the feed.
 const (
-	feedInterval   = 100 * time.Millisecond
+	feedInterval   = 250 * time.Millisecond
 	eventsInterval = 500 * time.Millisecond
 	eventsTimeout  = 400 * time.Millisecond
 )
 
+// The bytes that cache events may take, and about what they take.
+const (
+	eventBytesPerSecond = 1500
+	eventOverheadBytes  = 300
+	eventBytes          = 110
+)
+
 // feed passes what the view knows of endpoints, and the cache events of
 // engines, to the routers. One goroutine runs each of its loops.
 type feed struct {
@@ -28,6 +35,7 @@
 	local    string               // own data centre
 	seen     map[string]time.Time // of the last report passed on
 	events   map[string]uint64    // last event passed on
+	due      map[string]time.Time // when an engine's events are read next
 }
 
 // runReports passes new reports on until ctx ends.
@@ -70,34 +78,56 @@
 
 // runEvents reads the cache events of local engines until ctx ends.
 func (f *feed) runEvents(ctx context.Context) error {
-	return every(ctx, eventsInterval, func() { f.readEvents(ctx) })
+	return every(ctx, eventsInterval, func() { f.readEvents(ctx, time.Now()) })
 }
 
-func (f *feed) readEvents(ctx context.Context) {
+// readEvents reads the events of the engines that are due. What an engine last
+// sent sets when it is asked again, so that the events of all engines stay
+// within the byte rate: with many busy engines the routers rely on their own
+// dispatches.
+func (f *feed) readEvents(ctx context.Context, now time.Time) {
 	state := f.state()
 	if state == nil {
 		return
 	}
+	engines := f.localEngines(state)
+	for _, e := range engines {
+		if now.Before(f.due[e.Name]) || ctx.Err() != nil {
+			continue
+		}
+		size := f.readEngine(ctx, e)
+		f.due[e.Name] = now.Add(eventPause(size, len(engines)))
+	}
+}
+
+func (f *feed) localEngines(state *note.State) []note.Endpoint {
+	var list []note.Endpoint
 	for _, e := range state.Endpoints {
 		if e.DataCentre == f.local && state.Services[e.Service].Kind == note.KindModel {
-			f.readEngine(ctx, e)
-		}
-		if ctx.Err() != nil {
-			return
+			list = append(list, e)
 		}
 	}
+	return list
 }
 
-func (f *feed) readEngine(ctx context.Context, e note.Endpoint) {
+// eventPause returns the time in which so many engines may send size bytes each.
+func eventPause(size, engines int) time.Duration {
+	return time.Duration(float64(size*engines) / eventBytesPerSecond * float64(time.Second))
+}
+
+// readEngine passes an engine's new events on and returns about how many bytes
+// they took.
+func (f *feed) readEngine(ctx context.Context, e note.Endpoint) int {
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
 	defer cancel()
 	batch, err := f.engine(e).Events(ctx, f.events[e.Name])
 	if err != nil {
 		metric.Counter("cache_events_failed_total").Inc(1)
-		return
+		return eventOverheadBytes
 	}
 	f.events[e.Name] = batch.Last
 	if svc := f.services.Get(e.Service); svc != nil && (batch.Gap || len(batch.List) > 0) {
 		svc.Router.CacheEvents(e.Name, batch)
 	}
+	return eventOverheadBytes + eventBytes*len(batch.List)
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -34,6 +34,7 @@
 	Attempts      int
 	ClaimInterval time.Duration
 	PrefillRate   float64
+	MemoryMiB     int
 	LogLevel      string
 }
 
@@ -52,6 +53,7 @@
 	set.Float(&o.PlatformWrites, "platform-writes", 40, 1, 500, "calls a second", "writes that this instance may make to the platform")
 	o.bindRequests(set)
 	o.bindClaims(set)
+	set.Int(&o.MemoryMiB, "memory-limit", 128, 32, 65536, "MiB", "memory above which garbage is collected more often")
 	set.OneOf(&o.LogLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "least level of log events")
 }
 
