--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,7 +78,6 @@
 	e := &Entry{o: o, log: log, wire: wire.NewServer([]byte(o.SharedKey)), clients: serve.NewEndpointClients()}
 	e.kv = platform.NewClient(platform.ClientOptions{
 		URLs: o.Platform,
-		HTTP: &http.Client{Transport: e.clients.Shared.Transport},
 		Budget: platform.NewBudget(platform.BudgetOptions{
 			ReadsPerSecond: o.PlatformReads, ReadBurst: int(o.PlatformReads),
 			WritesPerSecond: o.PlatformWrites, WriteBurst: int(o.PlatformWrites),
@@ -157,8 +155,8 @@
 
 func (e *Entry) newServe() {
 	e.serve = serve.New(serve.Options{
-		Instance: e.o.ID, DataCentre: e.o.DataCentre,
-		State: e.book.State, Ready: e.ready.Load, OperatorHash: e.o.OperatorHash,
+		DataCentre: e.o.DataCentre,
+		State:      e.book.State, Ready: e.ready.Load, OperatorHash: e.o.OperatorHash,
 		Services: e.services, Limits: e.limits, Keeper: e.blocks.keeper, Suspects: e.suspects, Ledger: e.ledger,
 		Clients: e.clients, Logger: e.log,
 		MaxBodyBytes: int64(e.o.MaxBodyKiB) << 10, MaxReplyBytes: int64(e.o.MaxReplyKiB) << 10,
@@ -271,9 +269,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.o.DrainTimeout)
 	defer cancel()
 	e.members.Leave(ctx)
-	var tasks sync.WaitGroup
-	tasks.Go(func() { e.logDrain("requests", e.serve.Drain(ctx)) })
-	tasks.Wait()
+	e.logDrain("requests", e.serve.Drain(ctx))
 	e.logDrain("claims", e.ledger.Drain(ctx))
 	e.suspects.Wait()
 	e.logDrain("connections", server.Shutdown(ctx))
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -150,8 +150,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// contextWithTimeout bounds a request's own context.
-func contextWithTimeout(r *http.Request, d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(r.Context(), d)
-}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
@@ -20,9 +21,6 @@
 // noteTimeout bounds the submission of a note.
 const noteTimeout = 10 * time.Second
 
-// HeaderNoteHead carries the head of the notes in answers to operators.
-const HeaderNoteHead = "X-Note-Head"
-
 // routes are the paths of callers, operators and the platform's checks.
 func (e *Entry) routes() http.Handler {
 	r := mux.NewRouter()
@@ -57,7 +55,7 @@
 		writeJSON(w, http.StatusRequestEntityTooLarge, operator.NoteAnswer{Error: "the note is larger than the limit"})
 		return
 	}
-	ctx, cancel := contextWithTimeout(r, noteTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), noteTimeout)
 	defer cancel()
 	head, err := e.book.Submit(ctx, base, raw)
 	if err != nil {
--- a/serve/bed_test.go
+++ b/serve/bed_test.go
@@ -124,7 +124,7 @@
 		Instance: "entry-1", DataCentre: "ilala", Members: members, Local: suspect.NewKeeper(suspect.Config{}, nil),
 	})
 	b.server = New(Options{
-		Instance: "entry-1", DataCentre: "ilala", State: func() *note.State { return b.state }, Ready: func() bool { return true },
+		DataCentre: "ilala", State: func() *note.State { return b.state }, Ready: func() bool { return true },
 		OperatorHash: HashToken(operators), Services: services, Limits: &noLimits{}, Keeper: noKeeper{}, Suspects: suspects,
 		Ledger: claims, Clients: NewEndpointClients(), Logger: slog.New(slog.DiscardHandler),
 		MaxBodyBytes: 1 << 20, MaxReplyBytes: 1 << 20, BodyTimeout: 5 * time.Second, StallTimeout: 10 * time.Second,
--- a/serve/server.go
+++ b/serve/server.go
@@ -60,7 +60,6 @@
 
 // Options are the parts that a Server joins and its limits.
 type Options struct {
-	Instance     string
 	DataCentre   string
 	State        func() *note.State // configuration in force, nil before the first
 	Ready        func() bool        // whether the instance may take requests
