Blocks that may have been evicted are brought back

Ruled out: a shorter limit for the first token, since late reports make it cut good attempts; probing the first block, since the answer can't tell held from fetched. Change: such a prompt's blocks are imported, the engine skips those it holds. TestDoubtedCacheIsBroughtBack fails without it. Price: the link is charged for blocks that may not move.

--- a/entry/feed.go
+++ b/entry/feed.go
@@ -127,7 +127,8 @@
 		return 0
 	}
 	f.events[e.Name] = batch.Last
-	if svc := f.services.Get(e.Service); svc != nil && (batch.Gap || len(batch.List) > 0) {
+	if svc := f.services.Get(e.Service); svc != nil {
+		svc.EventsRead(e.Name, time.Now())
 		svc.Router.CacheEvents(e.Name, batch)
 	}
 	return eventBytes * len(batch.List)
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -59,6 +59,9 @@
 	return &returning{k: k, prompt: prompt, found: found}
 }
 
+// Available implements serve.BringBack.
+func (r *returning) Available() bool { return r.found.Bring > 0 }
+
 // Cost implements serve.BringBack. The plan was made for an engine that has no
 // piece; one that has some needs a part of its time.
 func (r *returning) Cost(_ string, missing int) (time.Duration, bool) {
--- a/serve/bed_test.go
+++ b/serve/bed_test.go
@@ -46,11 +46,25 @@
 
 func (l *noLimits) Allow(note.Team) (bool, time.Duration) { return !l.refuse, time.Second }
 
+// keptKeeper keeps every prompt and records with how many cached pieces it was
+// asked to bring back.
+type keptKeeper struct{ brought []int }
+
+func (k *keptKeeper) Plan(context.Context, Prompt) BringBack { return k }
+func (k *keptKeeper) Answered(Prompt, string)                {}
+func (k *keptKeeper) Available() bool                        { return true }
+func (k *keptKeeper) Cost(string, int) (time.Duration, bool) { return time.Hour, true }
+func (k *keptKeeper) Run(_ context.Context, _ string, cached int) error {
+	k.brought = append(k.brought, cached)
+	return nil
+}
+
 // noKeeper keeps nothing.
 type noKeeper struct{}
 
 func (noKeeper) Plan(context.Context, Prompt) BringBack { return noKeeper{} }
 func (noKeeper) Answered(Prompt, string)                {}
+func (noKeeper) Available() bool                        { return false }
 func (noKeeper) Cost(string, int) (time.Duration, bool) { return 0, false }
 func (noKeeper) Run(context.Context, string, int) error { return nil }
 func testClass(name string, worth float64) contract.Class {
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -156,9 +156,7 @@
 		c.svc.Router.Quarantine(choice.Endpoint, true)
 		defer c.svc.Router.Quarantine(choice.Endpoint, false)
 	}
-	if choice.BringBack {
-		c.bringBack(ctx, choice)
-	}
+	c.bringBack(ctx, choice)
 	started := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -181,10 +179,20 @@
 	return c.failed(ctx, attempt, choice.Endpoint, permit, at, err, w.fired())
 }
 
-// bringBack imports kept blocks before the dispatch. A failure costs only
-// time: the engine recomputes what it lacks.
+// bringBack imports kept blocks before the dispatch: those that the engine
+// lacks, or all if it is in doubt which it still has; it skips what it holds. A
+// failure costs only time: the engine recomputes what it lacks.
 func (c *chatRun) bringBack(ctx context.Context, choice route.Choice) {
-	if err := c.bring.Run(ctx, choice.Endpoint, choice.CachedPieces); err != nil {
+	cached := choice.CachedPieces
+	doubted := cached > 0 && c.bring.Available() && c.svc.doubtsCache(c.prompt.Keys, choice.Endpoint, time.Now())
+	if doubted {
+		metric.Counter("cache_doubted_total").Inc(1)
+		cached = 0
+	}
+	if !choice.BringBack && !doubted {
+		return
+	}
+	if err := c.bring.Run(ctx, choice.Endpoint, cached); err != nil {
 		metric.Counter("bring_back_failed_total").Inc(1)
 		event.BringBackFailed.Log(c.s.o.Logger, slog.String("endpoint", choice.Endpoint), slog.Any("error", err))
 	}
@@ -218,6 +226,7 @@
 	permit.Clean(ctx)
 	c.svc.Router.Ended(endpoint, attempt, route.Succeeded, time.Now())
 	c.svc.budget.Succeeded()
+	c.svc.ran(c.prompt.Keys, endpoint, time.Now())
 	c.s.o.Keeper.Answered(c.prompt, endpoint)
 	if err := c.out.end(c.asm.finish); err != nil {
 		event.RequestEnded.Log(c.s.o.Logger, slog.String("request", c.tr.Request), slog.Any("error", err))
--- a/serve/server.go
+++ b/serve/server.go
@@ -47,6 +47,8 @@
 
 // BringBack is what a store keeps of one prompt.
 type BringBack interface {
+	// Available reports whether a store keeps any of the prompt's blocks.
+	Available() bool
 	// Cost estimates the time to bring the missing last pieces to an endpoint.
 	Cost(endpoint string, missing int) (time.Duration, bool)
 	// Run brings back what the endpoint lacks; it ends with ctx.
--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -117,6 +117,28 @@
 	assert.Equal(t, ok.status, http.StatusOK, ok.body)
 }
 
+// TestDoubtedCacheIsBroughtBack expects blocks that an engine may have evicted
+// to be brought back, although the router takes them for cached.
+func TestDoubtedCacheIsBroughtBack(t *testing.T) {
+	b := newBed(t, enginestandin.Options{})
+	k := &keptKeeper{}
+	b.server.o.Keeper = k
+	body := chatJSON(strings.Repeat("a long prompt ", 2000), true)
+	ask := func() {
+		got := b.do("POST", "/v1/chat/completions", teamToken, body)
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	}
+	ask()
+	ask()
+	assert.Equal(t, len(k.brought), 0)
+	svc := b.server.o.Services.Get("llm")
+	svc.mu.Lock()
+	svc.chains = recentChains{} // as after a long gap
+	svc.mu.Unlock()
+	ask()
+	assert.DeepEqual(t, k.brought, []int{0})
+}
+
 func TestNonIdempotentCallRunsOnce(t *testing.T) {
 	b := newBed(t)
 	key := uuid.Must(uuid.NewV7()).String()
--- a/serve/service.go
+++ b/serve/service.go
@@ -24,6 +24,9 @@
 
 	mu     sync.Mutex
 	epochs map[string]string // of the endpoints' processes, as last reported
+
+	chains   recentChains
+	eventsAt map[string]time.Time // when an engine's cache events were last read
 }
 
 // epoch returns the last reported epoch of an endpoint's process.
@@ -91,7 +94,7 @@
 		}),
 		admit:  admit.NewController(admit.Config{}),
 		budget: retry.NewBudget(retry.BudgetConfig{}),
-		epochs: map[string]string{},
+		epochs: map[string]string{}, eventsAt: map[string]time.Time{},
 	}
 }
 
