An endpoint that is gone is left at once; join defaults and waits that stood twice

Cause: TestCrashingRequestIsRefused failed once in seven runs: an innocent request met two engines that had ended, one after the other, and the service's three initial retries were spent. Ruled out: wrong blame of the request. Change: a crash or a refused connection ejects an endpoint at once (it took three failures), and a service starts with 10 retries. TestEndpointThatIsGoneIsLeftAtOnce fails before ('w0 != w1'). The fuzz's oracle counts the new outcome as a failure like the others.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"redwingknot/contract"
+	"redwingknot/internal/options"
 )
 
 // Defaults of Config.
@@ -38,23 +39,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Fill, defaultFill)
-	setDefault(&c.Step, defaultStep)
-	setDefault(&c.FirmStep, defaultFirmStep)
-	setDefault(&c.Ramp, defaultRamp)
-	setDefault(&c.Window, defaultWindow)
-	setDefault(&c.RetryBase, defaultRetryBase)
-	setDefault(&c.RetryMax, defaultRetryMax)
+	options.Default(&c.Fill, defaultFill)
+	options.Default(&c.Step, defaultStep)
+	options.Default(&c.FirmStep, defaultFirmStep)
+	options.Default(&c.Ramp, defaultRamp)
+	options.Default(&c.Window, defaultWindow)
+	options.Default(&c.RetryBase, defaultRetryBase)
+	options.Default(&c.RetryMax, defaultRetryMax)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Query describes a request that asks for admission.
 type Query struct {
 	Team     string
--- a/block/keeper.go
+++ b/block/keeper.go
@@ -11,6 +11,7 @@
 	"redwingknot/contract"
 	"redwingknot/engine"
 	"redwingknot/event"
+	"redwingknot/internal/timer"
 	"redwingknot/link"
 	"redwingknot/metric"
 	"redwingknot/store"
@@ -152,7 +153,7 @@
 // are now in its cache. It is ended when computing them would have been done:
 // a link that has become slow is not waited for.
 func (k *Keeper) importStep(ctx context.Context, eng engine.Engine, s step, cached int, limit time.Duration) int {
-	if !wait(ctx, s.permit.StartIn) {
+	if !timer.Sleep(ctx, s.permit.StartIn) {
 		return 0
 	}
 	t := engine.Transfer{StoreURL: s.store, Rate: s.permit.Rate}
@@ -219,7 +220,7 @@
 	for _, key := range keys {
 		t.Blocks = append(t.Blocks, engine.BlockRef{Key: key.String(), Generation: k.generation()})
 	}
-	if !wait(ctx, permit.StartIn) {
+	if !timer.Sleep(ctx, permit.StartIn) {
 		return 0, ctx.Err()
 	}
 	began := k.opts.Now()
@@ -271,7 +272,7 @@
 				return url, permit, nil
 			}
 		}
-		if try >= exportTries || !wait(ctx, k.opts.ExportPause) {
+		if try >= exportTries || !timer.Sleep(ctx, k.opts.ExportPause) {
 			k.settle(score, false)
 			return "", link.Permit{}, err
 		}
@@ -374,18 +375,3 @@
 	defer k.mu.Unlock()
 	return uint64(k.opts.Now().UnixMilli())<<generationRandomBits | k.rng.Uint64N(1<<generationRandomBits)
 }
-
-// wait reports whether d passed before ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/entry/components.go
+++ b/entry/components.go
@@ -10,6 +10,7 @@
 
 	"redwingknot/event"
 	"redwingknot/instance"
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 )
 
@@ -39,7 +40,7 @@
 			event.ComponentFailed.Log(log, slog.String("component", c.name), slog.Any("error", err))
 		}
 		metric.Counter("component_restarts_total", "component", c.name).Inc(1)
-		if !sleep(ctx, restartDelay) {
+		if !timer.Sleep(ctx, restartDelay) {
 			return nil
 		}
 	}
@@ -54,15 +55,3 @@
 	}()
 	return c.run(ctx)
 }
-
-// sleep waits for d and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -11,6 +11,7 @@
 
 	"redwingknot/endpoint"
 	"redwingknot/instance"
+	"redwingknot/internal/timer"
 	"redwingknot/platform"
 )
 
@@ -74,7 +75,7 @@
 		if n < quickReads && len(l.names()) == 0 {
 			wait /= quickDivisor
 		}
-		if !sleep(ctx, wait) {
+		if !timer.Sleep(ctx, wait) {
 			return nil
 		}
 	}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"redwingknot/event"
+	"redwingknot/internal/timer"
 	"redwingknot/note"
 	"redwingknot/operator"
 	"redwingknot/platform"
@@ -34,7 +35,7 @@
 func (e *Entry) followNotes(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !e.follows() {
-			sleep(ctx, time.Second)
+			timer.Sleep(ctx, time.Second)
 			continue
 		}
 		if err := e.followWhile(ctx); err != nil {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"redwingknot/engine"
+	"redwingknot/internal/timer"
 )
 
 // bytesPerToken is the stand-in's tokenizer.
@@ -131,7 +132,7 @@
 	cached := s.cache.prefix(keys) * s.o.PieceTokens
 	s.mu.Unlock()
 	missing := max(tokens-cached, 0)
-	if !sleep(ctx, time.Duration(missing)*time.Second/time.Duration(max(s.o.PrefillRate, 1))) {
+	if !timer.Sleep(ctx, time.Duration(missing)*time.Second/time.Duration(max(s.o.PrefillRate, 1))) {
 		return false
 	}
 	s.hold(keys...)
@@ -143,7 +144,7 @@
 	defer s.count(&s.running, -1)
 	rc := http.NewResponseController(w)
 	for i := from; i < s.o.AnswerTokens; i++ {
-		if !sleep(ctx, s.o.TokenEvery) {
+		if !timer.Sleep(ctx, s.o.TokenEvery) {
 			return
 		}
 		writeChunk(w, attempt, i, Token(body, version, i), i == s.o.AnswerTokens-1)
@@ -167,18 +168,3 @@
 	defer s.mu.Unlock()
 	*n += by
 }
-
-// sleep waits for d and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/ledger/config.go
+++ b/ledger/config.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"redwingknot/internal/options"
 	"redwingknot/ledger/ledgerpb"
 	"redwingknot/platform"
 )
@@ -75,17 +76,17 @@
 
 // withDefaults returns the configuration with the unset fields filled in.
 func (c Config) withDefaults() *Config {
-	setDefault(&c.Shards, DefaultShards)
-	setDefault(&c.Window, DefaultWindow)
-	setDefault(&c.Interval, DefaultInterval)
-	setDefault(&c.MaxSkew, DefaultMaxSkew)
-	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&c.OwnerTimeout, DefaultOwnerTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.RetryAfter, DefaultRetryAfter)
-	setDefault(&c.MaxQueue, DefaultMaxQueue)
-	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
-	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	options.Default(&c.Shards, DefaultShards)
+	options.Default(&c.Window, DefaultWindow)
+	options.Default(&c.Interval, DefaultInterval)
+	options.Default(&c.MaxSkew, DefaultMaxSkew)
+	options.Default(&c.ClaimTimeout, DefaultClaimTimeout)
+	options.Default(&c.OwnerTimeout, DefaultOwnerTimeout)
+	options.Default(&c.WriteTimeout, DefaultWriteTimeout)
+	options.Default(&c.RetryAfter, DefaultRetryAfter)
+	options.Default(&c.MaxQueue, DefaultMaxQueue)
+	options.Default(&c.MaxEntryBytes, DefaultMaxEntryBytes)
+	options.Default(&c.MaxBodyBytes, DefaultMaxBodyBytes)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -100,10 +101,3 @@
 	}
 	return &c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -86,8 +86,10 @@
 	case AnsweredOldVersion:
 		e.health.abandoned(attempt)
 		e.versionAt = now
-	case Failed, Crashed:
-		r.failed(e, attempt, now)
+	case Failed:
+		r.failed(e, attempt, 1, now)
+	case Crashed, Unreachable:
+		r.failed(e, attempt, r.config.FailuresToEject, now)
 	}
 }
 
@@ -101,10 +103,11 @@
 	r.hold = (1-weight)*r.hold + weight*now.Sub(d.at).Seconds()
 }
 
-func (r *Router) failed(e *endpoint, attempt string, now time.Time) {
+// failed counts so many failures of an endpoint.
+func (r *Router) failed(e *endpoint, attempt string, count int, now time.Time) {
 	was := e.health.ejected()
 	mayEject := float64(r.ejected+1) <= r.config.MaxEjected*float64(len(r.byName))
-	if e.health.failed(attempt, &r.config, mayEject, now, r.jitter) && !was {
+	if e.health.failed(attempt, count, &r.config, mayEject, now, r.jitter) && !was {
 		r.ejected++
 		event.EndpointEjected.Log(r.config.Log, r.endpointAttr(e))
 	}
--- a/route/config.go
+++ b/route/config.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"redwingknot/internal/options"
 	"redwingknot/note"
 )
 
@@ -54,29 +55,22 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Kind, note.KindModel)
-	setDefault(&c.PieceTokens, defaultPieceTokens)
-	setDefault(&c.PrefillRate, defaultPrefillRate)
-	setDefault(&c.Hold, defaultHold)
-	setDefault(&c.CrossDelay, defaultCrossDelay)
-	setDefault(&c.ReportTTL, defaultReportTTL)
-	setDefault(&c.Memory, defaultMemory)
-	setDefault(&c.CopyPrice, defaultCopyPrice)
-	setDefault(&c.OwnWeight, defaultOwnWeight)
-	setDefault(&c.Tolerance, defaultTolerance)
-	setDefault(&c.Slack, defaultSlack)
-	setDefault(&c.FailuresToEject, defaultFailuresToEject)
-	setDefault(&c.EjectBase, defaultEjectBase)
-	setDefault(&c.EjectMax, defaultEjectMax)
-	setDefault(&c.MaxEjected, defaultMaxEjected)
-	setDefault(&c.MaxBlocks, defaultMaxBlocks)
-	setDefault(&c.Log, slog.New(slog.DiscardHandler))
+	options.Default(&c.Kind, note.KindModel)
+	options.Default(&c.PieceTokens, defaultPieceTokens)
+	options.Default(&c.PrefillRate, defaultPrefillRate)
+	options.Default(&c.Hold, defaultHold)
+	options.Default(&c.CrossDelay, defaultCrossDelay)
+	options.Default(&c.ReportTTL, defaultReportTTL)
+	options.Default(&c.Memory, defaultMemory)
+	options.Default(&c.CopyPrice, defaultCopyPrice)
+	options.Default(&c.OwnWeight, defaultOwnWeight)
+	options.Default(&c.Tolerance, defaultTolerance)
+	options.Default(&c.Slack, defaultSlack)
+	options.Default(&c.FailuresToEject, defaultFailuresToEject)
+	options.Default(&c.EjectBase, defaultEjectBase)
+	options.Default(&c.EjectMax, defaultEjectMax)
+	options.Default(&c.MaxEjected, defaultMaxEjected)
+	options.Default(&c.MaxBlocks, defaultMaxBlocks)
+	options.Default(&c.Log, slog.New(slog.DiscardHandler))
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/route/fuzz_test.go
+++ b/route/fuzz_test.go
@@ -164,7 +164,7 @@
 	switch o {
 	case Succeeded:
 		f.truths[i].failures = 0
-	case Failed, Crashed:
+	case Failed, Crashed, Unreachable:
 		f.truths[i].failures++
 	case AnsweredOldVersion:
 		f.truths[i].proofFrom = f.now
--- a/route/health.go
+++ b/route/health.go
@@ -42,13 +42,13 @@
 	}
 }
 
-// failed counts a failure and reports whether it ejects the endpoint. mayEject
+// failed counts failures and reports whether it ejects the endpoint. mayEject
 // is false while too many endpoints are ejected already.
-func (h *health) failed(attempt string, c *Config, mayEject bool, now time.Time, rng *rand.Rand) bool {
+func (h *health) failed(attempt string, count int, c *Config, mayEject bool, now time.Time, rng *rand.Rand) bool {
 	if h.probing && h.probe != attempt {
 		return false // dispatched before the ejection
 	}
-	h.failures++
+	h.failures += count
 	h.abandoned(attempt)
 	if !h.probing && (h.failures < c.FailuresToEject || !mayEject) {
 		return false
--- a/route/query.go
+++ b/route/query.go
@@ -110,5 +110,6 @@
 	Canceled                   // by the caller; says nothing about the endpoint
 	Failed                     // an error of the endpoint or of the way to it
 	Crashed                    // the endpoint ended while the attempt ran
+	Unreachable                // no connection to the endpoint could be made
 	AnsweredOldVersion         // the answer carried another weight version
 )
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -135,6 +135,22 @@
 	assert.NilError(t, err)
 }
 
+// TestEndpointThatIsGoneIsLeftAtOnce expects no second attempt at an endpoint
+// whose process has ended or can't be reached.
+func TestEndpointThatIsGoneIsLeftAtOnce(t *testing.T) {
+	for _, outcome := range []Outcome{Crashed, Unreachable} {
+		r, q := newTestRouter(2), query()
+		r.Dispatched("a", q, Choice{Endpoint: "w0"}, epoch)
+		r.Ended("w0", "a", outcome, epoch)
+		rng := newRNG()
+		for range 50 {
+			c, err := r.Choose(q, epoch, rng)
+			assert.NilError(t, err)
+			assert.Equal(t, c.Endpoint, "w1")
+		}
+	}
+}
+
 func TestSilentEndpointIsAvoided(t *testing.T) {
 	r, q := newTestRouter(2), query()
 	r.Dispatched("hung", q, Choice{Endpoint: "w0", Expected: 200 * time.Millisecond}, epoch)
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"redwingknot/engine"
+	"redwingknot/retry"
+	"redwingknot/route"
 )
 
 // failure is why an attempt at an endpoint failed; it is the label of the
@@ -95,3 +99,40 @@
 
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Err }
+
+func isCallerGone(err error) bool {
+	var gone *CallerGoneError
+	return errors.As(err, &gone)
+}
+
+func outcomeOf(f failure) route.Outcome {
+	switch f {
+	case failCanceled:
+		return route.Canceled
+	case failConnect:
+		return route.Unreachable
+	case failVersion:
+		return route.AnsweredOldVersion
+	}
+	return route.Failed
+}
+
+func retryReason(f failure, begun bool) retry.Reason {
+	switch {
+	case begun:
+		return retry.Resume
+	case f == failConnect:
+		return retry.Unreachable
+	case f == failVersion:
+		return retry.OldVersion
+	case f == failRefused:
+		return retry.EndpointBusy
+	}
+	return retry.Crash
+}
+
+// spread draws a time between d and twice d, so that callers refused together
+// don't return together.
+func spread(d time.Duration, rng *rand.Rand) time.Duration {
+	return d + time.Duration(rng.Int64N(int64(d)))
+}
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +14,7 @@
 	"redwingknot/contract"
 	"redwingknot/engine"
 	"redwingknot/event"
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/retry"
 	"redwingknot/route"
@@ -83,7 +83,7 @@
 		if err != nil {
 			return c.giveUp(fail, err)
 		}
-		if !sleep(ctx, wait) {
+		if !timer.Sleep(ctx, wait) {
 			return c.giveUp(failCanceled, ctx.Err())
 		}
 	}
@@ -293,69 +293,3 @@
 	}
 	return r
 }
-
-func isCallerGone(err error) bool {
-	var gone *CallerGoneError
-	return errors.As(err, &gone)
-}
-
-func outcomeOf(f failure) route.Outcome {
-	switch f {
-	case failCanceled:
-		return route.Canceled
-	case failVersion:
-		return route.AnsweredOldVersion
-	}
-	return route.Failed
-}
-
-func retryReason(f failure, begun bool) retry.Reason {
-	switch {
-	case begun:
-		return retry.Resume
-	case f == failConnect:
-		return retry.Unreachable
-	case f == failVersion:
-		return retry.OldVersion
-	case f == failRefused:
-		return retry.EndpointBusy
-	}
-	return retry.Crash
-}
-
-// spread draws a time between d and twice d, so that callers refused together
-// don't return together.
-func spread(d time.Duration, rng *rand.Rand) time.Duration {
-	return d + time.Duration(rng.Int64N(int64(d)))
-}
-
-// sleep waits for d and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// watchdog cancels an attempt that makes no progress.
-type watchdog struct {
-	timer *time.Timer
-	late  atomic.Bool
-}
-
-func newWatchdog(cancel context.CancelFunc, limit time.Duration) *watchdog {
-	w := &watchdog{}
-	w.timer = time.AfterFunc(limit, func() {
-		w.late.Store(true)
-		cancel()
-	})
-	return w
-}
-
-func (w *watchdog) extend(limit time.Duration) { w.timer.Reset(limit) }
-func (w *watchdog) stop()                      { w.timer.Stop() }
-func (w *watchdog) fired() bool                { return w.late.Load() }
--- a/serve/service.go
+++ b/serve/service.go
@@ -58,6 +58,10 @@
 	MaxBlocks   int     // cached blocks remembered over all services; 0 for the default of each
 }
 
+// initialRetries lets a service that has just started, or is seldom called,
+// survive a few endpoints that are gone.
+const initialRetries = 10
+
 // NewServices returns an empty set.
 func NewServices(o ServicesOptions) *Services {
 	return &Services{o: o, byName: map[string]*Service{}, urls: map[string]string{}}
@@ -93,7 +97,7 @@
 			Service: svc.Name, Kind: svc.Kind, PrefillRate: s.o.PrefillRate, MaxBlocks: s.o.MaxBlocks / services,
 		}),
 		admit:  admit.NewController(admit.Config{}),
-		budget: retry.NewBudget(retry.BudgetConfig{}),
+		budget: retry.NewBudget(retry.BudgetConfig{Initial: initialRetries}),
 		epochs: map[string]string{}, eventsAt: map[string]time.Time{},
 	}
 }
--- a/serve/service_run.go
+++ b/serve/service_run.go
@@ -15,6 +15,7 @@
 
 	"redwingknot/contract"
 	"redwingknot/event"
+	"redwingknot/internal/timer"
 	"redwingknot/ledger"
 	"redwingknot/retry"
 	"redwingknot/route"
@@ -94,7 +95,7 @@
 			return p, err
 		}
 		wait, nextErr := c.retries.Next(retryReason(fail, false), 0, time.Now(), c.rng)
-		if nextErr != nil || !sleep(ctx, wait) {
+		if nextErr != nil || !timer.Sleep(ctx, wait) {
 			return nil, c.failed(fail, contract.Unknown, err)
 		}
 	}
@@ -194,7 +195,7 @@
 			return nil, c.release(ctx, claim, err)
 		}
 		wait, nextErr := c.retries.Next(retry.Unreachable, 0, time.Now(), c.rng)
-		if nextErr != nil || !sleep(ctx, wait) {
+		if nextErr != nil || !timer.Sleep(ctx, wait) {
 			return nil, c.release(ctx, claim, c.failed(fail, contract.NotRun, err))
 		}
 	}
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"redwingknot/internal/options"
 )
 
 // Defaults of Config.
@@ -23,21 +25,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.EndpointsToRefuse, defaultEndpointsToRefuse)
-	setDefault(&c.SuspectFor, defaultSuspectFor)
-	setDefault(&c.RefuseFor, defaultRefuseFor)
-	setDefault(&c.MaxEntries, defaultMaxEntries)
-	setDefault(&c.Log, slog.New(slog.DiscardHandler))
+	options.Default(&c.EndpointsToRefuse, defaultEndpointsToRefuse)
+	options.Default(&c.SuspectFor, defaultSuspectFor)
+	options.Default(&c.RefuseFor, defaultRefuseFor)
+	options.Default(&c.MaxEntries, defaultMaxEntries)
+	options.Default(&c.Log, slog.New(slog.DiscardHandler))
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Verdict says how a request may run.
 type Verdict uint8
 
--- a/team/config.go
+++ b/team/config.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"redwingknot/internal/options"
 )
 
 // The defaults of a Config.
@@ -45,12 +47,12 @@
 
 // withDefaults returns the configuration with the unset fields filled in.
 func (c Config) withDefaults() Config {
-	setDefault(&c.Floor, DefaultFloor)
-	setDefault(&c.Interval, DefaultInterval)
-	setDefault(&c.Lease, DefaultLease)
-	setDefault(&c.Hold, DefaultHold)
-	setDefault(&c.Idle, DefaultIdle)
-	setDefault(&c.MaxRetryAfter, DefaultMaxRetryAfter)
+	options.Default(&c.Floor, DefaultFloor)
+	options.Default(&c.Interval, DefaultInterval)
+	options.Default(&c.Lease, DefaultLease)
+	options.Default(&c.Hold, DefaultHold)
+	options.Default(&c.Idle, DefaultIdle)
+	options.Default(&c.MaxRetryAfter, DefaultMaxRetryAfter)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -59,10 +61,3 @@
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
