--- a/processtest/measure_test.go
+++ b/processtest/measure_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,15 +154,47 @@
 	}
 	slices.Sort(times)
 	fmt.Printf("single notes, 27 instances in 9 data centres: p50 %v, p95 %v, max %v\n", times[len(times)/2], times[len(times)*95/100], times[len(times)-1])
+	f.measurePaused(names)
 	began := time.Now()
+	before, err := f.operators(names[0]).Status(t.Context())
+	assert.NilError(t, err)
 	for i := range 50 {
 		f.submit(names[i%len(names)], rateNote(100+i))
 	}
 	accepted := time.Since(began)
-	f.waitHead(91, names...)
+	f.waitHead(before.Head+50, names...)
 	fmt.Printf("burst of 50 notes: accepted after %v, in force everywhere after %v\n", accepted, time.Since(began))
 }
 
+// measurePaused prints the time until all other instances have a note while
+// every instance of a data centre that reads the log of notes is paused.
+func (f *fleet) measurePaused(names []string) {
+	var times []time.Duration
+	for dc := range 5 {
+		var paused, others []string
+		for i, n := range names {
+			if i%9 == dc && len(paused) < 2 {
+				paused = append(paused, n)
+			} else {
+				others = append(others, n)
+			}
+		}
+		for _, n := range paused {
+			f.signal(n, syscall.SIGSTOP)
+		}
+		times = append(times, f.timeNote(others, 200+dc))
+		for _, n := range paused {
+			f.signal(n, syscall.SIGCONT)
+		}
+		s, err := f.operators(others[0]).Status(f.t.Context())
+		assert.NilError(f.t, err)
+		f.waitHead(s.Head, paused...)
+		time.Sleep(3 * time.Second)
+	}
+	slices.Sort(times)
+	fmt.Printf("two of three instances of a data centre paused: %v\n", times)
+}
+
 func rateNote(i int) string {
 	return fmt.Sprintf("title: Rate %d\nchange: {teams: [{name: t, rate: %d}]}\n", i, 100+i)
 }
