An answer waits at most a second for its record

Cause: the answer of a call that may not be repeated waited for its record until the request's deadline when the platform went away after the claim. Change: the caller waits at most a second for the end of its claim; the ledger goes on in the background.

--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -1,12 +1,14 @@
 package serve
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +18,7 @@
 
 	"redwingknot/contract"
 	enginestandin "redwingknot/internal/standin/engine"
+	"redwingknot/platform/platformtest"
 )
 
 // texts joins the tokens of a stream and says whether it is whole.
@@ -153,6 +156,32 @@
 	assert.Equal(t, len(b.app.Runs()), 1)
 }
 
+// TestAnswerDoesNotWaitForThePlatform loses the platform between the claim and
+// the record of the answer. The deadline is longer than the test may take.
+func TestAnswerDoesNotWaitForThePlatform(t *testing.T) {
+	b := newBed(t)
+	b.state.Classes["question"] = contract.Class{Name: "question", Worth: 1, FirstIn: time.Second, Deadline: time.Hour}
+	var writes atomic.Int64
+	b.kv.SetHook(func(_ context.Context, op platformtest.Op) platformtest.Fault {
+		if op.Write && writes.Add(1) > 1 {
+			return platformtest.NotSent
+		}
+		return platformtest.None
+	})
+	key := uuid.Must(uuid.NewV7()).String()
+	got := b.do("POST", "/svc/app/certificates", teamToken, "juma", HeaderIdempotencyKey, key)
+	assert.Equal(t, got.status, http.StatusCreated, got.body)
+	b.kv.SetHook(nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		again := b.do("POST", "/svc/app/certificates", teamToken, "juma", HeaderIdempotencyKey, key)
+		if again.status == http.StatusCreated && again.body == got.body {
+			return poll.Success()
+		}
+		return poll.Continue("status %d", again.status)
+	}, poll.WithTimeout(30*time.Second))
+	assert.Equal(t, len(b.app.Runs()), 1)
+}
+
 func TestUnreachablePlatformRefusesUnrun(t *testing.T) {
 	b := newBed(t)
 	b.kv.Store().SetDown(true)
--- a/serve/service_run.go
+++ b/serve/service_run.go
@@ -188,7 +188,7 @@
 			return p, c.finish(ctx, claim, p)
 		}
 		if fail != "" && fail != failConnect {
-			c.s.o.Ledger.Doubt(ctx, claim)
+			recordWithin(ctx, func(ctx context.Context) error { return c.s.o.Ledger.Doubt(ctx, claim) })
 			return nil, c.failed(fail, contract.Unknown, err)
 		}
 		if fail == "" {
@@ -201,11 +201,23 @@
 	}
 }
 
+// recordWait is how long a caller waits for the end of its call's claim to be
+// durable; the ledger goes on with it in the background.
+const recordWait = time.Second
+
+// recordWithin waits for the end of a claim, but no longer than recordWait.
+func recordWithin(ctx context.Context, end func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	return end(ctx)
+}
+
 // finish records the answer before the caller gets it, so that a resend after a
-// lost answer finds it. A record that is late goes on in the background.
+// lost answer finds it. A record that is late goes on in the background, and
+// the answer does not wait for it.
 func (c *serviceRun) finish(ctx context.Context, claim ledger.Claim, p *reply) error {
 	answer := ledger.Answer{Status: p.status, ContentType: p.header.Get("Content-Type"), Body: p.body}
-	err := c.s.o.Ledger.Finish(ctx, claim, answer)
+	err := recordWithin(ctx, func(ctx context.Context) error { return c.s.o.Ledger.Finish(ctx, claim, answer) })
 	var pending *ledger.PendingError
 	if errors.As(err, &pending) {
 		return nil
@@ -216,7 +228,7 @@
 // release gives the claim of a call that was not sent back and returns its
 // refusal. The refusal is true even if the release is late.
 func (c *serviceRun) release(ctx context.Context, claim ledger.Claim, refusal error) error {
-	c.s.o.Ledger.Release(ctx, claim)
+	recordWithin(ctx, func(ctx context.Context) error { return c.s.o.Ledger.Release(ctx, claim) })
 	return refusal
 }
 
