--- a/serve/answer_writer.go
+++ b/serve/answer_writer.go
@@ -13,8 +13,6 @@
 	"redwingknot/metric"
 )
 
-func countDropped() { metric.Counter("frames_dropped_total").Inc(1) }
-
 // answerWriter writes an answer to the caller. Nothing is sent before the first
 // token, so that a request can still be refused or retried.
 type answerWriter interface {
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -67,8 +67,8 @@
 }
 
 // relay passes the frames of one attempt to deliver until the answer is whole
-// or the attempt fails.
-func relay(a *assembler, s *engine.Stream, deliver func(engine.Frame) error) error {
+// or the attempt fails. Late and crossed frames go to dropped.
+func relay(a *assembler, s *engine.Stream, deliver func(engine.Frame) error, dropped func(engine.Frame)) error {
 	for {
 		f, err := s.Next()
 		if errors.Is(err, io.EOF) {
@@ -82,7 +82,7 @@
 			return err
 		}
 		if !next {
-			countDropped()
+			dropped(f)
 			continue
 		}
 		if err := deliver(f); err != nil {
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -218,7 +218,13 @@
 	if s.Version != c.version() {
 		return &VersionError{Want: c.q.model.Version, Got: s.Version}
 	}
-	return relay(&c.asm, s, deliver)
+	return relay(&c.asm, s, deliver, c.dropped)
+}
+
+// dropped counts a late or crossed frame.
+func (c *chatRun) dropped(f engine.Frame) {
+	metric.Counter("frames_dropped_total").Inc(1)
+	event.FrameDropped.Log(c.s.o.Logger, slog.String("request", c.tr.Request), slog.String("attempt", f.Attempt), slog.Int("offset", f.Offset))
 }
 
 func (c *chatRun) succeeded(ctx context.Context, attempt, endpoint string, permit *suspect.Permit, at *AttemptTrace) failure {
@@ -229,7 +235,7 @@
 	c.svc.ran(c.prompt.Keys, endpoint, time.Now())
 	c.s.o.Keeper.Answered(c.prompt, endpoint)
 	if err := c.out.end(c.asm.finish); err != nil {
-		event.RequestEnded.Log(c.s.o.Logger, slog.String("request", c.tr.Request), slog.Any("error", err))
+		at.Outcome = string(failCanceled)
 	}
 	return ""
 }
--- a/serve/server.go
+++ b/serve/server.go
@@ -166,6 +166,7 @@
 			event.RequestRefused.Log(s.o.Logger, slog.String("request", tr.Request), slog.String("reason", string(tr.Refusal.Reason)))
 		}
 		tr.Elapsed = time.Since(tr.Started)
+		event.RequestEnded.Log(s.o.Logger, slog.String("request", tr.Request), slog.String("service", tr.Service), slog.Duration("elapsed", tr.Elapsed))
 		s.traces.add(tr)
 	}
 }
