--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -137,6 +137,38 @@
 	})
 }
 
+// TestCutFromThePlatform cuts one data centre's connections to the platform, not
+// those to its peers: it learns of a note from them and goes on serving, and a
+// call through it runs once when the cut has ended.
+func TestCutFromThePlatform(t *testing.T) {
+	f := newFleet(t)
+	direct := f.kvs
+	f.entry("e1", "ilala")
+	r, relayed := newRelay(t, direct)
+	f.kvs = relayed
+	f.entry("e2", "kinondoni")
+	f.kvs = direct
+	f.waitHead(f.submit("e1", f.firstNote("ilala", "kinondoni")), "e1", "e2")
+	f.waitServing("e2")
+	r.setCut(true)
+	f.waitHead(f.submit("e1", "title: Rate\nchange: {teams: [{name: t, rate: 500}]}\n"), "e2")
+	_, err := f.ask("e2", "are you there")
+	assert.NilError(t, err)
+	key := newKey()
+	status, body := f.call("e2", key, "juma")
+	if status != http.StatusCreated {
+		assert.Equal(t, status, http.StatusServiceUnavailable, body)
+		assert.Assert(t, strings.Contains(body, `"ran":"not-run"`), body)
+		assert.Equal(t, f.runs(key, "app-ilala", "app-kinondoni"), 0)
+	}
+	r.setCut(false)
+	f.wait("the call is answered", func() bool {
+		status, _ := f.call("e2", key, "juma")
+		return status == http.StatusCreated
+	})
+	assert.Equal(t, f.runs(key, "app-ilala", "app-kinondoni"), 1)
+}
+
 // TestLostAnswers lets the platform lose a third of its answers after the
 // effect: every call, sent again until it is answered, runs once.
 func TestLostAnswers(t *testing.T) {
