A weight swap refuses no request

Cause: once a note with a new version was in force, new requests waited for it and were refused until an engine had loaded ('no endpoint is eligible', TestSwapKeepsServing). Change: a new request goes to an engine of the version in force, and of the version before if none of the new one can take it, with the blocks of the version that answers; an engine found to hold another version is asked for its report at once instead of being left out.

--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -67,6 +67,33 @@
 	return rest
 }
 
+// TestSwapUnderLoad swaps the weights of both engines of a data centre while
+// prompts are asked one after the other: each is answered.
+func TestSwapUnderLoad(t *testing.T) {
+	f := newFleet(t)
+	f.entry("e1", "ilala")
+	f.waitHead(f.submit("e1", f.firstNote("ilala")), "e1")
+	f.waitServing("e1")
+	f.wait("a lead", func() bool { _, n := f.lead("e1"); return n == 1 })
+	f.submit("e1", "title: Swap\nchange: {models: [{name: m, version: v2}]}\n")
+	swapped := func() bool {
+		return strings.Contains(f.fetch("engine-ilala-0", "/report"), `"Version":"v2"`) &&
+			strings.Contains(f.fetch("engine-ilala-1", "/report"), `"Version":"v2"`)
+	}
+	asked := 0
+	f.wait("both engines at v2", func() bool {
+		_, err := f.ask("e1", fmt.Sprint("question ", asked))
+		if err != nil {
+			t.Errorf("question %d: %v", asked, err)
+		}
+		asked++
+		return err != nil || swapped()
+	})
+	_, err := f.ask("e1", "after the swap")
+	assert.NilError(t, err)
+	t.Logf("%d questions answered during the swap", asked)
+}
+
 // TestEntryKilledInDispatch kills the entry while the application runs a call:
 // a resend through another entry never runs it again.
 func TestEntryKilledInDispatch(t *testing.T) {
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return "", err
 	}
-	q, choice, err := c.choose(permit)
+	q, choice, err := c.choose(ctx, permit)
 	if err != nil {
 		permit.End(ctx)
 		return "", err
@@ -111,8 +111,42 @@
 	return fail, nil
 }
 
-// choose picks an endpoint and asks for admission with its expected time.
-func (c *chatRun) choose(permit *suspect.Permit) (route.Query, route.Choice, error) {
+// choose picks an endpoint and asks for admission. While a swap is under way, a
+// request that no engine of the version in force can take goes to one that
+// still has the version before. An answer that has begun keeps its version.
+func (c *chatRun) choose(ctx context.Context, permit *suspect.Permit) (route.Query, route.Choice, error) {
+	if c.asm.next > 0 {
+		return c.chooseEndpoint(permit)
+	}
+	var first error
+	for _, version := range c.s.o.Services.modelVersions(c.q.model.Name) {
+		c.setVersion(ctx, version)
+		q, choice, err := c.chooseEndpoint(permit)
+		if err == nil {
+			return q, choice, nil
+		}
+		if first == nil {
+			first = err
+		}
+	}
+	return route.Query{}, route.Choice{}, first
+}
+
+// setVersion makes a weight version the one that must answer. The prompt's
+// blocks are those of that version alone.
+func (c *chatRun) setVersion(ctx context.Context, version string) {
+	if version == c.q.model.Version {
+		return
+	}
+	c.q.model.Version = version
+	c.prompt.Model = c.q.model
+	c.prompt.Keys = blockKeys(c.q)
+	c.bring = c.s.o.Keeper.Plan(ctx, c.prompt)
+}
+
+// chooseEndpoint picks an endpoint of the wanted version and asks for admission
+// with its expected time.
+func (c *chatRun) chooseEndpoint(permit *suspect.Permit) (route.Query, route.Choice, error) {
 	now := time.Now()
 	q := route.Query{
 		Service: c.q.service.Name, Model: c.q.model.Name, Version: c.version(), Adapter: c.q.adapter,
@@ -259,12 +293,26 @@
 	}
 	at.Outcome = string(fail)
 	c.svc.Router.Ended(endpoint, attempt, outcome, time.Now())
-	c.tried = append(c.tried, endpoint)
+	if fail == failVersion {
+		c.refresh(endpoint)
+	} else {
+		c.tried = append(c.tried, endpoint)
+	}
 	event.AttemptFailed.Log(c.s.o.Logger, slog.String("request", c.tr.Request),
 		slog.String("endpoint", endpoint), slog.String("failure", string(fail)), slog.Any("error", err))
 	return fail
 }
 
+// refresh passes on the present report of an endpoint that holds another version
+// than its last report said, so that the next attempt can use it.
+func (c *chatRun) refresh(endpoint string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if r, err := c.s.engineOf(endpoint).Report(ctx); err == nil {
+		c.s.o.Services.Observe(c.q.service.Name, endpoint, r, time.Now())
+	}
+}
+
 // confirmCrash asks the endpoint whether it still runs after a broken stream: a
 // cut connection alone blames no request.
 func (c *chatRun) confirmCrash(fail failure, endpoint string) (suspect.Crash, bool) {
--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -17,7 +17,9 @@
 	"gotest.tools/v3/poll"
 
 	"redwingknot/contract"
+	"redwingknot/engine"
 	enginestandin "redwingknot/internal/standin/engine"
+	"redwingknot/note"
 	"redwingknot/platform/platformtest"
 )
 
@@ -94,6 +96,32 @@
 	return poll.Continue("no engine is busy")
 }
 
+// TestSwapKeepsServing swaps the weight version: until an engine has the new
+// one, requests are answered by the one before; then by the new one.
+func TestSwapKeepsServing(t *testing.T) {
+	b := newBed(t, enginestandin.Options{}, enginestandin.Options{})
+	body := chatJSON(strings.Repeat("across a swap ", 1000), true)
+	next := *b.state
+	next.Head++
+	next.Models = map[string]note.Model{"m": {Name: "m", Version: "v2", PieceBytes: 8000, BlockBytes: 1 << 10}}
+	b.state = &next
+	b.server.o.Services.Apply(b.state)
+	got := b.do("POST", "/v1/chat/completions", teamToken, body)
+	text, whole := texts(t, got.body)
+	assert.Assert(t, whole, got.body)
+	assert.Equal(t, text, enginestandin.Answer([]byte(body), "v1", 8))
+
+	assert.NilError(t, b.server.engineOf("engine-0").Order(t.Context(), engine.Order{Fence: 1, Model: "m", Version: "v2"}))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		b.poll()
+		got := b.do("POST", "/v1/chat/completions", teamToken, body)
+		if text, whole := texts(t, got.body); whole && text == enginestandin.Answer([]byte(body), "v2", 8) {
+			return poll.Success()
+		}
+		return poll.Continue("not yet answered by v2: %s", got.body)
+	}, poll.WithTimeout(30*time.Second))
+}
+
 // TestCrashingRequestIsRefused sends a request that crashes every engine which
 // runs it: two engines end, the rest go on, and the request is never run again.
 func TestCrashingRequestIsRefused(t *testing.T) {
--- a/serve/service.go
+++ b/serve/service.go
@@ -50,6 +50,9 @@
 	mu     sync.RWMutex
 	byName map[string]*Service
 	urls   map[string]string // of endpoints by name
+
+	versions map[string]string // weight version in force, by model
+	previous map[string]string // the one before it, by model
 }
 
 // ServicesOptions set up the routers of all services.
@@ -64,7 +67,7 @@
 
 // NewServices returns an empty set.
 func NewServices(o ServicesOptions) *Services {
-	return &Services{o: o, byName: map[string]*Service{}, urls: map[string]string{}}
+	return &Services{o: o, byName: map[string]*Service{}, urls: map[string]string{}, versions: map[string]string{}, previous: map[string]string{}}
 }
 
 // Apply brings the set to a configuration. Services that stay keep what they
@@ -84,6 +87,7 @@
 			delete(s.byName, name)
 		}
 	}
+	s.applyVersions(state)
 	s.urls = make(map[string]string, len(state.Endpoints))
 	for name, e := range state.Endpoints {
 		s.urls[name] = e.URL
@@ -113,6 +117,29 @@
 	return lists
 }
 
+// applyVersions remembers the version before a swap, by which engines that have
+// not loaded the new one go on serving.
+func (s *Services) applyVersions(state *note.State) {
+	for name, m := range state.Models {
+		if old := s.versions[name]; old != "" && old != m.Version {
+			s.previous[name] = old
+		}
+		s.versions[name] = m.Version
+	}
+}
+
+// modelVersions returns the weight versions that may answer a new request, the
+// one in force first.
+func (s *Services) modelVersions(model string) []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	versions := []string{s.versions[model]}
+	if old := s.previous[model]; old != "" && old != versions[0] {
+		versions = append(versions, old)
+	}
+	return versions
+}
+
 // Get returns a service by name, nil if the configuration has none.
 func (s *Services) Get(name string) *Service {
 	s.mu.RLock()
