Join the acceptance of requests; one length of a token

Cause: deadline, attempts and the team's limit were read alike in serveChat and serveService, and the length of a token was named in serve and in entry. Change: Server.accept and serve.BytesPerToken serve both.

--- a/entry/blocks.go
+++ b/entry/blocks.go
@@ -71,13 +71,10 @@
 
 // compute is the time in which an engine computes one piece.
 func (b *blocks) compute(p serve.Prompt) time.Duration {
-	tokens := float64(p.Model.PieceBytes) / bytesPerToken
+	tokens := float64(p.Model.PieceBytes) / serve.BytesPerToken
 	return time.Duration(tokens / b.entry.o.PrefillRate * float64(time.Second))
 }
 
-// bytesPerToken is the usual length of a token.
-const bytesPerToken = 4
-
 // value is what keeping a block that the directory holds saves.
 func (b *blocks) value(h block.Holding) block.Value {
 	state := b.entry.book.State()
--- a/serve/chat.go
+++ b/serve/chat.go
@@ -16,8 +16,8 @@
 // was considered.
 const HeaderExplain = "X-Explain"
 
-// bytesPerToken is the usual length of a token, by which prompts are estimated.
-const bytesPerToken = 4
+// BytesPerToken is the usual length of a token, by which prompts are estimated.
+const BytesPerToken = 4
 
 // serveChat answers a chat completions request.
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, tr *Trace) error {
@@ -35,17 +35,10 @@
 		return err
 	}
 	tr.Service, tr.Class = q.service.Name, q.class.Name
-	deadline, err := requestDeadline(r.Header, q.class, tr.Started)
+	deadline, attempts, err := s.accept(r, team, q.class, tr.Started)
 	if err != nil {
 		return err
 	}
-	attempts, err := retry.Attempts(r.Header, s.o.Attempts)
-	if err != nil {
-		return malformed(err.Error())
-	}
-	if err := s.limit(team); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	run := s.newChatRun(q, tr, deadline, attempts)
@@ -67,7 +60,7 @@
 	run.retries = retry.NewRun(retry.Policy{Attempts: attempts}, svc.budget, deadline)
 	run.prompt = Prompt{
 		Team: q.team.Name, Service: q.service.Name, Class: q.class, Model: q.model,
-		Keys: blockKeys(q), Tokens: len(q.body) / bytesPerToken,
+		Keys: blockKeys(q), Tokens: len(q.body) / BytesPerToken,
 	}
 	run.fingerprint = suspect.FingerprintOf(suspect.Source{
 		Team: q.team.Name, Service: q.service.Name, Model: q.model.Name,
--- a/serve/service_run.go
+++ b/serve/service_run.go
@@ -41,17 +41,10 @@
 	if call.body, err = readBody(w, r, s.o.MaxBodyBytes, s.o.BodyTimeout); err != nil {
 		return err
 	}
-	deadline, err := requestDeadline(r.Header, call.class, tr.Started)
+	deadline, attempts, err := s.accept(r, team, call.class, tr.Started)
 	if err != nil {
 		return err
 	}
-	attempts, err := retry.Attempts(r.Header, s.o.Attempts)
-	if err != nil {
-		return malformed(err.Error())
-	}
-	if err := s.limit(team); err != nil {
-		return err
-	}
 	run := &serviceRun{s: s, svc: s.o.Services.Get(name), call: call, tr: tr, deadline: deadline, rng: newRand()}
 	run.retries = retry.NewRun(retry.Policy{Attempts: attempts}, run.svc.budget, deadline)
 	p, err := run.answer(r.Context())
