A service whose router is still to be made is refused as not ready

Cause: a request between a new configuration and its routers met no service and panicked; its caller got a closed connection. Seen failing first: TestServiceWithoutRouterIsNotReady, nil pointer dereference. Change: Server.service gives a 503 with not-ready, not-run and when to come back. go test -race ./serve passes.

--- a/serve/chat.go
+++ b/serve/chat.go
@@ -41,7 +41,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	run := s.newChatRun(q, tr, deadline, attempts)
+	svc, err := s.service(q.service.Name)
+	if err != nil {
+		return err
+	}
+	run := s.newChatRun(svc, q, tr, deadline, attempts)
 	run.explain = r.Header.Get(HeaderExplain) != ""
 	run.out = s.newAnswerWriter(w, q, tr.Request)
 	return run.do(ctx)
@@ -54,8 +58,7 @@
 	return &wholeWriter{w: w, id: id, model: q.service.Name}
 }
 
-func (s *Server) newChatRun(q *chatRequest, tr *Trace, deadline time.Time, attempts int) *chatRun {
-	svc := s.o.Services.Get(q.service.Name)
+func (s *Server) newChatRun(svc *Service, q *chatRequest, tr *Trace, deadline time.Time, attempts int) *chatRun {
 	run := &chatRun{s: s, svc: svc, q: q, tr: tr, deadline: deadline, rng: newRand()}
 	run.retries = retry.NewRun(retry.Policy{Attempts: attempts}, svc.budget, deadline)
 	run.prompt = Prompt{
--- a/serve/server.go
+++ b/serve/server.go
@@ -181,6 +181,15 @@
 	return state, team, err
 }
 
+// service returns what this instance keeps for a service. A service that has
+// just been configured may have no router yet.
+func (s *Server) service(name string) (*Service, error) {
+	if svc := s.o.Services.Get(name); svc != nil {
+		return svc, nil
+	}
+	return nil, contract.Overloaded(contract.ReasonNotReady, notReadyRetry, "this instance is taking up the service "+name)
+}
+
 // limit applies the team's limit.
 func (s *Server) limit(t note.Team) error {
 	ok, after := s.o.Limits.Allow(t)
--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -259,6 +259,20 @@
 	assert.Equal(t, len(b.app.Runs()), 0)
 }
 
+// TestServiceWithoutRouterIsNotReady asks for services that the configuration
+// has and whose routers are still to be made.
+func TestServiceWithoutRouterIsNotReady(t *testing.T) {
+	b := newBed(t, enginestandin.Options{})
+	b.server.o.Services = NewServices(ServicesOptions{})
+	for _, got := range []answer{
+		b.do("POST", "/v1/chat/completions", teamToken, chatJSON("x", true)),
+		b.do("GET", "/svc/app/roster/juma", teamToken, ""),
+	} {
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(got.body, string(contract.ReasonNotReady)), got.body)
+	}
+}
+
 // TestSlowBodyIsRefused sends a part of a body and no more.
 func TestSlowBodyIsRefused(t *testing.T) {
 	b := newBed(t, enginestandin.Options{})
--- a/serve/service_run.go
+++ b/serve/service_run.go
@@ -45,8 +45,12 @@
 	if err != nil {
 		return err
 	}
-	run := &serviceRun{s: s, svc: s.o.Services.Get(name), call: call, tr: tr, deadline: deadline, rng: newRand()}
-	run.retries = retry.NewRun(retry.Policy{Attempts: attempts}, run.svc.budget, deadline)
+	svc, err := s.service(name)
+	if err != nil {
+		return err
+	}
+	run := &serviceRun{s: s, svc: svc, call: call, tr: tr, deadline: deadline, rng: newRand()}
+	run.retries = retry.NewRun(retry.Policy{Attempts: attempts}, svc.budget, deadline)
 	p, err := run.answer(r.Context())
 	if err != nil {
 		return err
