--- a/datacentre/datacentretest/kv.go
+++ b/datacentre/datacentretest/kv.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // Fault is what happens to one call.
@@ -30,7 +30,7 @@
 // Error implements error.
 func (e *LostError) Error() string { return fmt.Sprintf("%s: no answer", e.Op) }
 
-// KV is a platform.KV in memory as one process reaches it. It is safe for
+// KV is a metastore.KV in memory as one process reaches it. It is safe for
 // concurrent use.
 type KV struct {
 	// RequestDelay and AnswerDelay are the nanoseconds that a call takes each
@@ -49,8 +49,8 @@
 	mu       sync.Mutex
 	now      func() time.Time
 	revision int64
-	leases   map[platform.LeaseID]*lease
-	entries  map[string]platform.Entry
+	leases   map[metastore.LeaseID]*lease
+	entries  map[string]metastore.Entry
 	watchers map[*watcher]struct{}
 	calls    map[string]int
 }
@@ -62,15 +62,15 @@
 
 type watcher struct {
 	from, to string
-	changes  chan platform.Change
+	changes  chan metastore.Change
 }
 
 // NewKV returns an empty service.
 func NewKV(now func() time.Time) *KV {
 	return &KV{service: &service{
 		now:      now,
-		leases:   map[platform.LeaseID]*lease{},
-		entries:  map[string]platform.Entry{},
+		leases:   map[metastore.LeaseID]*lease{},
+		entries:  map[string]metastore.Entry{},
 		watchers: map[*watcher]struct{}{},
 		calls:    map[string]int{},
 	}}
@@ -101,7 +101,7 @@
 	}
 }
 
-func (k *service) drop(id platform.LeaseID) {
+func (k *service) drop(id metastore.LeaseID) {
 	delete(k.leases, id)
 	for key, e := range k.entries {
 		if e.Lease == id {
@@ -114,10 +114,10 @@
 	k.revision++
 	e := k.entries[key]
 	delete(k.entries, key)
-	k.tell(platform.Change{Entry: e, Deleted: true})
+	k.tell(metastore.Change{Entry: e, Deleted: true})
 }
 
-func (k *service) tell(c platform.Change) {
+func (k *service) tell(c metastore.Change) {
 	for w := range k.watchers {
 		if w.from <= c.Entry.Key && c.Entry.Key < w.to {
 			w.changes <- c
@@ -136,7 +136,7 @@
 		fault = k.Fault(op)
 	}
 	if fault == FaultNotSent || ctx.Err() != nil {
-		return &platform.NotSentError{Op: op, Key: key, Err: &LostError{Op: op}}
+		return &metastore.NotSentError{Op: op, Key: key, Err: &LostError{Op: op}}
 	}
 	k.expire()
 	err := f()
@@ -144,7 +144,7 @@
 	wait(ctx, &k.AnswerDelay)
 	k.mu.Lock()
 	if fault == FaultLostAnswer || ctx.Err() != nil {
-		return &platform.UnknownOutcomeError{Op: op, Key: key, Err: &LostError{Op: op}}
+		return &metastore.UnknownOutcomeError{Op: op, Key: key, Err: &LostError{Op: op}}
 	}
 	return err
 }
@@ -160,24 +160,24 @@
 	}
 }
 
-func refused(op, key string, cause platform.Cause) error {
-	return &platform.RefusedError{Op: op, Key: key, Cause: cause}
+func refused(op, key string, cause metastore.Cause) error {
+	return &metastore.RefusedError{Op: op, Key: key, Cause: cause}
 }
 
-// Get implements platform.KV.
-func (k *KV) Get(ctx context.Context, _ platform.Purpose, key string) (e platform.Entry, err error) {
+// Get implements metastore.KV.
+func (k *KV) Get(ctx context.Context, _ metastore.Purpose, key string) (e metastore.Entry, err error) {
 	err = k.do(ctx, "get", key, func() error {
 		var ok bool
 		if e, ok = k.entries[key]; !ok {
-			return refused("get", key, platform.CauseNotFound)
+			return refused("get", key, metastore.CauseNotFound)
 		}
 		return nil
 	})
 	return e, err
 }
 
-// Range implements platform.KV.
-func (k *KV) Range(ctx context.Context, _ platform.Purpose, from, to string, limit int) (list []platform.Entry, rev int64, err error) {
+// Range implements metastore.KV.
+func (k *KV) Range(ctx context.Context, _ metastore.Purpose, from, to string, limit int) (list []metastore.Entry, rev int64, err error) {
 	err = k.do(ctx, "range", from, func() error {
 		rev = k.revision
 		for key, e := range k.entries {
@@ -185,7 +185,7 @@
 				list = append(list, e)
 			}
 		}
-		slices.SortFunc(list, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+		slices.SortFunc(list, func(a, b metastore.Entry) int { return cmp.Compare(a.Key, b.Key) })
 		if limit > 0 && len(list) > limit {
 			list = list[:limit]
 		}
@@ -194,74 +194,74 @@
 	return list, rev, err
 }
 
-// Create implements platform.KV.
-func (k *KV) Create(ctx context.Context, _ platform.Purpose, key string, value []byte, id platform.LeaseID) (rev int64, err error) {
+// Create implements metastore.KV.
+func (k *KV) Create(ctx context.Context, _ metastore.Purpose, key string, value []byte, id metastore.LeaseID) (rev int64, err error) {
 	err = k.do(ctx, "create", key, func() error {
 		if _, ok := k.entries[key]; ok {
-			return refused("create", key, platform.CauseExists)
+			return refused("create", key, metastore.CauseExists)
 		}
 		if id != 0 && k.leases[id] == nil {
-			return refused("create", key, platform.CauseLapsed)
+			return refused("create", key, metastore.CauseLapsed)
 		}
 		k.revision++
 		rev = k.revision
-		e := platform.Entry{Key: key, Value: value, CreateRevision: rev, ModRevision: rev, Lease: id}
+		e := metastore.Entry{Key: key, Value: value, CreateRevision: rev, ModRevision: rev, Lease: id}
 		k.entries[key] = e
-		k.tell(platform.Change{Entry: e})
+		k.tell(metastore.Change{Entry: e})
 		return nil
 	})
 	return rev, err
 }
 
-// Swap implements platform.KV.
-func (k *KV) Swap(ctx context.Context, _ platform.Purpose, key string, value []byte, rev int64, id platform.LeaseID) (next int64, err error) {
+// Swap implements metastore.KV.
+func (k *KV) Swap(ctx context.Context, _ metastore.Purpose, key string, value []byte, rev int64, id metastore.LeaseID) (next int64, err error) {
 	err = k.do(ctx, "swap", key, func() error {
 		e, ok := k.entries[key]
 		if !ok || e.ModRevision != rev {
-			return refused("swap", key, platform.CauseConflict)
+			return refused("swap", key, metastore.CauseConflict)
 		}
 		k.revision++
 		next = k.revision
 		e.Value, e.ModRevision, e.Lease = value, next, id
 		k.entries[key] = e
-		k.tell(platform.Change{Entry: e})
+		k.tell(metastore.Change{Entry: e})
 		return nil
 	})
 	return next, err
 }
 
-// Delete implements platform.KV.
-func (k *KV) Delete(ctx context.Context, _ platform.Purpose, key string, rev int64) error {
+// Delete implements metastore.KV.
+func (k *KV) Delete(ctx context.Context, _ metastore.Purpose, key string, rev int64) error {
 	return k.do(ctx, "delete", key, func() error {
 		e, ok := k.entries[key]
 		if !ok {
-			return refused("delete", key, platform.CauseNotFound)
+			return refused("delete", key, metastore.CauseNotFound)
 		}
 		if rev != 0 && e.ModRevision != rev {
-			return refused("delete", key, platform.CauseConflict)
+			return refused("delete", key, metastore.CauseConflict)
 		}
 		k.remove(key)
 		return nil
 	})
 }
 
-// Grant implements platform.KV.
-func (k *KV) Grant(ctx context.Context, _ platform.Purpose, ttl time.Duration) (id platform.LeaseID, err error) {
+// Grant implements metastore.KV.
+func (k *KV) Grant(ctx context.Context, _ metastore.Purpose, ttl time.Duration) (id metastore.LeaseID, err error) {
 	err = k.do(ctx, "grant", "", func() error {
 		k.revision++
-		id = platform.LeaseID(k.revision)
+		id = metastore.LeaseID(k.revision)
 		k.leases[id] = &lease{ttl: ttl, end: k.now().Add(ttl)}
 		return nil
 	})
 	return id, err
 }
 
-// KeepAlive implements platform.KV.
-func (k *KV) KeepAlive(ctx context.Context, _ platform.Purpose, id platform.LeaseID) (ttl time.Duration, err error) {
+// KeepAlive implements metastore.KV.
+func (k *KV) KeepAlive(ctx context.Context, _ metastore.Purpose, id metastore.LeaseID) (ttl time.Duration, err error) {
 	err = k.do(ctx, "keepalive", "", func() error {
 		l := k.leases[id]
 		if l == nil {
-			return refused("keepalive", "", platform.CauseLapsed)
+			return refused("keepalive", "", metastore.CauseLapsed)
 		}
 		l.end = k.now().Add(l.ttl)
 		ttl = l.ttl
@@ -270,21 +270,21 @@
 	return ttl, err
 }
 
-// Revoke implements platform.KV.
-func (k *KV) Revoke(ctx context.Context, _ platform.Purpose, id platform.LeaseID) error {
+// Revoke implements metastore.KV.
+func (k *KV) Revoke(ctx context.Context, _ metastore.Purpose, id metastore.LeaseID) error {
 	return k.do(ctx, "revoke", "", func() error {
 		if k.leases[id] == nil {
-			return refused("revoke", "", platform.CauseLapsed)
+			return refused("revoke", "", metastore.CauseLapsed)
 		}
 		k.drop(id)
 		return nil
 	})
 }
 
-// Watch implements platform.KV; a change of the past is not sent again.
-func (k *KV) Watch(ctx context.Context, _ platform.Purpose, from, to string, _ int64) (<-chan platform.Change, error) {
+// Watch implements metastore.KV; a change of the past is not sent again.
+func (k *KV) Watch(ctx context.Context, _ metastore.Purpose, from, to string, _ int64) (<-chan metastore.Change, error) {
 	const buffer = 1024
-	w := &watcher{from: from, to: to, changes: make(chan platform.Change, buffer)}
+	w := &watcher{from: from, to: to, changes: make(chan metastore.Change, buffer)}
 	err := k.do(ctx, "watch", from, func() error {
 		k.watchers[w] = struct{}{}
 		return nil
--- a/datacentre/lead.go
+++ b/datacentre/lead.go
@@ -10,12 +10,12 @@
 	"github.com/cockroachdb/errors"
 
 	"redwingknot/event"
+	"redwingknot/metastore"
 	"redwingknot/metric"
-	"redwingknot/platform"
 )
 
 // PurposeLead labels the platform calls of the lead's lease.
-const PurposeLead platform.Purpose = "lead"
+const PurposeLead metastore.Purpose = "lead"
 
 const leadPrefix = "lead/"
 
@@ -40,7 +40,7 @@
 
 // LeadConfig is what a Lead needs. Now, Rand and Logger may be left out.
 type LeadConfig struct {
-	KV         platform.KV
+	KV         metastore.KV
 	DataCentre string
 	Self       string // identifier of this instance
 	// Candidate reports whether this instance should stand. Few instances of a
@@ -93,7 +93,7 @@
 
 // Lease returns the lease of the lead while this instance holds it, for keys
 // that are to end with it.
-func (l *Lead) Lease() (platform.LeaseID, bool) {
+func (l *Lead) Lease() (metastore.LeaseID, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.tenure.heldAt(l.cfg.Now()) {
@@ -199,7 +199,7 @@
 			return nil
 		case c, ok := <-changes:
 			if !ok && ctx.Err() == nil {
-				return &platform.UnknownOutcomeError{Op: "watch", Key: l.key(), Err: context.Canceled}
+				return &metastore.UnknownOutcomeError{Op: "watch", Key: l.key(), Err: context.Canceled}
 			}
 			if !ok || c.Deleted {
 				return nil
@@ -230,9 +230,9 @@
 
 // create writes the key and returns its create revision. After a lost answer
 // the key is read back: it is ours if it hangs on our lease.
-func (l *Lead) create(ctx context.Context, id platform.LeaseID) (int64, error) {
+func (l *Lead) create(ctx context.Context, id metastore.LeaseID) (int64, error) {
 	fence, err := l.cfg.KV.Create(ctx, PurposeLead, l.key(), []byte(l.cfg.Self), id)
-	var unknown *platform.UnknownOutcomeError
+	var unknown *metastore.UnknownOutcomeError
 	if !errors.As(err, &unknown) {
 		return fence, errors.Wrap(err, "create lead")
 	}
@@ -244,7 +244,7 @@
 }
 
 // revoke ends a lease that is of no use, as well as it can.
-func (l *Lead) revoke(ctx context.Context, id platform.LeaseID) {
+func (l *Lead) revoke(ctx context.Context, id metastore.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	if err := l.cfg.KV.Revoke(ctx, PurposeLead, id); err != nil {
@@ -296,8 +296,8 @@
 			l.extend(t, sent, remaining)
 			return true
 		}
-		var refused *platform.RefusedError
-		if errors.As(err, &refused) && refused.Cause == platform.CauseLapsed {
+		var refused *metastore.RefusedError
+		if errors.As(err, &refused) && refused.Cause == metastore.CauseLapsed {
 			return false
 		}
 		l.sleep(ctx, retryMin/2+l.jitter(retryMin/2))
@@ -305,7 +305,7 @@
 	return ctx.Err() != nil
 }
 
-func (l *Lead) keepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+func (l *Lead) keepAlive(ctx context.Context, id metastore.LeaseID) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return l.cfg.KV.KeepAlive(ctx, PurposeLead, id)
--- a/datacentre/lead_test.go
+++ b/datacentre/lead_test.go
@@ -16,7 +16,7 @@
 
 	"redwingknot/datacentre/datacentretest"
 	"redwingknot/internal/fuzztest"
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // contender is a Lead whose process can die without a farewell.
@@ -52,17 +52,17 @@
 }
 
 // KeepAlive does not reach the service from a dead process.
-func (c *contender) KeepAlive(ctx context.Context, p platform.Purpose, id platform.LeaseID) (time.Duration, error) {
+func (c *contender) KeepAlive(ctx context.Context, p metastore.Purpose, id metastore.LeaseID) (time.Duration, error) {
 	if c.dead.Load() {
-		return 0, &platform.NotSentError{Op: "keepalive"}
+		return 0, &metastore.NotSentError{Op: "keepalive"}
 	}
 	return c.KV.KeepAlive(ctx, p, id)
 }
 
 // Revoke does not reach the service from a dead process.
-func (c *contender) Revoke(ctx context.Context, p platform.Purpose, id platform.LeaseID) error {
+func (c *contender) Revoke(ctx context.Context, p metastore.Purpose, id metastore.LeaseID) error {
 	if c.dead.Load() {
-		return &platform.NotSentError{Op: "revoke"}
+		return &metastore.NotSentError{Op: "revoke"}
 	}
 	return c.KV.Revoke(ctx, p, id)
 }
@@ -267,7 +267,7 @@
 	id, err := kv.Grant(t.Context(), PurposeLead, LeaseTTL)
 	assert.NilError(t, err)
 	_, err = l.create(t.Context(), id)
-	var unknown *platform.UnknownOutcomeError
+	var unknown *metastore.UnknownOutcomeError
 	assert.Assert(t, errors.As(err, &unknown))
 }
 
--- a/datacentre/spread_test.go
+++ b/datacentre/spread_test.go
@@ -18,8 +18,8 @@
 	"redwingknot/instance"
 	"redwingknot/instance/instancetest"
 	"redwingknot/internal/fuzztest"
+	"redwingknot/metastore/metastoretest"
 	"redwingknot/note"
-	"redwingknot/platform/platformtest"
 )
 
 // book is a Notes that keeps only the last notes and a snapshot of the others,
@@ -191,7 +191,7 @@
 func TestBooksOfNotesSpread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := instancetest.NewNetwork()
-		writer := note.NewBook(note.BookOptions{KV: platformtest.New(time.Now), Writer: "a"})
+		writer := note.NewBook(note.BookOptions{KV: metastoretest.New(time.Now), Writer: "a"})
 		books := []*note.Book{writer}
 		all := []*station{startNotes(t.Context(), n, writer, "ilala", 0, 1)}
 		join := func(dc string, i int) {
--- a/datacentre/tenure.go
+++ b/datacentre/tenure.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // driftDivisor bounds how much faster the service's clock may run than ours:
@@ -14,7 +14,7 @@
 // monotonic clock from before the request that the service acknowledged, and
 // lies before the service's own by a margin.
 type tenure struct {
-	lease platform.LeaseID
+	lease metastore.LeaseID
 	fence int64
 	ttl   time.Duration
 	until time.Time
--- a/endpoint/orders.go
+++ b/endpoint/orders.go
@@ -12,9 +12,9 @@
 
 	"redwingknot/engine"
 	"redwingknot/event"
+	"redwingknot/metastore"
 	"redwingknot/metric"
 	"redwingknot/note"
-	"redwingknot/platform"
 )
 
 // planInterval is the time between two plannings.
@@ -29,7 +29,7 @@
 	// Held returns the fencing number, and whether this instance leads now.
 	Held() (fence int64, ok bool)
 	// Lease returns the lease of the lead while it is held.
-	Lease() (platform.LeaseID, bool)
+	Lease() (metastore.LeaseID, bool)
 }
 
 // OrdersConfig is what Orders needs. Floor, LoadsPerSecond, Now and Logger may
@@ -37,7 +37,7 @@
 type OrdersConfig struct {
 	View  *View
 	Lead  Lead
-	KV    platform.KV
+	KV    metastore.KV
 	Self  string
 	State func() *note.State
 	// Engine returns the client of an endpoint.
@@ -124,7 +124,7 @@
 	o.planner.Reset()
 }
 
-func (o *Orders) input(state *note.State, workers []Worker, lease platform.LeaseID) Input {
+func (o *Orders) input(state *note.State, workers []Worker, lease metastore.LeaseID) Input {
 	now := o.cfg.Now()
 	in := Input{
 		State:   state,
@@ -225,7 +225,7 @@
 }
 
 // syncSlots takes and frees the slots of each service.
-func (o *Orders) syncSlots(ctx context.Context, state *note.State, lease platform.LeaseID, plan Plan) {
+func (o *Orders) syncSlots(ctx context.Context, state *note.State, lease metastore.LeaseID, plan Plan) {
 	for _, name := range slices.Sorted(maps.Keys(plan.Wanting)) {
 		s := o.slots[name]
 		if s == nil {
--- a/endpoint/orders_test.go
+++ b/endpoint/orders_test.go
@@ -22,8 +22,8 @@
 	"redwingknot/instance"
 	"redwingknot/instance/instancetest"
 	"redwingknot/internal/fuzztest"
+	"redwingknot/metastore"
 	"redwingknot/note"
-	"redwingknot/platform"
 )
 
 // alone is the Members of an instance that is the only one of its data centre,
@@ -108,16 +108,16 @@
 	dead *atomic.Bool
 }
 
-func (k dyingKV) KeepAlive(ctx context.Context, p platform.Purpose, id platform.LeaseID) (time.Duration, error) {
+func (k dyingKV) KeepAlive(ctx context.Context, p metastore.Purpose, id metastore.LeaseID) (time.Duration, error) {
 	if k.dead.Load() {
-		return 0, &platform.NotSentError{Op: "keepalive"}
+		return 0, &metastore.NotSentError{Op: "keepalive"}
 	}
 	return k.KV.KeepAlive(ctx, p, id)
 }
 
-func (k dyingKV) Revoke(ctx context.Context, p platform.Purpose, id platform.LeaseID) error {
+func (k dyingKV) Revoke(ctx context.Context, p metastore.Purpose, id metastore.LeaseID) error {
 	if k.dead.Load() {
-		return &platform.NotSentError{Op: "revoke"}
+		return &metastore.NotSentError{Op: "revoke"}
 	}
 	return k.KV.Revoke(ctx, p, id)
 }
@@ -346,8 +346,8 @@
 // lapsedLead is a lead whose lease has lapsed since it planned.
 type lapsedLead struct{}
 
-func (lapsedLead) Held() (int64, bool)             { return 0, false }
-func (lapsedLead) Lease() (platform.LeaseID, bool) { return 0, false }
+func (lapsedLead) Held() (int64, bool)              { return 0, false }
+func (lapsedLead) Lease() (metastore.LeaseID, bool) { return 0, false }
 
 func TestPausedLeadChecksBeforeEachOrder(t *testing.T) {
 	w := newWorld(1, 1, 1)
--- a/endpoint/slots.go
+++ b/endpoint/slots.go
@@ -7,11 +7,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // PurposeSlots labels the platform calls for the slots of weight loads.
-const PurposeSlots platform.Purpose = "load-slots"
+const PurposeSlots metastore.Purpose = "load-slots"
 
 const slotPrefix = "load/"
 
@@ -30,7 +30,7 @@
 // is a key under the lead's lease: it ends with the lease, and whoever takes it
 // next waits until the earlier holder's orders have settled. It has one owner.
 type slots struct {
-	kv      platform.KV
+	kv      metastore.KV
 	self    string
 	service string
 	limit   int // slots of the service in all data centres
@@ -45,15 +45,15 @@
 	revision int64
 	usable   time.Time // when an earlier holder's orders have settled
 	until    time.Time // when to let others have it
-	lease    platform.LeaseID
+	lease    metastore.LeaseID
 }
 
-func newSlots(kv platform.KV, self, service string) *slots {
+func newSlots(kv metastore.KV, self, service string) *slots {
 	return &slots{kv: kv, self: self, service: service, held: map[string]slot{}}
 }
 
 // usable returns how many loads may go on under the lease now.
-func (s *slots) usable(now time.Time, lease platform.LeaseID) int {
+func (s *slots) usable(now time.Time, lease metastore.LeaseID) int {
 	count := 0
 	for _, x := range s.held {
 		if x.lease == lease && !now.Before(x.usable) {
@@ -65,7 +65,7 @@
 
 // sync takes or frees slots: need is how many workers wait or load, loading how
 // many of them may load now.
-func (s *slots) sync(ctx context.Context, now time.Time, lease platform.LeaseID, need, loading int) error {
+func (s *slots) sync(ctx context.Context, now time.Time, lease metastore.LeaseID, need, loading int) error {
 	s.dropOthers(lease)
 	if err := s.free(ctx, now, need, loading); err != nil {
 		return err
@@ -78,7 +78,7 @@
 }
 
 // dropOthers forgets slots of an earlier lease, which end with it.
-func (s *slots) dropOthers(lease platform.LeaseID) {
+func (s *slots) dropOthers(lease metastore.LeaseID) {
 	for key, x := range s.held {
 		if x.lease != lease {
 			delete(s.held, key)
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(ctx, slotCallTimeout)
 	defer cancel()
 	err := s.kv.Delete(ctx, PurposeSlots, key, revision)
-	var refused *platform.RefusedError
+	var refused *metastore.RefusedError
 	if errors.As(err, &refused) {
 		return nil
 	}
@@ -118,7 +118,7 @@
 
 // take reads all slots of the service and creates missing ones up to want. A
 // key found under our lease is ours from a create whose answer was lost.
-func (s *slots) take(ctx context.Context, now time.Time, lease platform.LeaseID, want int) error {
+func (s *slots) take(ctx context.Context, now time.Time, lease metastore.LeaseID, want int) error {
 	ctx, cancel := context.WithTimeout(ctx, slotCallTimeout)
 	defer cancel()
 	prefix := slotPrefix + s.service + "/"
@@ -147,7 +147,7 @@
 	return nil
 }
 
-func (s *slots) hold(now time.Time, key string, rev int64, lease platform.LeaseID) {
+func (s *slots) hold(now time.Time, key string, rev int64, lease metastore.LeaseID) {
 	usable := now.Add(slotCallTimeout + settleTime)
 	s.held[key] = slot{revision: rev, lease: lease, usable: usable, until: usable.Add(slotTenure)}
 }
--- a/endpoint/slots_test.go
+++ b/endpoint/slots_test.go
@@ -8,8 +8,8 @@
 
 	"redwingknot/datacentre/datacentretest"
 	"redwingknot/engine"
+	"redwingknot/metastore"
 	"redwingknot/note"
-	"redwingknot/platform"
 )
 
 // slotClock is a service and a clock that a test moves.
@@ -24,7 +24,7 @@
 	return c
 }
 
-func (c *slotClock) lease(t *testing.T) platform.LeaseID {
+func (c *slotClock) lease(t *testing.T) metastore.LeaseID {
 	id, err := c.kv.Grant(t.Context(), PurposeSlots, time.Hour)
 	assert.NilError(t, err)
 	return id
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,8 +21,8 @@
 	"redwingknot/event"
 	"redwingknot/instance"
 	"redwingknot/ledger"
+	"redwingknot/metastore"
 	"redwingknot/note"
-	"redwingknot/platform"
 	"redwingknot/serve"
 	"redwingknot/suspect"
 	"redwingknot/wire"
@@ -51,7 +51,7 @@
 type Entry struct {
 	o        Options
 	log      *slog.Logger
-	kv       platform.KV
+	kv       metastore.KV
 	peers    peers
 	members  *instance.Membership
 	book     *note.Book
@@ -76,9 +76,9 @@
 // New assembles an instance; it does nothing before Run.
 func New(o Options, log *slog.Logger) (*Entry, error) {
 	e := &Entry{o: o, log: log, wire: wire.NewServer([]byte(o.SharedKey)), clients: serve.NewEndpointClients()}
-	e.kv = platform.NewClient(platform.ClientOptions{
+	e.kv = metastore.NewClient(metastore.ClientOptions{
 		URLs: o.Platform,
-		Budget: platform.NewBudget(platform.BudgetOptions{
+		Budget: metastore.NewBudget(metastore.BudgetOptions{
 			ReadsPerSecond: o.PlatformReads, ReadBurst: int(o.PlatformReads),
 			WritesPerSecond: o.PlatformWrites, WriteBurst: int(o.PlatformWrites),
 		}),
@@ -170,8 +170,8 @@
 }
 
 // openClaimLog opens the log of a shard of claims.
-func (e *Entry) openClaimLog(shard int, f platform.Folder) platform.Log {
-	return platform.OpenLog(e.kv, platform.LogOptions{
+func (e *Entry) openClaimLog(shard int, f metastore.Folder) metastore.Log {
+	return metastore.OpenLog(e.kv, metastore.LogOptions{
 		Name: claimLog + strconv.Itoa(shard), Folder: f, Writer: e.processName(), Purpose: purposeClaims, Logger: e.log,
 	})
 }
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -12,11 +12,11 @@
 	"redwingknot/endpoint"
 	"redwingknot/instance"
 	"redwingknot/internal/timer"
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // purposeList labels the reads of the platform's lists.
-const purposeList platform.Purpose = "list"
+const purposeList metastore.Purpose = "list"
 
 // The keys at which the platform publishes its lists, one object a key.
 const (
@@ -29,7 +29,7 @@
 // the platform is out of reach the last list stays. It is safe for concurrent
 // use.
 type lists struct {
-	kv platform.KV
+	kv metastore.KV
 
 	mu        sync.Mutex
 	instances []string // names of all listed, in or out of reach
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -13,9 +13,9 @@
 
 	"redwingknot/event"
 	"redwingknot/internal/timer"
+	"redwingknot/metastore"
 	"redwingknot/note"
 	"redwingknot/operator"
-	"redwingknot/platform"
 )
 
 const (
@@ -28,7 +28,7 @@
 )
 
 // purposeClaims labels the calls to the platform for claims.
-const purposeClaims platform.Purpose = "claims"
+const purposeClaims metastore.Purpose = "claims"
 
 // followNotes reads the log of notes while this instance is a follower; all
 // other instances hear of notes from their peers.
@@ -99,7 +99,7 @@
 	case errors.As(err, &conflict):
 		a.Other = conflict.Number
 		return http.StatusConflict, a
-	case platform.IsUnknown(err):
+	case metastore.IsUnknown(err):
 		a.Unknown = true
 		return http.StatusGatewayTimeout, a
 	}
--- a/internal/standin/kvs/api.go
+++ b/internal/standin/kvs/api.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 type failure struct {
@@ -131,7 +131,7 @@
 	reply(w, res)
 }
 
-func encode(e platform.Entry) keyValue {
+func encode(e metastore.Entry) keyValue {
 	return keyValue{
 		Key:            []byte(e.Key),
 		CreateRevision: e.CreateRevision,
@@ -156,7 +156,7 @@
 	switch {
 	case err == nil:
 		reply(w, txnResponse{Header: header{rev}, Succeeded: true})
-	case platform.IsCause(err, platform.CauseExists), platform.IsCause(err, platform.CauseConflict):
+	case metastore.IsCause(err, metastore.CauseExists), metastore.IsCause(err, metastore.CauseConflict):
 		reply(w, txnResponse{Header: header{s.store.Revision()}})
 	default:
 		refuse(w, err)
@@ -167,13 +167,13 @@
 	key := string(cond.Key)
 	switch {
 	case op.Put != nil && cond.Target == "CREATE" && cond.CreateRevision == 0:
-		return s.store.Create(key, op.Put.Value, platform.LeaseID(op.Put.Lease))
+		return s.store.Create(key, op.Put.Value, metastore.LeaseID(op.Put.Lease))
 	case op.Put != nil && cond.Target == "MOD":
-		return s.store.Swap(key, op.Put.Value, cond.ModRevision, platform.LeaseID(op.Put.Lease))
+		return s.store.Swap(key, op.Put.Value, cond.ModRevision, metastore.LeaseID(op.Put.Lease))
 	case op.DeleteRange != nil && cond.Target == "MOD":
 		return s.store.Revision(), s.store.Delete(key, cond.ModRevision)
 	}
-	return 0, &platform.RefusedError{Op: "txn", Key: key, Cause: platform.CauseInvalid}
+	return 0, &metastore.RefusedError{Op: "txn", Key: key, Cause: metastore.CauseInvalid}
 }
 
 func (s *Server) serveDeleteRange(w http.ResponseWriter, r *http.Request) {
@@ -204,7 +204,7 @@
 	if !decode(w, r, &req) {
 		return
 	}
-	ttl, err := s.store.KeepAlive(platform.LeaseID(req.ID))
+	ttl, err := s.store.KeepAlive(metastore.LeaseID(req.ID))
 	if err != nil {
 		ttl = 0
 	}
@@ -216,7 +216,7 @@
 	if !decode(w, r, &req) {
 		return
 	}
-	if err := s.store.Revoke(platform.LeaseID(req.ID)); err != nil {
+	if err := s.store.Revoke(metastore.LeaseID(req.ID)); err != nil {
 		refuse(w, err)
 		return
 	}
--- a/internal/standin/kvs/measure_test.go
+++ b/internal/standin/kvs/measure_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"redwingknot/internal/standin/kvs"
+	"redwingknot/metastore"
 	"redwingknot/note"
-	"redwingknot/platform"
 )
 
 // measureEnv enables the measurements of this file.
@@ -56,13 +56,13 @@
 		logs    int
 		writers int // of each log
 		callers int // of each writer
-		o       platform.LogOptions
+		o       metastore.LogOptions
 	}{
-		{"one write an append, 8 logs", 8, 1, 64, platform.LogOptions{MaxBatch: 1}},
-		{"group commit, 8 logs", 8, 1, 64, platform.LogOptions{}},
-		{"group commit, 8 logs, 100 ms apart", 8, 1, 64, platform.LogOptions{MinInterval: 100 * time.Millisecond}},
-		{"group commit, 8 logs, 50 ms apart", 8, 1, 64, platform.LogOptions{MinInterval: 50 * time.Millisecond}},
-		{"group commit, 1 log of 4 writers, 100 ms apart", 1, 4, 128, platform.LogOptions{MinInterval: 100 * time.Millisecond}},
+		{"one write an append, 8 logs", 8, 1, 64, metastore.LogOptions{MaxBatch: 1}},
+		{"group commit, 8 logs", 8, 1, 64, metastore.LogOptions{}},
+		{"group commit, 8 logs, 100 ms apart", 8, 1, 64, metastore.LogOptions{MinInterval: 100 * time.Millisecond}},
+		{"group commit, 8 logs, 50 ms apart", 8, 1, 64, metastore.LogOptions{MinInterval: 50 * time.Millisecond}},
+		{"group commit, 1 log of 4 writers, 100 ms apart", 1, 4, 128, metastore.LogOptions{MinInterval: 100 * time.Millisecond}},
 	}
 	t.Logf("%-48s %10s %10s %10s %10s %10s", "case", "appends/s", "p50", "p99", "writes/s", "reads/s")
 	for _, c := range cases {
@@ -76,7 +76,7 @@
 			o := c.o
 			o.Name, o.Folder, o.Writer, o.Purpose = fmt.Sprintf("l%d", i/c.writers), sink{}, fmt.Sprintf("w%d", i), purpose
 			o.CallTimeout = 30 * time.Second
-			log := platform.OpenLog(platform.NewClient(platform.ClientOptions{URLs: []string{url}}), o)
+			log := metastore.OpenLog(metastore.NewClient(metastore.ClientOptions{URLs: []string{url}}), o)
 			for range c.callers {
 				wg.Go(func() {
 					for ctx.Err() == nil {
@@ -111,7 +111,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	books := make([]*note.Book, leads)
 	for i := range books {
-		kv := platform.NewClient(platform.ClientOptions{URLs: []string{url}})
+		kv := metastore.NewClient(metastore.ClientOptions{URLs: []string{url}})
 		books[i] = note.NewBook(note.BookOptions{KV: kv, Writer: fmt.Sprintf("w%d", i)})
 		go books[i].Follow(ctx)
 	}
@@ -160,7 +160,7 @@
 	measured(t)
 	for _, teams := range []int{1000, 7000, 28000} {
 		s, url := held(t)
-		kv := platform.NewClient(platform.ClientOptions{URLs: []string{url}})
+		kv := metastore.NewClient(metastore.ClientOptions{URLs: []string{url}})
 		book := note.NewBook(note.BookOptions{KV: kv, Writer: "w", SnapshotEvery: 1 << 20})
 		submit := func(raw string) time.Duration {
 			start := time.Now()
--- a/internal/standin/kvs/server.go
+++ b/internal/standin/kvs/server.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/time/rate"
 
-	"redwingknot/platform"
-	"redwingknot/platform/platformtest"
+	"redwingknot/metastore"
+	"redwingknot/metastore/metastoretest"
 )
 
 // Options hold the service to its rates.
@@ -43,7 +43,7 @@
 
 // Server implements http.Handler.
 type Server struct {
-	store  *platformtest.Store
+	store  *metastoretest.Store
 	mux    *http.ServeMux
 	o      Options
 	reads  *rate.Limiter
@@ -53,7 +53,7 @@
 	fault  Fault
 	calls  Calls
 	random *rand.Rand
-	backup *platformtest.Copy
+	backup *metastoretest.Copy
 }
 
 // New returns a server over an empty store.
@@ -62,7 +62,7 @@
 		o.MaxWait = defaultMaxWait
 	}
 	s := &Server{
-		store:  platformtest.NewStore(time.Now),
+		store:  metastoretest.NewStore(time.Now),
 		mux:    http.NewServeMux(),
 		o:      o,
 		reads:  newLimiter(o.ReadsPerSecond),
@@ -103,7 +103,7 @@
 }
 
 // Store returns the store behind the server.
-func (s *Server) Store() *platformtest.Store { return s.store }
+func (s *Server) Store() *metastoretest.Store { return s.store }
 
 // SetFault replaces the faults in force.
 func (s *Server) SetFault(f Fault) {
@@ -262,8 +262,8 @@
 
 // refuse answers with the failure of the store.
 func refuse(w http.ResponseWriter, err error) {
-	var refused *platform.RefusedError
-	if errors.As(err, &refused) && refused.Cause == platform.CauseLapsed {
+	var refused *metastore.RefusedError
+	if errors.As(err, &refused) && refused.Cause == metastore.CauseLapsed {
 		fail(w, http.StatusNotFound, codeNotFound, "requested lease not found")
 		return
 	}
--- a/internal/standin/kvs/server_test.go
+++ b/internal/standin/kvs/server_test.go
@@ -11,31 +11,31 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/internal/standin/kvs"
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
-const purpose = platform.Purpose("test")
+const purpose = metastore.Purpose("test")
 
-func start(t *testing.T, o kvs.Options) (*kvs.Server, *platform.Client) {
+func start(t *testing.T, o kvs.Options) (*kvs.Server, *metastore.Client) {
 	t.Helper()
 	s := kvs.New(o)
 	web := httptest.NewServer(s)
 	t.Cleanup(web.CloseClientConnections)
 	t.Cleanup(web.Close)
-	return s, platform.NewClient(platform.ClientOptions{URLs: []string{web.URL}})
+	return s, metastore.NewClient(metastore.ClientOptions{URLs: []string{web.URL}})
 }
 
 func TestCompareAndSwap(t *testing.T) {
 	ctx := t.Context()
 	_, c := start(t, kvs.Options{})
 	_, err := c.Get(ctx, purpose, "a")
-	assert.Assert(t, platform.IsCause(err, platform.CauseNotFound))
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseNotFound))
 	rev, err := c.Create(ctx, purpose, "a", []byte{0, 255}, 0)
 	assert.NilError(t, err)
 	_, err = c.Create(ctx, purpose, "a", nil, 0)
-	assert.Assert(t, platform.IsCause(err, platform.CauseExists))
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseExists))
 	_, err = c.Swap(ctx, purpose, "a", nil, rev+1, 0)
-	assert.Assert(t, platform.IsCause(err, platform.CauseConflict))
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseConflict))
 	next, err := c.Swap(ctx, purpose, "a", []byte("2"), rev, 0)
 	assert.NilError(t, err)
 	assert.Assert(t, next > rev)
@@ -46,12 +46,12 @@
 	assert.Equal(t, len(found), 2)
 	assert.Equal(t, string(found[0].Value), "2")
 	assert.Assert(t, at > next)
-	assert.Assert(t, platform.IsCause(c.Delete(ctx, purpose, "a", rev), platform.CauseConflict))
+	assert.Assert(t, metastore.IsCause(c.Delete(ctx, purpose, "a", rev), metastore.CauseConflict))
 	assert.NilError(t, c.Delete(ctx, purpose, "a", next))
 	assert.NilError(t, c.DeleteRange(ctx, purpose, "a", "z"))
-	assert.Assert(t, platform.IsCause(c.Delete(ctx, purpose, "b", 0), platform.CauseNotFound))
-	_, err = c.Create(ctx, purpose, "big", make([]byte, platform.MaxValueBytes+1), 0)
-	assert.Assert(t, platform.IsCause(err, platform.CauseTooLarge))
+	assert.Assert(t, metastore.IsCause(c.Delete(ctx, purpose, "b", 0), metastore.CauseNotFound))
+	_, err = c.Create(ctx, purpose, "big", make([]byte, metastore.MaxValueBytes+1), 0)
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseTooLarge))
 }
 
 func TestLeaseRemovesItsKeys(t *testing.T) {
@@ -67,9 +67,9 @@
 	assert.NilError(t, c.Revoke(ctx, purpose, id))
 	assert.Equal(t, len(s.Store().Keys()), 0)
 	_, err = c.KeepAlive(ctx, purpose, id)
-	assert.Assert(t, platform.IsCause(err, platform.CauseLapsed))
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseLapsed))
 	_, err = c.Create(ctx, purpose, "lead", nil, id)
-	assert.Assert(t, platform.IsCause(err, platform.CauseLapsed))
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseLapsed))
 }
 
 func TestWatchSendsChangesAfterRevision(t *testing.T) {
@@ -97,17 +97,17 @@
 	s, c := start(t, kvs.Options{})
 	s.SetFault(kvs.Fault{LoseNext: 1})
 	_, err := c.Create(ctx, purpose, "a", nil, 0)
-	assert.Assert(t, platform.IsUnknown(err), "%v", err)
+	assert.Assert(t, metastore.IsUnknown(err), "%v", err)
 	assert.DeepEqual(t, s.Store().Keys(), []string{"a"})
 	s.SetFault(kvs.Fault{Down: true})
 	_, err = c.Create(ctx, purpose, "b", nil, 0)
-	assert.Assert(t, platform.IsUnknown(err), "%v", err)
+	assert.Assert(t, metastore.IsUnknown(err), "%v", err)
 
 	closed := httptest.NewServer(s)
 	closed.Close()
-	away := platform.NewClient(platform.ClientOptions{URLs: []string{closed.URL}})
+	away := metastore.NewClient(metastore.ClientOptions{URLs: []string{closed.URL}})
 	_, err = away.Create(ctx, purpose, "c", nil, 0)
-	var notSent *platform.NotSentError
+	var notSent *metastore.NotSentError
 	assert.Assert(t, errors.As(err, &notSent), "%v", err)
 }
 
@@ -117,7 +117,7 @@
 	defer web.Close()
 	closed := httptest.NewServer(s)
 	closed.Close()
-	c := platform.NewClient(platform.ClientOptions{URLs: []string{closed.URL, web.URL}})
+	c := metastore.NewClient(metastore.ClientOptions{URLs: []string{closed.URL, web.URL}})
 	_, err := c.Create(t.Context(), purpose, "a", nil, 0)
 	assert.NilError(t, err)
 }
@@ -127,14 +127,14 @@
 	s := kvs.New(kvs.Options{})
 	web := httptest.NewServer(s)
 	defer web.Close()
-	budget := platform.NewBudget(platform.BudgetOptions{WritesPerSecond: 1e-6, WriteBurst: 2})
-	c := platform.NewClient(platform.ClientOptions{URLs: []string{web.URL}, Budget: budget})
+	budget := metastore.NewBudget(metastore.BudgetOptions{WritesPerSecond: 1e-6, WriteBurst: 2})
+	c := metastore.NewClient(metastore.ClientOptions{URLs: []string{web.URL}, Budget: budget})
 	for _, key := range []string{"a", "b"} {
 		_, err := c.Create(ctx, purpose, key, nil, 0)
 		assert.NilError(t, err)
 	}
 	_, err := c.Create(ctx, purpose, "c", nil, 0)
-	assert.Assert(t, platform.IsCause(err, platform.CauseBudget))
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseBudget))
 	_, err = c.Get(ctx, purpose, "a")
 	assert.NilError(t, err)
 }
@@ -146,7 +146,7 @@
 	web := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop }))
 	defer web.Close()
 	defer close(stop)
-	c := platform.NewClient(platform.ClientOptions{URLs: []string{web.URL}})
+	c := metastore.NewClient(metastore.ClientOptions{URLs: []string{web.URL}})
 	_, err := c.Watch(t.Context(), purpose, "a", "b", 0)
-	assert.Assert(t, platform.IsUnknown(err), "%v", err)
+	assert.Assert(t, metastore.IsUnknown(err), "%v", err)
 }
--- a/ledger/config.go
+++ b/ledger/config.go
@@ -8,7 +8,7 @@
 
 	"redwingknot/internal/options"
 	"redwingknot/ledger/ledgerpb"
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // The defaults of a Config.
@@ -38,7 +38,7 @@
 	// can't be changed while keys are within the window.
 	Shards int
 	// Open returns the log of a shard, folded into f.
-	Open func(shard int, f platform.Folder) platform.Log
+	Open func(shard int, f metastore.Folder) metastore.Log
 	// Instance is this process's name and unique for each start.
 	Instance string
 	// Alive reports whether the instance of that name may still be running; a
--- a/ledger/fake_test.go
+++ b/ledger/fake_test.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"redwingknot/ledger/ledgerpb"
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // errFault is the cause of injected failures.
@@ -69,13 +69,13 @@
 type fakeLog struct {
 	service *fakeService
 	shard   int
-	folder  platform.Folder
+	folder  metastore.Folder
 	dead    func() bool // whether the instance is cut off or gone
 	order   sync.Mutex
 	head    int
 }
 
-func (f *fakeService) open(shard int, folder platform.Folder, dead func() bool) platform.Log {
+func (f *fakeService) open(shard int, folder metastore.Folder, dead func() bool) metastore.Log {
 	l := &fakeLog{service: f, shard: shard, folder: folder, dead: dead}
 	f.mu.Lock()
 	s := f.saved[shard]
@@ -103,20 +103,20 @@
 	x := l.service.currentFault()
 	switch {
 	case l.dead() || x == faultDown:
-		return 0, &platform.NotSentError{Op: "append", Err: errFault}
+		return 0, &metastore.NotSentError{Op: "append", Err: errFault}
 	case x == faultLater:
 		time.AfterFunc(landsAfter, func() { l.service.land(l.shard, entry) })
-		return 0, &platform.UnknownOutcomeError{Op: "append", Err: errFault}
+		return 0, &metastore.UnknownOutcomeError{Op: "append", Err: errFault}
 	case x == faultDropped:
-		return 0, &platform.UnknownOutcomeError{Op: "append", Err: errFault}
+		return 0, &metastore.UnknownOutcomeError{Op: "append", Err: errFault}
 	case x == faultHang:
 		<-ctx.Done()
 		l.service.land(l.shard, entry)
-		return 0, &platform.UnknownOutcomeError{Op: "append", Err: ctx.Err()}
+		return 0, &metastore.UnknownOutcomeError{Op: "append", Err: ctx.Err()}
 	}
 	n := l.service.land(l.shard, entry)
 	if x == faultLost {
-		return 0, &platform.UnknownOutcomeError{Op: "append", Err: errFault}
+		return 0, &metastore.UnknownOutcomeError{Op: "append", Err: errFault}
 	}
 	return uint64(n), l.Sync(ctx)
 }
@@ -146,7 +146,7 @@
 }
 
 func (l *fakeLog) AppendAt(context.Context, uint64, []byte) error {
-	return &platform.NotSentError{Op: "append at", Err: errFault}
+	return &metastore.NotSentError{Op: "append at", Err: errFault}
 }
 
 func (l *fakeLog) Sync(context.Context) error {
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -16,8 +16,8 @@
 
 	"redwingknot/contract"
 	"redwingknot/internal/fuzztest"
-	"redwingknot/platform"
-	"redwingknot/platform/platformtest"
+	"redwingknot/metastore"
+	"redwingknot/metastore/metastoretest"
 )
 
 const (
@@ -138,7 +138,7 @@
 // sim is the simulated deployment and its oracle.
 type sim struct {
 	service *fakeService
-	store   *platformtest.Store // nil for the fake log
+	store   *metastoretest.Store // nil for the fake log
 	skews   []time.Duration
 
 	mu       sync.Mutex
@@ -155,7 +155,7 @@
 func newSim(platformLog bool, skews, ages []time.Duration) *sim {
 	s := &sim{service: newFakeService(), skews: skews, byName: map[string]*entry{}}
 	if platformLog {
-		s.store = platformtest.NewStore(time.Now)
+		s.store = metastoretest.NewStore(time.Now)
 	}
 	for i := range simInstances {
 		s.entries = append(s.entries, s.start(i))
@@ -177,7 +177,7 @@
 		MaxSkew:  2 * keyAgeSpread,
 		Now:      func() time.Time { return time.Now().Add(s.skews[i]) },
 		Rand:     func() float64 { return 0.5 },
-		Open:     func(n int, f platform.Folder) platform.Log { return s.open(e, n, f) },
+		Open:     func(n int, f metastore.Folder) metastore.Log { return s.open(e, n, f) },
 		Alive:    func(name string) bool { return !s.find(name).gone() },
 		Owner:    func(n int) (string, bool) { o := s.owner(n); return o, o == e.name },
 		Remote:   fakeRemote{ledger: s.reach, link: s.linkFault},
@@ -187,9 +187,9 @@
 
 // open returns an entry's view of a shard: on the platform's log if there is a
 // store, else on the fake one.
-func (s *sim) open(e *entry, n int, f platform.Folder) platform.Log {
+func (s *sim) open(e *entry, n int, f metastore.Folder) metastore.Log {
 	if s.store != nil {
-		return platform.OpenLog(s.connect(e), platform.LogOptions{
+		return metastore.OpenLog(s.connect(e), metastore.LogOptions{
 			Name: fmt.Sprint("claims-", n), Folder: f, Writer: e.name, SnapshotEvery: 6, TrimMargin: 1,
 		})
 	}
@@ -204,27 +204,27 @@
 const lateness = 3 * time.Second
 
 // connect returns an entry's connection to the store under the faults drawn.
-func (s *sim) connect(e *entry) platform.KV {
+func (s *sim) connect(e *entry) metastore.KV {
 	kv := s.store.Client(e.name)
-	kv.SetHook(func(ctx context.Context, op platformtest.Op) platformtest.Fault {
+	kv.SetHook(func(ctx context.Context, op metastoretest.Op) metastoretest.Fault {
 		x := s.service.currentFault()
 		switch {
 		case e.unreached() || x == faultDown:
-			return platformtest.NotSent
+			return metastoretest.NotSent
 		case !op.Write:
-			return platformtest.None
+			return metastoretest.None
 		case x == faultLost:
-			return platformtest.LostAnswer
+			return metastoretest.LostAnswer
 		case x == faultDropped:
-			return platformtest.LostRequest
+			return metastoretest.LostRequest
 		case x == faultLater:
 			time.AfterFunc(lateness, func() { kv.Deliver() })
-			return platformtest.Late
+			return metastoretest.Late
 		case x == faultHang:
 			<-ctx.Done()
-			return platformtest.LostAnswer
+			return metastoretest.LostAnswer
 		}
-		return platformtest.None
+		return metastoretest.None
 	})
 	return kv
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/contract"
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 var body = sha256.Sum256([]byte("body"))
@@ -33,7 +33,7 @@
 func open(t *testing.T, f *fakeService, name string) *Ledger {
 	l := New(Config{
 		Instance: name,
-		Open:     func(n int, folder platform.Folder) platform.Log { return f.open(n, folder, never) },
+		Open:     func(n int, folder metastore.Folder) metastore.Log { return f.open(n, folder, never) },
 		Alive:    func(name string) bool { return name != "dead" },
 	})
 	t.Cleanup(l.Close)
--- a/ledger/measure_test.go
+++ b/ledger/measure_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"redwingknot/ledger/ledgerpb"
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // measureEnv makes the tests below print their tables.
@@ -75,7 +75,7 @@
 		self := name(i)
 		ledgers[self] = New(Config{
 			Shards: shards, Interval: interval, MaxEntryBytes: entrySize, Instance: self,
-			Open:   func(n int, folder platform.Folder) platform.Log { return f.open(n, folder, never) },
+			Open:   func(n int, folder metastore.Folder) metastore.Log { return f.open(n, folder, never) },
 			Alive:  func(string) bool { return true },
 			Owner:  func(n int) (string, bool) { o := name(n % instances); return o, o == self },
 			Remote: delayedRemote{fakeRemote{ledger: func(n string) *Ledger { return ledgers[n] }, link: func() fault { return faultNone }}},
--- a/ledger/remote_test.go
+++ b/ledger/remote_test.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 	"redwingknot/wire"
 )
 
@@ -33,7 +33,7 @@
 	known := true
 	entry := New(Config{
 		Instance: "entry",
-		Open: func(n int, folder platform.Folder) platform.Log {
+		Open: func(n int, folder metastore.Folder) metastore.Log {
 			opened++
 			return f.open(n, folder, never)
 		},
@@ -74,7 +74,7 @@
 		var healed atomic.Bool
 		entry := New(Config{
 			Instance: "entry",
-			Open: func(n int, folder platform.Folder) platform.Log {
+			Open: func(n int, folder metastore.Folder) metastore.Log {
 				return f.open(n, folder, func() bool { return !healed.Load() })
 			},
 			Alive: func(string) bool { return true },
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -11,8 +11,8 @@
 
 	"redwingknot/event"
 	"redwingknot/ledger/ledgerpb"
+	"redwingknot/metastore"
 	"redwingknot/metric"
-	"redwingknot/platform"
 )
 
 // pending is an operation on its way into the log. The shard's lock guards it.
@@ -33,7 +33,7 @@
 type shard struct {
 	number int
 	cfg    *Config
-	log    platform.Log
+	log    metastore.Log
 	life   context.Context // ends when the ledger closes
 
 	mu        sync.Mutex
@@ -49,7 +49,7 @@
 	return s
 }
 
-// Apply implements platform.Folder.
+// Apply implements metastore.Folder.
 func (s *shard) Apply(index uint64, entry []byte) {
 	var e ledgerpb.Entry
 	if err := proto.Unmarshal(entry, &e); err != nil {
@@ -70,14 +70,14 @@
 	}
 }
 
-// Snapshot implements platform.Folder.
+// Snapshot implements metastore.Folder.
 func (s *shard) Snapshot() [][]byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.state.snapshot()
 }
 
-// Restore implements platform.Folder.
+// Restore implements metastore.Folder.
 func (s *shard) Restore(_ uint64, parts [][]byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -243,7 +243,7 @@
 func (s *shard) settle(batch []*pending, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var unknown *platform.UnknownOutcomeError
+	var unknown *metastore.UnknownOutcomeError
 	switch {
 	case err == nil:
 		s.succeed(batch)
--- a/platform/client_test.go
+++ b/metastore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 	"net/http"
 	"testing"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // answer is a service that gives the same answer to every request.
@@ -34,7 +34,7 @@
 		if status < 100 || status > 999 {
 			t.Skip()
 		}
-		c := platform.NewClient(platform.ClientOptions{
+		c := metastore.NewClient(metastore.ClientOptions{
 			URLs: []string{"http://127.0.0.1:1"},
 			HTTP: &http.Client{Transport: answer{status, body}},
 		})
@@ -52,9 +52,9 @@
 			}
 		}
 		for i, err := range errs {
-			var refused *platform.RefusedError
-			var notSent *platform.NotSentError
-			if err != nil && !errors.As(err, &refused) && !errors.As(err, &notSent) && !platform.IsUnknown(err) {
+			var refused *metastore.RefusedError
+			var notSent *metastore.NotSentError
+			if err != nil && !errors.As(err, &refused) && !errors.As(err, &notSent) && !metastore.IsUnknown(err) {
 				t.Errorf("call %d: %v", i, err)
 			}
 			if status >= 500 && err == nil {
--- a/platform/log_append.go
+++ b/metastore/log_append.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 
 	"redwingknot/event"
 	"redwingknot/internal/timer"
+	"redwingknot/metastore/metastorepb"
 	"redwingknot/metric"
-	"redwingknot/platform/platformpb"
 )
 
 // pending is an append that waits for its commit.
@@ -235,8 +235,8 @@
 	return l.refused(CauseConflict)
 }
 
-func (a *attempt) content() *platformpb.Slot {
-	s := &platformpb.Slot{
+func (a *attempt) content() *metastorepb.Slot {
+	s := &metastorepb.Slot{
 		Writer:           a.log.o.Writer,
 		Sequence:         a.sequence,
 		First:            a.log.Head() + 1,
@@ -249,7 +249,7 @@
 	return s
 }
 
-func (a *attempt) create(ctx context.Context, s *platformpb.Slot) error {
+func (a *attempt) create(ctx context.Context, s *metastorepb.Slot) error {
 	l := a.log
 	ctx, cancel := context.WithTimeout(ctx, l.o.CallTimeout)
 	defer cancel()
--- a/platform/log_follow_test.go
+++ b/metastore/log_follow_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"redwingknot/platform"
-	"redwingknot/platform/platformtest"
+	"redwingknot/metastore"
+	"redwingknot/metastore/metastoretest"
 )
 
 // TestFollow reads new entries by the watch, by polling when the watch is
@@ -18,9 +18,9 @@
 func TestFollow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		store := platformtest.NewStore(time.Now)
-		writer := platform.OpenLog(store.Client("w"), platform.LogOptions{Name: "l", Folder: &list{}, Writer: "w", Purpose: purpose, SnapshotEvery: 4, TrimMargin: 1})
-		reader := platform.OpenLog(store.Client("r"), platform.LogOptions{Name: "l", Folder: &list{}, Writer: "r", Purpose: purpose})
+		store := metastoretest.NewStore(time.Now)
+		writer := metastore.OpenLog(store.Client("w"), metastore.LogOptions{Name: "l", Folder: &list{}, Writer: "w", Purpose: purpose, SnapshotEvery: 4, TrimMargin: 1})
+		reader := metastore.OpenLog(store.Client("r"), metastore.LogOptions{Name: "l", Folder: &list{}, Writer: "r", Purpose: purpose})
 		go reader.Follow(ctx)
 		add := func() {
 			_, err := writer.Append(ctx, []byte("x"))
@@ -50,16 +50,16 @@
 // whose commit was under way.
 func TestAppendLeavesByContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := platformtest.New(time.Now)
+		kv := metastoretest.New(time.Now)
 		reached := make(chan struct{})
-		kv.SetHook(func(_ context.Context, op platformtest.Op) platformtest.Fault {
+		kv.SetHook(func(_ context.Context, op metastoretest.Op) metastoretest.Fault {
 			if op.Write {
 				<-reached
 			}
-			return platformtest.None
+			return metastoretest.None
 		})
 		l := &list{}
-		log := platform.OpenLog(kv, platform.LogOptions{Name: "l", Folder: l, Writer: "w", Purpose: purpose, CallTimeout: time.Hour, ResolveTimeout: 2 * time.Hour})
+		log := metastore.OpenLog(kv, metastore.LogOptions{Name: "l", Folder: l, Writer: "w", Purpose: purpose, CallTimeout: time.Hour, ResolveTimeout: 2 * time.Hour})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		errs := make([]error, 2)
@@ -69,8 +69,8 @@
 		}
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		assert.Assert(t, platform.IsUnknown(errs[0]), "%v", errs[0])
-		var notSent *platform.NotSentError
+		assert.Assert(t, metastore.IsUnknown(errs[0]), "%v", errs[0])
+		var notSent *metastore.NotSentError
 		assert.Assert(t, errors.As(errs[1], &notSent), "%v", errs[1])
 		close(reached)
 		synctest.Wait()
@@ -79,15 +79,15 @@
 }
 
 func TestAppendAtTakenIndex(t *testing.T) {
-	kv := platformtest.New(nil)
-	open := func(writer string) *platform.SharedLog {
-		return platform.OpenLog(kv, platform.LogOptions{Name: "l", Folder: &list{}, Writer: writer, Purpose: purpose})
+	kv := metastoretest.New(nil)
+	open := func(writer string) *metastore.SharedLog {
+		return metastore.OpenLog(kv, metastore.LogOptions{Name: "l", Folder: &list{}, Writer: writer, Purpose: purpose})
 	}
 	a, b := open("a"), open("b")
 	assert.NilError(t, a.AppendAt(t.Context(), 1, []byte("a")))
-	assert.Assert(t, platform.IsCause(b.AppendAt(t.Context(), 1, []byte("b")), platform.CauseExists))
-	assert.Assert(t, platform.IsCause(b.AppendAt(t.Context(), 9, []byte("b")), platform.CauseConflict))
+	assert.Assert(t, metastore.IsCause(b.AppendAt(t.Context(), 1, []byte("b")), metastore.CauseExists))
+	assert.Assert(t, metastore.IsCause(b.AppendAt(t.Context(), 9, []byte("b")), metastore.CauseConflict))
 	assert.NilError(t, b.AppendAt(t.Context(), 2, []byte("b")))
-	_, err := a.Append(t.Context(), make([]byte, platform.MaxValueBytes))
-	assert.Assert(t, platform.IsCause(err, platform.CauseTooLarge))
+	_, err := a.Append(t.Context(), make([]byte, metastore.MaxValueBytes))
+	assert.Assert(t, metastore.IsCause(err, metastore.CauseTooLarge))
 }
--- a/platform/log_fuzz_test.go
+++ b/metastore/log_fuzz_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -14,11 +14,11 @@
 	"pgregory.net/rapid"
 
 	"redwingknot/internal/fuzztest"
-	"redwingknot/platform"
-	"redwingknot/platform/platformtest"
+	"redwingknot/metastore"
+	"redwingknot/metastore/metastoretest"
 )
 
-const purpose = platform.Purpose("test")
+const purpose = metastore.Purpose("test")
 
 // list is the folder and the oracle's view: all entries in order.
 type list struct{ entries []string }
@@ -43,16 +43,16 @@
 
 // step is a call to the service that waits for the scheduler's decision.
 type step struct {
-	op     platformtest.Op
+	op     metastoretest.Op
 	number int
-	fault  chan platformtest.Fault
+	fault  chan metastoretest.Fault
 }
 
 // node is one process with its log.
 type node struct {
 	name  string
-	kv    *platformtest.KV
-	log   *platform.SharedLog
+	kv    *metastoretest.KV
+	log   *metastore.SharedLog
 	list  *list
 	count int // calls made
 }
@@ -68,19 +68,19 @@
 
 // logMachine schedules every call of every process by itself.
 type logMachine struct {
-	store    *platformtest.Store
+	store    *metastoretest.Store
 	nodes    []*node
 	waiting  []*step
 	arrivals chan *step
 	outcomes []*outcome
 	serial   int
-	window   uint64             // slots for which a snapshot knows every writer
-	clients  []*platformtest.KV // of all processes ever started
+	window   uint64              // slots for which a snapshot knows every writer
+	clients  []*metastoretest.KV // of all processes ever started
 	down     bool
 }
 
 func newLogMachine(nodes int, window uint64) *logMachine {
-	m := &logMachine{store: platformtest.NewStore(time.Now), arrivals: make(chan *step, 1024), window: window}
+	m := &logMachine{store: metastoretest.NewStore(time.Now), arrivals: make(chan *step, 1024), window: window}
 	for range nodes {
 		m.nodes = append(m.nodes, nil)
 	}
@@ -95,13 +95,13 @@
 	m.serial++
 	n := &node{name: fmt.Sprintf("w%d", m.serial), list: &list{}}
 	n.kv = m.store.Client(n.name)
-	n.kv.SetHook(func(ctx context.Context, op platformtest.Op) platformtest.Fault {
+	n.kv.SetHook(func(ctx context.Context, op metastoretest.Op) metastoretest.Fault {
 		n.count++
-		s := &step{op: op, number: n.count, fault: make(chan platformtest.Fault)}
+		s := &step{op: op, number: n.count, fault: make(chan metastoretest.Fault)}
 		m.arrivals <- s
 		return <-s.fault
 	})
-	n.log = platform.OpenLog(n.kv, platform.LogOptions{
+	n.log = metastore.OpenLog(n.kv, metastore.LogOptions{
 		Name: "l", Folder: n.list, Writer: n.name, Purpose: purpose,
 		SnapshotEvery: 2, TrimMargin: 1, WriterWindow: m.window, MaxBatch: 2,
 		ResolveTimeout: time.Hour, CallTimeout: 24 * time.Hour,
@@ -149,7 +149,7 @@
 	}()
 }
 
-func (m *logMachine) release(i int, f platformtest.Fault) {
+func (m *logMachine) release(i int, f metastoretest.Fault) {
 	s := m.waiting[i]
 	m.waiting = slices.Delete(m.waiting, i, i+1)
 	s.fault <- f
@@ -162,7 +162,7 @@
 	for range 20000 {
 		m.settle()
 		if len(m.waiting) > 0 {
-			m.release(0, platformtest.None)
+			m.release(0, metastoretest.None)
 			continue
 		}
 		if !slices.ContainsFunc(m.outcomes, func(o *outcome) bool { return !o.done }) {
@@ -186,7 +186,7 @@
 		switch {
 		case o.err == nil && (at < 0 || o.index != uint64(at)+1):
 			t.Fatalf("%s was accepted as %d, the log is %v", o.entry, o.index, truth)
-		case o.err != nil && !platform.IsUnknown(o.err) && at >= 0:
+		case o.err != nil && !metastore.IsUnknown(o.err) && at >= 0:
 			t.Fatalf("%s was refused (%v), the log is %v", o.entry, o.err, truth)
 		}
 	}
@@ -199,16 +199,16 @@
 
 func (m *logMachine) read(t *rapid.T) []string {
 	l := &list{}
-	reader := platform.OpenLog(m.store.Client("reader"), platform.LogOptions{Name: "l", Folder: l, Writer: "reader", Purpose: purpose})
+	reader := metastore.OpenLog(m.store.Client("reader"), metastore.LogOptions{Name: "l", Folder: l, Writer: "reader", Purpose: purpose})
 	if err := reader.Sync(context.Background()); err != nil {
 		t.Fatalf("read of the log: %v", err)
 	}
 	return l.entries
 }
 
-var faults = []platformtest.Fault{
-	platformtest.None, platformtest.None, platformtest.None, platformtest.None, platformtest.None, platformtest.None,
-	platformtest.NotSent, platformtest.LostRequest, platformtest.LostAnswer, platformtest.LostAnswer, platformtest.Late,
+var faults = []metastoretest.Fault{
+	metastoretest.None, metastoretest.None, metastoretest.None, metastoretest.None, metastoretest.None, metastoretest.None,
+	metastoretest.NotSent, metastoretest.LostRequest, metastoretest.LostAnswer, metastoretest.LostAnswer, metastoretest.Late,
 }
 
 func (m *logMachine) run(t *rapid.T) {
@@ -234,7 +234,7 @@
 				if i < 0 {
 					return
 				}
-				m.release(i, platformtest.None)
+				m.release(i, metastoretest.None)
 				m.settle()
 			}
 		},
@@ -314,10 +314,10 @@
 // others trim past it, and fails the read that follows the restored snapshot.
 func TestCommitIsNotRepeatedBehindAMovedTail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.NewStore(time.Now)
-		open := func(name string, kv platform.KV) (*platform.SharedLog, *list) {
+		store := metastoretest.NewStore(time.Now)
+		open := func(name string, kv metastore.KV) (*metastore.SharedLog, *list) {
 			l := &list{}
-			return platform.OpenLog(kv, platform.LogOptions{
+			return metastore.OpenLog(kv, metastore.LogOptions{
 				Name: "l", Folder: l, Writer: name, Purpose: purpose, SnapshotEvery: 2, TrimMargin: 1,
 			}), l
 		}
@@ -325,11 +325,11 @@
 		kv := store.Client("slow")
 		restored := false
 		var calls []string
-		kv.SetHook(func(_ context.Context, op platformtest.Op) platformtest.Fault {
+		kv.SetHook(func(_ context.Context, op metastoretest.Op) metastoretest.Fault {
 			calls = append(calls, op.Name)
 			switch {
 			case len(calls) == 1:
-				return platformtest.LostAnswer
+				return metastoretest.LostAnswer
 			case len(calls) == 2: // the read of the tail; others go on meanwhile
 				for i := range 3 {
 					if _, err := other.Append(context.Background(), fmt.Appendf(nil, "other%d", i)); err != nil {
@@ -339,9 +339,9 @@
 				}
 			case op.Name == "range" && !restored: // behind the snapshot
 				restored = true
-				return platformtest.NotSent
+				return metastoretest.NotSent
 			}
-			return platformtest.None
+			return metastoretest.None
 		})
 		slow, _ := open("slow", kv)
 		index, err := slow.Append(t.Context(), []byte("slow"))
@@ -370,10 +370,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			kv := platformtest.New(nil)
+			kv := metastoretest.New(nil)
 			l := &list{}
-			log := platform.OpenLog(kv, platform.LogOptions{Name: "l", Folder: l, Writer: "a", Purpose: purpose})
-			add := func(log *platform.SharedLog, entry string) error {
+			log := metastore.OpenLog(kv, metastore.LogOptions{Name: "l", Folder: l, Writer: "a", Purpose: purpose})
+			add := func(log *metastore.SharedLog, entry string) error {
 				_, err := log.Append(t.Context(), []byte(entry))
 				return err
 			}
@@ -381,12 +381,12 @@
 			old := kv.Store().Backup()
 			assert.NilError(t, add(log, "2"))
 			kv.Store().Restore(old)
-			other := platform.OpenLog(kv, platform.LogOptions{Name: "l", Folder: &list{}, Writer: "b", Purpose: purpose})
+			other := metastore.OpenLog(kv, metastore.LogOptions{Name: "l", Folder: &list{}, Writer: "b", Purpose: purpose})
 			for range c.others {
 				assert.NilError(t, add(other, "x"))
 			}
 			assert.Assert(t, add(log, "3") != nil, "an append was accepted")
-			var reverted *platform.RevertedError
+			var reverted *metastore.RevertedError
 			assert.Assert(t, errors.As(log.Sync(t.Context()), &reverted))
 			assert.DeepEqual(t, l.entries, []string{"1", "2"})
 		})
@@ -396,10 +396,10 @@
 // TestOtherSlotBehindTheMarkIsAnAlarm has a reader whose last slot was trimmed
 // on an older copy where it belongs to another writer.
 func TestOtherSlotBehindTheMarkIsAnAlarm(t *testing.T) {
-	kv := platformtest.New(nil)
-	open := func(writer string) (*platform.SharedLog, *list) {
+	kv := metastoretest.New(nil)
+	open := func(writer string) (*metastore.SharedLog, *list) {
 		l := &list{}
-		return platform.OpenLog(kv, platform.LogOptions{Name: "l", Folder: l, Writer: writer, Purpose: purpose, SnapshotEvery: 2, TrimMargin: 1}), l
+		return metastore.OpenLog(kv, metastore.LogOptions{Name: "l", Folder: l, Writer: writer, Purpose: purpose, SnapshotEvery: 2, TrimMargin: 1}), l
 	}
 	empty := kv.Store().Backup()
 	log, l := open("a")
@@ -411,7 +411,7 @@
 		_, err := other.Append(t.Context(), []byte("x"))
 		assert.NilError(t, err)
 	}
-	var reverted *platform.RevertedError
+	var reverted *metastore.RevertedError
 	assert.Assert(t, errors.As(log.Sync(t.Context()), &reverted))
 	assert.DeepEqual(t, l.entries, []string{"1"})
 }
--- a/platform/log_snapshot.go
+++ b/metastore/log_snapshot.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"strings"
 
 	"redwingknot/event"
-	"redwingknot/platform/platformpb"
+	"redwingknot/metastore/metastorepb"
 )
 
 // writeSnapshot folds the log up to this process's tail into a snapshot and
@@ -28,15 +28,15 @@
 }
 
 // snapshotHead returns the head in force and its revision; an absent one is empty.
-func (l *SharedLog) snapshotHead(ctx context.Context) (*platformpb.SnapshotHead, int64, error) {
+func (l *SharedLog) snapshotHead(ctx context.Context) (*metastorepb.SnapshotHead, int64, error) {
 	e, err := l.get(ctx, l.keys.head())
 	if IsCause(err, CauseNotFound) {
-		return &platformpb.SnapshotHead{}, 0, nil
+		return &metastorepb.SnapshotHead{}, 0, nil
 	}
 	if err != nil {
 		return nil, 0, err
 	}
-	var h platformpb.SnapshotHead
+	var h metastorepb.SnapshotHead
 	if err := unmarshal(e, &h); err != nil {
 		return nil, 0, err
 	}
@@ -51,9 +51,9 @@
 
 // advanceSnapshot writes the parts under a prefix of their own and swaps the
 // head from revision rev, which fails if another process has moved it.
-func (l *SharedLog) advanceSnapshot(ctx context.Context, rev int64) (*platformpb.SnapshotHead, error) {
+func (l *SharedLog) advanceSnapshot(ctx context.Context, rev int64) (*metastorepb.SnapshotHead, error) {
 	parts := append([][]byte{l.writerTable()}, l.o.Folder.Snapshot()...)
-	h := &platformpb.SnapshotHead{
+	h := &metastorepb.SnapshotHead{
 		Slot:     l.tail.slot,
 		Index:    l.Head(),
 		Prefix:   l.keys.prefix(l.tail.slot, l.o.Writer, l.sequence),
@@ -94,23 +94,23 @@
 // writerTable encodes the last commits of the writers.
 func (l *SharedLog) writerTable() []byte {
 	l.tail.prune(l.o.WriterWindow)
-	t := &platformpb.WriterTable{Forgotten: l.tail.forgotten}
+	t := &metastorepb.WriterTable{Forgotten: l.tail.forgotten}
 	for w, r := range l.tail.writers {
-		t.Records = append(t.Records, &platformpb.WriterRecord{Writer: w, Sequence: r.sequence, Slot: r.slot, First: r.first})
+		t.Records = append(t.Records, &metastorepb.WriterRecord{Writer: w, Sequence: r.sequence, Slot: r.slot, First: r.first})
 	}
-	slices.SortFunc(t.Records, func(a, b *platformpb.WriterRecord) int { return strings.Compare(a.Writer, b.Writer) })
+	slices.SortFunc(t.Records, func(a, b *metastorepb.WriterRecord) int { return strings.Compare(a.Writer, b.Writer) })
 	return marshal(t)
 }
 
 // trim raises the trim mark to the margin below the snapshot h, which is in
 // force or older than the one in force, and deletes what it covers.
-func (l *SharedLog) trim(ctx context.Context, h *platformpb.SnapshotHead) error {
+func (l *SharedLog) trim(ctx context.Context, h *metastorepb.SnapshotHead) error {
 	if h.Slot <= l.o.TrimMargin {
 		return nil
 	}
 	mark := h.Slot - l.o.TrimMargin
 	if mark > l.tail.mark {
-		value := marshal(&platformpb.TrimMark{Slot: mark})
+		value := marshal(&metastorepb.TrimMark{Slot: mark})
 		if err := l.put(ctx, l.keys.mark(), value, l.tail.markRev); err != nil {
 			return err
 		}
@@ -174,7 +174,7 @@
 	}
 }
 
-func (l *SharedLog) readParts(ctx context.Context, h *platformpb.SnapshotHead) ([][]byte, error) {
+func (l *SharedLog) readParts(ctx context.Context, h *metastorepb.SnapshotHead) ([][]byte, error) {
 	parts := make([][]byte, h.Parts)
 	for i := range parts {
 		e, err := l.get(ctx, partKey(h.Prefix, i))
@@ -186,8 +186,8 @@
 	return parts, nil
 }
 
-func (l *SharedLog) adopt(h *platformpb.SnapshotHead, parts [][]byte) error {
-	var t platformpb.WriterTable
+func (l *SharedLog) adopt(h *metastorepb.SnapshotHead, parts [][]byte) error {
+	var t metastorepb.WriterTable
 	if len(parts) == 0 {
 		return l.alarm(event.PlatformLogCorrupt, &CorruptError{Key: l.keys.head(), Detail: "the snapshot has no parts"})
 	}
--- a/platform/log_tail.go
+++ b/metastore/log_tail.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"redwingknot/event"
-	"redwingknot/platform/platformpb"
+	"redwingknot/metastore/metastorepb"
 )
 
 // pageSlots bounds the slots in one range read.
@@ -120,7 +120,7 @@
 func (l *SharedLog) takeMark(entries []Entry) ([]Entry, error) {
 	mark, rev := uint64(0), int64(0)
 	if n := len(entries); n > 0 && entries[n-1].Key == l.keys.mark() {
-		var m platformpb.TrimMark
+		var m metastorepb.TrimMark
 		if err := unmarshal(entries[n-1], &m); err != nil {
 			return nil, err
 		}
@@ -150,7 +150,7 @@
 	if !present {
 		return nil, l.reverted("last slot is missing", l.tail.slot, l.tail.slot-1)
 	}
-	var s platformpb.Slot
+	var s metastorepb.Slot
 	if err := unmarshal(slots[0], &s); err != nil {
 		return nil, err
 	}
@@ -165,7 +165,7 @@
 	if e.Key != l.keys.slot(n) {
 		return &CorruptError{Key: e.Key, Detail: "the slot before it is missing"}
 	}
-	var s platformpb.Slot
+	var s metastorepb.Slot
 	if err := unmarshal(e, &s); err != nil {
 		return err
 	}
@@ -180,7 +180,7 @@
 }
 
 // accept folds slot n.
-func (l *SharedLog) accept(n uint64, s *platformpb.Slot) {
+func (l *SharedLog) accept(n uint64, s *metastorepb.Slot) {
 	for i, entry := range s.Entries {
 		l.o.Folder.Apply(s.First+uint64(i), entry)
 	}
--- a/platform/platformtest/errors.go
+++ b/metastore/metastoretest/errors.go
@@ -1,4 +1,4 @@
-package platformtest
+package metastoretest
 
 import "fmt"
 
--- a/platform/platformtest/kv.go
+++ b/metastore/metastoretest/kv.go
@@ -1,11 +1,11 @@
-package platformtest
+package metastoretest
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // Fault is what happens to one call.
@@ -25,7 +25,7 @@
 	Client  string
 	Name    string // get, range, create, swap, delete, delete-range, grant, keepalive, revoke, watch
 	Key     string
-	Purpose platform.Purpose
+	Purpose metastore.Purpose
 	Write   bool
 }
 
@@ -42,7 +42,7 @@
 	hook  Hook
 	cut   bool
 	late  []func()
-	calls map[platform.Purpose]Calls
+	calls map[metastore.Purpose]Calls
 }
 
 // Calls counts the calls made for a purpose.
@@ -53,7 +53,7 @@
 
 // Client returns a connection with the given name.
 func (s *Store) Client(name string) *KV {
-	return &KV{store: s, name: name, calls: map[platform.Purpose]Calls{}}
+	return &KV{store: s, name: name, calls: map[metastore.Purpose]Calls{}}
 }
 
 // New returns a connection to a store of its own; a nil clock is time.Now.
@@ -91,7 +91,7 @@
 }
 
 // Calls returns the number of calls made for p.
-func (k *KV) Calls(p platform.Purpose) Calls {
+func (k *KV) Calls(p metastore.Purpose) Calls {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.calls[p]
@@ -108,7 +108,7 @@
 		fault = hook(ctx, op)
 	}
 	if err := ctx.Err(); err != nil && fault == None {
-		return none, &platform.NotSentError{Op: op.Name, Key: op.Key, Err: err}
+		return none, &metastore.NotSentError{Op: op.Name, Key: op.Key, Err: err}
 	}
 	if k.unreachable() {
 		fault = NotSent
@@ -117,13 +117,13 @@
 	case None:
 		return do()
 	case NotSent:
-		return none, &platform.NotSentError{Op: op.Name, Key: op.Key, Err: &FaultError{fault}}
+		return none, &metastore.NotSentError{Op: op.Name, Key: op.Key, Err: &FaultError{fault}}
 	case LostAnswer:
 		do()
 	case Late:
 		k.keep(func() { do() })
 	}
-	return none, &platform.UnknownOutcomeError{Op: op.Name, Key: op.Key, Err: &FaultError{fault}}
+	return none, &metastore.UnknownOutcomeError{Op: op.Name, Key: op.Key, Err: &FaultError{fault}}
 }
 
 // noResult is the result of calls that have none.
@@ -155,21 +155,21 @@
 	k.late = append(k.late, do)
 }
 
-// Get implements platform.KV.
-func (k *KV) Get(ctx context.Context, p platform.Purpose, key string) (platform.Entry, error) {
-	return call(ctx, k, Op{Name: "get", Key: key, Purpose: p}, func() (platform.Entry, error) {
+// Get implements metastore.KV.
+func (k *KV) Get(ctx context.Context, p metastore.Purpose, key string) (metastore.Entry, error) {
+	return call(ctx, k, Op{Name: "get", Key: key, Purpose: p}, func() (metastore.Entry, error) {
 		return k.store.Get(key)
 	})
 }
 
 // listing is the result of a range read.
 type listing struct {
-	found    []platform.Entry
+	found    []metastore.Entry
 	revision int64
 }
 
-// Range implements platform.KV.
-func (k *KV) Range(ctx context.Context, p platform.Purpose, from, to string, limit int) ([]platform.Entry, int64, error) {
+// Range implements metastore.KV.
+func (k *KV) Range(ctx context.Context, p metastore.Purpose, from, to string, limit int) ([]metastore.Entry, int64, error) {
 	l, err := call(ctx, k, Op{Name: "range", Key: from, Purpose: p}, func() (listing, error) {
 		found, _, revision := k.store.Range(from, to, limit)
 		return listing{found, revision}, nil
@@ -177,30 +177,30 @@
 	return l.found, l.revision, err
 }
 
-// Create implements platform.KV.
-func (k *KV) Create(ctx context.Context, p platform.Purpose, key string, value []byte, lease platform.LeaseID) (int64, error) {
+// Create implements metastore.KV.
+func (k *KV) Create(ctx context.Context, p metastore.Purpose, key string, value []byte, lease metastore.LeaseID) (int64, error) {
 	return call(ctx, k, Op{Name: "create", Key: key, Purpose: p, Write: true}, func() (int64, error) {
 		return k.store.Create(key, value, lease)
 	})
 }
 
-// Swap implements platform.KV.
-func (k *KV) Swap(ctx context.Context, p platform.Purpose, key string, value []byte, old int64, lease platform.LeaseID) (int64, error) {
+// Swap implements metastore.KV.
+func (k *KV) Swap(ctx context.Context, p metastore.Purpose, key string, value []byte, old int64, lease metastore.LeaseID) (int64, error) {
 	return call(ctx, k, Op{Name: "swap", Key: key, Purpose: p, Write: true}, func() (int64, error) {
 		return k.store.Swap(key, value, old, lease)
 	})
 }
 
-// Delete implements platform.KV.
-func (k *KV) Delete(ctx context.Context, p platform.Purpose, key string, rev int64) error {
+// Delete implements metastore.KV.
+func (k *KV) Delete(ctx context.Context, p metastore.Purpose, key string, rev int64) error {
 	_, err := call(ctx, k, Op{Name: "delete", Key: key, Purpose: p, Write: true}, func() (noResult, error) {
 		return noResult{}, k.store.Delete(key, rev)
 	})
 	return err
 }
 
-// DeleteRange implements platform.RangeDeleter.
-func (k *KV) DeleteRange(ctx context.Context, p platform.Purpose, from, to string) error {
+// DeleteRange implements metastore.RangeDeleter.
+func (k *KV) DeleteRange(ctx context.Context, p metastore.Purpose, from, to string) error {
 	_, err := call(ctx, k, Op{Name: "delete-range", Key: from, Purpose: p, Write: true}, func() (noResult, error) {
 		k.store.DeleteRange(from, to)
 		return noResult{}, nil
@@ -208,31 +208,31 @@
 	return err
 }
 
-// Grant implements platform.KV.
-func (k *KV) Grant(ctx context.Context, p platform.Purpose, ttl time.Duration) (platform.LeaseID, error) {
-	return call(ctx, k, Op{Name: "grant", Purpose: p, Write: true}, func() (platform.LeaseID, error) {
+// Grant implements metastore.KV.
+func (k *KV) Grant(ctx context.Context, p metastore.Purpose, ttl time.Duration) (metastore.LeaseID, error) {
+	return call(ctx, k, Op{Name: "grant", Purpose: p, Write: true}, func() (metastore.LeaseID, error) {
 		return k.store.Grant(ttl)
 	})
 }
 
-// KeepAlive implements platform.KV.
-func (k *KV) KeepAlive(ctx context.Context, p platform.Purpose, id platform.LeaseID) (time.Duration, error) {
+// KeepAlive implements metastore.KV.
+func (k *KV) KeepAlive(ctx context.Context, p metastore.Purpose, id metastore.LeaseID) (time.Duration, error) {
 	return call(ctx, k, Op{Name: "keepalive", Purpose: p, Write: true}, func() (time.Duration, error) {
 		return k.store.KeepAlive(id)
 	})
 }
 
-// Revoke implements platform.KV.
-func (k *KV) Revoke(ctx context.Context, p platform.Purpose, id platform.LeaseID) error {
+// Revoke implements metastore.KV.
+func (k *KV) Revoke(ctx context.Context, p metastore.Purpose, id metastore.LeaseID) error {
 	_, err := call(ctx, k, Op{Name: "revoke", Purpose: p, Write: true}, func() (noResult, error) {
 		return noResult{}, k.store.Revoke(id)
 	})
 	return err
 }
 
-// Watch implements platform.KV.
-func (k *KV) Watch(ctx context.Context, p platform.Purpose, from, to string, rev int64) (<-chan platform.Change, error) {
-	return call(ctx, k, Op{Name: "watch", Key: from, Purpose: p}, func() (<-chan platform.Change, error) {
+// Watch implements metastore.KV.
+func (k *KV) Watch(ctx context.Context, p metastore.Purpose, from, to string, rev int64) (<-chan metastore.Change, error) {
+	return call(ctx, k, Op{Name: "watch", Key: from, Purpose: p}, func() (<-chan metastore.Change, error) {
 		return k.store.Watch(ctx, from, to, rev)
 	})
 }
--- a/platform/platformtest/kv_test.go
+++ b/metastore/metastoretest/kv_test.go
@@ -1,4 +1,4 @@
-package platformtest
+package metastoretest
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // TestLateCallsTakeEffectAtDelivery delivers a late write while its caller uses
@@ -23,7 +23,7 @@
 			}
 		}()
 		rev, err := k.Create(t.Context(), "test", "key", nil, 0)
-		assert.Assert(t, platform.IsUnknown(err))
+		assert.Assert(t, metastore.IsUnknown(err))
 		assert.Equal(t, rev, int64(0))
 		<-delivered
 	}
--- a/platform/platformtest/store.go
+++ b/metastore/metastoretest/store.go
@@ -1,4 +1,4 @@
-package platformtest
+package metastoretest
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 // historyLimit is the number of changes kept for watches that start late.
@@ -26,9 +26,9 @@
 
 	mu        sync.Mutex
 	revision  int64
-	entries   map[string]platform.Entry
-	leases    map[platform.LeaseID]lease
-	nextLease platform.LeaseID
+	entries   map[string]metastore.Entry
+	leases    map[metastore.LeaseID]lease
+	nextLease metastore.LeaseID
 	history   []change
 	compacted int64 // revision of the last change dropped from history
 	changed   chan struct{}
@@ -37,7 +37,7 @@
 
 type change struct {
 	revision int64
-	platform.Change
+	metastore.Change
 }
 
 // NewStore returns an empty store; a nil clock is time.Now.
@@ -48,8 +48,8 @@
 	return &Store{
 		now:       now,
 		revision:  1,
-		entries:   map[string]platform.Entry{},
-		leases:    map[platform.LeaseID]lease{},
+		entries:   map[string]metastore.Entry{},
+		leases:    map[metastore.LeaseID]lease{},
 		nextLease: 1,
 		changed:   make(chan struct{}),
 	}
@@ -73,9 +73,9 @@
 // Copy is the content of a store at one moment.
 type Copy struct {
 	revision  int64
-	entries   map[string]platform.Entry
-	leases    map[platform.LeaseID]lease
-	nextLease platform.LeaseID
+	entries   map[string]metastore.Entry
+	leases    map[metastore.LeaseID]lease
+	nextLease metastore.LeaseID
 }
 
 // Backup returns a copy of the store.
@@ -120,20 +120,20 @@
 }
 
 // Get returns the entry of key.
-func (s *Store) Get(key string) (platform.Entry, error) {
+func (s *Store) Get(key string) (metastore.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	e, ok := s.entries[key]
 	if !ok {
-		return platform.Entry{}, refused("get", key, platform.CauseNotFound)
+		return metastore.Entry{}, refused("get", key, metastore.CauseNotFound)
 	}
 	return cloneEntry(e), nil
 }
 
 // Range returns up to limit entries with from <= key < to, the number of all
 // such entries, and the revision of the store.
-func (s *Store) Range(from, to string, limit int) (found []platform.Entry, total int, revision int64) {
+func (s *Store) Range(from, to string, limit int) (found []metastore.Entry, total int, revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -155,23 +155,23 @@
 }
 
 // Create writes key if it is absent.
-func (s *Store) Create(key string, value []byte, id platform.LeaseID) (int64, error) {
+func (s *Store) Create(key string, value []byte, id metastore.LeaseID) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if _, ok := s.entries[key]; ok {
-		return 0, refused("create", key, platform.CauseExists)
+		return 0, refused("create", key, metastore.CauseExists)
 	}
 	return s.put("create", key, value, id)
 }
 
 // Swap writes key if its ModRevision is rev.
-func (s *Store) Swap(key string, value []byte, rev int64, id platform.LeaseID) (int64, error) {
+func (s *Store) Swap(key string, value []byte, rev int64, id metastore.LeaseID) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if e, ok := s.entries[key]; !ok || e.ModRevision != rev {
-		return 0, refused("swap", key, platform.CauseConflict)
+		return 0, refused("swap", key, metastore.CauseConflict)
 	}
 	return s.put("swap", key, value, id)
 }
@@ -183,10 +183,10 @@
 	s.expire()
 	e, ok := s.entries[key]
 	if !ok && rev == 0 {
-		return refused("delete", key, platform.CauseNotFound)
+		return refused("delete", key, metastore.CauseNotFound)
 	}
 	if !ok || rev != 0 && e.ModRevision != rev {
-		return refused("delete", key, platform.CauseConflict)
+		return refused("delete", key, metastore.CauseConflict)
 	}
 	s.remove(key)
 	return nil
@@ -208,12 +208,12 @@
 }
 
 // Grant creates a lease.
-func (s *Store) Grant(ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(ttl time.Duration) (metastore.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if ttl <= 0 {
-		return 0, refused("grant", "", platform.CauseInvalid)
+		return 0, refused("grant", "", metastore.CauseInvalid)
 	}
 	id := s.nextLease
 	s.nextLease++
@@ -222,13 +222,13 @@
 }
 
 // KeepAlive renews a lease and returns its time to live.
-func (s *Store) KeepAlive(id platform.LeaseID) (time.Duration, error) {
+func (s *Store) KeepAlive(id metastore.LeaseID) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	l, ok := s.leases[id]
 	if !ok {
-		return 0, refused("keepalive", "", platform.CauseLapsed)
+		return 0, refused("keepalive", "", metastore.CauseLapsed)
 	}
 	l.expiry = s.now().Add(l.ttl)
 	s.leases[id] = l
@@ -236,12 +236,12 @@
 }
 
 // Revoke ends a lease and removes its keys.
-func (s *Store) Revoke(id platform.LeaseID) error {
+func (s *Store) Revoke(id metastore.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if _, ok := s.leases[id]; !ok {
-		return refused("revoke", "", platform.CauseLapsed)
+		return refused("revoke", "", metastore.CauseLapsed)
 	}
 	s.drop(id)
 	return nil
@@ -249,18 +249,18 @@
 
 // Watch sends the changes of keys with from <= key < to after revision rev
 // until ctx ends, the store is restored or an outage begins.
-func (s *Store) Watch(ctx context.Context, from, to string, rev int64) (<-chan platform.Change, error) {
+func (s *Store) Watch(ctx context.Context, from, to string, rev int64) (<-chan metastore.Change, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if rev < s.compacted {
-		return nil, refused("watch", from, platform.CauseInvalid)
+		return nil, refused("watch", from, metastore.CauseInvalid)
 	}
-	out := make(chan platform.Change)
+	out := make(chan metastore.Change)
 	go s.serveWatch(ctx, out, from, to, rev)
 	return out, nil
 }
 
-func (s *Store) serveWatch(ctx context.Context, out chan<- platform.Change, from, to string, rev int64) {
+func (s *Store) serveWatch(ctx context.Context, out chan<- metastore.Change, from, to string, rev int64) {
 	defer close(out)
 	for {
 		news, wake, ok := s.since(rev)
@@ -298,33 +298,33 @@
 	return slices.Clone(s.history[i:]), s.changed, true
 }
 
-func (s *Store) put(op, key string, value []byte, id platform.LeaseID) (int64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, refused(op, key, platform.CauseTooLarge)
+func (s *Store) put(op, key string, value []byte, id metastore.LeaseID) (int64, error) {
+	if len(value) > metastore.MaxValueBytes {
+		return 0, refused(op, key, metastore.CauseTooLarge)
 	}
 	if _, ok := s.leases[id]; id != 0 && !ok {
-		return 0, refused(op, key, platform.CauseLapsed)
+		return 0, refused(op, key, metastore.CauseLapsed)
 	}
 	s.revision++
 	e, ok := s.entries[key]
 	if !ok {
-		e = platform.Entry{Key: key, CreateRevision: s.revision}
+		e = metastore.Entry{Key: key, CreateRevision: s.revision}
 	}
 	e.Value = slices.Clone(value)
 	e.ModRevision = s.revision
 	e.Lease = id
 	s.entries[key] = e
-	s.record(platform.Change{Entry: cloneEntry(e)})
+	s.record(metastore.Change{Entry: cloneEntry(e)})
 	return s.revision, nil
 }
 
 func (s *Store) remove(key string) {
 	delete(s.entries, key)
 	s.revision++
-	s.record(platform.Change{Entry: platform.Entry{Key: key, ModRevision: s.revision}, Deleted: true})
+	s.record(metastore.Change{Entry: metastore.Entry{Key: key, ModRevision: s.revision}, Deleted: true})
 }
 
-func (s *Store) record(c platform.Change) {
+func (s *Store) record(c metastore.Change) {
 	if len(s.history) >= historyLimit {
 		drop := historyLimit / 2
 		s.compacted = s.history[drop-1].revision
@@ -348,7 +348,7 @@
 	}
 }
 
-func (s *Store) drop(id platform.LeaseID) {
+func (s *Store) drop(id metastore.LeaseID) {
 	delete(s.leases, id)
 	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
 		if s.entries[k].Lease == id {
@@ -357,11 +357,11 @@
 	}
 }
 
-func refused(op, key string, c platform.Cause) error {
-	return &platform.RefusedError{Op: op, Key: key, Cause: c}
+func refused(op, key string, c metastore.Cause) error {
+	return &metastore.RefusedError{Op: op, Key: key, Cause: c}
 }
 
-func cloneEntry(e platform.Entry) platform.Entry {
+func cloneEntry(e metastore.Entry) metastore.Entry {
 	e.Value = slices.Clone(e.Value)
 	return e
 }
--- a/platform/shared_log.go
+++ b/metastore/shared_log.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"context"
@@ -104,7 +104,7 @@
 // OpenLog returns the log without reading it; Sync, Append or Follow does.
 func OpenLog(kv KV, o LogOptions) *SharedLog {
 	if !validName(o.Name) || !validName(o.Writer) {
-		panic("platform: a log needs a name and a writer without slashes")
+		panic("metastore: a log needs a name and a writer without slashes")
 	}
 	o.setDefaults()
 	l := &SharedLog{kv: kv, o: o, keys: logKeys{o.Name}, turn: make(chan struct{}, 1)}
--- a/note/book.go
+++ b/note/book.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"redwingknot/event"
+	"redwingknot/metastore"
 	"redwingknot/metric"
-	"redwingknot/platform"
 )
 
 const (
 	logName               = "notes"
-	notePurpose           = platform.Purpose("note")
+	notePurpose           = metastore.Purpose("note")
 	defaultSnapshotEvery  = 64
 	defaultTrimMargin     = 16
 	maxRecentNotes        = 256
@@ -26,8 +26,8 @@
 
 // BookOptions configure a Book.
 type BookOptions struct {
-	KV     platform.KV // nil for a Book that lives from its peers' offers
-	Writer string      // unique over all processes for ever; needed with KV
+	KV     metastore.KV // nil for a Book that lives from its peers' offers
+	Writer string       // unique over all processes for ever; needed with KV
 	Logger *slog.Logger
 
 	SnapshotEvery  uint64 // notes between snapshots on the platform
@@ -43,7 +43,7 @@
 // All methods may be called from any goroutine.
 type Book struct {
 	o   BookOptions
-	log *platform.SharedLog // nil without a platform
+	log *metastore.SharedLog // nil without a platform
 
 	mu      sync.Mutex
 	state   *State
@@ -89,13 +89,13 @@
 	}
 	b := &Book{o: o, state: NewState(), changed: make(chan struct{})}
 	if o.KV != nil {
-		b.log = platform.OpenLog(o.KV, b.logOptions())
+		b.log = metastore.OpenLog(o.KV, b.logOptions())
 	}
 	return b
 }
 
-func (b *Book) logOptions() platform.LogOptions {
-	o := platform.LogOptions{
+func (b *Book) logOptions() metastore.LogOptions {
+	o := metastore.LogOptions{
 		Name:           logName,
 		Folder:         b,
 		Writer:         b.o.Writer,
@@ -190,7 +190,7 @@
 
 // Submit offers a note written against the head base and returns its number
 // once it is accepted. A *ConflictError names the note that came first; an
-// *InvalidError lists the faults; a *platform.UnknownOutcomeError leaves open
+// *InvalidError lists the faults; a *metastore.UnknownOutcomeError leaves open
 // whether the note was accepted, and the same Submit may be repeated: a note
 // accepted already under base+1 is found and returned. With any other error the
 // note was not accepted and never will be.
@@ -210,7 +210,7 @@
 		return 0, err
 	}
 	err = b.log.AppendAt(ctx, base+1, raw)
-	if platform.IsCause(err, platform.CauseExists) {
+	if metastore.IsCause(err, metastore.CauseExists) {
 		return b.conflict(base, raw)
 	}
 	if err != nil {
@@ -222,9 +222,9 @@
 // notAccepted keeps the unknown outcome of a read from looking like that of
 // the write, which was not tried.
 func notAccepted(err error) error {
-	var unknown *platform.UnknownOutcomeError
+	var unknown *metastore.UnknownOutcomeError
 	if errors.As(err, &unknown) {
-		return &platform.NotSentError{Op: "submit", Key: unknown.Key, Err: unknown.Err}
+		return &metastore.NotSentError{Op: "submit", Key: unknown.Key, Err: unknown.Err}
 	}
 	return err
 }
@@ -269,7 +269,7 @@
 	return Chain{}, false
 }
 
-// Apply implements platform.Folder. A note of the platform is only taken if all
+// Apply implements metastore.Folder. A note of the platform is only taken if all
 // notes before it there are those in force.
 func (b *Book) Apply(index uint64, entry []byte) {
 	b.mu.Lock()
@@ -358,7 +358,7 @@
 	b.changed = make(chan struct{})
 }
 
-// Snapshot implements platform.Folder. It may hold more than the log has read,
+// Snapshot implements metastore.Folder. It may hold more than the log has read,
 // namely notes that a peer has offered; Restore and Apply allow for that.
 func (b *Book) Snapshot() [][]byte {
 	b.mu.Lock()
@@ -379,7 +379,7 @@
 	return b.encoded.parts
 }
 
-// Restore implements platform.Folder: it never moves the head back.
+// Restore implements metastore.Folder: it never moves the head back.
 func (b *Book) Restore(index uint64, parts [][]byte) error {
 	s, err := decodeSnapshot(parts)
 	if err != nil {
--- a/note/book_fuzz_test.go
+++ b/note/book_fuzz_test.go
@@ -12,26 +12,26 @@
 	"pgregory.net/rapid"
 
 	"redwingknot/internal/fuzztest"
+	"redwingknot/metastore"
+	"redwingknot/metastore/metastoretest"
 	"redwingknot/note"
-	"redwingknot/platform"
-	"redwingknot/platform/platformtest"
 )
 
 // member is an instance with its book; only leads have a platform.
 type member struct {
 	book *note.Book
-	kv   *platformtest.KV
+	kv   *metastoretest.KV
 	head uint64             // highest head seen
 	back bool               // the head was seen to go back
 	seen map[uint64]float64 // worth after each number, as this instance had it
 	last *note.State
-	plan []platformtest.Fault
+	plan []metastoretest.Fault
 	// between runs once, before the call to the platform with this countdown.
 	between   func()
 	countdown int
 }
 
-func (m *member) hook(_ context.Context, op platformtest.Op) platformtest.Fault {
+func (m *member) hook(_ context.Context, op metastoretest.Op) metastoretest.Fault {
 	m.look()
 	m.countdown--
 	if strings.HasPrefix(op.Key, "snap/") {
@@ -43,7 +43,7 @@
 		do()
 	}
 	if len(m.plan) == 0 {
-		return platformtest.None
+		return metastoretest.None
 	}
 	f := m.plan[0]
 	m.plan = m.plan[1:]
@@ -66,7 +66,7 @@
 // bookMachine checks that every book at head h shows the note that the oracle
 // has under h. Each note sets the worth of one class to its own serial.
 type bookMachine struct {
-	store       *platformtest.Store
+	store       *metastoretest.Store
 	members     []*member
 	leads       int
 	started     int
@@ -105,7 +105,7 @@
 	}
 	s.number, s.err = lead.book.Submit(context.Background(), base, []byte(raw))
 	synctest.Wait() // for the snapshot that may follow
-	var unknown *platform.UnknownOutcomeError
+	var unknown *metastore.UnknownOutcomeError
 	if errors.As(s.err, &unknown) {
 		return
 	}
@@ -185,15 +185,15 @@
 			t.Fatalf("note %d was accepted as %d, where %v is in force", s.serial, s.number, m.history[s.number])
 		case s.err == nil && s.number > reader.Head():
 			t.Fatalf("note %d was accepted as %d and the platform has %d", s.serial, s.number, reader.Head())
-		case s.err != nil && !platform.IsUnknown(s.err) && inForce:
+		case s.err != nil && !metastore.IsUnknown(s.err) && inForce:
 			t.Fatalf("note %d was refused (%v) and is in force as %d", s.serial, s.err, number)
 		}
 	}
 }
 
-var bookFaults = []platformtest.Fault{
-	platformtest.None, platformtest.None, platformtest.None,
-	platformtest.NotSent, platformtest.LostRequest, platformtest.LostAnswer, platformtest.Late,
+var bookFaults = []metastoretest.Fault{
+	metastoretest.None, metastoretest.None, metastoretest.None,
+	metastoretest.NotSent, metastoretest.LostRequest, metastoretest.LostAnswer, metastoretest.Late,
 }
 
 // actions returns the actions by name; the caller adds the check.
@@ -263,7 +263,7 @@
 
 // runWithRestores lets the platform come back from older copies.
 func (m *bookMachine) runWithRestores(t *rapid.T) {
-	var copies []platformtest.Copy
+	var copies []metastoretest.Copy
 	actions := m.actions()
 	actions[""] = m.checkEach
 	actions["backup"] = func(*rapid.T) { copies = append(copies, m.store.Backup()) }
@@ -309,7 +309,7 @@
 }
 
 func newBookMachine() *bookMachine {
-	m := &bookMachine{store: platformtest.NewStore(time.Now), leads: 2, members: make([]*member, 4), history: map[uint64]float64{}, parent: map[float64]float64{}}
+	m := &bookMachine{store: metastoretest.NewStore(time.Now), leads: 2, members: make([]*member, 4), history: map[uint64]float64{}, parent: map[float64]float64{}}
 	for i := range m.members {
 		m.start(i)
 	}
@@ -335,7 +335,7 @@
 }
 
 func TestRestoredPlatformNeverReverts(t *testing.T) {
-	store := platformtest.NewStore(nil)
+	store := metastoretest.NewStore(nil)
 	kv := store.Client("a")
 	book := note.NewBook(note.BookOptions{KV: kv, Writer: "a"})
 	submit := func(b *note.Book, text string) error {
@@ -392,7 +392,7 @@
 }
 
 func TestMarksOnlyMoveForward(t *testing.T) {
-	kv := platformtest.New(nil)
+	kv := metastoretest.New(nil)
 	for _, m := range []note.Mark{{DataCentre: "ilala", Head: 3}, {DataCentre: "temeke", Head: 5}, {DataCentre: "ilala", Head: 2}, {DataCentre: "ilala", Head: 4}} {
 		if err := note.MarkInForce(t.Context(), kv, m.DataCentre, m.Head); err != nil {
 			t.Fatal(err)
@@ -405,7 +405,7 @@
 }
 
 func TestSubmitOfTheSameNoteAgainIsAccepted(t *testing.T) {
-	kv := platformtest.New(nil)
+	kv := metastoretest.New(nil)
 	book := note.NewBook(note.BookOptions{KV: kv, Writer: "a"})
 	raw := []byte("title: one\nauthor: amani\nadd: {classes: [{name: x, worth: 1, firstIn: 1s, deadline: 1s}]}")
 	for range 2 {
@@ -425,7 +425,7 @@
 func TestOtherHistoryIsNotAdopted(t *testing.T) {
 	books := make([]*note.Book, 2)
 	for i := range books {
-		books[i] = note.NewBook(note.BookOptions{KV: platformtest.New(nil), Writer: "a"})
+		books[i] = note.NewBook(note.BookOptions{KV: metastoretest.New(nil), Writer: "a"})
 		for n := range 2 + i {
 			raw := fmt.Sprintf("title: t\nadd: {classes: [{name: x%d, worth: %d, firstIn: 1s, deadline: 1s}]}", n, i+1)
 			if _, err := books[i].Submit(t.Context(), uint64(n), []byte(raw)); err != nil {
--- a/note/mark.go
+++ b/note/mark.go
@@ -5,13 +5,13 @@
 	"strconv"
 	"strings"
 
-	"redwingknot/platform"
+	"redwingknot/metastore"
 )
 
 const (
 	markPrefix  = "mark/"
 	markEnd     = "mark0"
-	markPurpose = platform.Purpose("note-mark")
+	markPurpose = metastore.Purpose("note-mark")
 )
 
 // Mark says that a data centre has all notes up to Head in force.
@@ -22,13 +22,13 @@
 
 // MarkInForce records that dataCentre has all notes up to head in force. The
 // mark only moves forward; a higher one is left as it is.
-func MarkInForce(ctx context.Context, kv platform.KV, dataCentre string, head uint64) error {
+func MarkInForce(ctx context.Context, kv metastore.KV, dataCentre string, head uint64) error {
 	key := markPrefix + dataCentre
 	value := strconv.AppendUint(nil, head, 10)
 	for {
 		old, err := kv.Get(ctx, markPurpose, key)
 		switch {
-		case platform.IsCause(err, platform.CauseNotFound):
+		case metastore.IsCause(err, metastore.CauseNotFound):
 			_, err = kv.Create(ctx, markPurpose, key, value, 0)
 		case err != nil:
 			return err
@@ -38,14 +38,14 @@
 			}
 			_, err = kv.Swap(ctx, markPurpose, key, value, old.ModRevision, 0)
 		}
-		if !platform.IsCause(err, platform.CauseConflict) && !platform.IsCause(err, platform.CauseExists) {
+		if !metastore.IsCause(err, metastore.CauseConflict) && !metastore.IsCause(err, metastore.CauseExists) {
 			return err
 		}
 	}
 }
 
 // InForce returns the marks of all data centres, in order of name.
-func InForce(ctx context.Context, kv platform.KV) ([]Mark, error) {
+func InForce(ctx context.Context, kv metastore.KV) ([]Mark, error) {
 	entries, _, err := kv.Range(ctx, markPurpose, markPrefix, markEnd, 0)
 	if err != nil {
 		return nil, err
@@ -61,7 +61,7 @@
 	return marks, nil
 }
 
-func parseMark(e platform.Entry) (uint64, error) {
+func parseMark(e metastore.Entry) (uint64, error) {
 	head, err := strconv.ParseUint(string(e.Value), 10, 64)
 	if err != nil {
 		return 0, &EncodingError{What: "mark " + e.Key, Err: err}
--- a/serve/bed_test.go
+++ b/serve/bed_test.go
@@ -18,9 +18,9 @@
 	appstandin "redwingknot/internal/standin/app"
 	enginestandin "redwingknot/internal/standin/engine"
 	"redwingknot/ledger"
+	"redwingknot/metastore"
+	"redwingknot/metastore/metastoretest"
 	"redwingknot/note"
-	"redwingknot/platform"
-	"redwingknot/platform/platformtest"
 	"redwingknot/suspect"
 )
 
@@ -39,7 +39,7 @@
 	engines []*enginestandin.Server
 	hosts   []*httptest.Server
 	app     *appstandin.Server
-	kv      *platformtest.KV
+	kv      *metastoretest.KV
 }
 
 type noLimits struct{ refuse bool }
@@ -74,7 +74,7 @@
 // newBed starts a data path before engines with these options.
 func newBed(t testing.TB, engines ...enginestandin.Options) *bed {
 	t.Helper()
-	b := &bed{t: t, app: appstandin.New(0), kv: platformtest.New(time.Now)}
+	b := &bed{t: t, app: appstandin.New(0), kv: metastoretest.New(time.Now)}
 	b.state = &note.State{
 		Head:    1,
 		Models:  map[string]note.Model{"m": {Name: "m", Version: "v1", PieceBytes: 8000, BlockBytes: 1 << 10}},
@@ -128,8 +128,8 @@
 	services.Apply(b.state)
 	claims := ledger.New(ledger.Config{
 		Shards: 2, Instance: "entry-1#1", Alive: func(string) bool { return true }, Interval: time.Millisecond,
-		Open: func(shard int, f platform.Folder) platform.Log {
-			return platform.OpenLog(b.kv, platform.LogOptions{Name: "claims-" + strconv.Itoa(shard), Folder: f, Writer: "entry-1#1"})
+		Open: func(shard int, f metastore.Folder) metastore.Log {
+			return metastore.OpenLog(b.kv, metastore.LogOptions{Name: "claims-" + strconv.Itoa(shard), Folder: f, Writer: "entry-1#1"})
 		},
 	})
 	b.t.Cleanup(claims.Close)
--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -19,8 +19,8 @@
 	"redwingknot/contract"
 	"redwingknot/engine"
 	enginestandin "redwingknot/internal/standin/engine"
+	"redwingknot/metastore/metastoretest"
 	"redwingknot/note"
-	"redwingknot/platform/platformtest"
 )
 
 // texts joins the tokens of a stream and says whether it is whole.
@@ -190,11 +190,11 @@
 	b := newBed(t)
 	b.state.Classes["question"] = contract.Class{Name: "question", Worth: 1, FirstIn: time.Second, Deadline: time.Hour}
 	var writes atomic.Int64
-	b.kv.SetHook(func(_ context.Context, op platformtest.Op) platformtest.Fault {
+	b.kv.SetHook(func(_ context.Context, op metastoretest.Op) metastoretest.Fault {
 		if op.Write && writes.Add(1) > 1 {
-			return platformtest.NotSent
+			return metastoretest.NotSent
 		}
-		return platformtest.None
+		return metastoretest.None
 	})
 	key := uuid.Must(uuid.NewV7()).String()
 	got := b.do("POST", "/svc/app/certificates", teamToken, "juma", HeaderIdempotencyKey, key)
