--- a/datacentre/lead.go
+++ b/datacentre/lead.go
@@ -21,13 +21,15 @@
 
 // Timing of the lease.
 const (
-	// LeaseTTL is the time after which the service ends a lease not renewed.
-	LeaseTTL      = 6 * time.Second
-	renewInterval = LeaseTTL / 3
-	leaseMargin   = 500 * time.Millisecond
-	callTimeout   = LeaseTTL / 3
-	idleInterval  = 2 * time.Second  // between checks whether to stand as a candidate
-	pollInterval  = 10 * time.Second // between reads of a watched key
+	// LeaseTTL is the default time after which the service ends a lease not
+	// renewed.
+	LeaseTTL = 6 * time.Second
+	// renewalsPerTTL lets two renewals fail before the lease ends.
+	renewalsPerTTL = 3
+	// marginPerTTL is the part of a lease at whose end the holder no longer acts.
+	marginPerTTL = 12
+	idleInterval = 2 * time.Second  // between checks whether to stand as a candidate
+	pollInterval = 10 * time.Second // between reads of a watched key
 )
 
 // The delay between attempts doubles from retryMin to retryMax; each attempt
@@ -43,6 +45,8 @@
 	KV         metastore.KV
 	DataCentre string
 	Self       string // identifier of this instance
+	// TTL is the time after which a lease not renewed ends, LeaseTTL if zero.
+	TTL time.Duration
 	// Candidate reports whether this instance should stand. Few instances of a
 	// data centre do, so that the platform's calls don't grow with instances.
 	Candidate func() bool
@@ -68,6 +72,9 @@
 
 // NewLead returns a Lead that does nothing before Run.
 func NewLead(cfg LeadConfig) *Lead {
+	if cfg.TTL == 0 {
+		cfg.TTL = LeaseTTL
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -118,6 +125,10 @@
 	l.changed = make(chan struct{})
 }
 
+func (l *Lead) callTimeout() time.Duration { return l.cfg.TTL / renewalsPerTTL }
+
+func (l *Lead) margin() time.Duration { return l.cfg.TTL / marginPerTTL }
+
 func (l *Lead) key() string { return leadPrefix + l.cfg.DataCentre }
 
 // Run stands for the lead until ctx ends, and then hands it over: it stops
@@ -136,7 +147,7 @@
 		}
 		metric.Counter("lead_attempt_failures_total").Inc(1)
 		l.sleep(ctx, l.jitter(retry))
-		retry = min(2*retry, retryMax)
+		retry = min(2*retry, retryMax, l.cfg.TTL)
 	}
 	return nil
 }
@@ -175,7 +186,7 @@
 
 // look reads the key. It returns the revision to watch from.
 func (l *Lead) look(ctx context.Context) (rev int64, free bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.callTimeout())
 	defer cancel()
 	entries, rev, err := l.cfg.KV.Range(ctx, PurposeLead, l.key(), l.key()+"\x00", 1)
 	if err != nil {
@@ -211,10 +222,10 @@
 // take grants a lease and creates the key with it. The lease is counted from
 // before its request was sent.
 func (l *Lead) take(ctx context.Context) (*tenure, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.callTimeout())
 	defer cancel()
 	sent := l.cfg.Now()
-	id, err := l.cfg.KV.Grant(ctx, PurposeLead, LeaseTTL)
+	id, err := l.cfg.KV.Grant(ctx, PurposeLead, l.cfg.TTL)
 	if err != nil {
 		return nil, errors.Wrap(err, "grant lease")
 	}
@@ -223,8 +234,8 @@
 		l.revoke(ctx, id)
 		return nil, err
 	}
-	t := &tenure{lease: id, fence: fence, ttl: LeaseTTL}
-	t.extend(sent, LeaseTTL, leaseMargin)
+	t := &tenure{lease: id, fence: fence, ttl: l.cfg.TTL}
+	t.extend(sent, l.cfg.TTL, l.margin())
 	return t, nil
 }
 
@@ -245,7 +256,7 @@
 
 // revoke ends a lease that is of no use, as well as it can.
 func (l *Lead) revoke(ctx context.Context, id metastore.LeaseID) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.callTimeout())
 	defer cancel()
 	if err := l.cfg.KV.Revoke(ctx, PurposeLead, id); err != nil {
 		metric.Counter("lead_revoke_failures_total").Inc(1)
@@ -258,7 +269,7 @@
 func (l *Lead) hold(ctx context.Context, t *tenure) {
 	l.begin(t)
 	for l.renewable(ctx, t) {
-		l.sleep(ctx, renewInterval)
+		l.sleep(ctx, l.cfg.TTL/renewalsPerTTL)
 		if ctx.Err() != nil {
 			break
 		}
@@ -306,7 +317,7 @@
 }
 
 func (l *Lead) keepAlive(ctx context.Context, id metastore.LeaseID) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.callTimeout())
 	defer cancel()
 	return l.cfg.KV.KeepAlive(ctx, PurposeLead, id)
 }
@@ -314,7 +325,7 @@
 func (l *Lead) extend(t *tenure, sent time.Time, remaining time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t.extend(sent, remaining, leaseMargin)
+	t.extend(sent, remaining, l.margin())
 }
 
 // end stops acting as the lead and frees the key for the next.
--- a/event/event.go
+++ b/event/event.go
@@ -25,6 +25,7 @@
 	rangeRoute    = 4000 // route, team, retry, suspect
 	rangeBlock    = 5000 // block, link
 	rangeInstance = 6000 // instance, datacentre, endpoint
+	rangeRelay    = 7000 // relay, gateway
 	rangeProcess  = 9000 // settings, start and stop of processes
 )
 
--- /dev/null
+++ b/fleet/mirror.go
@@ -0,0 +1,88 @@
+package fleet
+
+import "redwingknot/metastore"
+
+// Delta is a difference between two states of a Mirror.
+type Delta struct {
+	Changed []metastore.Entry
+	Removed []string
+}
+
+// Empty reports whether nothing differs.
+func (d *Delta) Empty() bool { return len(d.Changed) == 0 && len(d.Removed) == 0 }
+
+// Mirror is a copy of the keys under a prefix of the metadata store, fed by
+// reads of the whole range and by single changes in any order. Per key the
+// highest revision wins, so what arrives late changes nothing. It is not safe
+// for concurrent use.
+type Mirror struct {
+	items map[string]metastore.Entry
+	// gone holds the revision at which a key was removed, until a read of the
+	// whole range at a later revision makes it needless.
+	gone map[string]int64
+}
+
+// NewMirror returns an empty mirror.
+func NewMirror() *Mirror {
+	return &Mirror{items: map[string]metastore.Entry{}, gone: map[string]int64{}}
+}
+
+// Reset takes a read of the whole range made at revision.
+func (m *Mirror) Reset(items []metastore.Entry, revision int64) Delta {
+	var d Delta
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		present[it.Key] = true
+		if m.put(it) {
+			d.Changed = append(d.Changed, it)
+		}
+	}
+	for key, it := range m.items {
+		if !present[key] && it.ModRevision <= revision {
+			delete(m.items, key)
+			d.Removed = append(d.Removed, key)
+		}
+	}
+	for key, removed := range m.gone {
+		if removed <= revision {
+			delete(m.gone, key)
+		}
+	}
+	return d
+}
+
+// Put takes one written key.
+func (m *Mirror) Put(it metastore.Entry) Delta {
+	if !m.put(it) {
+		return Delta{}
+	}
+	return Delta{Changed: []metastore.Entry{it}}
+}
+
+func (m *Mirror) put(it metastore.Entry) bool {
+	if known, ok := m.items[it.Key]; ok && known.ModRevision >= it.ModRevision {
+		return false
+	}
+	if m.gone[it.Key] >= it.ModRevision {
+		return false
+	}
+	delete(m.gone, it.Key)
+	m.items[it.Key] = it
+	return true
+}
+
+// Remove takes one removed key.
+func (m *Mirror) Remove(key string, revision int64) Delta {
+	if m.gone[key] < revision {
+		m.gone[key] = revision
+	}
+	known, ok := m.items[key]
+	if !ok || known.ModRevision >= revision {
+		return Delta{}
+	}
+	delete(m.items, key)
+	return Delta{Removed: []string{key}}
+}
+
+// Len returns the number of keys.
+func (m *Mirror) Len() int { return len(m.items) }
--- /dev/null
+++ b/gateway/followers.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"log/slog"
+	"time"
+
+	"redwingknot/event"
+	"redwingknot/fleet"
+	"redwingknot/metastore"
+)
+
+// followers returns what keeps the view up to date.
+func (g *Gateway) followers() []*follower {
+	operator := g.follower(purposeOperator, confirmInterval, g.o.Feed.Operator)
+	operator.changed = g.operatorChanged
+	operator.confirmed = func(sentAt time.Time) {
+		g.storeAnswered()
+		g.view.Confirm(sentAt)
+	}
+	endpoints := g.follower(purposeEndpoints, listInterval, g.o.Feed.Endpoints)
+	endpoints.changed = g.endpointsChanged
+	endpoints.confirmed = func(time.Time) { g.storeAnswered() }
+	instances := g.follower(purposeMembers, membersInterval, memberRange)
+	instances.changed = func(fleet.Delta) { g.view.SetInstances(instances.mirror.Len()) }
+	instances.confirmed = func(time.Time) {}
+	return []*follower{operator, endpoints, instances}
+}
+
+func (g *Gateway) follower(p metastore.Purpose, interval time.Duration, keys func() (from, to string)) *follower {
+	from, to := keys()
+	return &follower{
+		kv: g.o.KV, purpose: p, from: from, to: to, interval: interval,
+		now: g.o.Relay.Now, mirror: fleet.NewMirror(), failed: g.storeFailed,
+	}
+}
+
+func (g *Gateway) storeAnswered() {
+	if g.view.StoreReturned(g.o.Relay.Now()) {
+		event.StoreRegained.Log(g.log)
+	}
+}
+
+func (g *Gateway) storeFailed(err error) {
+	if g.view.StoreAway() {
+		event.StoreLost.Log(g.log, slog.String("error", err.Error()))
+	}
+}
+
+func (g *Gateway) operatorChanged(d fleet.Delta) {
+	now := g.o.Relay.Now()
+	for _, e := range d.Changed {
+		changed, err := g.o.Feed.ApplyOperator(g.view, e, now)
+		switch {
+		case err != nil:
+			event.EntryUnreadable.Log(g.log, slog.String("key", e.Key), slog.String("error", err.Error()))
+		case changed:
+			g.logOperator(e.Key)
+		}
+	}
+}
+
+func (g *Gateway) logOperator(key string) {
+	s := g.view.Snapshot()
+	if s.Config != nil {
+		event.ConfigInForce.Log(g.log, slog.String("key", key), slog.Int64("config", s.Config.Version),
+			slog.Int("routes", s.Config.Routes()), slog.Any("weights", s.Weights))
+	}
+}
+
+func (g *Gateway) endpointsChanged(d fleet.Delta) {
+	now := g.o.Relay.Now()
+	for _, e := range d.Changed {
+		if err := g.o.Feed.ApplyEndpoint(g.view, e, now); err != nil {
+			event.EntryUnreadable.Log(g.log, slog.String("key", e.Key), slog.String("error", err.Error()))
+			continue
+		}
+		g.logEndpoint(g.o.Feed.EndpointID(e.Key))
+	}
+	for _, key := range d.Removed {
+		id := g.o.Feed.EndpointID(key)
+		g.view.RemoveEndpoint(id, now)
+		event.EndpointUnlisted.Log(g.log, slog.String("endpoint", id))
+	}
+}
+
+func (g *Gateway) logEndpoint(id string) {
+	if e := g.view.Snapshot().Endpoints[id]; e != nil {
+		event.EndpointListed.Log(g.log, slog.String("endpoint", id), slog.String("service", e.Service),
+			slog.String("address", e.Address), slog.Bool("leaving", e.Leaving), slog.Any("weights", e.Weights))
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
+
+	"redwingknot/datacentre"
+	"redwingknot/event"
+	"redwingknot/fleet"
+	"redwingknot/metastore"
+	"redwingknot/metric"
+	"redwingknot/relay"
+)
+
+// Options are what a Gateway needs. They are the wiring's to fill: the gateway
+// itself knows no names of the machines that it runs on.
+type Options struct {
+	Instance   string
+	DataCentre string
+	Front      string // listen address for callers
+	Ready      string // listen address for checks of readiness
+	ReadyPath  string
+	Metrics    string // listen address for metrics, empty for none
+
+	Relay relay.Options
+	KV    metastore.KV
+	Feed  Feed
+	Loads Loader
+
+	Grace      time.Duration // from the request to stop until the process is killed
+	OrderLease time.Duration // least time between orders of two holders
+	LeaseMin   time.Duration // shortest lease of the metadata store
+	MaxHeader  int           // bytes of a request's header
+}
+
+// Feed turns keys of the metadata store into what the view holds.
+type Feed interface {
+	// Operator returns the range of the operator's keys.
+	Operator() (from, to string)
+	// Endpoints returns the range of the endpoints' entries.
+	Endpoints() (from, to string)
+	ApplyOperator(v *fleet.View, e metastore.Entry, now time.Time) (changed bool, err error)
+	ApplyEndpoint(v *fleet.View, e metastore.Entry, now time.Time) error
+	// EndpointID returns the identifier in a key of an endpoint.
+	EndpointID(key string) string
+}
+
+// Gateway is an instance. Run is called once.
+type Gateway struct {
+	o        Options
+	log      *slog.Logger
+	view     *fleet.View
+	relay    *relay.Server
+	lead     *datacentre.Lead
+	members  *members
+	draining atomic.Bool
+}
+
+// New returns a Gateway that does nothing before Run.
+func New(o Options) *Gateway {
+	g := &Gateway{o: o, log: o.Relay.Log, view: o.Relay.View}
+	g.relay = relay.NewServer(o.Relay)
+	g.members = &members{kv: o.KV, self: o.Instance, ttl: max(memberTTL, o.LeaseMin), view: g.view, now: o.Relay.Now}
+	g.lead = datacentre.NewLead(datacentre.LeadConfig{
+		KV: o.KV, DataCentre: leadScope, Self: o.Instance, TTL: max(leadTTL, o.LeaseMin), Now: o.Relay.Now, Logger: g.log,
+		Candidate: func() bool { return !g.draining.Load() && g.view.Snapshot().Config != nil },
+	})
+	return g
+}
+
+const (
+	// leadScope names the one lead of the whole fleet.
+	leadScope = "fleet"
+	// leadTTL and the least time between holders together stay below the time
+	// within which named weights must run, 6 s.
+	leadTTL = 1500 * time.Millisecond
+)
+
+// Run serves until ctx ends, then hands over and returns when all requests are
+// answered or the grace time is nearly over.
+func (g *Gateway) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp4", g.o.Front)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	server := g.frontServer()
+	group.Go(func() error { return ignoreClosed(server.Serve(front)) })
+	if err := g.serveAside(work, group); err != nil {
+		return err
+	}
+	g.startControl(ctx, work, group)
+	event.ProcessStarted.Log(g.log, slog.String("instance", g.o.Instance), slog.String("dataCentre", g.o.DataCentre))
+	select {
+	case <-ctx.Done():
+		g.drain(server)
+		stop()
+	case <-work.Done():
+		server.Close()
+	}
+	return group.Wait()
+}
+
+// startControl starts what keeps the view and orders engines. Orders end with
+// ctx, the rest with work.
+func (g *Gateway) startControl(ctx, work context.Context, group *errgroup.Group) {
+	for _, f := range g.followers() {
+		group.Go(func() error { return f.run(work) })
+	}
+	group.Go(func() error { return g.members.run(work) })
+	group.Go(func() error { return g.relay.Run(work) })
+	group.Go(func() error { return g.lead.Run(ctx) })
+	group.Go(func() error { return g.runOrders(ctx) })
+	group.Go(func() error { return g.expire(work) })
+}
+
+// headerTimeout and idleTimeout are above all limits that configurations set:
+// who keeps to those is never cut off.
+const (
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 60 * time.Second
+)
+
+func (g *Gateway) frontServer() *http.Server {
+	return &http.Server{
+		Handler: g.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: g.o.MaxHeader, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+}
+
+// serveAside serves readiness and metrics.
+func (g *Gateway) serveAside(ctx context.Context, group *errgroup.Group) error {
+	routes := mux.NewRouter()
+	routes.HandleFunc(g.o.ReadyPath, g.serveReady).Methods(http.MethodGet)
+	if err := serve(ctx, group, g.o.Ready, routes); err != nil {
+		return errors.Wrap(err, "listen for checks")
+	}
+	if g.o.Metrics == "" {
+		return nil
+	}
+	return errors.Wrap(serve(ctx, group, g.o.Metrics, metric.Handler()), "listen for metrics")
+}
+
+func serve(ctx context.Context, group *errgroup.Group, address string, h http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return ignoreClosed(s.Serve(l)) })
+	context.AfterFunc(ctx, func() { s.Close() })
+	return nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// serveReady tells the balancer whether this instance should get new
+// connections.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	s := g.view.Snapshot()
+	if g.draining.Load() || s.Config == nil || len(s.Endpoints) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Stopping a process: the balancer notices after two checks a second apart that
+// it is not ready; callers' idle connections are closed only after that.
+const (
+	noticeTime = 3 * time.Second
+	// graceUsed is the part of the grace time after which answers are cut.
+	graceUsed = 0.8
+)
+
+// drain takes no new connections and waits for the answers that are due.
+func (g *Gateway) drain(server *http.Server) {
+	started := time.Now()
+	event.ProcessDraining.Log(g.log)
+	g.draining.Store(true)
+	g.relay.Drain()
+	end := time.Duration(graceUsed * float64(g.o.Grace))
+	time.Sleep(min(noticeTime, end/2))
+	ctx, cancel := context.WithTimeout(context.Background(), end-time.Since(started))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		event.ProcessFailed.Log(g.log, slog.String("error", "answers were cut off at the end of the grace time: "+err.Error()))
+		server.Close()
+	}
+}
+
+// expireInterval is the time between looks for entries that did not come back.
+const expireInterval = 200 * time.Millisecond
+
+func (g *Gateway) expire(ctx context.Context) error {
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			g.view.Expire(g.o.Relay.Now())
+		}
+	}
+}
--- /dev/null
+++ b/gateway/orders.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"redwingknot/event"
+	"redwingknot/metric"
+	"redwingknot/rollout"
+)
+
+// Loader sends orders to endpoints.
+type Loader interface {
+	Load(ctx context.Context, o rollout.Order, holder string, fence int64) (rollout.Result, error)
+}
+
+const (
+	// orderInterval is the time between looks for orders that are due.
+	orderInterval = 30 * time.Millisecond
+	// holderMargin is added to the least time between two holders.
+	holderMargin = 150 * time.Millisecond
+)
+
+// tenure is this instance's current holding of the lead.
+type tenure struct {
+	fence   int64
+	since   time.Time
+	planner *rollout.Planner
+}
+
+// runOrders brings the engines to the wanted weights while this instance leads.
+func (g *Gateway) runOrders(ctx context.Context) error {
+	t := time.NewTicker(orderInterval)
+	defer t.Stop()
+	var current tenure
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		fence, held := g.lead.Held()
+		if !held {
+			continue
+		}
+		now := g.o.Relay.Now()
+		if current.fence != fence {
+			current = tenure{fence: fence, since: now, planner: rollout.NewPlanner()}
+		}
+		if now.Sub(current.since) < g.o.OrderLease+holderMargin {
+			// The holder before may have sent an order until now.
+			continue
+		}
+		g.give(ctx, &current, current.planner.Next(g.view.Snapshot(), now))
+	}
+}
+
+// give sends orders side by side and takes their answers.
+func (g *Gateway) give(ctx context.Context, t *tenure, orders []rollout.Order) {
+	results := make([]rollout.Result, len(orders))
+	var wg sync.WaitGroup
+	for i, o := range orders {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results[i] = g.load(ctx, o, t.fence)
+		}()
+	}
+	wg.Wait()
+	now := g.o.Relay.Now()
+	for i, o := range orders {
+		t.planner.Answered(o, results[i], now)
+	}
+}
+
+// load sends one order, if this instance still leads.
+func (g *Gateway) load(ctx context.Context, o rollout.Order, fence int64) rollout.Result {
+	if held, ok := g.lead.Held(); !ok || held != fence {
+		return rollout.Unknown
+	}
+	result, err := g.o.Loads.Load(ctx, o, g.o.Instance, fence)
+	attrs := []slog.Attr{
+		slog.String("endpoint", o.Endpoint.ID), slog.String("model", o.Model), slog.Int64("version", o.Version),
+		slog.Int64("expected", o.Expected), slog.Int64("fence", fence), slog.Int("result", int(result)),
+	}
+	metric.Counter("load_orders_total").Inc(1)
+	if err != nil {
+		event.LoadOrderFailed.Log(g.log, append(attrs, slog.String("error", err.Error()))...)
+		return result
+	}
+	event.LoadOrderSent.Log(g.log, attrs...)
+	return result
+}
--- a/metastore/errors.go
+++ b/metastore/errors.go
@@ -14,6 +14,8 @@
 	CauseTooLarge Cause = "value-too-large"
 	CauseBudget   Cause = "call-budget-spent"
 	CauseInvalid  Cause = "invalid"
+	// CauseUnavailable is an answer by which the service says that it did nothing.
+	CauseUnavailable Cause = "unavailable"
 )
 
 // RefusedError reports that the service answered and changed nothing.
--- /dev/null
+++ b/place/pace.go
@@ -0,0 +1,39 @@
+package place
+
+import "time"
+
+// Figures of Pace.
+const (
+	// paceWeight smooths over about eight answers.
+	paceWeight = 0.12
+	// maxSlow bounds what one outlier can do.
+	maxSlow = 20
+	// paceFade halves a deviation when nothing is sent.
+	paceFade = 4 * time.Second
+)
+
+// Pace is how long an endpoint's requests take relative to the usual of its
+// service. It is pure state and not safe for concurrent use.
+//
+// Load pattern: an endpoint that answers its checks but works many times
+// slower than the others collects requests unless it counts as more loaded.
+type Pace struct {
+	slow float64 // less 1
+	seen time.Time
+}
+
+// Observe takes the time of a request and the usual one.
+func (p *Pace) Observe(took, usual time.Duration, now time.Time) {
+	if usual <= 0 {
+		return
+	}
+	ratio := min(float64(took)/float64(usual), maxSlow)
+	p.slow = (1-paceWeight)*(p.Slow(now)-1) + paceWeight*(ratio-1)
+	p.seen = now
+}
+
+// Slow returns the relative time of a request, 1 is usual.
+func (p *Pace) Slow(now time.Time) float64 {
+	age := max(now.Sub(p.seen), 0)
+	return 1 + p.slow/(1+float64(age)/float64(paceFade))
+}
--- /dev/null
+++ b/relay/endpoint.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"time"
+
+	"redwingknot/fleet"
+	"redwingknot/metric"
+	"redwingknot/place"
+	"redwingknot/upstream"
+)
+
+// endpoint is what this instance knows and keeps of one incarnation. Its fields
+// are owned by the Endpoints' mutex; the pool has its own.
+type endpoint struct {
+	spec    *fleet.Endpoint
+	hash    uint64
+	pool    *upstream.Pool
+	running int
+	prefill int // prompt tokens of own requests without a first event
+	health  place.Health
+	pace    place.Pace
+	weights map[string]int64 // newest version of each model seen in answers
+	loading map[string]time.Time
+	gone    bool // another incarnation answers at its address
+}
+
+func newEndpoint(spec *fleet.Endpoint, limit int) *endpoint {
+	opened := metric.Counter("endpoint_connections_opened_total", "service", spec.Service)
+	return &endpoint{
+		spec: spec, hash: place.Hash(spec.ID), weights: map[string]int64{}, loading: map[string]time.Time{},
+		pool: upstream.NewPool(spec.Address, limit, func() { opened.Inc(1) }),
+	}
+}
+
+// version returns the newest version of a model's weights known to be loaded.
+func (e *endpoint) version(model string) int64 {
+	return max(e.spec.Weights[model], e.weights[model])
+}
+
+// sawVersion records a version that an answer told.
+func (e *endpoint) sawVersion(model string, v int64) {
+	if v > e.weights[model] {
+		e.weights[model] = v
+	}
+}
--- /dev/null
+++ b/relay/endpoints.go
@@ -0,0 +1,269 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"redwingknot/fleet"
+	"redwingknot/place"
+	"redwingknot/retry"
+)
+
+// connShare is the part of an endpoint's connections that the instances use
+// together; the rest is for those that come and go.
+const connShare = 0.85
+
+// Endpoints keeps the state of all endpoints and chooses among them. It is safe
+// for concurrent use.
+type Endpoints struct {
+	view       *fleet.View
+	dataCentre string
+	loadTime   time.Duration
+	retries    retry.WindowConfig
+	now        func() time.Time
+
+	mu       sync.Mutex
+	known    map[fleet.Key]*endpoint
+	snapshot *fleet.Snapshot // that known was matched with
+	services map[string]*serviceState
+	changed  chan struct{}
+}
+
+// serviceState is what this instance keeps of a service.
+type serviceState struct {
+	retries *retry.Window
+	usual   time.Duration // smoothed time of a request, to its first event
+}
+
+// usualWeight smooths the usual time over some fifty answers.
+const usualWeight = 0.02
+
+func newEndpoints(o Options) *Endpoints {
+	return &Endpoints{
+		view: o.View, dataCentre: o.DataCentre, loadTime: o.LoadTime, now: o.Now,
+		retries: retry.WindowConfig{Span: o.RetrySpan, Ratio: o.RetryRatio, Slack: o.RetrySlack},
+		known:   map[fleet.Key]*endpoint{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
+	}
+}
+
+// sync matches the known endpoints with the view's.
+func (e *Endpoints) sync() *fleet.Snapshot {
+	s := e.view.Snapshot()
+	if s == e.snapshot {
+		return s
+	}
+	e.snapshot = s
+	live := make(map[fleet.Key]bool, len(s.Endpoints))
+	for _, spec := range s.Endpoints {
+		key := spec.Key()
+		live[key] = true
+		limit := e.connLimit(s, spec.Service)
+		if known, ok := e.known[key]; ok && known.spec.Address == spec.Address {
+			known.spec = spec
+			known.pool.SetLimit(limit)
+			continue
+		}
+		e.known[key] = newEndpoint(spec, limit)
+	}
+	for key, known := range e.known {
+		if !live[key] {
+			known.pool.Close()
+			delete(e.known, key)
+		}
+	}
+	close(e.changed)
+	e.changed = make(chan struct{})
+	return s
+}
+
+// connLimit is this instance's share of an endpoint's connections.
+func (e *Endpoints) connLimit(s *fleet.Snapshot, service string) int {
+	const unlimited = 256
+	if s.Config == nil || s.Config.Services[service] == nil || s.Config.Services[service].MaxConns == 0 {
+		return unlimited
+	}
+	return max(int(connShare*float64(s.Config.Services[service].MaxConns))/s.Instances, 1)
+}
+
+func (e *Endpoints) service(name string) *serviceState {
+	s, ok := e.services[name]
+	if !ok {
+		s = &serviceState{retries: retry.NewWindow(e.retries)}
+		e.services[name] = s
+	}
+	return s
+}
+
+// arrived counts a request of a service.
+func (e *Endpoints) arrived(service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.service(service).retries.Request(e.now())
+}
+
+// takeRetry spends one repeat of a service's allowance.
+func (e *Endpoints) takeRetry(service string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.service(service).retries.Take(e.now(), e.view.Snapshot().Instances)
+}
+
+// pick is a chosen endpoint with what the attempt needs to know of it.
+type pick struct {
+	endpoint *endpoint
+	spec     *fleet.Endpoint
+	weights  int64 // version to ask for, 0 if any
+}
+
+// choose reserves a place for q. If no endpoint can take it now, the returned
+// channel is closed when that may have changed.
+func (e *Endpoints) choose(q *query) (*pick, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.sync()
+	now := e.now()
+	list := e.eligible(s, q, now)
+	if len(list) == 0 {
+		return nil, e.changed
+	}
+	candidates := make([]place.Candidate, len(list))
+	for i, ep := range list {
+		candidates[i] = place.Candidate{
+			Hash: ep.hash, Running: ep.running, Slots: ep.spec.Slots,
+			Local: ep.spec.DataCentre == e.dataCentre, Slow: ep.pace.Slow(now),
+		}
+	}
+	at := 0
+	if q.prompt != nil {
+		at = place.Session(q.session, candidates)
+	} else {
+		at = place.LeastLoaded(candidates, q.tie)
+	}
+	chosen := list[at]
+	chosen.running++
+	chosen.prefill += q.tokens
+	p := &pick{endpoint: chosen, spec: chosen.spec}
+	if q.prompt != nil {
+		p.weights = chosen.version(q.prompt.Model)
+	}
+	return p, nil
+}
+
+// eligible returns the endpoints that may run q: those without known trouble,
+// or if there are none, those with.
+func (e *Endpoints) eligible(s *fleet.Snapshot, q *query, now time.Time) []*endpoint {
+	var usable, doubtful []*endpoint
+	for _, spec := range s.ByService[q.service] {
+		ep := e.known[spec.Key()]
+		if ep == nil || ep.gone || spec.Leaving || !q.mayTry(spec.Key()) {
+			continue
+		}
+		if q.prompt != nil && !e.hasWeights(s, ep, q.prompt.Model, now) {
+			continue
+		}
+		if ep.health.Usable(now) {
+			usable = append(usable, ep)
+		} else {
+			doubtful = append(doubtful, ep)
+		}
+	}
+	if len(usable) > 0 {
+		return usable
+	}
+	return doubtful
+}
+
+// oldWeightsMargin is kept from the time by which named weights must run.
+const oldWeightsMargin = 800 * time.Millisecond
+
+// hasWeights reports whether an endpoint may run a request of model now.
+func (e *Endpoints) hasWeights(s *fleet.Snapshot, ep *endpoint, model string, now time.Time) bool {
+	version := ep.version(model)
+	if version == 0 || now.Before(ep.loading[model]) {
+		return false
+	}
+	if version >= s.Weights[model] {
+		return true
+	}
+	return now.Sub(s.WantedAt[model]) < e.loadTime-oldWeightsMargin
+}
+
+// release ends a reservation.
+func (e *Endpoints) release(p *pick, q *query, read bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.endpoint.running--
+	if !read {
+		p.endpoint.prefill -= q.tokens
+	}
+}
+
+// began records an answer's first event after took.
+func (e *Endpoints) began(p *pick, q *query, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	p.endpoint.prefill -= q.tokens
+	p.endpoint.health.Succeeded(now)
+	s := e.service(q.service)
+	if s.usual == 0 {
+		s.usual = took
+	}
+	p.endpoint.pace.Observe(took, s.usual, now)
+	s.usual += time.Duration(usualWeight * float64(took-s.usual))
+}
+
+// failed records an endpoint's failure.
+func (e *Endpoints) failed(p *pick, unreachable bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if unreachable {
+		p.endpoint.health.Unreachable(e.now())
+	} else {
+		p.endpoint.health.Failed(e.now())
+	}
+}
+
+// loadPause is how long an endpoint that refuses requests while it loads
+// weights is left alone; a load takes about 300 ms.
+const loadPause = 60 * time.Millisecond
+
+// refused records that an endpoint did not run a request.
+func (e *Endpoints) refused(p *pick, q *query, r Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	switch {
+	case r.Moved && r.Endpoint != "" && r.Endpoint != p.spec.ID:
+		p.endpoint.gone = true
+		p.endpoint.pool.Close()
+	case r.Moved && q.prompt != nil:
+		wanted := e.view.Snapshot().Weights[q.prompt.Model]
+		p.endpoint.sawVersion(q.prompt.Model, max(r.Weights, wanted))
+	case q.prompt != nil && p.weights < e.view.Snapshot().Weights[q.prompt.Model]:
+		p.endpoint.loading[q.prompt.Model] = now.Add(loadPause)
+	}
+}
+
+// ran records the version of the weights in an answer.
+func (e *Endpoints) ran(p *pick, q *query, r Reply) {
+	if q.prompt == nil || r.Weights == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.endpoint.sawVersion(q.prompt.Model, r.Weights)
+}
+
+// prune closes idle connections that have run out.
+func (e *Endpoints) prune() {
+	e.mu.Lock()
+	pools := make([]*endpoint, 0, len(e.known))
+	for _, ep := range e.known {
+		pools = append(pools, ep)
+	}
+	e.mu.Unlock()
+	for _, ep := range pools {
+		ep.pool.Prune(time.Now())
+	}
+}
