Orders carry the count that an endpoint's report tells

Change: the holder reads an endpoint's report right before its order; repeats prefer endpoints that were not tried.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -10,7 +10,6 @@
 	Slots      int
 	Leaving    bool             // takes no new work
 	Weights    map[string]int64 // version of each model's weights
-	Orders     int64            // orders that it has accepted since its start
 }
 
 // Key names an incarnation: an identifier can return with another start.
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"redwingknot/event"
+	"redwingknot/fleet"
 	"redwingknot/metric"
 	"redwingknot/rollout"
 )
 
 // Loader sends orders to endpoints.
 type Loader interface {
-	Load(ctx context.Context, o rollout.Order, holder string, fence int64) (rollout.Result, error)
+	State(ctx context.Context, to *fleet.Endpoint) (rollout.State, error)
+	Load(ctx context.Context, o rollout.Order, expected int64, holder string, fence int64) (rollout.Result, error)
 }
 
 const (
@@ -75,17 +77,27 @@
 	}
 }
 
-// load sends one order, if this instance still leads.
+// load sends one order. The endpoint's count of orders goes with it, so that
+// one carried out late, after a newer one, does nothing.
 func (g *Gateway) load(ctx context.Context, o rollout.Order, fence int64) rollout.Result {
-	if held, ok := g.lead.Held(); !ok || held != fence {
-		return rollout.Unknown
-	}
-	result, err := g.o.Loads.Load(ctx, o, g.o.Instance, fence)
 	attrs := []slog.Attr{
 		slog.String("endpoint", o.Endpoint.ID), slog.String("model", o.Model), slog.Int64("version", o.Version),
-		slog.Int64("expected", o.Expected), slog.Int64("fence", fence), slog.Int("result", int(result)),
+		slog.Int64("fence", fence),
+	}
+	state, err := g.o.Loads.State(ctx, o.Endpoint)
+	if err != nil {
+		event.LoadOrderFailed.Log(g.log, append(attrs, slog.String("error", err.Error()))...)
+		return rollout.Unknown
+	}
+	if state.Weights[o.Model] >= o.Version {
+		return rollout.Holds
+	}
+	if held, ok := g.lead.Held(); !ok || held != fence {
+		return rollout.Unknown
 	}
+	result, err := g.o.Loads.Load(ctx, o, state.Orders, g.o.Instance, fence)
 	metric.Counter("load_orders_total").Inc(1)
+	attrs = append(attrs, slog.Int64("expected", state.Orders), slog.String("result", result.String()))
 	if err != nil {
 		event.LoadOrderFailed.Log(g.log, append(attrs, slog.String("error", err.Error()))...)
 		return result
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -149,10 +149,10 @@
 	return p, nil
 }
 
-// eligible returns the endpoints that may run q: those without known trouble,
-// or if there are none, those with.
+// eligible returns the endpoints that may run q: those without known trouble
+// that were not tried yet, else those that were, else those in trouble.
 func (e *Endpoints) eligible(s *fleet.Snapshot, q *query, now time.Time) []*endpoint {
-	var usable, doubtful []*endpoint
+	var fresh, usable, doubtful []*endpoint
 	for _, spec := range s.ByService[q.service] {
 		ep := e.known[spec.Key()]
 		if ep == nil || ep.gone || spec.Leaving || !q.mayTry(spec.Key()) {
@@ -161,12 +161,18 @@
 		if q.prompt != nil && !e.hasWeights(s, ep, q.prompt.Model, now) {
 			continue
 		}
-		if ep.health.Usable(now) {
-			usable = append(usable, ep)
-		} else {
+		switch {
+		case !ep.health.Usable(now):
 			doubtful = append(doubtful, ep)
+		case contains(q.tried, spec.Key()):
+			usable = append(usable, ep)
+		default:
+			fresh = append(fresh, ep)
 		}
 	}
+	if len(fresh) > 0 {
+		return fresh
+	}
 	if len(usable) > 0 {
 		return usable
 	}
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -23,7 +23,13 @@
 	Endpoint *fleet.Endpoint
 	Model    string
 	Version  int64
-	Expected int64 // orders that the endpoint has accepted so far
+}
+
+// State is what an endpoint tells of itself.
+type State struct {
+	Orders  int64 // accepted since its start
+	Busy    bool  // an order is in progress
+	Weights map[string]int64
 }
 
 // Result is how an endpoint answered an order.
@@ -39,6 +45,11 @@
 	Moved                  // another endpoint has the address
 )
 
+var resultNames = [...]string{"unknown", "accepted", "holds", "busy", "refused", "moved"}
+
+// String implements fmt.Stringer.
+func (r Result) String() string { return resultNames[r] }
+
 // key names one thing to do.
 type key struct {
 	endpoint fleet.Key
@@ -76,7 +87,7 @@
 				continue
 			}
 			if p.begin(key{e.Key(), model}, wanted, now) {
-				orders = append(orders, Order{Endpoint: e, Model: model, Version: wanted, Expected: e.Orders})
+				orders = append(orders, Order{Endpoint: e, Model: model, Version: wanted})
 			}
 		}
 	}
