Shared parts of prompts are saved to and fetched from the large stores

Change: promptcache knows by the stores' news what they hold whole; the relay names where each part is fetched from or saved to; the holder frees parts of replaced weights. A request runs at most at max_attempts endpoints, and a new process spends no retry slack.

--- /dev/null
+++ b/gateway/caches.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"redwingknot/event"
+	"redwingknot/fleet"
+	"redwingknot/metric"
+	"redwingknot/promptcache"
+)
+
+// CacheStores is the client of the stores of kept prompt cache.
+type CacheStores interface {
+	News(ctx context.Context, address string, since int64, whole bool) (promptcache.News, error)
+	Free(ctx context.Context, address string, parts []promptcache.Part, epoch, until int64) error
+}
+
+const (
+	// newsPause is the time between two polls of a store: changes within it
+	// come together.
+	newsPause = 220 * time.Millisecond
+	// cacheInterval is the time between looks for stores that were added or
+	// withdrawn and for parts to free.
+	cacheInterval = 500 * time.Millisecond
+	// freeAtOnce bounds the parts of one call.
+	freeAtOnce = 200
+	// freeDelay is how long all endpoints must have new weights before parts of
+	// old ones are freed: fetches of these have ended by then.
+	freeDelay = 2 * promptcache.FetchTime
+	// freeValid is how long a call to free may take effect.
+	freeValid = time.Second
+)
+
+// runCaches reads the stores' news and, while this instance leads, frees what
+// no request can use any more.
+func (g *Gateway) runCaches(ctx context.Context) error {
+	readers := map[string]context.CancelFunc{}
+	t := time.NewTicker(cacheInterval)
+	defer t.Stop()
+	var loadedSince time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		s := g.view.Snapshot()
+		if s.Config == nil {
+			continue
+		}
+		stores := s.Config.Stores()
+		g.readStores(ctx, stores, readers)
+		now := g.o.Relay.Now()
+		if !allLoaded(s) {
+			loadedSince = now
+			continue
+		}
+		if _, held := g.lead.Held(); held && now.Sub(loadedSince) > freeDelay {
+			g.freeOutdated(ctx, s, stores, now)
+		}
+	}
+}
+
+// allLoaded reports whether every endpoint has the wanted weights.
+func allLoaded(s *fleet.Snapshot) bool {
+	for _, e := range s.Endpoints {
+		for model, version := range e.Weights {
+			if version < s.Weights[model] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// readStores keeps one reader for each store.
+func (g *Gateway) readStores(ctx context.Context, stores []*fleet.CacheStore, readers map[string]context.CancelFunc) {
+	g.o.Relay.Cache.SetStores(stores)
+	named := map[string]bool{}
+	for _, s := range stores {
+		named[s.Address] = true
+		if readers[s.Address] != nil {
+			continue
+		}
+		reading, cancel := context.WithCancel(ctx)
+		readers[s.Address] = cancel
+		go g.readStore(reading, s.Address)
+	}
+	for address, cancel := range readers {
+		if !named[address] {
+			cancel()
+			delete(readers, address)
+		}
+	}
+}
+
+// readStore reads a store's news until ctx ends.
+func (g *Gateway) readStore(ctx context.Context, address string) {
+	cache := g.o.Relay.Cache
+	silent := false
+	for ctx.Err() == nil {
+		since, whole := cache.Since(address)
+		news, err := g.o.Caches.News(ctx, address, since, whole)
+		if err != nil {
+			cache.Silent(address)
+			metric.Counter("cache_store_failures_total").Inc(1)
+			if !silent {
+				event.CacheStoreLost.Log(g.log, slog.String("store", address), slog.String("error", err.Error()))
+			}
+			silent = true
+			sleep(ctx, failedPause)
+			continue
+		}
+		if silent {
+			event.CacheStoreRegained.Log(g.log, slog.String("store", address), slog.Int64("epoch", news.Epoch))
+		}
+		silent = false
+		if !cache.Told(address, news, g.o.Relay.Now()) {
+			sleep(ctx, newsPause)
+		}
+	}
+}
+
+// freeOutdated frees parts made under weights that no endpoint has any more.
+func (g *Gateway) freeOutdated(ctx context.Context, s *fleet.Snapshot, stores []*fleet.CacheStore, now time.Time) {
+	for _, store := range stores {
+		parts, epoch := g.o.Relay.Cache.Outdated(store.Address, s.Weights, freeAtOnce, now)
+		if len(parts) == 0 {
+			continue
+		}
+		clock := g.o.Relay.Cache.Clock(now)
+		if clock == 0 {
+			continue // nothing bounds a call that is delayed
+		}
+		err := g.o.Caches.Free(ctx, store.Address, parts, epoch, clock+freeValid.Milliseconds())
+		attrs := []slog.Attr{slog.String("store", store.Address), slog.Int("parts", len(parts)), slog.Int64("epoch", epoch)}
+		if err != nil {
+			attrs = append(attrs, slog.String("error", err.Error()))
+		}
+		event.CacheFreed.Log(g.log, attrs...)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,8 @@
 	KV    metastore.KV
 	Feed  Feed
 	Loads Loader
+	// Caches reaches the stores of Relay.Cache.
+	Caches CacheStores
 
 	Grace      time.Duration // from the request to stop until the process is killed
 	OrderLease time.Duration // least time between orders of two holders
@@ -122,6 +124,7 @@
 	group.Go(func() error { return g.lead.Run(ctx) })
 	group.Go(func() error { return g.runOrders(ctx) })
 	group.Go(func() error { return g.expire(work) })
+	group.Go(func() error { return g.runCaches(work) })
 }
 
 // headerTimeout and idleTimeout are above all limits that configurations set:
--- /dev/null
+++ b/promptcache/directory.go
@@ -0,0 +1,303 @@
+package promptcache
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingknot/fleet"
+)
+
+const (
+	// Poll is how long a store may hold a call for its events.
+	Poll = time.Second
+	// knownFor is how long what a store told is relied on without another word:
+	// one poll and half of another for the way.
+	knownFor = 3 * Poll / 2
+	// FetchTime bounds a fetch from the moment its request is sent. What was to
+	// be freed is freed only later.
+	FetchTime = 2 * time.Second
+	// settle is how long nothing is saved to a store that has come back empty:
+	// by then no instance relies on what it held before.
+	settle = knownFor + FetchTime
+	// saveAgain is how long a save that was asked for may take before it is
+	// asked for again.
+	saveAgain = 3 * time.Second
+	// fullShare is the part of a store that is filled.
+	fullShare = 0.95
+)
+
+// Change is a part that a store has completed or dropped.
+type Change struct {
+	Part   Part
+	Tokens int // that the store holds now
+	Gone   bool
+}
+
+// News is what a store told at once.
+type News struct {
+	Epoch   int64 // of the store's process
+	Next    int64 // where the next call goes on
+	Gap     bool  // changes before these are missing
+	Whole   bool  // Changes is all that the store holds
+	Clock   int64 // of stores and endpoints, in ms; 0 if not told
+	Changes []Change
+}
+
+// store is what is known of one store.
+type store struct {
+	spec    *fleet.CacheStore
+	epoch   int64
+	epochAt time.Time // when the epoch was first heard of
+	next    int64
+	until   time.Time // until when what is known holds
+	held    map[Part]int
+	tokens  int
+	asked   map[Part]time.Time // saves under way
+}
+
+// Directory knows what the stores hold. It is safe for concurrent use.
+type Directory struct {
+	mu     sync.Mutex
+	stores map[string]*store // by address
+	clock  int64             // of stores and endpoints in ms, less the local clock's; 0 if unknown
+}
+
+// NewDirectory returns a directory that knows no stores.
+func NewDirectory() *Directory { return &Directory{stores: map[string]*store{}} }
+
+// SetStores replaces the stores that the configuration names.
+func (d *Directory) SetStores(specs []*fleet.CacheStore) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	named := map[string]bool{}
+	for _, spec := range specs {
+		named[spec.Address] = true
+		if s, ok := d.stores[spec.Address]; ok {
+			s.spec = spec
+			continue
+		}
+		d.stores[spec.Address] = &store{spec: spec, held: map[Part]int{}, asked: map[Part]time.Time{}}
+	}
+	for address := range d.stores {
+		if !named[address] {
+			delete(d.stores, address)
+		}
+	}
+}
+
+// Since returns where the next call for a store's news goes on, and whether its
+// whole content should be asked for instead.
+func (d *Directory) Since(address string) (next int64, whole bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stores[address]
+	if s == nil || s.epoch == 0 {
+		return 0, true
+	}
+	return s.next, false
+}
+
+// Told takes a store's news, heard at now. It reports whether changes are
+// missing, so that the whole content should be asked for.
+func (d *Directory) Told(address string, n News, now time.Time) (missing bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stores[address]
+	if s == nil {
+		return false
+	}
+	if n.Clock > 0 {
+		d.clock = n.Clock - now.UnixMilli()
+	}
+	if n.Epoch != s.epoch {
+		s.restart(n.Epoch, now)
+		if !n.Whole {
+			s.until = time.Time{}
+			return true
+		}
+	}
+	if n.Whole {
+		clear(s.held)
+		s.tokens = 0
+	}
+	for _, c := range n.Changes {
+		s.apply(c)
+	}
+	s.next = n.Next
+	if n.Gap && !n.Whole {
+		s.epoch, s.until = 0, time.Time{}
+		return true
+	}
+	s.until = now.Add(knownFor)
+	return false
+}
+
+// Silent records that a store did not answer: nothing is known of it now.
+func (d *Directory) Silent(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.stores[address]; s != nil {
+		s.until = time.Time{}
+	}
+}
+
+func (s *store) restart(epoch int64, now time.Time) {
+	s.epoch, s.epochAt = epoch, now
+	clear(s.held)
+	clear(s.asked)
+	s.tokens = 0
+}
+
+func (s *store) apply(c Change) {
+	s.tokens -= s.held[c.Part]
+	delete(s.held, c.Part)
+	if !c.Gone {
+		s.held[c.Part] = c.Tokens
+		s.tokens += c.Tokens
+	}
+	s.forget(c.Part)
+}
+
+// forget ends the expectation of a save.
+func (s *store) forget(p Part) { delete(s.asked, p) }
+
+func (s *store) known(now time.Time) bool { return now.Before(s.until) }
+
+// Plan is where the parts of a prompt are fetched from and saved to. The
+// entries are addresses, empty for none.
+type Plan struct {
+	Fetch []string
+	Save  []string
+	Until int64 // when a fetch is thrown away, on the endpoints' clock in ms
+}
+
+// Wanted is a part of a prompt with its size.
+type Wanted struct {
+	Part   Part
+	Tokens int
+}
+
+// Plan decides for a prompt's shared parts, sent at now.
+//
+// Load pattern: far more sessions return within seconds than engines can keep
+// in memory. What was read once is saved, and fetched in a fraction of the time
+// that reading takes.
+func (d *Directory) Plan(parts []Wanted, now time.Time) Plan {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	plan := Plan{}
+	for i, w := range parts {
+		holder, home := d.find(w.Part, now)
+		switch {
+		case holder != nil:
+			plan.fetch(i, len(parts), holder.spec.Address)
+		case home != nil && home.ask(w, now):
+			plan.save(i, len(parts), home.spec.Address)
+		}
+	}
+	if plan.Fetch != nil && d.clock != 0 {
+		plan.Until = now.Add(FetchTime).UnixMilli() + d.clock
+	}
+	return plan
+}
+
+func (p *Plan) fetch(i, n int, address string) {
+	if p.Fetch == nil {
+		p.Fetch = make([]string, n)
+	}
+	p.Fetch[i] = address
+}
+
+func (p *Plan) save(i, n int, address string) {
+	if p.Save == nil {
+		p.Save = make([]string, n)
+	}
+	p.Save[i] = address
+}
+
+// find returns a store that surely holds a part, and the one that should.
+func (d *Directory) find(p Part, now time.Time) (holder, home *store) {
+	best, most := uint64(0), d.largest()
+	for _, s := range d.stores {
+		if !s.known(now) {
+			continue
+		}
+		if _, ok := s.held[p]; ok {
+			holder = s
+		}
+		if s.spec.Tokens*2 < most {
+			continue
+		}
+		if w := xxhash.Sum64String(s.spec.Address + p.ID); home == nil || w > best {
+			home, best = s, w
+		}
+	}
+	return holder, home
+}
+
+// largest returns the size of the largest store.
+func (d *Directory) largest() int {
+	most := 0
+	for _, s := range d.stores {
+		most = max(most, s.spec.Tokens)
+	}
+	return most
+}
+
+// ask reports whether a part should be saved now, and expects it then.
+func (s *store) ask(w Wanted, now time.Time) bool {
+	if now.Sub(s.epochAt) < settle {
+		return false
+	}
+	if at, ok := s.asked[w.Part]; ok && now.Sub(at) < saveAgain {
+		return false
+	}
+	if float64(s.tokens+w.Tokens) > fullShare*float64(s.spec.Tokens) {
+		return false
+	}
+	s.asked[w.Part] = now
+	return true
+}
+
+// Outdated returns up to most parts of a store whose partitions have older
+// weights than wanted, with the store's epoch.
+func (d *Directory) Outdated(address string, wanted map[string]int64, most int, now time.Time) (parts []Part, epoch int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stores[address]
+	if s == nil || !s.known(now) {
+		return nil, 0
+	}
+	for part := range s.held {
+		p, ok := ParsePartition(part.Partition)
+		if ok && p.Weights < wanted[p.Model] {
+			parts = append(parts, part)
+		}
+		if len(parts) == most {
+			break
+		}
+	}
+	return parts, s.epoch
+}
+
+// Clock returns the endpoints' clock at now in ms, 0 if it is not known.
+func (d *Directory) Clock(now time.Time) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.clock == 0 {
+		return 0
+	}
+	return now.UnixMilli() + d.clock
+}
+
+// Held returns the number of parts and tokens that a store is known to hold.
+func (d *Directory) Held(address string) (parts, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.stores[address]; s != nil {
+		return len(s.held), s.tokens
+	}
+	return 0, 0
+}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -21,6 +21,7 @@
 	loadTime   time.Duration
 	retries    retry.WindowConfig
 	now        func() time.Time
+	started    time.Time
 
 	mu       sync.Mutex
 	known    map[fleet.Key]*endpoint
@@ -40,7 +41,7 @@
 
 func newEndpoints(o Options) *Endpoints {
 	return &Endpoints{
-		view: o.View, dataCentre: o.DataCentre, loadTime: o.LoadTime, now: o.Now,
+		view: o.View, dataCentre: o.DataCentre, loadTime: o.LoadTime, now: o.Now, started: o.Now(),
 		retries: retry.WindowConfig{Span: o.RetrySpan, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		known:   map[fleet.Key]*endpoint{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
@@ -88,7 +89,7 @@
 func (e *Endpoints) service(name string) *serviceState {
 	s, ok := e.services[name]
 	if !ok {
-		s = &serviceState{retries: retry.NewWindow(e.retries)}
+		s = &serviceState{retries: retry.NewWindow(e.retries, e.started)}
 		e.services[name] = s
 	}
 	return s
--- a/relay/partition.go
+++ b/relay/partition.go
@@ -4,16 +4,17 @@
 	"strconv"
 
 	"redwingknot/fleet"
+	"redwingknot/promptcache"
 )
 
 // partition names the part of the prompt cache that a request may use and add
-// to: that of its model's weights, and of its team if the team is isolated.
+// to.
 func partition(model string, weights int64, team *fleet.Team) string {
-	p := model + "." + strconv.FormatInt(weights, 10)
+	p := promptcache.Partition{Model: model, Weights: weights}
 	if team != nil && team.Isolated {
-		p += "." + team.Name
+		p.Team = team.Name
 	}
-	return p
+	return p.String()
 }
 
 func appendLength(dst []byte, n int) []byte {
@@ -22,5 +23,25 @@
 	return append(dst, "\r\n"...)
 }
 
-// plan fills in where the parts of a prompt are fetched from and saved to.
-func (s *Server) plan(*run, *pick, *Dispatch) {}
+// planCache fills in where the shared parts of a prompt are fetched from and
+// saved to.
+func (q *run) planCache(d *Dispatch) {
+	parts := q.call.Prompt.Parts
+	if len(parts) < 2 || q.server.o.Cache == nil {
+		return
+	}
+	wanted := make([]promptcache.Wanted, len(parts)-1)
+	for i := range wanted {
+		wanted[i] = promptcache.Wanted{
+			Part:   promptcache.Part{Partition: d.Partition, ID: parts[i].ID},
+			Tokens: parts[i].Tokens,
+		}
+	}
+	plan := q.server.o.Cache.Plan(wanted, q.server.o.Now())
+	if plan.Fetch != nil {
+		d.Fetch, d.FetchUntil = append(plan.Fetch, ""), plan.Until
+	}
+	if plan.Save != nil {
+		d.Save = append(plan.Save, "")
+	}
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -35,6 +35,7 @@
 	body      []byte
 
 	sends      int   // attempts that may have reached an endpoint
+	ran        int   // those that may have run
 	mayHaveRun bool  // one of them may have run
 	started    bool  // the answer's header has gone to the caller
 	lastEvent  int64 // the last event that went to the caller, -1 before the first
@@ -123,7 +124,7 @@
 	case o == failed && q.held != nil && !q.started:
 		q.held.deliver(q)
 		q.logServed()
-	case q.mayHaveRun:
+	case q.ran > 0:
 		q.end(&contract.Refusal{Status: http.StatusBadGateway, Reason: contract.ReasonEndpointFailed, Ran: contract.Unknown, Detail: "the endpoint gave no whole answer"})
 	default:
 		q.end(contract.Overloaded(contract.ReasonOverload, q.comeBack(), "no endpoint could take the request"))
@@ -188,7 +189,7 @@
 // truthful turns a refusal that promises that nothing ran into one that does
 // not, if an attempt may have run.
 func (q *run) truthful(r *contract.Refusal) *contract.Refusal {
-	if !q.mayHaveRun {
+	if q.ran == 0 {
 		return r
 	}
 	return &contract.Refusal{Status: http.StatusBadGateway, Reason: r.Reason, Ran: contract.Unknown, Detail: r.Detail}
@@ -210,7 +211,7 @@
 		}
 		reason = retry.Resume
 	}
-	if time.Until(q.deadline) < leastTime {
+	if time.Until(q.deadline) < leastTime || q.ran >= q.route.MaxAttempts || q.sends >= maxSends {
 		return false
 	}
 	if q.sends == 0 {
@@ -224,6 +225,9 @@
 	return true
 }
 
+// maxSends bounds the attempts of a request that endpoints keep rejecting.
+const maxSends = 5
+
 // leastTime is the shortest time left in which another attempt can be answered:
 // a prompt's first token takes some tens of milliseconds.
 const leastTime = 30 * time.Millisecond
@@ -244,18 +248,20 @@
 	q.sends++
 	q.note(p)
 	if err != nil {
+		q.ran++
 		return q.lost(ctx, p, err)
 	}
 	defer res.Close()
 	reply := q.server.o.Dialect.ParseReply(res.Status, res.Header)
 	if reply.AttemptID != q.call.AttemptID && !reply.Moved {
+		q.ran++
 		res.Abandon()
 		return q.lost(ctx, p, &upstream.StaleAnswerError{Detail: "answers the attempt " + reply.AttemptID})
 	}
 	if reply.NotRun {
 		return q.rejected(p, res, reply)
 	}
-	q.mayHaveRun = true
+	q.ran++
 	q.server.endpoints.ran(p, q.query, reply)
 	if q.route.Kind == fleet.KindStream && res.Status == http.StatusOK {
 		return q.relayStream(ctx, p, res, sent, &read)
@@ -288,7 +294,6 @@
 
 // lost ends an attempt that may have run and gave no whole answer.
 func (q *run) lost(ctx context.Context, p *pick, err error) outcome {
-	q.mayHaveRun = true
 	if ctx.Err() != nil {
 		return callerGone
 	}
@@ -349,7 +354,7 @@
 	if q.call.Prompt != nil {
 		d.Model, d.Weights = true, p.weights
 		d.Partition = partition(q.call.Prompt.Model, p.weights, q.team)
-		q.server.plan(q, p, &d)
+		q.planCache(&d)
 	}
 	head := make([]byte, 0, 1024)
 	head = append(head, q.method...)
--- a/relay/server.go
+++ b/relay/server.go
@@ -17,6 +17,7 @@
 	"redwingknot/event"
 	"redwingknot/fleet"
 	"redwingknot/metric"
+	"redwingknot/promptcache"
 )
 
 // Options are what a Server needs.
@@ -25,6 +26,7 @@
 	Dialect    Dialect
 	DataCentre string
 	Log        *slog.Logger
+	Cache      *promptcache.Directory // nil without cache stores
 
 	// Now is a clock that goes on while the machine is suspended.
 	Now func() time.Time
--- a/retry/window.go
+++ b/retry/window.go
@@ -20,15 +20,21 @@
 // Window bounds the repeats of a service in any span by the requests in the
 // same span. Instances share the allowance: each spends by its own requests
 // and its part of the slack. It is pure state, not safe for concurrent use.
+//
+// A process does not know what its predecessor spent, nor at once how many
+// instances there are: for the first span it spends no slack.
 type Window struct {
 	config   WindowConfig
+	slackAt  time.Time // from when on slack is spent
 	requests [windowBuckets + 1]int
 	repeats  [windowBuckets + 1]int
 	at       int64 // number of the current bucket
 }
 
-// NewWindow returns an empty window.
-func NewWindow(c WindowConfig) *Window { return &Window{config: c} }
+// NewWindow returns an empty window of a process that started at now.
+func NewWindow(c WindowConfig, now time.Time) *Window {
+	return &Window{config: c, slackAt: now.Add(c.Span)}
+}
 
 func (w *Window) advance(now time.Time) int {
 	bucket := now.UnixNano() / int64(w.config.Span/windowBuckets)
@@ -56,7 +62,10 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := w.config.Ratio*float64(requests) + w.config.Slack/float64(max(instances, 1))
+	allowed := w.config.Ratio * float64(requests)
+	if !now.Before(w.slackAt) {
+		allowed += w.config.Slack / float64(max(instances, 1))
+	}
 	if float64(repeats+1) > usedShare*allowed {
 		return false
 	}
