--- a/relay/answer.go
+++ b/relay/answer.go
@@ -39,6 +39,7 @@
 		return q.lost(ctx, p, err)
 	}
 	*read = true
+	q.first = time.Since(q.arrived)
 	q.server.endpoints.began(p, q.query, time.Since(sent))
 	a := &answer{status: res.Status, header: res.Header, body: body}
 	if !q.acceptable(res) {
--- a/relay/partition.go
+++ b/relay/partition.go
@@ -38,6 +38,12 @@
 		}
 	}
 	plan := q.server.o.Cache.Plan(wanted, q.server.o.Now())
+	q.fetches = 0
+	for _, from := range plan.Fetch {
+		if from != "" {
+			q.fetches++
+		}
+	}
 	if plan.Fetch != nil {
 		d.Fetch, d.FetchUntil = append(plan.Fetch, ""), plan.Until
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -34,11 +34,13 @@
 	bodyLimit int64
 	body      []byte
 
-	sends      int   // attempts that may have reached an endpoint
-	ran        int   // those that may have run
-	mayHaveRun bool  // one of them may have run
-	started    bool  // the answer's header has gone to the caller
-	lastEvent  int64 // the last event that went to the caller, -1 before the first
+	sends      int           // attempts that may have reached an endpoint
+	ran        int           // those that may have run
+	mayHaveRun bool          // one of them may have run
+	started    bool          // the answer's header has gone to the caller
+	lastEvent  int64         // the last event that went to the caller, -1 before the first
+	first      time.Duration // from the arrival to the first part of the answer
+	fetches    int           // parts of the prompt that the last attempt was to fetch
 	last       *fleet.Endpoint
 	cause      error   // of the last failure
 	held       *answer // an endpoint's own failure, to be returned if no repeat helps
@@ -381,6 +383,6 @@
 }
 
 func (q *run) logServed() {
-	event.RelayServed.Log(q.server.o.Log, q.attrs()...)
+	event.RelayServed.Log(q.server.o.Log, append(q.attrs(), slog.Duration("first", q.first))...)
 	metric.Histogram("answer_ms", "route", q.route.Kind.String(), "service", q.query.service).Update(time.Since(q.arrived).Milliseconds())
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -255,7 +255,7 @@
 		attrs = append(attrs, slog.String("team", q.team.Name))
 	}
 	if q.last != nil {
-		attrs = append(attrs, slog.String("endpoint", q.last.ID))
+		attrs = append(attrs, slog.String("endpoint", q.last.ID), slog.Int("fetches", q.fetches))
 	}
 	if q.cause != nil {
 		attrs = append(attrs, slog.String("cause", q.cause.Error()))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -39,6 +39,7 @@
 		if whole > 0 {
 			if !*read {
 				*read = true
+				q.first = time.Since(q.arrived)
 				q.server.endpoints.began(p, q.query, time.Since(sent))
 			}
 			if !q.writeEvents(buf[:whole], res) {
