Fetches do not count as a backlog until the first event

Change: a source's pace is learned; a part is fetched unless that takes three times as long as reading it; the log tells where each part comes from.

--- a/place/prompt.go
+++ b/place/prompt.go
@@ -12,6 +12,7 @@
 	Held     int // memory that the running requests need
 	Capacity int // memory, 0 if not known
 	Missing  int // tokens of this prompt that would have to be read there
+	Fetch    int // how long it would fetch parts, in tokens read
 	Need     int // memory that this request needs
 }
 
@@ -33,7 +34,7 @@
 // Cost is how long an engine is expected to take to a request's first token, in
 // tokens read.
 func (e *Engine) Cost() float64 {
-	cost := float64(baseTokens + e.Pending + e.Missing)
+	cost := float64(baseTokens + e.Pending + e.Missing + e.Fetch)
 	if over := e.Running + 1 - e.Slots; e.Slots > 0 && over > 0 {
 		cost += float64(over * slotTokens)
 	}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -32,7 +32,7 @@
 	known    map[fleet.Key]*endpoint
 	snapshot *fleet.Snapshot // that known was matched with
 	services map[string]*serviceState
-	fetching map[string]int // tokens under way from each source, of this instance
+	sources  map[string]*place.Pace // of fetches, by address
 	changed  chan struct{}
 }
 
@@ -42,13 +42,14 @@
 	usual   float64 // smoothed seconds to the first event for each unit of cost
 }
 
-// usualWeight smooths the usual time over some fifty answers.
-const usualWeight = 0.02
+// usualWeight smooths the usual time over some ten answers, so that what slows
+// all down alike makes none look slow.
+const usualWeight = 0.1
 
 func newEndpoints(o Options) *Endpoints {
 	return &Endpoints{
 		view: o.View, dataCentre: o.DataCentre, loadTime: o.LoadTime, now: o.Now, started: o.Now(),
-		cache: o.Cache, others: o.Others, tell: o.Tell, fetching: map[string]int{},
+		cache: o.Cache, others: o.Others, tell: o.Tell, sources: map[string]*place.Pace{},
 		retries: retry.WindowConfig{Span: o.RetrySpan, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		known:   map[fleet.Key]*endpoint{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
@@ -133,8 +134,7 @@
 	reserved peers.Load // of the endpoint
 	parts    []sharedPart
 	fetch    []string // for each part of the prompt, the address to fetch it from
-	fetches  int      // parts that are likely to be fetched
-	fetching []fetch
+	sources  []string // addresses that something is likely to be fetched from
 }
 
 // choose reserves a place for q. If no endpoint can take it now, the returned
@@ -228,10 +228,6 @@
 func (e *Endpoints) wasRead(p *pick) {
 	p.endpoint.own.Pending -= p.reserved.Pending
 	p.reserved.Pending = 0
-	for _, f := range p.fetching {
-		e.fetching[f.source] -= f.tokens
-	}
-	p.fetching = nil
 }
 
 // began records an answer's first event after took.
@@ -247,6 +243,9 @@
 		s.usual = pace
 	}
 	p.endpoint.pace.Observe(pace/s.usual, now)
+	for _, source := range p.sources {
+		e.source(source).Observe(pace/s.usual, now)
+	}
 	s.usual += usualWeight * (pace - s.usual)
 }
 
--- a/relay/partition.go
+++ b/relay/partition.go
@@ -27,7 +27,7 @@
 // saved to.
 func (q *run) planCache(p *pick, d *Dispatch) {
 	cache := q.server.o.Cache
-	q.fetches = p.fetches
+	q.plan = p.describe()
 	if cache == nil || len(p.parts) == 0 {
 		return
 	}
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -15,11 +15,14 @@
 	// residentShare is the part of an engine's memory that cached prompts keep
 	// beside the running requests.
 	residentShare = 0.65
-	// fetchRate is what fetching a token costs in tokens read: links carry a
+	// fetchRate is how long fetching a token takes in tokens read: links carry a
 	// token in about a quarter of the time that reading it takes.
 	fetchRate = 0.25
 	// fetchBase is the fixed part of a fetch, some 6 ms.
 	fetchBase = 600
+	// readBurden weighs a token read against one waited for: reading holds up all
+	// requests of the engine, a fetch only its own.
+	readBurden = 3
 )
 
 // sharedPart is a part of a prompt that other requests may bring as well.
@@ -28,6 +31,8 @@
 	hash   uint64 // of the part and its partition
 	source string // address that it can be fetched from, empty for none
 	fetch  int    // cost of fetching it, in tokens read
+
+	resident bool // believed to be in the chosen endpoint's memory
 }
 
 // split returns the shared parts of a prompt in a partition.
@@ -52,8 +57,7 @@
 		p := &parts[i]
 		if source := e.cache.Holder(p.wanted.Part, now); source != "" {
 			p.source = source
-			backlog := e.fetching[source] + e.others.Others(place.Hash(source)).Pending
-			p.fetch = fetchBase + int(fetchRate*float64(backlog+p.wanted.Tokens))
+			p.fetch = int(e.source(source).Slow(now) * (fetchBase + fetchRate*float64(p.wanted.Tokens)))
 			continue
 		}
 		for _, ep := range list {
@@ -66,29 +70,43 @@
 	}
 }
 
-// missing returns what an engine would have to read of a prompt, with fetches
-// as what they cost. Behind a part that is read all others are read too.
-func missing(ep *endpoint, parts []sharedPart, prompt *Prompt) int {
-	tokens := prompt.Input
+// source is how long fetches from an address take relative to the usual.
+func (e *Endpoints) source(address string) *place.Pace {
+	pace := e.sources[address]
+	if pace == nil {
+		pace = &place.Pace{}
+		e.sources[address] = pace
+	}
+	return pace
+}
+
+// worthFetching reports whether a part is fetched rather than read.
+func (p *sharedPart) worthFetching(ep *fleet.Endpoint) bool {
+	return p.source != "" && p.source != ep.Address && p.fetch < readBurden*p.wanted.Tokens
+}
+
+// missing returns what an engine would have to read of a prompt, and how long
+// it would fetch, in tokens read. Behind a part that is read all others are
+// read too.
+func missing(ep *endpoint, parts []sharedPart, prompt *Prompt) (read, fetch int) {
+	read = prompt.Input
 	for i := range parts {
-		tokens -= parts[i].wanted.Tokens
+		read -= parts[i].wanted.Tokens
 	}
-	tokens = max(tokens, 0)
+	read = max(read, 0)
 	reads := false
 	for i := range parts {
 		p := &parts[i]
 		switch {
-		case reads:
-			tokens += p.wanted.Tokens
-		case ep.resident.Has(p.hash):
-		case p.source != "" && p.source != ep.spec.Address && p.fetch < p.wanted.Tokens:
-			tokens += p.fetch
+		case !reads && ep.resident.Has(p.hash):
+		case !reads && p.worthFetching(ep.spec):
+			fetch += p.fetch
 		default:
 			reads = true
-			tokens += p.wanted.Tokens
+			read += p.wanted.Tokens
 		}
 	}
-	return tokens
+	return read, fetch
 }
 
 // choosePrompt chooses among endpoints for a prompt.
@@ -108,10 +126,11 @@
 			byWeights[version] = parts
 		}
 		load := e.load(ep)
+		read, fetch := missing(ep, parts, q.prompt)
 		engines[i] = place.Engine{
 			Hash: ep.hash, Local: ep.spec.DataCentre == e.dataCentre, Slow: ep.pace.Slow(now),
 			Running: load.Running, Slots: ep.spec.Slots, Pending: load.Pending, Held: load.Held,
-			Capacity: capacity, Missing: missing(ep, parts, q.prompt), Need: q.prompt.Input + q.prompt.Output,
+			Capacity: capacity, Missing: read, Fetch: fetch, Need: q.prompt.Input + q.prompt.Output,
 		}
 	}
 	at := place.Prompt(q.session, engines)
@@ -129,29 +148,39 @@
 func (e *Endpoints) fetchFrom(p *pick) {
 	for i := range p.parts {
 		part := &p.parts[i]
-		if part.source == "" || part.source == p.spec.Address {
-			continue
-		}
-		resident := p.endpoint.resident.Has(part.hash)
-		if !resident && part.fetch >= part.wanted.Tokens {
+		part.resident = p.endpoint.resident.Has(part.hash)
+		if !part.worthFetching(p.spec) {
 			continue
 		}
 		if p.fetch == nil {
 			p.fetch = make([]string, len(p.parts)+1)
 		}
 		p.fetch[i] = part.source
-		if !resident {
-			p.fetches++
-			e.fetching[part.source] += part.wanted.Tokens
-			p.fetching = append(p.fetching, fetch{part.source, part.wanted.Tokens})
+		if !part.resident {
+			p.sources = append(p.sources, part.source)
 		}
 	}
 }
 
-// fetch is a transfer that an attempt has under way.
-type fetch struct {
-	source string
-	tokens int
+// describe tells for each shared part whether it is believed to be in the
+// endpoint's memory (m), fetched (f), in reach of a fetch that costs more than
+// reading (c), or read (r).
+func (p *pick) describe() string {
+	plan := make([]byte, len(p.parts))
+	for i := range p.parts {
+		part := &p.parts[i]
+		switch {
+		case part.resident:
+			plan[i] = 'm'
+		case part.source == "":
+			plan[i] = 'r'
+		case p.fetch != nil && p.fetch[i] != "":
+			plan[i] = 'f'
+		default:
+			plan[i] = 'c'
+		}
+	}
+	return string(plan)
 }
 
 // placed records that the parts are at the endpoint from now on, and tells the
@@ -185,11 +214,6 @@
 			loads[ep.hash] = ep.own
 		}
 	}
-	for source, tokens := range e.fetching {
-		if tokens > 0 {
-			loads[place.Hash(source)] = peers.Load{Pending: tokens}
-		}
-	}
 	return loads
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -40,7 +40,7 @@
 	started    bool          // the answer's header has gone to the caller
 	lastEvent  int64         // the last event that went to the caller, -1 before the first
 	first      time.Duration // from the arrival to the first part of the answer
-	fetches    int           // parts of the prompt that the last attempt was to fetch
+	plan       string        // where the parts of the prompt come from, for the log
 	last       *fleet.Endpoint
 	cause      error   // of the last failure
 	held       *answer // an endpoint's own failure, to be returned if no repeat helps
--- a/relay/server.go
+++ b/relay/server.go
@@ -262,7 +262,7 @@
 		attrs = append(attrs, slog.String("team", q.team.Name))
 	}
 	if q.last != nil {
-		attrs = append(attrs, slog.String("endpoint", q.last.ID), slog.Int("fetches", q.fetches))
+		attrs = append(attrs, slog.String("endpoint", q.last.ID), slog.String("cacheplan", q.plan))
 	}
 	if q.cause != nil {
 		attrs = append(attrs, slog.String("cause", q.cause.Error()))
