--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -39,6 +39,7 @@
 // serviceState is what this instance keeps of a service.
 type serviceState struct {
 	retries *retry.Window
+	speed   place.Speed
 	usual   float64 // smoothed seconds to the first event for each unit of cost
 }
 
@@ -130,6 +131,7 @@
 	endpoint *endpoint
 	spec     *fleet.Endpoint
 	weights  int64      // version to ask for, 0 if any
+	idle     bool       // the endpoint had hardly anything else to read
 	cost     float64    // expected time to the first event, in units of its service
 	reserved peers.Load // of the endpoint
 	parts    []sharedPart
@@ -149,11 +151,15 @@
 		return nil, e.changed
 	}
 	var p *pick
+	q.admission = q.prompt != nil
 	if q.prompt != nil {
 		p = e.choosePrompt(s, q, list, now)
 	} else {
 		p = e.choosePlain(q, list, now)
 	}
+	if p == nil {
+		return nil, e.changed
+	}
 	p.endpoint.own.Add(p.reserved)
 	return p, nil
 }
@@ -239,6 +245,9 @@
 	p.endpoint.health.Succeeded(now)
 	s := e.service(q.service)
 	pace := took.Seconds() / p.cost
+	if p.idle {
+		s.speed.Observe(took, p.cost)
+	}
 	if s.usual == 0 {
 		s.usual = pace
 	}
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -20,6 +20,9 @@
 	fetchRate = 0.25
 	// fetchBase is the fixed part of a fetch, some 6 ms.
 	fetchBase = 600
+	// idlePending is what an engine may have to read while the time that it takes
+	// for a prompt still tells its speed.
+	idlePending = 1000
 	// readBurden weighs a token read against one waited for: reading holds up all
 	// requests of the engine, a fetch only its own.
 	readBurden = 3
@@ -109,7 +112,8 @@
 	return read, fetch
 }
 
-// choosePrompt chooses among endpoints for a prompt.
+// choosePrompt chooses among endpoints for a prompt. It returns nil while the
+// prompt should wait.
 func (e *Endpoints) choosePrompt(s *fleet.Snapshot, q *query, list []*endpoint, now time.Time) *pick {
 	byWeights := map[int64][]sharedPart{}
 	engines := make([]place.Engine, len(list))
@@ -134,8 +138,11 @@
 		}
 	}
 	at := place.Prompt(q.session, engines)
+	if !place.Admits(&engines[at], q.rank, q.target, &e.service(q.service).speed) {
+		return nil
+	}
 	ep := list[at]
-	p := &pick{endpoint: ep, spec: ep.spec, weights: ep.version(q.prompt.Model), cost: engines[at].Cost()}
+	p := &pick{idle: engines[at].Pending < idlePending, endpoint: ep, spec: ep.spec, weights: ep.version(q.prompt.Model), cost: engines[at].Cost()}
 	p.reserved = peers.Load{Running: 1, Pending: engines[at].Missing, Held: engines[at].Need}
 	p.parts = byWeights[p.weights]
 	e.fetchFrom(p)
--- a/relay/query.go
+++ b/relay/query.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"redwingknot/fleet"
 	"redwingknot/place"
 )
@@ -12,13 +14,16 @@
 	session     uint64 // hash of the prompt's part that its session shares
 	tie         uint64 // hash of the request
 	team        *fleet.Team
+	rank        int           // 0 is the most urgent
+	target      time.Duration // time within which an answer has its full worth
+	admission   bool          // endpoints were there, but the request should wait
 	maxAttempts int
 	tried       []fleet.Key
 	avoid       []fleet.Key
 }
 
 func newQuery(c *Call, r *fleet.Route, service string) *query {
-	q := &query{service: service, tie: place.Hash(c.AttemptID), maxAttempts: r.MaxAttempts}
+	q := &query{service: service, tie: place.Hash(c.AttemptID), maxAttempts: r.MaxAttempts, rank: r.Priority, target: r.Target}
 	if c.Prompt != nil {
 		q.prompt = c.Prompt
 		q.session = place.Hash(sessionPart(c.Prompt))
--- a/relay/run.go
+++ b/relay/run.go
@@ -167,7 +167,11 @@
 			return p, nil
 		}
 		if !time.Now().Before(giveUp) {
-			return nil, q.truthful(contract.Overloaded(contract.ReasonNoEndpoint, q.comeBack(), "no endpoint can take the request"))
+			reason := contract.ReasonNoEndpoint
+			if q.query.admission {
+				reason = contract.ReasonOverload
+			}
+			return nil, q.truthful(contract.Overloaded(reason, q.comeBack(), "no endpoint can take the request"))
 		}
 		if !wait(ctx, changed, placePoll) {
 			return nil, nil
@@ -373,12 +377,16 @@
 	return &upstream.Request{Method: q.method, Head: head, Body: q.body, Fresh: q.route.Kind == fleet.KindNonIdempotent}
 }
 
-// priority is the team's, or the route's if it has none.
+// routeRanks is the number of priorities of routes within one of a team.
+const routeRanks = 3
+
+// priority is the team's first and the route's second.
 func (q *run) priority() int {
+	route := min(q.route.Priority, routeRanks-1)
 	if q.team != nil && q.team.Priority >= 0 {
-		return q.team.Priority
+		return q.team.Priority*routeRanks + route
 	}
-	return q.route.Priority
+	return route
 }
 
 func (q *run) logServed() {
