Tests of the pure packages and of the adapter; a removed key stays removed

Cause: the fuzz of the mirror showed that a change which arrives after a read of the whole range brought back a key that the read had found missing.

--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -22,6 +22,9 @@
 // for concurrent use.
 type Mirror struct {
 	items map[string]metastore.Entry
+	// read is the revision of the newest read of the whole range: a change up to
+	// it of a key that is missing was overtaken.
+	read int64
 	// gone holds the revision at which a key was removed, until a read of the
 	// whole range at a later revision makes it needless.
 	gone map[string]int64
@@ -48,8 +51,9 @@
 			d.Removed = append(d.Removed, key)
 		}
 	}
+	m.read = max(m.read, revision)
 	for key, removed := range m.gone {
-		if removed <= revision {
+		if removed <= m.read {
 			delete(m.gone, key)
 		}
 	}
@@ -65,10 +69,11 @@
 }
 
 func (m *Mirror) put(it metastore.Entry) bool {
-	if known, ok := m.items[it.Key]; ok && known.ModRevision >= it.ModRevision {
+	known, ok := m.items[it.Key]
+	if ok && known.ModRevision >= it.ModRevision {
 		return false
 	}
-	if m.gone[it.Key] >= it.ModRevision {
+	if !ok && it.ModRevision <= max(m.read, m.gone[it.Key]) {
 		return false
 	}
 	delete(m.gone, it.Key)
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,75 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestLeastLoadedPrefersLocalUntilItIsBusier(t *testing.T) {
+	list := []Candidate{{Hash: 1, Slots: 6, Local: true}, {Hash: 2, Slots: 6}}
+	assert.Equal(t, LeastLoaded(list, 7), 0)
+	list[0].Running = remotePenalty + 1
+	assert.Equal(t, LeastLoaded(list, 7), 1)
+}
+
+func TestLeastLoadedSpreadsTies(t *testing.T) {
+	list := []Candidate{{Hash: Hash("a"), Slots: 6}, {Hash: Hash("b"), Slots: 6}, {Hash: Hash("c"), Slots: 6}}
+	counts := make([]int, len(list))
+	for i := range uint64(300) {
+		counts[LeastLoaded(list, i*2654435761)]++
+	}
+	for _, n := range counts {
+		assert.Check(t, n > 50, "%v", counts)
+	}
+}
+
+func TestLeastLoadedWeighsSlowEndpoints(t *testing.T) {
+	list := []Candidate{{Hash: 1, Slots: 6, Running: 1, Slow: 8}, {Hash: 2, Slots: 6, Running: 3}}
+	assert.Equal(t, LeastLoaded(list, 7), 1)
+}
+
+func TestHealthPausesGrowAndEnd(t *testing.T) {
+	var h Health
+	now := time.Unix(1000, 0)
+	assert.Check(t, h.Usable(now))
+	h.Unreachable(now)
+	assert.Check(t, !h.Usable(now))
+	now = now.Add(firstPause)
+	assert.Check(t, h.Usable(now))
+	h.Unreachable(now)
+	assert.Check(t, !h.Usable(now.Add(firstPause)))
+	h.Succeeded(now.Add(2 * firstPause))
+	assert.Check(t, h.Usable(now.Add(2*firstPause)))
+}
+
+func TestHealthAvoidsAGreyEndpointAndForgives(t *testing.T) {
+	var h Health
+	now := time.Unix(1000, 0)
+	for range 20 {
+		h.Failed(now)
+	}
+	assert.Check(t, !h.Usable(now))
+	assert.Check(t, h.Usable(now.Add(10*forget)))
+	// A seventh of an application's answers may be errors of its own.
+	var usual Health
+	for i := range 200 {
+		if i%7 == 0 {
+			usual.Failed(now)
+		} else {
+			usual.Succeeded(now)
+		}
+		assert.Check(t, usual.Usable(now))
+	}
+}
+
+func TestPaceReturnsToUsual(t *testing.T) {
+	var p Pace
+	now := time.Unix(1000, 0)
+	for range 30 {
+		p.Observe(8, now)
+	}
+	assert.Check(t, p.Slow(now) > 6)
+	assert.Check(t, p.Slow(now.Add(20*paceFade)) < 1.5)
+}
--- /dev/null
+++ b/promptcache/directory_test.go
@@ -0,0 +1,115 @@
+package promptcache
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/fleet"
+)
+
+const address = "10.0.0.1:80"
+
+var part = Part{Partition: Partition{Model: "m", Weights: 1}.String(), ID: "p"}
+
+func directory(tokens int) (*Directory, time.Time) {
+	d := NewDirectory()
+	d.SetStores([]*fleet.CacheStore{{Name: "s", Address: address, Tokens: tokens}})
+	now := time.Unix(100, 0)
+	d.Told(address, News{Epoch: 7, Whole: true, Next: 1}, now)
+	return d, now
+}
+
+func held(tokens int) News {
+	return News{Epoch: 7, Next: 2, Changes: []Change{{Part: part, Tokens: tokens}}}
+}
+
+func TestOnlyWhatAStoreReportsIsFetched(t *testing.T) {
+	d, now := directory(1000)
+	assert.Equal(t, d.Holder(part, now), "")
+	d.Told(address, held(100), now)
+	assert.Equal(t, d.Holder(part, now), address)
+	other := Part{Partition: Partition{Model: "m", Weights: 2}.String(), ID: "p"}
+	assert.Equal(t, d.Holder(other, now), "")
+	d.Told(address, News{Epoch: 7, Next: 3, Changes: []Change{{Part: part, Gone: true}}}, now)
+	assert.Equal(t, d.Holder(part, now), "")
+}
+
+func TestNothingIsFetchedFromASilentStore(t *testing.T) {
+	d, now := directory(1000)
+	d.Told(address, held(100), now)
+	assert.Equal(t, d.Holder(part, now.Add(knownFor)), "")
+	d.Told(address, News{Epoch: 7, Next: 2}, now.Add(knownFor))
+	assert.Equal(t, d.Holder(part, now.Add(knownFor)), address)
+	d.Silent(address)
+	assert.Equal(t, d.Holder(part, now.Add(knownFor)), "")
+}
+
+func TestARestartedStoreIsEmptyAndSavedToOnlyLater(t *testing.T) {
+	d, now := directory(1000)
+	d.Told(address, held(100), now)
+	now = now.Add(settle)
+	assert.Check(t, d.Told(address, News{Epoch: 8, Next: 1}, now))
+	assert.Check(t, !d.Told(address, News{Epoch: 8, Next: 1, Whole: true}, now))
+	assert.Equal(t, d.Holder(part, now), "")
+	w := Wanted{Part: part, Tokens: 100}
+	assert.Equal(t, d.SaveTo(w, now), "")
+	d.Told(address, News{Epoch: 8, Next: 1}, now.Add(settle))
+	assert.Equal(t, d.SaveTo(w, now.Add(settle)), address)
+}
+
+func TestAGapAsksForTheWholeContent(t *testing.T) {
+	d, now := directory(1000)
+	assert.Check(t, d.Told(address, News{Epoch: 7, Next: 5, Gap: true}, now))
+	_, whole := d.Since(address)
+	assert.Check(t, whole)
+	assert.Equal(t, d.Holder(part, now), "")
+}
+
+func TestAPartIsSavedOnceAndNotToAFullStore(t *testing.T) {
+	d, now := directory(1000)
+	now = now.Add(settle)
+	d.Told(address, News{Epoch: 7, Next: 1}, now)
+	assert.Equal(t, d.SaveTo(Wanted{Part: part, Tokens: 2000}, now), "")
+	w := Wanted{Part: part, Tokens: 100}
+	assert.Equal(t, d.SaveTo(w, now), address)
+	assert.Equal(t, d.SaveTo(w, now), "")
+	later := now.Add(saveAgain)
+	d.Told(address, News{Epoch: 7, Next: 1}, later)
+	assert.Equal(t, d.SaveTo(w, later), address)
+	d.Told(address, held(100), later)
+	assert.Equal(t, d.SaveTo(w, later.Add(saveAgain/2)), "")
+}
+
+func TestPartsOfReplacedWeightsAreOutdated(t *testing.T) {
+	d, now := directory(1000)
+	d.Told(address, held(100), now)
+	parts, _ := d.Outdated(address, map[string]int64{"m": 1}, 10, now)
+	assert.Equal(t, len(parts), 0)
+	parts, epoch := d.Outdated(address, map[string]int64{"m": 2}, 10, now)
+	assert.DeepEqual(t, parts, []Part{part})
+	assert.Equal(t, epoch, int64(7))
+}
+
+func TestPartitionsAreReadBack(t *testing.T) {
+	for _, p := range []Partition{{"m", 3, ""}, {"m", 3, "team|x"}} {
+		got, ok := ParsePartition(p.String())
+		assert.Check(t, ok)
+		assert.Equal(t, got, p)
+	}
+	for _, s := range []string{"", "m", "m|x"} {
+		_, ok := ParsePartition(s)
+		assert.Check(t, !ok, s)
+	}
+}
+
+func TestResidentForgetsTheLeastRecentlyUsed(t *testing.T) {
+	r := NewResident(300)
+	r.Use(1, 100)
+	r.Use(2, 100)
+	r.Use(3, 100)
+	r.Use(1, 100)
+	r.Use(4, 100)
+	assert.Check(t, r.Has(1) && r.Has(3) && r.Has(4) && !r.Has(2))
+}
