--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -195,8 +195,9 @@
 // it is not ready; callers' idle connections are closed only after that.
 const (
 	noticeTime = 3 * time.Second
-	// graceUsed is the part of the grace time after which answers are cut.
-	graceUsed = 0.8
+	// graceUsed is the part of the grace time after which answers are cut: what
+	// endpoints still work on in its last sixth can't be waited for.
+	graceUsed = 0.9
 )
 
 // drain takes no new connections and waits for the answers that are due.
--- a/metastore/metastoretest/store.go
+++ b/metastore/metastoretest/store.go
@@ -365,3 +365,12 @@
 	e.Value = slices.Clone(e.Value)
 	return e
 }
+
+// Compact drops the history: watches from before now are refused or end.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+	s.history = nil
+	s.wake()
+}
