--- a/gateway/followers.go
+++ b/gateway/followers.go
@@ -50,24 +50,21 @@
 func (g *Gateway) operatorChanged(d fleet.Delta) {
 	now := g.o.Relay.Now()
 	for _, e := range d.Changed {
+		before := g.view.Snapshot().Config
 		changed, err := g.o.Feed.ApplyOperator(g.view, e, now)
+		s := g.view.Snapshot()
 		switch {
 		case err != nil:
 			event.EntryUnreadable.Log(g.log, slog.String("key", e.Key), slog.String("error", err.Error()))
+		case changed && s.Config != before:
+			event.ConfigInForce.Log(g.log, slog.Int64("config", s.Config.Version), slog.Int("routes", s.Config.Routes()),
+				slog.Int("tokens", len(s.Config.Teams)), slog.Int64("revision", e.ModRevision))
 		case changed:
-			g.logOperator(e.Key)
+			event.WeightsWanted.Log(g.log, slog.Any("weights", s.Weights), slog.Int64("revision", e.ModRevision))
 		}
 	}
 }
 
-func (g *Gateway) logOperator(key string) {
-	s := g.view.Snapshot()
-	if s.Config != nil {
-		event.ConfigInForce.Log(g.log, slog.String("key", key), slog.Int64("config", s.Config.Version),
-			slog.Int("routes", s.Config.Routes()), slog.Any("weights", s.Weights))
-	}
-}
-
 func (g *Gateway) endpointsChanged(d fleet.Delta) {
 	now := g.o.Relay.Now()
 	for _, e := range d.Changed {
--- a/relay/run.go
+++ b/relay/run.go
@@ -34,16 +34,15 @@
 	bodyLimit int64
 	body      []byte
 
-	sends      int           // attempts that may have reached an endpoint
-	ran        int           // those that may have run
-	mayHaveRun bool          // one of them may have run
-	started    bool          // the answer's header has gone to the caller
-	lastEvent  int64         // the last event that went to the caller, -1 before the first
-	first      time.Duration // from the arrival to the first part of the answer
-	plan       string        // where the parts of the prompt come from, for the log
-	last       *fleet.Endpoint
-	cause      error   // of the last failure
-	held       *answer // an endpoint's own failure, to be returned if no repeat helps
+	sends     int           // attempts that may have reached an endpoint
+	ran       int           // those that may have run
+	started   bool          // the answer's header has gone to the caller
+	lastEvent int64         // the last event that went to the caller, -1 before the first
+	first     time.Duration // from the arrival to the first part of the answer
+	plan      string        // where the parts of the prompt come from, for the log
+	last      *fleet.Endpoint
+	cause     error   // of the last failure
+	held      *answer // an endpoint's own failure, to be returned if no repeat helps
 }
 
 // outcome is how an attempt ended.
