One request at a time tries an endpoint that was lost, on a new connection

Cause: the incident on rimba: behind a zone cut each pause's end sent many requests on kept connections into silence; 210 were answered 502 after a second, and 206 connections were reset above the endpoints' limit by processes that had just started and took themselves for the only ones. Change: after a pause one request tries, kept connections are closed; until the instances are known eight are assumed.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -12,6 +12,10 @@
 // seconds of the return; the rest is for the change to travel.
 const lapseGrace = 2200 * time.Millisecond
 
+// assumedInstances stands for the number of instances until it is known, so that
+// shares are rather too small.
+const assumedInstances = 8
+
 // Snapshot is what an instance believes at one moment. It is immutable.
 type Snapshot struct {
 	Config    *Config          // nil before the first one
@@ -39,7 +43,7 @@
 	v := &View{lapsed: map[string]bool{}}
 	v.current.Store(&Snapshot{
 		Weights: map[string]int64{}, WantedAt: map[string]time.Time{}, Endpoints: map[string]*Endpoint{},
-		ByService: map[string][]*Endpoint{}, Instances: 1,
+		ByService: map[string][]*Endpoint{}, Instances: assumedInstances,
 	})
 	return v
 }
--- a/gateway/followers.go
+++ b/gateway/followers.go
@@ -23,7 +23,7 @@
 	endpoints.confirmed = func(time.Time) { g.storeAnswered() }
 	instances := g.follower(purposeMembers, membersInterval, memberRange)
 	instances.changed = func(fleet.Delta) { g.membersChanged(ctx, instances.mirror) }
-	instances.confirmed = func(time.Time) {}
+	instances.confirmed = func(time.Time) { g.membersChanged(ctx, instances.mirror) }
 	return []*follower{operator, endpoints, instances}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,11 +70,12 @@
 	wire     *wire.Server
 	exchange *peers.Exchange
 	draining atomic.Bool
+	started  time.Time
 }
 
 // New returns a Gateway that does nothing before Run.
 func New(o Options) *Gateway {
-	g := &Gateway{o: o, log: o.Relay.Log, view: o.Relay.View}
+	g := &Gateway{o: o, log: o.Relay.Log, view: o.Relay.View, started: o.Relay.Now()}
 	g.o.Relay.Others = peers.NewTable()
 	g.o.Relay.Tell = func(list []peers.Placement) { g.exchange.Tell(list) }
 	g.relay = relay.NewServer(g.o.Relay)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -39,9 +40,17 @@
 	return g.wire.Serve(ctx, l)
 }
 
+// settleTime is how long after its start an instance does not trust that it sees
+// all others: after a loss of power they come back within some seconds.
+const settleTime = 5 * time.Second
+
 // membersChanged follows the instances that have a key in the store.
 func (g *Gateway) membersChanged(ctx context.Context, m *fleet.Mirror) {
-	g.view.SetInstances(m.Len())
+	n := m.Len()
+	if g.o.Relay.Now().Sub(g.started) < settleTime {
+		n = max(n, g.view.Snapshot().Instances)
+	}
+	g.view.SetInstances(n)
 	addresses := map[string]string{}
 	for _, e := range m.Entries() {
 		addresses[strings.TrimPrefix(e.Key, memberPrefix)] = string(e.Value)
--- a/place/health.go
+++ b/place/health.go
@@ -15,6 +15,9 @@
 	// is that of three heartbeats, after which its entry is gone.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 4 * time.Second
+	// trialTime is how long a single request may show whether an endpoint can be
+	// reached again before another one tries: above the time to connect.
+	trialTime = 500 * time.Millisecond
 	// forget halves the share of failures when nothing is sent, so that an
 	// endpoint is tried again.
 	forget = 2 * time.Second
@@ -50,6 +53,17 @@
 	h.pausedTo = now.Add(h.pause)
 }
 
+// Chosen records that a request goes to the endpoint. After a pause only one at
+// a time does, until there was an answer.
+//
+// Load pattern: an endpoint behind a cut takes what is sent to it in silence;
+// whatever arrives at the end of a pause would be lost together.
+func (h *Health) Chosen(now time.Time) {
+	if h.pause > 0 && !now.Before(h.pausedTo) {
+		h.pausedTo = now.Add(trialTime)
+	}
+}
+
 func (h *Health) fold(failure float64, now time.Time) {
 	h.failing = (1-failureWeight)*h.share(now) + failureWeight*failure
 	h.seen = now
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -73,3 +73,20 @@
 	assert.Check(t, p.Slow(now) > 6)
 	assert.Check(t, p.Slow(now.Add(20*paceFade)) < 1.5)
 }
+
+// TestAnEndpointBehindACutGetsOneRequestAtATime replays a second of requests to
+// an endpoint that was lost.
+func TestAnEndpointBehindACutGetsOneRequestAtATime(t *testing.T) {
+	var h Health
+	now := time.Unix(1000, 0)
+	h.Unreachable(now)
+	sent := 0
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if h.Usable(now) {
+			h.Chosen(now)
+			sent++
+		}
+	}
+	assert.Check(t, sent <= 2, "%d", sent)
+}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -161,6 +161,7 @@
 		return nil, e.changed
 	}
 	p.endpoint.own.Add(p.reserved)
+	p.endpoint.health.Chosen(now)
 	return p, nil
 }
 
@@ -264,6 +265,9 @@
 	defer e.mu.Unlock()
 	if unreachable {
 		p.endpoint.health.Unreachable(e.now())
+		// What is sent on another kept connection may be lost the same way; a new
+		// one shows first whether the endpoint can be reached.
+		p.endpoint.pool.CloseIdle()
 	} else {
 		p.endpoint.health.Failed(e.now())
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -65,9 +65,17 @@
 
 // Close ends idle connections now and others when their answer is read.
 func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle()
+}
+
+// CloseIdle ends idle connections.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.discard()
