Large fleets: peers in groups of ten, stores read without waiting

Small stores were read for nothing: 38234 probes in 22 s. Change: an instance exchanges with ten neighbours and scales what it hears; where instances are more than a store's readers, news are read without waiting; only large stores are read.

--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -13,7 +13,7 @@
 
 // CacheStores is the client of the stores of kept prompt cache.
 type CacheStores interface {
-	News(ctx context.Context, address string, since int64, whole bool) (promptcache.News, error)
+	News(ctx context.Context, address string, since int64, whole, wait bool) (promptcache.News, error)
 	Free(ctx context.Context, address string, parts []promptcache.Part, epoch, until int64) error
 }
 
@@ -50,7 +50,7 @@
 		if s.Config == nil {
 			continue
 		}
-		stores := s.Config.Stores()
+		stores := promptcache.Useful(s.Config.Stores())
 		g.readStores(ctx, stores, readers)
 		now := g.o.Relay.Now()
 		if !allLoaded(s) {
@@ -86,7 +86,7 @@
 		}
 		reading, cancel := context.WithCancel(ctx)
 		readers[s.Address] = cancel
-		go g.readStore(reading, s.Address)
+		go g.readStore(reading, s)
 	}
 	for address, cancel := range readers {
 		if !named[address] {
@@ -96,33 +96,52 @@
 	}
 }
 
+// waitingReaders is the part of a store's concurrent readers that may be taken
+// by calls that wait; the rest is for instances that come and go.
+const waitingReaders = 0.8
+
+// mayWait reports whether all instances can wait at a store for its news.
+func (g *Gateway) mayWait(store *fleet.CacheStore) bool {
+	return float64(g.view.Snapshot().Instances) <= waitingReaders*float64(store.MaxReaders)
+}
+
 // readStore reads a store's news until ctx ends.
-func (g *Gateway) readStore(ctx context.Context, address string) {
+func (g *Gateway) readStore(ctx context.Context, store *fleet.CacheStore) {
 	cache := g.o.Relay.Cache
 	silent := false
 	for ctx.Err() == nil {
-		since, whole := cache.Since(address)
-		news, err := g.o.Caches.News(ctx, address, since, whole)
+		since, whole := cache.Since(store.Address)
+		wait := g.mayWait(store)
+		news, err := g.o.Caches.News(ctx, store.Address, since, whole, wait)
 		if err != nil {
-			cache.Silent(address)
-			metric.Counter("cache_store_failures_total").Inc(1)
-			if !silent {
-				event.CacheStoreLost.Log(g.log, slog.String("store", address), slog.String("error", err.Error()))
-			}
+			g.storeSilent(store, !silent, err)
 			silent = true
 			sleep(ctx, failedPause)
 			continue
 		}
 		if silent {
-			event.CacheStoreRegained.Log(g.log, slog.String("store", address), slog.Int64("epoch", news.Epoch))
+			event.CacheStoreRegained.Log(g.log, slog.String("store", store.Address), slog.Int64("epoch", news.Epoch))
 		}
 		silent = false
-		if !cache.Told(address, news, g.o.Relay.Now()) {
+		switch missing := cache.Told(store.Address, news, g.o.Relay.Now()); {
+		case missing:
+		case wait:
 			sleep(ctx, newsPause)
+		default:
+			sleep(ctx, promptcache.Poll)
 		}
 	}
 }
 
+// storeSilent records that a store did not answer, for the first time or again.
+func (g *Gateway) storeSilent(store *fleet.CacheStore, first bool, err error) {
+	g.o.Relay.Cache.Silent(store.Address)
+	metric.Counter("cache_store_failures_total").Inc(1)
+	if first {
+		event.CacheStoreLost.Log(g.log, slog.String("store", store.Address), slog.String("error", err.Error()))
+	}
+}
+
 // freeOutdated frees parts made under weights that no endpoint has any more.
 func (g *Gateway) freeOutdated(ctx context.Context, s *fleet.Snapshot, stores []*fleet.CacheStore, now time.Time) {
 	for _, store := range stores {
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,9 +20,8 @@
 	// leastInterval is the time between exchanges with a peer in a small fleet:
 	// less than a large prompt takes to be read.
 	leastInterval = 50 * time.Millisecond
-	// perPeer makes the interval grow with the fleet, so that an instance makes
-	// no more than 200 exchanges a second.
-	perPeer = 5 * time.Millisecond
+	// perPeer bounds the exchanges of an instance to 50 a second in a large one.
+	perPeer = 10 * time.Millisecond
 	// exchangeTimeout ends an exchange with a peer that is out of reach.
 	exchangeTimeout = 400 * time.Millisecond
 	// maxPlacements bounds what is kept for a peer that can't be reached.
@@ -88,18 +89,24 @@
 func (e *Exchange) SetPeers(ctx context.Context, addresses map[string]string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for name, address := range addresses {
-		if p := e.peers[name]; name == e.o.Self || p != nil && p.address == address {
+	names := group(e.o.Self, slices.Collect(maps.Keys(addresses)))
+	for _, name := range names {
+		if p := e.peers[name]; p != nil && p.address == addresses[name] {
 			continue
 		}
 		e.drop(name)
-		e.add(ctx, name, address)
+		e.add(ctx, name, addresses[name])
 	}
 	for name := range e.peers {
-		if _, ok := addresses[name]; !ok {
+		if !slices.Contains(names, name) {
 			e.drop(name)
 		}
 	}
+	others := len(addresses)
+	if _, listed := addresses[e.o.Self]; listed {
+		others--
+	}
+	e.o.Table.SetScale(max(float64(others)/float64(max(len(names), 1)), 1))
 }
 
 func (e *Exchange) add(ctx context.Context, name, address string) {
--- a/peers/table.go
+++ b/peers/table.go
@@ -40,10 +40,13 @@
 	mu      sync.Mutex
 	reports map[string]report
 	sums    map[uint64]Load
+	scale   float64 // instances that each report stands for
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{reports: map[string]report{}, sums: map[uint64]Load{}} }
+func NewTable() *Table {
+	return &Table{reports: map[string]report{}, sums: map[uint64]Load{}, scale: 1}
+}
 
 // Put replaces an instance's report.
 func (t *Table) Put(instance string, loads map[uint64]Load, now time.Time) {
@@ -82,9 +85,25 @@
 	delete(t.reports, instance)
 }
 
+// SetScale sets how many instances each report stands for, where only some are
+// asked.
+func (t *Table) SetScale(scale float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.scale = scale
+}
+
 // Others returns the load that the other instances have at a target.
 func (t *Table) Others(target uint64) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sums[target]
+	sum := t.sums[target]
+	if t.scale == 1 {
+		return sum
+	}
+	return Load{
+		Running: int(t.scale * float64(sum.Running)),
+		Pending: int(t.scale * float64(sum.Pending)),
+		Held:    int(t.scale * float64(sum.Held)),
+	}
 }
--- a/promptcache/directory.go
+++ b/promptcache/directory.go
@@ -67,6 +67,22 @@
 // NewDirectory returns a directory that knows no stores.
 func NewDirectory() *Directory { return &Directory{stores: map[string]*store{}} }
 
+// Useful returns the stores that are worth their readers: small ones hold too
+// little beside the large.
+func Useful(specs []*fleet.CacheStore) []*fleet.CacheStore {
+	most := 0
+	for _, s := range specs {
+		most = max(most, s.Tokens)
+	}
+	var useful []*fleet.CacheStore
+	for _, s := range specs {
+		if 2*s.Tokens >= most {
+			useful = append(useful, s)
+		}
+	}
+	return useful
+}
+
 // SetStores replaces the stores that the configuration names.
 func (d *Directory) SetStores(specs []*fleet.CacheStore) {
 	d.mu.Lock()
@@ -209,7 +225,7 @@
 
 // find returns a store that surely holds a part, and the one that should.
 func (d *Directory) find(p Part, now time.Time) (holder, home *store) {
-	best, most := uint64(0), d.largest()
+	best := uint64(0)
 	for _, s := range d.stores {
 		if !s.known(now) {
 			continue
@@ -217,9 +233,6 @@
 		if _, ok := s.held[p]; ok {
 			holder = s
 		}
-		if s.spec.Tokens*2 < most {
-			continue
-		}
 		if w := xxhash.Sum64String(s.spec.Address + p.ID); home == nil || w > best {
 			home, best = s, w
 		}
@@ -227,15 +240,6 @@
 	return holder, home
 }
 
-// largest returns the size of the largest store.
-func (d *Directory) largest() int {
-	most := 0
-	for _, s := range d.stores {
-		most = max(most, s.spec.Tokens)
-	}
-	return most
-}
-
 // ask reports whether a part should be saved now, and expects it then.
 func (s *store) ask(w Wanted, now time.Time) bool {
 	if now.Sub(s.epochAt) < settle {
--- a/promptcache/directory_test.go
+++ b/promptcache/directory_test.go
@@ -113,3 +113,9 @@
 	r.Use(4, 100)
 	assert.Check(t, r.Has(1) && r.Has(3) && r.Has(4) && !r.Has(2))
 }
+
+func TestSmallStoresAreNotUsed(t *testing.T) {
+	useful := Useful([]*fleet.CacheStore{{Name: "a", Tokens: 100}, {Name: "b", Tokens: 1000}, {Name: "c", Tokens: 500}})
+	assert.Equal(t, len(useful), 2)
+	assert.Equal(t, len(Useful(nil)), 0)
+}
