--- a/processtest/fleet_test.go
+++ b/processtest/fleet_test.go
@@ -44,7 +44,7 @@
 	}
 	defer os.RemoveAll(dir)
 	binaries = dir
-	build := exec.Command("go", "build", "-buildvcs=false", "-o", dir, "../cmd/entryd", "../cmd/standin")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", dir, "../cmd/entryd", "../cmd/gatewayd", "../cmd/standin")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
