--- a/cmd/redwingknot/status.go
+++ b/cmd/redwingknot/status.go
@@ -62,6 +62,7 @@
 
 func explainCommand() *cobra.Command {
 	c := &cobra.Command{Use: "explain", Short: "Explain what became of a request, or the state of an endpoint"}
+	c.AddCommand(explainLogCommand())
 	c.AddCommand(explain("request ID", "Explain a request by the X-Request-Id of its answer", func(conn *connection, cmd *cobra.Command, arg string) ([]byte, error) {
 		return conn.client().ExplainRequest(cmd.Context(), arg)
 	}), explain("endpoint NAME", "Show what an instance knows of an endpoint", func(conn *connection, cmd *cobra.Command, arg string) ([]byte, error) {
--- /dev/null
+++ b/internal/boundlog/boundlog_test.go
@@ -0,0 +1,47 @@
+package boundlog
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAFloodIsBoundedAndNeverBlocks logs without anyone who reads: the writer
+// goes on, and what is left out is counted by event.
+func TestAFloodIsBoundedAndNeverBlocks(t *testing.T) {
+	l := New(Options{UsualPerSec: 10, FailurePerSec: 20, Queue: 8})
+	log := slog.New(l)
+	for range 10000 {
+		log.Info("served")
+		log.Warn("refused")
+	}
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.Run(ctx, &out, func(map[string]int) {})
+	dropped := l.budget.takeDropped()
+	written := strings.Count(out.String(), "\n")
+	assert.Equal(t, written+dropped["served"]+dropped["refused"]+dropped["queue-full"], 20000)
+	assert.Check(t, written <= 8, "%d", written)
+}
+
+func TestFailuresHaveABudgetOfTheirOwn(t *testing.T) {
+	l := New(Options{UsualPerSec: 1, FailurePerSec: 50, Queue: 100})
+	log := slog.New(l).With("instance", "i")
+	for range 100 {
+		log.Info("served")
+	}
+	log.Warn("refused")
+	var out bytes.Buffer
+	l.flush(&out)
+	assert.Check(t, strings.Contains(out.String(), "refused"))
+	assert.Check(t, strings.Contains(out.String(), `"instance":"i"`))
+	assert.Check(t, l.Enabled(context.Background(), slog.LevelInfo))
+	_, err := io.WriteString(l.budget, "x\n")
+	assert.NilError(t, err)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// dialTimeout is above the 1 ms that a new connection takes by two orders;
-	// a lost opening packet, sent again after a second, counts as a failure.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout is above the 1 ms that a new connection takes by two orders,
+	// and above the way to another region and back; a lost opening packet, sent
+	// again after a second, counts as a failure.
+	dialTimeout = 150 * time.Millisecond
 	// idleMargin is kept from an endpoint's own idle timeout, which is told in
 	// whole seconds.
 	idleMargin = time.Second
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -8,9 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// unackedTimeout ends a connection whose peer acknowledges nothing: five
-// retransmissions at the kernel's least interval of 200 ms.
-const unackedTimeout = time.Second
+// unackedTimeout ends a connection whose peer acknowledges nothing: it spans two
+// retransmissions, of which the kernel makes the first after 200 ms.
+const unackedTimeout = 600 * time.Millisecond
 
 // KeepAlive notices a peer that fell silent within about two seconds.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
