Engines load weights in three waves; parts told to be freed are forgotten

Change: a third of a model's engines load at a time, the lead asks when each is done; instances leave a loading engine alone and take its new weights for granted.

--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -157,6 +157,8 @@
 		attrs := []slog.Attr{slog.String("store", store.Address), slog.Int("parts", len(parts)), slog.Int64("epoch", epoch)}
 		if err != nil {
 			attrs = append(attrs, slog.String("error", err.Error()))
+		} else {
+			g.o.Relay.Cache.Freed(store.Address, epoch, parts)
 		}
 		event.CacheFreed.Log(g.log, attrs...)
 	}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -55,22 +55,48 @@
 			// The holder before may have sent an order until now.
 			continue
 		}
-		g.give(ctx, &current, current.planner.Next(g.view.Snapshot(), now))
+		s := g.view.Snapshot()
+		g.ask(ctx, &current, current.planner.Ask(s, now))
+		g.give(ctx, &current, current.planner.Next(s, now))
 	}
 }
 
-// give sends orders side by side and takes their answers.
-func (g *Gateway) give(ctx context.Context, t *tenure, orders []rollout.Order) {
-	results := make([]rollout.Result, len(orders))
+// ask finds out which orders are carried out by now.
+func (g *Gateway) ask(ctx context.Context, t *tenure, orders []rollout.Order) {
+	loaded := make([]bool, len(orders))
+	eachAtOnce(orders, func(i int, o rollout.Order) {
+		state, err := g.o.Loads.State(ctx, o.Endpoint)
+		if err != nil {
+			event.LoadOrderFailed.Log(g.log, slog.String("endpoint", o.Endpoint.ID), slog.String("error", err.Error()))
+			return
+		}
+		loaded[i] = state.Weights[o.Model] >= o.Version
+	})
+	now := g.o.Relay.Now()
+	for i, o := range orders {
+		if loaded[i] {
+			t.planner.Answered(o, rollout.Holds, now)
+		}
+	}
+}
+
+// eachAtOnce calls f for all orders side by side and waits for them.
+func eachAtOnce(orders []rollout.Order, f func(i int, o rollout.Order)) {
 	var wg sync.WaitGroup
 	for i, o := range orders {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			results[i] = g.load(ctx, o, t.fence)
+			f(i, o)
 		}()
 	}
 	wg.Wait()
+}
+
+// give sends orders side by side and takes their answers.
+func (g *Gateway) give(ctx context.Context, t *tenure, orders []rollout.Order) {
+	results := make([]rollout.Result, len(orders))
+	eachAtOnce(orders, func(i int, o rollout.Order) { results[i] = g.load(ctx, o, t.fence) })
 	now := g.o.Relay.Now()
 	for i, o := range orders {
 		t.planner.Answered(o, results[i], now)
--- a/promptcache/directory.go
+++ b/promptcache/directory.go
@@ -276,6 +276,20 @@
 	return parts, s.epoch
 }
 
+// Freed forgets parts that a store's process of that epoch was told to free; its
+// own word of them may be lost.
+func (d *Directory) Freed(address string, epoch int64, parts []Part) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stores[address]
+	if s == nil || s.epoch != epoch {
+		return
+	}
+	for _, p := range parts {
+		s.apply(Change{Part: p, Gone: true})
+	}
+}
+
 // Clock returns the endpoints' clock at now in ms, 0 if it is not known.
 func (d *Directory) Clock(now time.Time) int64 {
 	d.mu.Lock()
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -46,3 +46,18 @@
 		e.weights[model] = v
 	}
 }
+
+// hasOther records that an endpoint does not have the version that was asked of
+// it. If it does not tell its own, it has loaded the wanted one; unless that was
+// asked for, then it still has the one of its entry.
+func (e *endpoint) hasOther(model string, asked, told, wanted int64, now time.Time) {
+	switch {
+	case told > 0:
+		e.weights[model] = told
+	case asked < wanted:
+		e.weights[model] = wanted
+	default:
+		delete(e.weights, model)
+		e.loading[model] = now.Add(swapPause)
+	}
+}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -273,9 +273,13 @@
 	}
 }
 
-// loadPause is how long an endpoint that refuses requests while it loads
-// weights is left alone; a load takes about 300 ms.
-const loadPause = 60 * time.Millisecond
+const (
+	// loadPause is how long an endpoint that refuses requests while it loads
+	// weights is left alone; a load takes about 300 ms.
+	loadPause = 200 * time.Millisecond
+	// swapPause is the same for one that turned out not to have loaded.
+	swapPause = 100 * time.Millisecond
+)
 
 // refused records that an endpoint did not run a request.
 func (e *Endpoints) refused(p *pick, q *query, r Reply) {
@@ -286,10 +290,12 @@
 	case r.Moved && r.Endpoint != "" && r.Endpoint != p.spec.ID:
 		p.endpoint.gone = true
 		p.endpoint.pool.Close()
-	case r.Moved && q.prompt != nil:
-		wanted := e.view.Snapshot().Weights[q.prompt.Model]
-		p.endpoint.sawVersion(q.prompt.Model, max(r.Weights, wanted))
-	case q.prompt != nil && p.weights < e.view.Snapshot().Weights[q.prompt.Model]:
+	case q.prompt == nil:
+	case r.Moved:
+		p.endpoint.hasOther(q.prompt.Model, p.weights, r.Weights, e.view.Snapshot().Weights[q.prompt.Model], now)
+	case p.weights < e.view.Snapshot().Weights[q.prompt.Model]:
+		// It is loading; when it takes requests again, it has the new weights.
+		p.endpoint.sawVersion(q.prompt.Model, e.view.Snapshot().Weights[q.prompt.Model])
 		p.endpoint.loading[q.prompt.Model] = now.Add(loadPause)
 	}
 }
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -16,6 +16,17 @@
 	// acceptedFor is how long an accepted order may take before it is sent
 	// again: a load, and the heartbeat that shows it.
 	acceptedFor = 3 * time.Second
+	// waves is the number of parts in which the engines of a model load: the
+	// others serve meanwhile, and all are done before answers on old weights
+	// lose worth.
+	waves = 3
+	// leastAtOnce keeps small services from loading one by one.
+	leastAtOnce = 2
+	// loadLeast is how long a load takes at least, a little less than 0.3 s: no
+	// engine is asked before whether it is done.
+	loadLeast = 250 * time.Millisecond
+	// askInterval is the time between questions whether a load is done.
+	askInterval = 60 * time.Millisecond
 )
 
 // Order tells an endpoint to load weights.
@@ -58,9 +69,11 @@
 
 // task is what is known of an order that was given.
 type task struct {
-	version int64
-	due     time.Time // when it is given again unless the weights are loaded
-	done    bool
+	version  int64
+	due      time.Time // when it is given again unless the weights are loaded
+	accepted bool
+	ask      time.Time // when the endpoint is asked next whether it has loaded
+	done     bool
 }
 
 // Planner remembers the orders of one tenure. It is not safe for concurrent
@@ -74,24 +87,67 @@
 
 // Next returns the orders that are due at now.
 //
-// Load pattern: while weights are swapped an endpoint takes no new requests for
-// about 0.3 s, and what it answers on old weights soon counts for nothing. All
-// endpoints are ordered at once: the time in which answers come from old
-// weights is what costs most.
+// Load pattern: an engine that loads weights takes no new requests for about
+// 0.3 s, longer if many load at once. The engines of a model load in waves, so
+// that most of them serve at any time; each engine that is done makes room for
+// the next.
 func (p *Planner) Next(s *fleet.Snapshot, now time.Time) []Order {
 	var orders []Order
+	for model, wanted := range s.Weights {
+		orders = append(orders, p.next(s, model, wanted, now)...)
+	}
+	return orders
+}
+
+// next returns the orders of one model.
+func (p *Planner) next(s *fleet.Snapshot, model string, wanted int64, now time.Time) []Order {
+	var behind []*fleet.Endpoint
+	engines, loading := 0, 0
 	for _, e := range s.Endpoints {
-		for model, have := range e.Weights {
-			wanted := s.Weights[model]
-			if have >= wanted || e.Leaving {
+		have, ok := e.Weights[model]
+		if !ok || e.Leaving {
+			continue
+		}
+		engines++
+		if have >= wanted {
+			continue
+		}
+		behind = append(behind, e)
+		if t := p.tasks[key{e.Key(), model}]; t.runs(wanted, now) {
+			loading++
+		}
+	}
+	slices.SortFunc(behind, func(a, b *fleet.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	room := max(leastAtOnce, (engines+waves-1)/waves) - loading
+	var orders []Order
+	for _, e := range behind {
+		if room > 0 && p.begin(key{e.Key(), model}, wanted, now) {
+			orders = append(orders, Order{Endpoint: e, Model: model, Version: wanted})
+			room--
+		}
+	}
+	return orders
+}
+
+// runs reports whether an order of that version is being carried out.
+func (t *task) runs(version int64, now time.Time) bool {
+	return t != nil && t.version == version && !t.done && now.Before(t.due)
+}
+
+// Ask returns the accepted orders whose endpoints should be asked at now whether
+// they have loaded.
+func (p *Planner) Ask(s *fleet.Snapshot, now time.Time) []Order {
+	var orders []Order
+	for _, e := range s.Endpoints {
+		for model := range e.Weights {
+			t := p.tasks[key{e.Key(), model}]
+			if t == nil || !t.accepted || t.done || now.Before(t.ask) {
 				continue
 			}
-			if p.begin(key{e.Key(), model}, wanted, now) {
-				orders = append(orders, Order{Endpoint: e, Model: model, Version: wanted})
-			}
+			t.ask = now.Add(askInterval)
+			orders = append(orders, Order{Endpoint: e, Model: model, Version: t.version})
 		}
 	}
-	slices.SortFunc(orders, func(a, b Order) int { return strings.Compare(a.Endpoint.ID, b.Endpoint.ID) })
 	return orders
 }
 
@@ -117,7 +173,9 @@
 	}
 	switch r {
 	case Accepted:
+		t.accepted = true
 		t.due = now.Add(acceptedFor)
+		t.ask = now.Add(loadLeast)
 	case Holds:
 		t.done = true
 	case Busy, Refused, Moved, Unknown:
--- a/rollout/planner_test.go
+++ b/rollout/planner_test.go
@@ -21,6 +21,38 @@
 	return &fleet.Endpoint{ID: id, Weights: map[string]int64{"m": version}}
 }
 
+// TestEnginesLoadInWaves replays a swap of nine engines that load in 0.3 s: at
+// no time do more than a third load, and all are done in 1.5 s.
+func TestEnginesLoadInWaves(t *testing.T) {
+	const loadTime = 300 * time.Millisecond
+	p, start := NewPlanner(), time.Unix(100, 0)
+	var list []*fleet.Endpoint
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		list = append(list, engine(id, 1))
+	}
+	s := snapshot(2, list...)
+	done := map[string]time.Time{}
+	for now := start; now.Before(start.Add(1500 * time.Millisecond)); now = now.Add(30 * time.Millisecond) {
+		for _, o := range p.Ask(s, now) {
+			if !now.Before(done[o.Endpoint.ID]) {
+				p.Answered(o, Holds, now)
+			}
+		}
+		for _, o := range p.Next(s, now) {
+			done[o.Endpoint.ID] = now.Add(loadTime)
+			p.Answered(o, Accepted, now)
+		}
+		loading := 0
+		for _, end := range done {
+			if now.Before(end) {
+				loading++
+			}
+		}
+		assert.Check(t, loading <= 3, "%d", loading)
+	}
+	assert.Equal(t, len(done), 9)
+}
+
 func TestPlannerOrdersEachOnceAndAgainWithoutAnswer(t *testing.T) {
 	p, now := NewPlanner(), time.Unix(100, 0)
 	leaving := engine("c", 1)
