--- a/place/pace.go
+++ b/place/pace.go
@@ -6,6 +6,8 @@
 const (
 	// paceWeight smooths over about eight answers.
 	paceWeight = 0.12
+	// fewWeight smooths over three.
+	fewWeight = 0.35
 	// maxSlow bounds what one outlier can do.
 	maxSlow = 20
 	// paceFade halves a deviation when nothing is sent.
@@ -23,9 +25,15 @@
 }
 
 // Observe takes the time of a request relative to the usual one.
-func (p *Pace) Observe(ratio float64, now time.Time) {
+func (p *Pace) Observe(ratio float64, now time.Time) { p.observe(ratio, paceWeight, now) }
+
+// ObserveFew is Observe for something that few requests use, each of which
+// counts for more.
+func (p *Pace) ObserveFew(ratio float64, now time.Time) { p.observe(ratio, fewWeight, now) }
+
+func (p *Pace) observe(ratio, weight float64, now time.Time) {
 	ratio = min(ratio, maxSlow)
-	p.slow = (1-paceWeight)*(p.Slow(now)-1) + paceWeight*(ratio-1)
+	p.slow = (1-weight)*(p.Slow(now)-1) + weight*(ratio-1)
 	p.seen = now
 }
 
--- a/promptcache/directory.go
+++ b/promptcache/directory.go
@@ -15,9 +15,10 @@
 	// knownFor is how long what a store told is relied on without another word:
 	// one poll and half of another for the way.
 	knownFor = 3 * Poll / 2
-	// FetchTime bounds a fetch from the moment its request is sent. What was to
-	// be freed is freed only later.
-	FetchTime = 2 * time.Second
+	// FetchTime bounds a fetch from the moment its request is sent: twice what
+	// reading the largest shared parts takes. What was to be freed is freed only
+	// later.
+	FetchTime = 600 * time.Millisecond
 	// settle is how long nothing is saved to a store that has come back empty:
 	// by then no instance relies on what it held before.
 	settle = knownFor + FetchTime
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -254,7 +254,7 @@
 	}
 	p.endpoint.pace.Observe(pace/s.usual, now)
 	for _, source := range p.sources {
-		e.source(source).Observe(pace/s.usual, now)
+		e.source(source).ObserveFew(pace/s.usual, now)
 	}
 	s.usual += usualWeight * (pace - s.usual)
 }
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -305,7 +305,8 @@
 	assert.Equal(t, x.Header.Get("Kv-Fetch"), store+",-,-")
 	assert.Equal(t, x.Header.Get("Kv-Save"), "-,"+store+",-")
 	until := number(x.Header, "Kv-Until")
-	assert.Check(t, until >= 7000 && until < 8000, "%d", until)
+	limit := 5000 + int(promptcache.FetchTime.Milliseconds())
+	assert.Check(t, until >= limit && until < limit+1000, "%d", until)
 }
 
 func TestALongBodyPassesWhole(t *testing.T) {
