Engines are sources of parts while a store is slow

Cause: while one of two large stores was slow its parts were fetched all the same or read again although an engine held them. Change: the cheapest source is taken, an engine counts as more likely to miss; a part is fetched if that takes less than twice as long as reading it.

--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -23,9 +23,12 @@
 	// idlePending is what an engine may have to read while the time that it takes
 	// for a prompt still tells its speed.
 	idlePending = 1000
+	// engineBase stands for the chance that an engine has dropped a part: about a
+	// third of what reading a large one takes.
+	engineBase = 3000
 	// readBurden weighs a token read against one waited for: reading holds up all
 	// requests of the engine, a fetch only its own.
-	readBurden = 3
+	readBurden = 2
 )
 
 // sharedPart is a part of a prompt that other requests may bring as well.
@@ -51,28 +54,33 @@
 	return parts
 }
 
-// locate finds where the parts can be fetched from.
+// locate finds where the parts can be fetched from at the least cost: a store
+// that reports them, or an engine that is believed to hold them.
 func (e *Endpoints) locate(parts []sharedPart, list []*endpoint, now time.Time) {
-	if e.cache == nil {
-		return
-	}
 	for i := range parts {
 		p := &parts[i]
-		if source := e.cache.Holder(p.wanted.Part, now); source != "" {
-			p.source = source
-			p.fetch = int(e.source(source).Slow(now) * (fetchBase + fetchRate*float64(p.wanted.Tokens)))
-			continue
+		if e.cache != nil {
+			if store := e.cache.Holder(p.wanted.Part, now); store != "" {
+				e.offer(p, store, fetchBase, now)
+			}
 		}
 		for _, ep := range list {
 			if ep.resident.Has(p.hash) {
-				p.source = ep.spec.Address
-				p.fetch = 2*fetchBase + int(fetchRate*float64(p.wanted.Tokens))
-				break
+				e.offer(p, ep.spec.Address, engineBase, now)
 			}
 		}
 	}
 }
 
+// offer takes a source of a part if it is the cheapest so far. An engine's base
+// is the higher one: it may have dropped the part.
+func (e *Endpoints) offer(p *sharedPart, address string, base float64, now time.Time) {
+	cost := int(e.source(address).Slow(now) * (base + fetchRate*float64(p.wanted.Tokens)))
+	if p.source == "" || cost < p.fetch {
+		p.source, p.fetch = address, cost
+	}
+}
+
 // source is how long fetches from an address take relative to the usual.
 func (e *Endpoints) source(address string) *place.Pace {
 	pace := e.sources[address]
@@ -85,7 +93,7 @@
 
 // worthFetching reports whether a part is fetched rather than read.
 func (p *sharedPart) worthFetching(ep *fleet.Endpoint) bool {
-	return p.source != "" && p.source != ep.Address && p.fetch < readBurden*p.wanted.Tokens
+	return p.source != "" && p.source != ep.Address && float64(p.fetch) < readBurden*float64(p.wanted.Tokens)
 }
 
 // missing returns what an engine would have to read of a prompt, and how long
