SIGHUP is handled from the start of the process

Cause: the handler was set in a goroutine after the settings were read; a reload in the first milliseconds ended the process. Result: TestGatewayOutlivesReloads passes.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -64,6 +64,9 @@
 }
 
 func run(o options) error {
+	// Before anything else: until a handler is there, SIGHUP ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv(platform.EnvSettings)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
@@ -74,7 +77,7 @@
 	defer stop()
 	log, flush := startLog(o)
 	defer flush()
-	go watchSettings(ctx, path, log)
+	go watchSettings(ctx, path, hup, log)
 	g := s.Gateway(relay.Options{
 		Log: log, Now: boottime.Now, BodyBytes: int64(bodyShare * float64(s.MemoryMiB) * (1 << 20)),
 	})
@@ -115,9 +118,7 @@
 // watchSettings checks the settings file again on SIGHUP and when it changes.
 // Nothing in it can change within a process's life but what a restart takes up;
 // a file at fault is reported before that.
-func watchSettings(ctx context.Context, path string, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func watchSettings(ctx context.Context, path string, hup <-chan os.Signal, log *slog.Logger) {
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
 	changed := modTime(path)
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -266,6 +266,19 @@
 	until(t, g, http.StatusUnauthorized)
 }
 
+// TestGatewayOutlivesReloads sends SIGHUP in series.
+func TestGatewayOutlivesReloads(t *testing.T) {
+	m := newMachines(t)
+	g := m.gateway("front-1")
+	for range 20 {
+		assert.NilError(t, g.cmd.Process.Signal(syscall.SIGHUP))
+		status, seen, err := g.ask("key")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, seen, events)
+	}
+}
+
 // until asks until the answer has a status.
 func until(t *testing.T, g *gatewayProcess, want int) {
 	t.Helper()
