Exchanges between instances cost less in large groups

Cause: exchanges take a third of the instances' processor time; with ten peers an instance began 50 a second.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -19,9 +19,10 @@
 const (
 	// leastInterval is the time between exchanges with a peer in a small fleet:
 	// less than a large prompt takes to be read.
-	leastInterval = 50 * time.Millisecond
-	// perPeer bounds the exchanges of an instance to 50 a second in a large one.
-	perPeer = 10 * time.Millisecond
+	leastInterval = 60 * time.Millisecond
+	// perPeer bounds the exchanges that an instance begins to some 40 a second: with
+	// each of at most ten peers one of the two begins.
+	perPeer = 12 * time.Millisecond
 	// exchangeTimeout ends an exchange with a peer that is out of reach.
 	exchangeTimeout = 400 * time.Millisecond
 	// maxPlacements bounds what is kept for a peer that can't be reached.
