--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,6 +135,7 @@
 	group.Go(func() error { return g.runOrders(ctx) })
 	group.Go(func() error { return g.expire(work) })
 	group.Go(func() error { return g.servePeers(work) })
+	group.Go(func() error { return g.exchange.Run(work) })
 	group.Go(func() error { return g.runCaches(work) })
 }
 
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -56,8 +56,7 @@
 // Exchange keeps a Table by calls between all instances: of each pair the one
 // with the lower name calls, and both tell. It is safe for concurrent use.
 type Exchange struct {
-	o       Options
-	started int64
+	o Options
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -75,7 +74,7 @@
 
 // New returns an Exchange without peers.
 func New(o Options) *Exchange {
-	return &Exchange{o: o, started: o.Now().UnixNano(), peers: map[string]*peer{}}
+	return &Exchange{o: o, peers: map[string]*peer{}}
 }
 
 // Register lets other instances call this one.
@@ -156,7 +155,6 @@
 		case <-t.C:
 		}
 		t.Stop()
-		e.o.Table.Expire(e.o.Now())
 	}
 }
 
@@ -171,6 +169,20 @@
 	return nil
 }
 
+// Run drops the reports of instances that fell silent until ctx ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	t := time.NewTicker(reportTTL / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			e.o.Table.Expire(e.o.Now())
+		}
+	}
+}
+
 // take uses another instance's report.
 func (e *Exchange) take(r *peerspb.Report) {
 	loads := make(map[uint64]Load, len(r.Loads))
@@ -191,7 +203,7 @@
 // report renders this instance's report to a peer, nil for one that is not
 // known yet.
 func (e *Exchange) report(p *peer) *peerspb.Report {
-	r := &peerspb.Report{Instance: e.o.Self, Started: e.started}
+	r := &peerspb.Report{Instance: e.o.Self}
 	for target, l := range e.o.Source.Loads() {
 		r.Loads = append(r.Loads, &peerspb.Load{
 			Target: target, Running: count(l.Running), PendingTokens: count(l.Pending), HeldTokens: count(l.Held),
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -40,7 +40,6 @@
 
 // Dispatch is what an attempt tells an endpoint.
 type Dispatch struct {
-	AttemptID  string
 	Endpoint   string        // identifier of the only endpoint that may run it
 	Budget     time.Duration // left for the work
 	Team       string        // empty on public routes
@@ -72,8 +71,7 @@
 	// AppendDispatch appends the headers that the system sets itself.
 	AppendDispatch(dst []byte, d *Dispatch) []byte
 	ParseReply(status int, h http.Header) Reply
-	// CopyReply copies an endpoint's headers to the caller's answer; signed is
-	// false for failures of the system's own.
+	// CopyReply copies those of an endpoint's headers that go on to the caller.
 	CopyReply(dst, src http.Header)
 	// SetRetryAfter tells when a caller should come back.
 	SetRetryAfter(h http.Header, d time.Duration)
--- a/relay/run.go
+++ b/relay/run.go
@@ -349,7 +349,7 @@
 // request renders the request for p.
 func (q *run) request(p *pick) *upstream.Request {
 	d := Dispatch{
-		AttemptID: q.call.AttemptID, Endpoint: p.spec.ID, Budget: time.Until(q.deadline),
+		Endpoint: p.spec.ID, Budget: time.Until(q.deadline),
 		LastEvent: max(q.call.LastEvent, q.lastEvent), Priority: q.priority(),
 	}
 	if q.team != nil {
