--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,11 +20,12 @@
 	// confirmInterval lets three reads fail before tokens are refused, at a
 	// limit of 5 s.
 	confirmInterval = time.Second
-	// listInterval is the time between reads of lists that are also watched;
-	// it bounds the harm of a watch that is silent.
-	listInterval = 1500 * time.Millisecond
+	// listInterval is the time between reads of lists that are also watched. A
+	// watch that is cut or whose connection is silent is followed by a read at
+	// once; this bounds the harm of a store that tells a watch nothing.
+	listInterval = 4 * time.Second
 	// membersInterval is that for the instances, which only shares rest on.
-	membersInterval = 5 * time.Second
+	membersInterval = 10 * time.Second
 	// failedPause is the mean time between attempts while the store fails.
 	failedPause = 200 * time.Millisecond
 	// brokenWatchPause keeps a watch that breaks at once from taking the store's
