A swap refuses no prompt because of late reports

Cause: an engine that loads weights goes on naming the old version in its report beside the one being loaded, and the router took it by the first. A prompt that met its refusal read the report again, was sent to the same engine again and failed (TestSwapUnderLoad, known red). With that mended, the same test showed the next one: the lead orders the second engine as soon as it sees the first one loaded, while the router of the entry still has the first one's report from before (feed interval 250 ms), so no endpoint had a wanted version.

Ruled out: waiting in the planner until the report has spread, as each swap of a data centre would take longer for every entry that lags.

Change: a report that names a version being loaded rules the endpoint out; a request that finds no endpoint with a wanted version reads the reports of at most four loading endpoints once, shared by the requests that ask meanwhile. The engine's field comment says what engines send.

TestChooseRulesOut/engine_loading and TestSwapWithLateReports failed first.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -29,8 +29,8 @@
 type Report struct {
 	Epoch        string    // changes with each start of the engine
 	Model        string    // model loaded
-	Version      string    // weight version loaded, empty while loading
-	Loading      string    // weight version being loaded, empty if none
+	Version      string    // weight version loaded; may name the one before while another is loaded
+	Loading      string    // weight version being loaded, empty if none; the engine then refuses requests
 	Adapters     []string  // adapters loaded, as name@version
 	Role         string    // role in force
 	Fence        int64     // highest fencing number obeyed
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -176,6 +176,8 @@
 	switch {
 	case !e.reported || now.Sub(e.report.At) > c.ReportTTL || !e.report.At.After(e.versionAt):
 		return NoReport
+	case e.report.Loading != "":
+		return WrongVersion
 	case e.report.Model != q.Model || e.report.Version != q.Version || q.Version == "":
 		return WrongVersion
 	case q.Adapter != "" && !contains(e.report.Adapters, q.Adapter):
--- a/route/router.go
+++ b/route/router.go
@@ -172,3 +172,20 @@
 	e.observe(report)
 	r.setHome(e)
 }
+
+// Loading returns at most limit endpoints that were loading weights by their
+// last report.
+func (r *Router) Loading(limit int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for _, e := range r.endpoints {
+		if len(names) == limit {
+			break
+		}
+		if e != nil && !e.withdrawn && e.reported && e.report.Loading != "" {
+			names = append(names, e.spec.Name)
+		}
+	}
+	return names
+}
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -61,6 +61,11 @@
 		"wrong version": {func(_ *Router, q *Query) { q.Version = "v2" }, WrongVersion},
 		"no version":    {func(_ *Router, q *Query) { q.Version = "" }, WrongVersion},
 		"adapter":       {func(_ *Router, q *Query) { q.Adapter = "a@1" }, WrongAdapter},
+		"engine loading": {func(r *Router, _ *Query) {
+			rep := report(epoch.Add(1))
+			rep.Loading = "v2"
+			r.Observe("w0", rep, epoch)
+		}, WrongVersion},
 		"engine leaving": {func(r *Router, _ *Query) {
 			rep := report(epoch.Add(1))
 			rep.Leaving = true
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -28,6 +28,9 @@
 	noEndpointRetry = 2 * time.Second
 	// probeTimeout bounds the check whether an endpoint has crashed.
 	probeTimeout = 500 * time.Millisecond
+	// loadingProbes bounds the reports that are read at once because no
+	// endpoint has a wanted version: a few that have loaded suffice to go on.
+	loadingProbes = 4
 )
 
 // chatRun carries one request through its attempts. It belongs to the
@@ -50,6 +53,7 @@
 	tried    []string
 	sent     bool          // an endpoint may have received the request
 	admitted bool          // admission is decided once a request
+	probed   bool          // the reports of loading endpoints were read
 	expected time.Duration // to first token, of the first choice
 }
 
@@ -111,10 +115,26 @@
 	return fail, nil
 }
 
-// choose picks an endpoint and asks for admission. While a swap is under way, a
-// request that no engine of the version in force can take goes to one that
-// still has the version before. An answer that has begun keeps its version.
+// choose picks an endpoint and asks for admission. If none has a wanted version,
+// one that was loading may have loaded since its last report: their reports are
+// read once.
 func (c *chatRun) choose(ctx context.Context, permit *suspect.Permit) (route.Query, route.Choice, error) {
+	q, choice, err := c.chooseVersion(ctx, permit)
+	var refusal *contract.Refusal
+	if c.probed || !errors.As(err, &refusal) || refusal.Reason != contract.ReasonNoEndpoint {
+		return q, choice, err
+	}
+	c.probed = true
+	if !c.svc.probeLoading(c.refresh) {
+		return q, choice, err
+	}
+	return c.chooseVersion(ctx, permit)
+}
+
+// chooseVersion picks an endpoint of a wanted version. While a swap is under
+// way, a request that no engine of the version in force can take goes to one
+// that still has the version before. An answer that has begun keeps its version.
+func (c *chatRun) chooseVersion(ctx context.Context, permit *suspect.Permit) (route.Query, route.Choice, error) {
 	if c.asm.next > 0 {
 		return c.chooseEndpoint(permit)
 	}
--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -122,6 +122,35 @@
 	}, poll.WithTimeout(30*time.Second))
 }
 
+// TestSwapWithLateReports asks while the last report of one engine is from
+// before it had loaded and the other engine loads: the first answers.
+func TestSwapWithLateReports(t *testing.T) {
+	b := newBed(t, enginestandin.Options{LoadTime: 50 * time.Millisecond}, enginestandin.Options{LoadTime: time.Hour})
+	next := *b.state
+	next.Head++
+	next.Models = map[string]note.Model{"m": {Name: "m", Version: "v2", PieceBytes: 8000, BlockBytes: 1 << 10}}
+	b.state = &next
+	b.server.o.Services.Apply(b.state)
+	for _, name := range []string{"engine-0", "engine-1"} {
+		assert.NilError(t, b.server.engineOf(name).Order(t.Context(), engine.Order{Fence: 1, Model: "m", Version: "v2"}))
+	}
+	loading := engine.Report{Model: "m", Version: "v1", Loading: "v2", At: time.Now()}
+	b.server.o.Services.Observe("llm", "engine-0", loading, time.Now())
+	b.server.o.Services.Observe("llm", "engine-1", loading, time.Now())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r, err := b.server.engineOf("engine-0").Report(t.Context())
+		if err == nil && r.Version == "v2" {
+			return poll.Success()
+		}
+		return poll.Continue("engine-0 is loading: %v", err)
+	}, poll.WithTimeout(30*time.Second))
+	body := chatJSON("during a swap", true)
+	got := b.do("POST", "/v1/chat/completions", teamToken, body)
+	text, whole := texts(t, got.body)
+	assert.Assert(t, whole, got.body)
+	assert.Equal(t, text, enginestandin.Answer([]byte(body), "v2", 8))
+}
+
 // TestCrashingRequestIsRefused sends a request that crashes every engine which
 // runs it: two engines end, the rest go on, and the request is never run again.
 func TestCrashingRequestIsRefused(t *testing.T) {
--- a/serve/service.go
+++ b/serve/service.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"redwingknot/admit"
 	"redwingknot/engine"
 	"redwingknot/note"
@@ -22,6 +24,8 @@
 	admit  *admit.Controller
 	budget *retry.Budget
 
+	probes singleflight.Group // reads of reports, shared by requests
+
 	mu     sync.Mutex
 	epochs map[string]string // of the endpoints' processes, as last reported
 
@@ -42,6 +46,21 @@
 	s.epochs[endpoint] = epoch
 }
 
+// probeLoading has refresh read the reports of endpoints that were loading, and
+// says whether there were any. Requests that ask meanwhile share the reads.
+func (s *Service) probeLoading(refresh func(endpoint string)) bool {
+	probed, _, _ := s.probes.Do("loading", func() (any, error) {
+		names := s.Router.Loading(loadingProbes)
+		var reads sync.WaitGroup
+		for _, name := range names {
+			reads.Go(func() { refresh(name) })
+		}
+		reads.Wait()
+		return len(names) > 0, nil
+	})
+	return probed.(bool)
+}
+
 // Services holds the services of the configuration in force. It is safe for
 // concurrent use.
 type Services struct {
