--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,77 +19,19 @@
 	"gotest.tools/v3/poll"
 
 	"redwingknot/internal/standin/fleetstore"
+	"redwingknot/internal/standin/fleetworker"
 	"redwingknot/metastore/metastoretest"
 )
 
-// worker is a model engine of the users' protocol, as far as these tests need
-// it: it streams slowly, and loads weights when ordered.
-type worker struct {
-	*httptest.Server
-
-	mu      sync.Mutex
-	orders  []order
-	version int64
-	pause   time.Duration // between the events of a stream
-}
-
-type order struct {
-	Version  int64  `json:"version"`
-	Holder   string `json:"holder"`
-	Fence    int64  `json:"fencing_token"`
-	Expected *int64 `json:"expected"`
-}
-
-func newWorker(t *testing.T) *worker {
-	w := &worker{version: 1}
-	m := http.NewServeMux()
-	m.HandleFunc("GET /redwingknot/report", w.report)
-	m.HandleFunc("POST /redwingknot/order", w.order)
-	m.HandleFunc("/", w.run)
-	w.Server = httptest.NewServer(m)
-	t.Cleanup(w.Server.CloseClientConnections)
-	return w
-}
-
-func (w *worker) report(rw http.ResponseWriter, _ *http.Request) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	fmt.Fprintf(rw, `{"sequence":%d,"busy":false,"models":[{"name":"m","version":%d}]}`, len(w.orders), w.version)
-}
-
-func (w *worker) order(rw http.ResponseWriter, r *http.Request) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Expected == nil || *o.Expected != int64(len(w.orders)) {
-		rw.WriteHeader(http.StatusConflict)
-		return
-	}
-	w.orders = append(w.orders, o)
-	w.version = o.Version
-	rw.WriteHeader(http.StatusAccepted)
-}
-
-func (w *worker) given() []order {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]order(nil), w.orders...)
-}
-
+// events is the length of the worker's streams.
 const events = 5
 
-func (w *worker) run(rw http.ResponseWriter, r *http.Request) {
-	w.mu.Lock()
-	pause := w.pause
-	w.mu.Unlock()
-	rw.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	rw.Header().Set("Response-Stamp", "mark")
-	rw.Header().Set("Content-Type", "text/event-stream")
-	for id := range events {
-		fmt.Fprintf(rw, "id: %d\ndata: x\n\n", id)
-		http.NewResponseController(rw).Flush()
-		time.Sleep(pause)
-	}
+// newWorker returns an engine with a pause between the events of its streams.
+func newWorker(t *testing.T, pause time.Duration) (*fleetworker.Server, string) {
+	w := fleetworker.New(fleetworker.Options{ID: "i-1", Service: "s", Slots: 8, Model: "m", Weights: 1, Events: events, EventGap: pause})
+	front := httptest.NewServer(w)
+	t.Cleanup(front.CloseClientConnections)
+	return w, front.Listener.Addr().String()
 }
 
 // machines is a deployment on the users' machines: a store, a worker and
@@ -101,11 +41,16 @@
 	content *metastoretest.Store
 	store   *fleetstore.Server
 	address string
-	worker  *worker
+	worker  *fleetworker.Server
+	at      string // address of the worker
 }
 
-func newMachines(t *testing.T) *machines {
-	m := &machines{t: t, content: metastoretest.NewStore(time.Now), worker: newWorker(t)}
+func newMachines(t *testing.T) *machines { return newSlowMachines(t, time.Millisecond) }
+
+// newSlowMachines is newMachines with a worker that pauses between events.
+func newSlowMachines(t *testing.T, pause time.Duration) *machines {
+	m := &machines{t: t, content: metastoretest.NewStore(time.Now)}
+	m.worker, m.at = newWorker(t, pause)
 	m.store = fleetstore.New(m.content)
 	front := httptest.NewServer(m.store)
 	t.Cleanup(front.CloseClientConnections)
@@ -115,7 +60,7 @@
 		"services":[{"name":"s","health_path":"/health","max_conns":50,"engine":{"kv_capacity_tokens":100000,"models":[{"name":"m"}]}}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 		"tenants":[{"name":"t","api_keys":["key"]}]}`)
-	m.list(1)
+	m.list()
 	return m
 }
 
@@ -131,11 +76,8 @@
 	assert.NilError(m.t, err)
 }
 
-// list writes the worker's entry with the weights that it has.
-func (m *machines) list(version int64) {
-	m.put("servers/i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready",
-		"models":[{"name":"m","version":%d}],"sequence":90,"born":1790000000000}`, m.worker.Listener.Addr().String(), version))
-}
+// list writes the worker's entry.
+func (m *machines) list() { m.put("servers/i-1", string(m.worker.Entry(m.at, "z", 90))) }
 
 // gatewayProcess is a gateway.
 type gatewayProcess struct {
@@ -218,9 +160,8 @@
 
 // TestGatewayStopsWithoutCuttingAnAnswer sends SIGTERM while an answer runs.
 func TestGatewayStopsWithoutCuttingAnAnswer(t *testing.T) {
-	m := newMachines(t)
+	m := newSlowMachines(t, 300*time.Millisecond)
 	g := m.gateway("front-1")
-	m.worker.pause = 300 * time.Millisecond
 	type result struct {
 		status, seen int
 		err          error
@@ -297,7 +238,7 @@
 	byName := map[string]*gatewayProcess{"front-1": m.gateway("front-1"), "front-2": m.gateway("front-2")}
 	m.put("op/version/m", `{"model":"m","version":2}`)
 	first := m.awaitOrders(1)[0]
-	m.list(2)
+	m.list()
 	assert.Equal(t, first.Version, int64(2))
 	assert.NilError(t, byName[first.Holder].cmd.Process.Kill())
 	m.put("op/version/m", `{"model":"m","version":3}`)
@@ -308,13 +249,13 @@
 }
 
 // awaitOrders waits until the worker has taken so many orders.
-func (m *machines) awaitOrders(n int) []order {
+func (m *machines) awaitOrders(n int) []fleetworker.Order {
 	m.t.Helper()
 	poll.WaitOn(m.t, func(poll.LogT) poll.Result {
-		if len(m.worker.given()) >= n {
+		if len(m.worker.Orders()) >= n {
 			return poll.Success()
 		}
-		return poll.Continue("%d orders", len(m.worker.given()))
+		return poll.Continue("%d orders", len(m.worker.Orders()))
 	}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
-	return m.worker.given()
+	return m.worker.Orders()
 }
