Runs of the soak claim their loopback addresses

Change: a run claims the first free block of loopback addresses by a listener that it holds; there are no slots to hand out.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -43,7 +43,7 @@
 	set.Required(&o.keep, "keep", "target/soak-logs", "folder for the logs of failed runs")
 	set.Int(&o.first, "first", 0, 0, 1<<30, "seed", "first seed, 0 to draw one")
 	set.Int(&o.seeds, "seeds", 1, 1, 10000, "runs", "number of seeds to run")
-	set.Int(&o.jobs, "jobs", 2, 1, soak.MaxSlot, "runs", "runs at the same time")
+	set.Int(&o.jobs, "jobs", 2, 1, 100, "runs", "runs at the same time")
 	set.Duration(&o.run.Duration, "duration", 12*time.Second, time.Second, time.Hour, "time of disruptions in a run")
 	set.Int(&o.run.Gateways, "gateways", 3, 1, 100, "processes", "gateways of a run")
 	set.Int(&o.run.Engines, "engines", 3, 1, 100, "stand-ins", "engines of a run")
@@ -92,10 +92,6 @@
 
 // runAll runs the seeds, some at a time.
 func (o *options) runAll(ctx context.Context, out io.Writer) error {
-	slots := make(chan int, o.jobs)
-	for slot := range o.jobs {
-		slots <- slot
-	}
 	var mu sync.Mutex // of out and broken
 	broken := 0
 	seeds := o.list()
@@ -103,9 +99,7 @@
 	group.SetLimit(o.jobs)
 	for _, seed := range seeds {
 		group.Go(func() error {
-			slot := <-slots
-			defer func() { slots <- slot }()
-			report, err := o.one(ctx, seed, slot)
+			report, err := o.one(ctx, seed)
 			if err != nil {
 				return err
 			}
@@ -128,9 +122,9 @@
 }
 
 // one runs a seed. The logs of a run that broke a promise are kept.
-func (o *options) one(ctx context.Context, seed uint64, slot int) (soak.Report, error) {
+func (o *options) one(ctx context.Context, seed uint64) (soak.Report, error) {
 	run := o.run
-	run.Seed, run.Slot = seed, slot
+	run.Seed = seed
 	run.Dir = filepath.Join(o.keep, fmt.Sprint(seed))
 	if err := os.MkdirAll(run.Dir, 0o755); err != nil {
 		return soak.Report{}, errors.Wrap(err, "folder of the run")
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -66,8 +66,8 @@
 	thawed  time.Time // last end of a pause or of a fault of its link
 }
 
-func newGateway(o *Options, n int, store string) (*gateway, error) {
-	g := &gateway{name: fmt.Sprintf("front-%d", n+1), ip: fmt.Sprintf("127.%d.0.%d", slotNet+o.Slot, n+1), binary: o.Gatewayd}
+func newGateway(o *Options, ip string, n int, store string) (*gateway, error) {
+	g := &gateway{name: fmt.Sprintf("front-%d", n+1), ip: ip, binary: o.Gatewayd}
 	var err error
 	if g.store, err = NewLink(store); err != nil {
 		return nil, err
@@ -86,9 +86,6 @@
 	return g, err
 }
 
-// slotNet is the second byte of the first slot's addresses.
-const slotNet = 101
-
 func zoneOf(n int) string { return []string{"za", "zb"}[n%2] }
 
 // start starts a process unless one runs.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,7 +20,6 @@
 	Dir      string // for settings and logs; must exist
 	Seed     uint64
 	Duration time.Duration // of the disruptions
-	Slot     int           // runs at the same time use different ones, from 0 to MaxSlot
 	Gateways int
 	Engines  int
 	Apps     int // of each of the two applications
@@ -30,9 +29,6 @@
 	Timed bool
 }
 
-// MaxSlot is the highest Options.Slot.
-const MaxSlot = 100
-
 // withDefaults fills in the usual size: a dozen processes and stand-ins.
 func (o Options) withDefaults() Options {
 	for value, usual := range map[*int]int{&o.Gateways: 3, &o.Engines: 3, &o.Apps: 2, &o.Callers: 12} {
@@ -58,6 +54,7 @@
 // run is a run under way.
 type run struct {
 	o         Options
+	net       *loopback
 	started   time.Time
 	operator  *operator
 	front     *httptest.Server // of the store
@@ -105,6 +102,10 @@
 
 // start starts the store, the endpoints and the gateways.
 func (r *run) start() error {
+	var err error
+	if r.net, err = claimLoopback(); err != nil {
+		return err
+	}
 	r.front = httptest.NewServer(r.operator.store)
 	r.operator.publish()
 	r.operator.put("op/version/"+model, fmt.Appendf(nil, `{"model":%q,"version":1}`, model))
@@ -122,7 +123,7 @@
 		}
 	}
 	for n := range r.o.Gateways {
-		g, err := newGateway(&r.o, n, r.front.Listener.Addr().String())
+		g, err := newGateway(&r.o, r.net.addr(n), n, r.front.Listener.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -142,6 +143,9 @@
 	for _, e := range r.endpoints {
 		e.stop(e.running())
 	}
+	if r.net != nil {
+		r.net.free()
+	}
 	if r.front != nil {
 		r.front.CloseClientConnections()
 		r.front.Close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,8 +45,8 @@
 	for _, r := range Regressions {
 		cases = append(cases, Options{Seed: r.Seed})
 	}
-	for slot, o := range cases {
-		o.Gatewayd, o.Slot = gatewayd, slot
+	for _, o := range cases {
+		o.Gatewayd = gatewayd
 		t.Run(fmt.Sprint("seed ", o.Seed), func(t *testing.T) {
 			t.Parallel()
 			o.Dir = t.TempDir()
