Instances learn the work of all over a grid

Cause: in fleets of more than eleven, an instance knew the work of ten neighbours and scaled it up.

Change: instances stand in rows of about the root of their number. Those of a row exchange their own work; with one instance of every other row they exchange the sums of their rows, and where large parts of prompts went. Loads travel as packed lists. Small fleets are one row, as before.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -21,12 +21,15 @@
 	// less than a large prompt takes to be read.
 	leastInterval = 60 * time.Millisecond
 	// perPeer bounds the exchanges that an instance begins to some 40 a second: with
-	// each of at most ten peers one of the two begins.
+	// each peer one of the two begins.
 	perPeer = 12 * time.Millisecond
 	// exchangeTimeout ends an exchange with a peer that is out of reach.
 	exchangeTimeout = 400 * time.Millisecond
 	// maxPlacements bounds what is kept for a peer that can't be reached.
 	maxPlacements = 512
+	// largePart is the size in tokens from which a placement is told beyond the
+	// own row: reading a smaller part again takes less than 10 ms.
+	largePart = 1000
 )
 
 // Placement is a part of a prompt that was sent to an endpoint.
@@ -53,12 +56,14 @@
 	Now    func() time.Time
 }
 
-// Exchange keeps a Table by calls between all instances: of each pair the one
-// with the lower name calls, and both tell. It is safe for concurrent use.
+// Exchange keeps a Table by calls between the instances of a grid: of each pair
+// the one with the lower name calls, and both tell. It is safe for concurrent
+// use.
 type Exchange struct {
 	o Options
 
 	mu    sync.Mutex
+	grid  grid
 	peers map[string]*peer
 }
 
@@ -66,6 +71,7 @@
 type peer struct {
 	name    string
 	address string
+	column  bool // in another row
 	cancel  context.CancelFunc
 
 	mu     sync.Mutex
@@ -89,28 +95,30 @@
 func (e *Exchange) SetPeers(ctx context.Context, addresses map[string]string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	names := group(e.o.Self, slices.Collect(maps.Keys(addresses)))
-	for _, name := range names {
-		if p := e.peers[name]; p != nil && p.address == addresses[name] {
-			continue
-		}
-		e.drop(name)
-		e.add(ctx, name, addresses[name])
+	e.grid = newGrid(e.o.Self, slices.Collect(maps.Keys(addresses)))
+	wanted := map[string]bool{}
+	for _, name := range e.grid.row {
+		wanted[name] = true
+		e.keep(ctx, name, addresses[name], false)
+	}
+	for _, name := range e.grid.column {
+		wanted[name] = true
+		e.keep(ctx, name, addresses[name], true)
 	}
 	for name := range e.peers {
-		if !slices.Contains(names, name) {
+		if !wanted[name] {
 			e.drop(name)
 		}
 	}
-	others := len(addresses)
-	if _, listed := addresses[e.o.Self]; listed {
-		others--
-	}
-	e.o.Table.SetScale(max(float64(others)/float64(max(len(names), 1)), 1))
 }
 
-func (e *Exchange) add(ctx context.Context, name, address string) {
-	p := &peer{name: name, address: address}
+// keep makes another instance a peer unless it is one.
+func (e *Exchange) keep(ctx context.Context, name, address string, column bool) {
+	if p := e.peers[name]; p != nil && p.address == address && p.column == column {
+		return
+	}
+	e.drop(name)
+	p := &peer{name: name, address: address, column: column}
 	ctx, p.cancel = context.WithCancel(ctx)
 	e.peers[name] = p
 	if e.o.Self < name {
@@ -183,13 +191,14 @@
 	}
 }
 
-// take uses another instance's report.
+// take uses another instance's report. What the own row has placed goes on to
+// the other rows.
 func (e *Exchange) take(r *peerspb.Report) {
-	loads := make(map[uint64]Load, len(r.Loads))
-	for _, l := range r.Loads {
-		loads[l.Target] = Load{Running: int(l.Running), Pending: int(l.PendingTokens), Held: int(l.HeldTokens)}
+	from := r.Instance
+	if r.Row != "" {
+		from = rowPrefix + r.Row
 	}
-	e.o.Table.Put(r.Instance, loads, e.o.Now())
+	e.o.Table.Put(from, decodeLoads(r.Loads), e.o.Now())
 	if len(r.Placements) == 0 {
 		return
 	}
@@ -198,17 +207,30 @@
 		placed[i] = Placement{Target: p.Target, Part: p.Part, Tokens: int(p.Tokens)}
 	}
 	e.o.Source.Placed(placed)
+	if r.Row == "" {
+		e.tellColumn(placed)
+	}
 }
 
-// report renders this instance's report to a peer, nil for one that is not
-// known yet.
+// rowPrefix keeps the names of rows apart from those of instances.
+const rowPrefix = "row/"
+
+// report renders the report to a peer, nil for one that is not known yet: to the
+// own row the instance's own work, to another row the sum of the own row.
 func (e *Exchange) report(p *peer) *peerspb.Report {
 	r := &peerspb.Report{Instance: e.o.Self}
-	for target, l := range e.o.Source.Loads() {
-		r.Loads = append(r.Loads, &peerspb.Load{
-			Target: target, Running: count(l.Running), PendingTokens: count(l.Pending), HeldTokens: count(l.Held),
-		})
+	loads := e.o.Source.Loads()
+	if p != nil && p.column {
+		e.mu.Lock()
+		row := e.grid.row
+		r.Row = e.grid.rowName
+		e.mu.Unlock()
+		for target, l := range e.o.Table.Sum(row) {
+			l.Add(loads[target])
+			loads[target] = l
+		}
 	}
+	r.Loads = encodeLoads(loads)
 	if p == nil {
 		return r
 	}
@@ -221,15 +243,66 @@
 	return r
 }
 
+func encodeLoads(loads map[uint64]Load) *peerspb.Loads {
+	out := &peerspb.Loads{}
+	for target, l := range loads {
+		if l == (Load{}) {
+			continue
+		}
+		out.Targets = append(out.Targets, target)
+		out.Running = append(out.Running, count(l.Running))
+		out.PendingTokens = append(out.PendingTokens, count(l.Pending))
+		out.HeldTokens = append(out.HeldTokens, count(l.Held))
+	}
+	return out
+}
+
+// decodeLoads decodes loads; what the lists don't all have is left out.
+func decodeLoads(in *peerspb.Loads) map[uint64]Load {
+	n := min(len(in.GetTargets()), len(in.GetRunning()), len(in.GetPendingTokens()), len(in.GetHeldTokens()))
+	loads := make(map[uint64]Load, n)
+	for i := range n {
+		loads[in.Targets[i]] = Load{Running: int(in.Running[i]), Pending: int(in.PendingTokens[i]), Held: int(in.HeldTokens[i])}
+	}
+	return loads
+}
+
 func count(n int) uint32 { return uint32(max(n, 0)) }
 
-// Tell queues a placement for all peers.
+// Tell queues a placement of this instance for its peers.
 func (e *Exchange) Tell(list []Placement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	large := largeParts(list)
+	for _, p := range e.peers {
+		if p.column {
+			p.tell(large)
+		} else {
+			p.tell(list)
+		}
+	}
+}
+
+// tellColumn queues what the own row has placed for the peers in other rows.
+func (e *Exchange) tellColumn(list []Placement) {
+	large := largeParts(list)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, p := range e.peers {
-		p.tell(list)
+		if p.column {
+			p.tell(large)
+		}
+	}
+}
+
+func largeParts(list []Placement) []Placement {
+	var large []Placement
+	for _, p := range list {
+		if p.Tokens >= largePart {
+			large = append(large, p)
+		}
 	}
+	return large
 }
 
 func (p *peer) tell(list []Placement) {
--- a/peers/table.go
+++ b/peers/table.go
@@ -40,15 +40,14 @@
 	mu      sync.Mutex
 	reports map[string]report
 	sums    map[uint64]Load
-	scale   float64 // instances that each report stands for
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{reports: map[string]report{}, sums: map[uint64]Load{}, scale: 1}
+	return &Table{reports: map[string]report{}, sums: map[uint64]Load{}}
 }
 
-// Put replaces an instance's report.
+// Put replaces the report of an instance or a row.
 func (t *Table) Put(instance string, loads map[uint64]Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -85,25 +84,23 @@
 	delete(t.reports, instance)
 }
 
-// SetScale sets how many instances each report stands for, where only some are
-// asked.
-func (t *Table) SetScale(scale float64) {
+// Others returns the load that the other instances have at a target.
+func (t *Table) Others(target uint64) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.scale = scale
+	return t.sums[target]
 }
 
-// Others returns the load that the other instances have at a target.
-func (t *Table) Others(target uint64) Load {
+// Sum returns the load that some instances have at all targets.
+func (t *Table) Sum(instances []string) map[uint64]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := t.sums[target]
-	if t.scale == 1 {
-		return sum
-	}
-	return Load{
-		Running: int(t.scale * float64(sum.Running)),
-		Pending: int(t.scale * float64(sum.Pending)),
-		Held:    int(t.scale * float64(sum.Held)),
+	sum := map[uint64]Load{}
+	for _, name := range instances {
+		for target, l := range t.reports[name].loads {
+			l.Add(sum[target])
+			sum[target] = l
+		}
 	}
+	return sum
 }
