Prompts are fetched by prefixes, and fetches queue at their source

Cause: behind a part that is read all others are read, but the parts were weighed one by one.

Transfers from one store run one after another, and nothing counted that queue; nor that they take twice as long to another data centre, though all stores stand in one.

Tests: TestASmallPartIsFetchedForTheLargeBehindIt, TestFetchesQueueAtTheirStore, TestAPartIsCheaperToFetchWithinItsDataCentre.

--- a/promptcache/directory.go
+++ b/promptcache/directory.go
@@ -188,15 +188,14 @@
 	Tokens int
 }
 
-// Holder returns the address of a store that surely holds a part, empty if none
-// is known.
-func (d *Directory) Holder(p Part, now time.Time) string {
+// Holder returns a store that surely holds a part, nil if none is known.
+func (d *Directory) Holder(p Part, now time.Time) *fleet.CacheStore {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if holder, _ := d.find(p, now); holder != nil {
-		return holder.spec.Address
+		return holder.spec
 	}
-	return ""
+	return nil
 }
 
 // SaveTo returns the address of the store that a part should be saved to now,
--- a/promptcache/directory_test.go
+++ b/promptcache/directory_test.go
@@ -27,23 +27,23 @@
 
 func TestOnlyWhatAStoreReportsIsFetched(t *testing.T) {
 	d, now := directory(1000)
-	assert.Equal(t, d.Holder(part, now), "")
+	assert.Equal(t, holder(d, part, now), "")
 	d.Told(address, held(100), now)
-	assert.Equal(t, d.Holder(part, now), address)
+	assert.Equal(t, holder(d, part, now), address)
 	other := Part{Partition: Partition{Model: "m", Weights: 2}.String(), ID: "p"}
-	assert.Equal(t, d.Holder(other, now), "")
+	assert.Equal(t, holder(d, other, now), "")
 	d.Told(address, News{Epoch: 7, Next: 3, Changes: []Change{{Part: part, Gone: true}}}, now)
-	assert.Equal(t, d.Holder(part, now), "")
+	assert.Equal(t, holder(d, part, now), "")
 }
 
 func TestNothingIsFetchedFromASilentStore(t *testing.T) {
 	d, now := directory(1000)
 	d.Told(address, held(100), now)
-	assert.Equal(t, d.Holder(part, now.Add(knownFor)), "")
+	assert.Equal(t, holder(d, part, now.Add(knownFor)), "")
 	d.Told(address, News{Epoch: 7, Next: 2}, now.Add(knownFor))
-	assert.Equal(t, d.Holder(part, now.Add(knownFor)), address)
+	assert.Equal(t, holder(d, part, now.Add(knownFor)), address)
 	d.Silent(address)
-	assert.Equal(t, d.Holder(part, now.Add(knownFor)), "")
+	assert.Equal(t, holder(d, part, now.Add(knownFor)), "")
 }
 
 func TestARestartedStoreIsEmptyAndSavedToOnlyLater(t *testing.T) {
@@ -52,7 +52,7 @@
 	now = now.Add(settle)
 	assert.Check(t, d.Told(address, News{Epoch: 8, Next: 1}, now))
 	assert.Check(t, !d.Told(address, News{Epoch: 8, Next: 1, Whole: true}, now))
-	assert.Equal(t, d.Holder(part, now), "")
+	assert.Equal(t, holder(d, part, now), "")
 	w := Wanted{Part: part, Tokens: 100}
 	assert.Equal(t, d.SaveTo(w, now), "")
 	d.Told(address, News{Epoch: 8, Next: 1}, now.Add(settle))
@@ -64,7 +64,7 @@
 	assert.Check(t, d.Told(address, News{Epoch: 7, Next: 5, Gap: true}, now))
 	_, whole := d.Since(address)
 	assert.Check(t, whole)
-	assert.Equal(t, d.Holder(part, now), "")
+	assert.Equal(t, holder(d, part, now), "")
 }
 
 func TestAPartIsSavedOnceAndNotToAFullStore(t *testing.T) {
@@ -119,3 +119,11 @@
 	assert.Equal(t, len(useful), 2)
 	assert.Equal(t, len(Useful(nil)), 0)
 }
+
+// holder returns the address of the store that holds a part.
+func holder(d *Directory, p Part, now time.Time) string {
+	if s := d.Holder(p, now); s != nil {
+		return s.Address
+	}
+	return ""
+}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -32,7 +32,7 @@
 	known    map[fleet.Key]*endpoint
 	snapshot *fleet.Snapshot // that known was matched with
 	services map[string]*serviceState
-	sources  map[string]*place.Pace // of fetches, by address
+	sources  map[string]*source // of fetches, by address
 	changed  chan struct{}
 }
 
@@ -50,7 +50,7 @@
 func newEndpoints(o Options) *Endpoints {
 	return &Endpoints{
 		view: o.View, dataCentre: o.DataCentre, loadTime: o.LoadTime, now: o.Now, started: o.Now(),
-		cache: o.Cache, others: o.Others, tell: o.Tell, sources: map[string]*place.Pace{},
+		cache: o.Cache, others: o.Others, tell: o.Tell, sources: map[string]*source{},
 		retries: retry.WindowConfig{Span: o.RetrySpan, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		known:   map[fleet.Key]*endpoint{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
@@ -136,7 +136,13 @@
 	reserved peers.Load // of the endpoint
 	parts    []sharedPart
 	fetch    []string // for each part of the prompt, the address to fetch it from
-	sources  []string // addresses that something is likely to be fetched from
+	fetching []fetching
+}
+
+// fetching is what is likely to be fetched from an address for a request.
+type fetching struct {
+	address string
+	tokens  int
 }
 
 // choose reserves a place for q. If no endpoint can take it now, the returned
@@ -161,6 +167,9 @@
 		return nil, e.changed
 	}
 	p.endpoint.own.Add(p.reserved)
+	for _, f := range p.fetching {
+		e.source(f.address).own += f.tokens
+	}
 	p.endpoint.health.Chosen(now)
 	return p, nil
 }
@@ -235,6 +244,10 @@
 func (e *Endpoints) wasRead(p *pick) {
 	p.endpoint.own.Pending -= p.reserved.Pending
 	p.reserved.Pending = 0
+	for _, f := range p.fetching {
+		e.source(f.address).own -= f.tokens
+	}
+	p.fetching = nil
 }
 
 // began records an answer's first event after took.
@@ -242,7 +255,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	e.wasRead(p)
 	p.endpoint.health.Succeeded(now)
 	s := e.service(q.service)
 	pace := took.Seconds() / p.cost
@@ -253,10 +265,11 @@
 		s.usual = pace
 	}
 	p.endpoint.pace.Observe(pace/s.usual, now)
-	for _, source := range p.sources {
-		e.source(source).ObserveFew(pace/s.usual, now)
+	for _, f := range p.fetching {
+		e.source(f.address).pace.ObserveFew(pace/s.usual, now)
 	}
 	s.usual += usualWeight * (pace - s.usual)
+	e.wasRead(p)
 }
 
 // failed records an endpoint's failure.
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -15,17 +15,9 @@
 	// residentShare is the part of an engine's memory that cached prompts keep
 	// beside the running requests.
 	residentShare = 0.65
-	// fetchRate is how long fetching a token takes in tokens read: links carry a
-	// token in about a quarter of the time that reading it takes.
-	fetchRate = 0.25
-	// fetchBase is the fixed part of a fetch, some 6 ms.
-	fetchBase = 600
 	// idlePending is what an engine may have to read while the time that it takes
 	// for a prompt still tells its speed.
 	idlePending = 1000
-	// engineBase stands for the chance that an engine has dropped a part: about a
-	// third of what reading a large one takes.
-	engineBase = 3000
 	// readBurden weighs a token read against one waited for: reading holds up all
 	// requests of the engine, a fetch only its own.
 	readBurden = 2
@@ -35,8 +27,7 @@
 type sharedPart struct {
 	wanted promptcache.Wanted
 	hash   uint64 // of the part and its partition
-	source string // address that it can be fetched from, empty for none
-	fetch  int    // cost of fetching it, in tokens read
+	from   supply
 
 	resident bool // believed to be in the chosen endpoint's memory
 }
@@ -60,64 +51,58 @@
 	for i := range parts {
 		p := &parts[i]
 		if e.cache != nil {
-			if store := e.cache.Holder(p.wanted.Part, now); store != "" {
-				e.offer(p, store, fetchBase, now)
+			if store := e.cache.Holder(p.wanted.Part, now); store != nil {
+				p.offer(e.quote(store.Address, store.DataCentre, fetchBase, p.wanted.Tokens, now))
 			}
 		}
 		for _, ep := range list {
 			if ep.resident.Has(p.hash) {
-				e.offer(p, ep.spec.Address, engineBase, now)
+				p.offer(e.quote(ep.spec.Address, ep.spec.DataCentre, engineBase, p.wanted.Tokens, now))
 			}
 		}
 	}
 }
 
-// offer takes a source of a part if it is the cheapest so far. An engine's base
-// is the higher one: it may have dropped the part.
-func (e *Endpoints) offer(p *sharedPart, address string, base float64, now time.Time) {
-	cost := int(e.source(address).Slow(now) * (base + fetchRate*float64(p.wanted.Tokens)))
-	if p.source == "" || cost < p.fetch {
-		p.source, p.fetch = address, cost
+// offer takes a supply if it is the cheapest so far.
+func (p *sharedPart) offer(s supply) {
+	if p.from.address == "" || s.at(s.dataCentre) < p.from.at(p.from.dataCentre) {
+		p.from = s
 	}
 }
 
-// source is how long fetches from an address take relative to the usual.
-func (e *Endpoints) source(address string) *place.Pace {
-	pace := e.sources[address]
-	if pace == nil {
-		pace = &place.Pace{}
-		e.sources[address] = pace
-	}
-	return pace
-}
-
-// worthFetching reports whether a part is fetched rather than read.
-func (p *sharedPart) worthFetching(ep *fleet.Endpoint) bool {
-	return p.source != "" && p.source != ep.Address && float64(p.fetch) < readBurden*float64(p.wanted.Tokens)
+// prefix is how an engine gets a prompt: a number of shared parts that it holds
+// or fetches, and the rest that it reads.
+type prefix struct {
+	parts int // held or fetched
+	read  int // tokens
+	fetch int // how long fetching takes, in tokens read
 }
 
-// missing returns what an engine would have to read of a prompt, and how long
-// it would fetch, in tokens read. Behind a part that is read all others are
-// read too.
-func missing(ep *endpoint, parts []sharedPart, prompt *Prompt) (read, fetch int) {
-	read = prompt.Input
-	for i := range parts {
-		read -= parts[i].wanted.Tokens
-	}
-	read = max(read, 0)
-	reads := false
+// bestPrefix returns the prefix of the least cost for an engine. Behind a part
+// that is read all others are read too, so a small part may be worth a fetch
+// that takes longer than reading it.
+//
+// Load pattern: sessions whose large part follows a small one that many share.
+// An engine that has dropped the small part would read the large one again.
+func bestPrefix(ep *endpoint, parts []sharedPart, prompt *Prompt) prefix {
+	best := prefix{read: prompt.Input}
+	at := best
 	for i := range parts {
 		p := &parts[i]
 		switch {
-		case !reads && ep.resident.Has(p.hash):
-		case !reads && p.worthFetching(ep.spec):
-			fetch += p.fetch
+		case ep.resident.Has(p.hash):
+		case p.from.address != "" && p.from.address != ep.spec.Address:
+			at.fetch += p.from.at(ep.spec.DataCentre)
 		default:
-			reads = true
-			read += p.wanted.Tokens
+			return best
+		}
+		at.parts++
+		at.read = max(at.read-p.wanted.Tokens, 0)
+		if at.fetch+readBurden*at.read < best.fetch+readBurden*best.read {
+			best = at
 		}
 	}
-	return read, fetch
+	return best
 }
 
 // choosePrompt chooses among endpoints for a prompt. It returns nil while the
@@ -138,11 +123,11 @@
 			byWeights[version] = parts
 		}
 		load := e.load(ep)
-		read, fetch := missing(ep, parts, q.prompt)
+		prefix := bestPrefix(ep, parts, q.prompt)
 		engines[i] = place.Engine{
 			Hash: ep.hash, Local: ep.spec.DataCentre == e.dataCentre, Slow: ep.pace.Slow(now),
 			Running: load.Running, Slots: ep.spec.Slots, Pending: load.Pending, Held: load.Held,
-			Capacity: capacity, Missing: read, Fetch: fetch, Need: q.prompt.Input + q.prompt.Output,
+			Capacity: capacity, Missing: prefix.read, Fetch: prefix.fetch, Need: q.prompt.Input + q.prompt.Output,
 		}
 	}
 	at := place.Prompt(q.session, engines)
@@ -153,26 +138,26 @@
 	p := &pick{idle: engines[at].Pending < idlePending, endpoint: ep, spec: ep.spec, weights: ep.version(q.prompt.Model), cost: engines[at].Cost()}
 	p.reserved = peers.Load{Running: 1, Pending: engines[at].Missing, Held: engines[at].Need}
 	p.parts = byWeights[p.weights]
-	e.fetchFrom(p)
+	p.fetchFrom(bestPrefix(ep, p.parts, q.prompt).parts)
 	e.placed(p)
 	return p
 }
 
-// fetchFrom settles where the chosen endpoint fetches parts from. A part that
-// it is believed to hold is named too: if it does, nothing moves.
-func (e *Endpoints) fetchFrom(p *pick) {
+// fetchFrom settles where the chosen endpoint gets the first parts from. A part
+// that it is believed to hold is named too: if it does, nothing moves.
+func (p *pick) fetchFrom(parts int) {
 	for i := range p.parts {
 		part := &p.parts[i]
 		part.resident = p.endpoint.resident.Has(part.hash)
-		if !part.worthFetching(p.spec) {
+		if i >= parts || part.from.address == "" || part.from.address == p.spec.Address {
 			continue
 		}
 		if p.fetch == nil {
 			p.fetch = make([]string, len(p.parts)+1)
 		}
-		p.fetch[i] = part.source
+		p.fetch[i] = part.from.address
 		if !part.resident {
-			p.sources = append(p.sources, part.source)
+			p.fetching = append(p.fetching, fetching{part.from.address, part.wanted.Tokens})
 		}
 	}
 }
@@ -187,7 +172,7 @@
 		switch {
 		case part.resident:
 			plan[i] = 'm'
-		case part.source == "":
+		case part.from.address == "":
 			plan[i] = 'r'
 		case p.fetch != nil && p.fetch[i] != "":
 			plan[i] = 'f'
@@ -229,6 +214,7 @@
 			loads[ep.hash] = ep.own
 		}
 	}
+	e.fetchLoads(loads)
 	return loads
 }
 
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -8,11 +8,15 @@
 
 	"redwingknot/fleet"
 	"redwingknot/peers"
+	"redwingknot/place"
 	"redwingknot/promptcache"
 )
 
 const slowStore = "10.9.9.9:80"
 
+// cachedPrompt begins with a large part that a store holds.
+var cachedPrompt = &Prompt{Model: "m", Input: 10000, Parts: []Part{{ID: "large", Tokens: 9000}, {ID: "own", Tokens: 1000}}}
+
 // cacheBed returns endpoints before a store that holds a large part.
 func cacheBed(now time.Time) (*Endpoints, []sharedPart, []*endpoint) {
 	view := fleet.NewView()
@@ -28,20 +32,19 @@
 	cache.Told(slowStore, promptcache.News{Epoch: 1, Whole: true, Changes: []promptcache.Change{{Part: part, Tokens: 9000}}}, now)
 	e := newEndpoints(Options{View: view, Cache: cache, Others: peers.NewTable(), Now: func() time.Time { return now }, RetrySpan: time.Second})
 	e.sync()
-	prompt := &Prompt{Model: "m", Input: 10000, Parts: []Part{{ID: "large", Tokens: 9000}, {ID: "own", Tokens: 1000}}}
 	var list []*endpoint
 	for _, id := range []string{"a", "b"} {
 		list = append(list, e.known[fleet.Key{ID: id}])
 	}
-	return e, split(prompt, partition("m", 1, nil)), list
+	return e, split(cachedPrompt, partition("m", 1, nil)), list
 }
 
 func TestAPartIsFetchedFromItsStore(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e, parts, list := cacheBed(now)
 	e.locate(parts, list, now)
-	assert.Equal(t, parts[0].source, slowStore)
-	assert.Check(t, parts[0].worthFetching(list[0].spec))
+	assert.Equal(t, parts[0].from.address, slowStore)
+	assert.Equal(t, bestPrefix(list[0], parts, cachedPrompt).parts, 1)
 }
 
 // TestASlowStoreIsLeftAlone replays fetches that take ten times as long as
@@ -50,16 +53,18 @@
 	now := time.Unix(1000, 0)
 	e, parts, list := cacheBed(now)
 	for range 3 {
-		e.source(slowStore).ObserveFew(10, now)
+		e.source(slowStore).pace.ObserveFew(10, now)
 	}
 	e.locate(parts, list, now)
-	assert.Check(t, !parts[0].worthFetching(list[0].spec))
+	assert.Equal(t, bestPrefix(list[0], parts, cachedPrompt).parts, 0)
 	list[1].resident.Use(parts[0].hash, 9000)
-	parts[0].source = ""
+	parts[0].from = supply{}
 	e.locate(parts, list, now)
-	assert.Equal(t, parts[0].source, "b:1")
-	assert.Check(t, parts[0].worthFetching(list[0].spec))
-	assert.Check(t, !parts[0].worthFetching(list[1].spec), "an engine fetches nothing from itself")
+	assert.Equal(t, parts[0].from.address, "b:1")
+	assert.Equal(t, bestPrefix(list[0], parts, cachedPrompt).parts, 1)
+	p := &pick{endpoint: list[1], spec: list[1].spec, parts: parts}
+	p.fetchFrom(bestPrefix(list[1], parts, cachedPrompt).parts)
+	assert.Check(t, p.fetch == nil, "an engine fetches nothing from itself")
 }
 
 func TestBehindAPartThatIsReadAllIsRead(t *testing.T) {
@@ -68,10 +73,65 @@
 	prompt := &Prompt{Input: 1600, Parts: []Part{{ID: "x", Tokens: 500}, {ID: "y", Tokens: 1000}, {ID: "own", Tokens: 100}}}
 	parts := split(prompt, "p")
 	list[0].resident.Use(parts[1].hash, 1000)
-	read, fetch := missing(list[0], parts, prompt)
-	assert.Equal(t, read, 1600)
-	assert.Equal(t, fetch, 0)
+	assert.Equal(t, bestPrefix(list[0], parts, prompt), prefix{read: 1600})
 	list[0].resident.Use(parts[0].hash, 500)
-	read, _ = missing(list[0], parts, prompt)
-	assert.Equal(t, read, 100)
+	assert.Equal(t, bestPrefix(list[0], parts, prompt), prefix{parts: 2, read: 100})
+}
+
+// TestASmallPartIsFetchedForTheLargeBehindIt replays sessions whose large part is
+// in a store behind a small one that costs more to fetch than to read.
+func TestASmallPartIsFetchedForTheLargeBehindIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, _, list := cacheBed(now)
+	name := partition("m", 1, nil)
+	kept := promptcache.News{Epoch: 1, Whole: true}
+	prompt := &Prompt{Input: 2400, Parts: []Part{{ID: "small", Tokens: 200}, {ID: "session", Tokens: 2000}, {ID: "own", Tokens: 200}}}
+	for _, p := range prompt.Parts[:2] {
+		kept.Changes = append(kept.Changes, promptcache.Change{Part: promptcache.Part{Partition: name, ID: p.ID}, Tokens: p.Tokens})
+	}
+	e.cache.Told(slowStore, kept, now)
+	parts := split(prompt, name)
+	e.locate(parts, list, now)
+	assert.Check(t, parts[0].from.at("") > readBurden*parts[0].wanted.Tokens)
+	best := bestPrefix(list[0], parts, prompt)
+	assert.Equal(t, best.parts, 2)
+	assert.Equal(t, best.read, 200)
+	p := &pick{endpoint: list[0], spec: list[0].spec, parts: parts}
+	p.fetchFrom(best.parts)
+	assert.DeepEqual(t, p.fetch, []string{slowStore, slowStore, ""})
+	// Alone it is read.
+	assert.Equal(t, bestPrefix(list[0], parts[:1], &Prompt{Input: 400}).parts, 0)
+}
+
+// TestFetchesQueueAtTheirStore replays sessions that return at once and fetch
+// from one store: the last read their parts instead.
+func TestFetchesQueueAtTheirStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, _, _ := cacheBed(now)
+	var picks []*pick
+	fetched := 0
+	for range 12 {
+		q := &query{service: "s", prompt: cachedPrompt, target: time.Hour, maxAttempts: 1}
+		p, _ := e.choose(q)
+		assert.Assert(t, p != nil)
+		picks = append(picks, p)
+		// Nobody is to find the part in an engine.
+		p.endpoint.resident = promptcache.NewResident(0)
+		if p.fetch != nil {
+			fetched++
+		}
+	}
+	assert.Check(t, fetched > 2 && fetched < 12, "%d", fetched)
+	assert.Check(t, e.Loads()[place.Hash(slowStore)].Pending == fetched*9000)
+	for _, p := range picks {
+		e.release(p)
+	}
+	assert.Equal(t, e.Loads()[place.Hash(slowStore)], peers.Load{})
+}
+
+// TestAPartIsCheaperToFetchWithinItsDataCentre compares two engines.
+func TestAPartIsCheaperToFetchWithinItsDataCentre(t *testing.T) {
+	s := supply{address: slowStore, dataCentre: "a", fixed: 600, transfer: 2000}
+	assert.Equal(t, s.at("a"), 2600)
+	assert.Equal(t, s.at("b"), 4600)
 }
