Small parts are kept in the stores that answer quickly

Cause: stores that hold less than half of the largest were not read. They are the ones that answer within 0.5 ms instead of 6: a part of some hundred tokens costs more to fetch from a large store than to read, so it was read again each time, and with it what stands behind it.

Change: parts of up to 1,200 tokens are saved to stores whose time to the first byte is less than half of the slowest one's, the others elsewhere, each where there is room if the first choice has none. What a fetch costs follows from the bandwidths and the first byte that the configuration tells, no longer from one store's figures.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -66,6 +66,8 @@
 	Tokens     int  // capacity
 	Managed    bool // never evicts by itself
 	MaxReaders int  // concurrent readers of its events
+	LinkMbps   float64
+	FirstByte  time.Duration // that each transfer waits before it begins
 }
 
 // Service is a group of endpoints that run the same requests. It is immutable.
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -50,7 +50,7 @@
 		if s.Config == nil {
 			continue
 		}
-		stores := promptcache.Useful(s.Config.Stores())
+		stores := s.Config.Stores()
 		g.readStores(ctx, stores, readers)
 		now := g.o.Relay.Now()
 		if !allLoaded(s) {
--- a/promptcache/directory.go
+++ b/promptcache/directory.go
@@ -60,36 +60,30 @@
 
 // Directory knows what the stores hold. It is safe for concurrent use.
 type Directory struct {
-	mu     sync.Mutex
-	stores map[string]*store // by address
-	clock  int64             // of stores and endpoints in ms, less the local clock's; 0 if unknown
+	mu      sync.Mutex
+	slowest time.Duration     // of the stores' times to the first byte
+	stores  map[string]*store // by address
+	clock   int64             // of stores and endpoints in ms, less the local clock's; 0 if unknown
 }
 
 // NewDirectory returns a directory that knows no stores.
 func NewDirectory() *Directory { return &Directory{stores: map[string]*store{}} }
 
-// Useful returns the stores that are worth their readers: small ones hold too
-// little beside the large.
-func Useful(specs []*fleet.CacheStore) []*fleet.CacheStore {
-	most := 0
-	for _, s := range specs {
-		most = max(most, s.Tokens)
-	}
-	var useful []*fleet.CacheStore
-	for _, s := range specs {
-		if 2*s.Tokens >= most {
-			useful = append(useful, s)
-		}
-	}
-	return useful
-}
+// smallPart is the size in tokens up to which a part is kept in a store that
+// answers quickly: the fixed 6 ms of the others outweigh what a fetch saves.
+const smallPart = 1200
+
+// quick reports whether a store answers much sooner than the slowest one.
+func quick(first, slowest time.Duration) bool { return 2*first <= slowest }
 
 // SetStores replaces the stores that the configuration names.
 func (d *Directory) SetStores(specs []*fleet.CacheStore) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	named := map[string]bool{}
+	d.slowest = 0
 	for _, spec := range specs {
+		d.slowest = max(d.slowest, spec.FirstByte)
 		named[spec.Address] = true
 		if s, ok := d.stores[spec.Address]; ok {
 			s.spec = spec
@@ -192,7 +186,7 @@
 func (d *Directory) Holder(p Part, now time.Time) *fleet.CacheStore {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if holder, _ := d.find(p, now); holder != nil {
+	if holder := d.holder(p, now); holder != nil {
 		return holder.spec
 	}
 	return nil
@@ -203,15 +197,20 @@
 //
 // Load pattern: far more sessions return within seconds than engines can keep
 // in memory. What was read once is saved, and fetched in a fraction of the time
-// that reading takes.
+// that reading takes: small parts from stores that answer quickly, or from the
+// others once these are full, and the reverse.
 func (d *Directory) SaveTo(w Wanted, now time.Time) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	holder, home := d.find(w.Part, now)
-	if holder != nil || home == nil || !home.ask(w, now) {
+	if d.holder(w.Part, now) != nil || d.expected(w.Part, now) {
 		return ""
 	}
-	return home.spec.Address
+	for _, small := range []bool{w.Tokens <= smallPart, w.Tokens > smallPart} {
+		if home := d.home(w.Part, small, now); home != nil && home.ask(w, now) {
+			return home.spec.Address
+		}
+	}
+	return ""
 }
 
 // FetchUntil returns when a fetch that is sent at now is thrown away, on the
@@ -223,21 +222,44 @@
 	return 0
 }
 
-// find returns a store that surely holds a part, and the one that should.
-func (d *Directory) find(p Part, now time.Time) (holder, home *store) {
-	best := uint64(0)
+// holder returns the store that surely holds a part and answers the soonest.
+func (d *Directory) holder(p Part, now time.Time) *store {
+	var holder *store
 	for _, s := range d.stores {
-		if !s.known(now) {
+		if _, ok := s.held[p]; !ok || !s.known(now) {
 			continue
 		}
-		if _, ok := s.held[p]; ok {
+		if holder == nil || s.spec.FirstByte < holder.spec.FirstByte {
 			holder = s
 		}
+	}
+	return holder
+}
+
+// expected reports whether a part is on its way to a store.
+func (d *Directory) expected(p Part, now time.Time) bool {
+	for _, s := range d.stores {
+		if at, ok := s.asked[p]; ok && now.Sub(at) < saveAgain {
+			return true
+		}
+	}
+	return false
+}
+
+// home returns the store that should hold a part, among those for small parts or
+// the others; nil if there is none.
+func (d *Directory) home(p Part, small bool, now time.Time) *store {
+	var home *store
+	best := uint64(0)
+	for _, s := range d.stores {
+		if !s.known(now) || quick(s.spec.FirstByte, d.slowest) != small {
+			continue
+		}
 		if w := xxhash.Sum64String(s.spec.Address + p.ID); home == nil || w > best {
 			home, best = s, w
 		}
 	}
-	return holder, home
+	return home
 }
 
 // ask reports whether a part should be saved now, and expects it then.
@@ -245,9 +267,6 @@
 	if now.Sub(s.epochAt) < settle {
 		return false
 	}
-	if at, ok := s.asked[w.Part]; ok && now.Sub(at) < saveAgain {
-		return false
-	}
 	if float64(s.tokens+w.Tokens) > fullShare*float64(s.spec.Tokens) {
 		return false
 	}
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -47,17 +47,17 @@
 
 // locate finds where the parts can be fetched from at the least cost: a store
 // that reports them, or an engine that is believed to hold them.
-func (e *Endpoints) locate(parts []sharedPart, list []*endpoint, now time.Time) {
+func (e *Endpoints) locate(parts []sharedPart, list []*endpoint, l links, now time.Time) {
 	for i := range parts {
 		p := &parts[i]
 		if e.cache != nil {
 			if store := e.cache.Holder(p.wanted.Part, now); store != nil {
-				p.offer(e.quote(store.Address, store.DataCentre, fetchBase, p.wanted.Tokens, now))
+				p.offer(e.quoteStore(store, l, p.wanted.Tokens, now))
 			}
 		}
 		for _, ep := range list {
 			if ep.resident.Has(p.hash) {
-				p.offer(e.quote(ep.spec.Address, ep.spec.DataCentre, engineBase, p.wanted.Tokens, now))
+				p.offer(e.quoteEngine(ep, l, p.wanted.Tokens, now))
 			}
 		}
 	}
@@ -119,7 +119,7 @@
 		parts, ok := byWeights[version]
 		if !ok {
 			parts = split(q.prompt, partition(q.prompt.Model, version, q.team))
-			e.locate(parts, list, now)
+			e.locate(parts, list, linksOf(s.Config.Services[q.service]), now)
 			byWeights[version] = parts
 		}
 		load := e.load(ep)
--- a/relay/source.go
+++ b/relay/source.go
@@ -3,16 +3,19 @@
 import (
 	"time"
 
+	"redwingknot/fleet"
 	"redwingknot/peers"
 	"redwingknot/place"
 )
 
 const (
-	// fetchRate is how long fetching a token takes in tokens read: links carry a
-	// token in about a quarter of the time that reading it takes.
+	// readRate is how many tokens an engine reads in a second; it turns times into
+	// tokens read.
+	readRate = 1e5
+	// fetchRate is how long fetching a token takes in tokens read, where the
+	// links' bandwidths are not told: they carry a token in about a quarter of
+	// the time that reading it takes.
 	fetchRate = 0.25
-	// fetchBase is the fixed part of a fetch from a store, some 6 ms.
-	fetchBase = 600
 	// engineBase stands for the chance that an engine has dropped a part: about a
 	// third of what reading a large one takes.
 	engineBase = 3000
@@ -20,6 +23,30 @@
 	crossing = 2
 )
 
+// links tells how long transfers of kept cache take.
+type links struct {
+	tokenBits float64
+	mbps      float64 // of an engine
+}
+
+// linksOf returns the links of a service's engines.
+func linksOf(s *fleet.Service) links {
+	if s == nil || s.Engine == nil {
+		return links{}
+	}
+	const bitsPerByte = 8
+	return links{tokenBits: bitsPerByte * s.Engine.BytesPerToken, mbps: s.Engine.LinkMbps}
+}
+
+// rate is how long a token takes over a link, in tokens read.
+func (l links) rate(mbps float64) float64 {
+	if l.tokenBits == 0 || mbps == 0 {
+		return fetchRate
+	}
+	const megabit = 1e6
+	return l.tokenBits / (mbps * megabit) * readRate
+}
+
 // source is an address that parts of prompts are fetched from. Its fields are
 // owned by the Endpoints' mutex.
 type source struct {
@@ -47,29 +74,41 @@
 }
 
 // at is the cost at an endpoint's place.
-func (s *supply) at(dataCentre string) int {
+func (s supply) at(dataCentre string) int {
 	if dataCentre != s.dataCentre {
 		return int(s.fixed + crossing*s.transfer)
 	}
 	return int(s.fixed + s.transfer)
 }
 
-// quote returns the cost of fetching tokens from an address.
+// quote returns the cost of fetching tokens from an address over a link of a
+// bandwidth, behind what is being fetched there already.
 //
 // Load pattern: transfers from one place run one after another. When many
 // sessions return at once, what is fetched last waits for all others, while
 // engines could read it sooner.
-func (e *Endpoints) quote(address, dataCentre string, base float64, tokens int, now time.Time) supply {
+func (e *Endpoints) quote(address, dataCentre string, base float64, l links, mbps float64, tokens int, now time.Time) supply {
 	s := e.source(address)
 	slow := s.pace.Slow(now)
-	queue := s.own + e.others.Others(s.hash).Pending
+	queue := float64(s.own + e.others.Others(s.hash).Pending)
 	return supply{
 		address: address, dataCentre: dataCentre,
-		fixed:    slow * (base + fetchRate*float64(queue)),
-		transfer: slow * fetchRate * float64(tokens),
+		fixed: slow * (base + l.rate(mbps)*queue),
+		// The engine's own link bounds the transfer as well.
+		transfer: slow * max(l.rate(mbps), l.rate(l.mbps)) * float64(tokens),
 	}
 }
 
+// quoteStore is quote for a store.
+func (e *Endpoints) quoteStore(s *fleet.CacheStore, l links, tokens int, now time.Time) supply {
+	return e.quote(s.Address, s.DataCentre, s.FirstByte.Seconds()*readRate, l, s.LinkMbps, tokens, now)
+}
+
+// quoteEngine is quote for an engine.
+func (e *Endpoints) quoteEngine(ep *endpoint, l links, tokens int, now time.Time) supply {
+	return e.quote(ep.spec.Address, ep.spec.DataCentre, engineBase, l, l.mbps, tokens, now)
+}
+
 // fetchLoads adds what this instance fetches to its loads.
 func (e *Endpoints) fetchLoads(loads map[uint64]peers.Load) {
 	for _, s := range e.sources {
