Transfers at a source count until they should have ended

Cause: a fetch counted in its source's queue until the answer's first token, which is three to five times as long as the transfer.

Change: a source keeps each transfer until the moment at which it should have ended by its cost. Nothing has to be taken back.

Test: TestFetchesQueueAtTheirStore now has the queue run off with time.

--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -143,6 +143,7 @@
 type fetching struct {
 	address string
 	tokens  int
+	cost    int // in tokens read
 }
 
 // choose reserves a place for q. If no endpoint can take it now, the returned
@@ -168,7 +169,7 @@
 	}
 	p.endpoint.own.Add(p.reserved)
 	for _, f := range p.fetching {
-		e.source(f.address).own += f.tokens
+		e.source(f.address).begin(f.tokens, f.cost, now)
 	}
 	p.endpoint.health.Chosen(now)
 	return p, nil
@@ -244,10 +245,6 @@
 func (e *Endpoints) wasRead(p *pick) {
 	p.endpoint.own.Pending -= p.reserved.Pending
 	p.reserved.Pending = 0
-	for _, f := range p.fetching {
-		e.source(f.address).own -= f.tokens
-	}
-	p.fetching = nil
 }
 
 // began records an answer's first event after took.
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -157,7 +157,7 @@
 		}
 		p.fetch[i] = part.from.address
 		if !part.resident {
-			p.fetching = append(p.fetching, fetching{part.from.address, part.wanted.Tokens})
+			p.fetching = append(p.fetching, fetching{part.from.address, part.wanted.Tokens, part.from.at(p.spec.DataCentre)})
 		}
 	}
 }
@@ -214,7 +214,7 @@
 			loads[ep.hash] = ep.own
 		}
 	}
-	e.fetchLoads(loads)
+	e.fetchLoads(loads, e.now())
 	return loads
 }
 
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -108,13 +108,11 @@
 func TestFetchesQueueAtTheirStore(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e, _, _ := cacheBed(now)
-	var picks []*pick
 	fetched := 0
 	for range 12 {
 		q := &query{service: "s", prompt: cachedPrompt, target: time.Hour, maxAttempts: 1}
 		p, _ := e.choose(q)
 		assert.Assert(t, p != nil)
-		picks = append(picks, p)
 		// Nobody is to find the part in an engine.
 		p.endpoint.resident = promptcache.NewResident(0)
 		if p.fetch != nil {
@@ -123,9 +121,8 @@
 	}
 	assert.Check(t, fetched > 2 && fetched < 12, "%d", fetched)
 	assert.Check(t, e.Loads()[place.Hash(slowStore)].Pending == fetched*9000)
-	for _, p := range picks {
-		e.release(p)
-	}
+	// The queue has run off when the fetches should have ended.
+	e.now = func() time.Time { return now.Add(time.Second) }
 	assert.Equal(t, e.Loads()[place.Hash(slowStore)], peers.Load{})
 }
 
@@ -146,8 +143,8 @@
 	// 1,000 tokens are 2.6 Gbit: 2.4 ms on an engine's link, 240 tokens read.
 	assert.Equal(t, e.quoteStore(large, l, 1000, now).at(""), 600+238)
 	assert.Equal(t, e.quoteStore(quick, l, 1000, now).at(""), 50+238)
-	e.source(quick.Address).own = 10_000
-	e.source(large.Address).own = 10_000
+	e.source(quick.Address).begin(10_000, 1000, now)
+	e.source(large.Address).begin(10_000, 1000, now)
 	assert.Equal(t, e.quoteStore(large, l, 1000, now).at(""), 600+238+2383)
 	assert.Equal(t, e.quoteStore(quick, l, 1000, now).at(""), 50+238+1008)
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"redwingknot/fleet"
@@ -50,9 +51,32 @@
 // source is an address that parts of prompts are fetched from. Its fields are
 // owned by the Endpoints' mutex.
 type source struct {
-	hash uint64
-	pace place.Pace // of what is fetched there
-	own  int        // tokens that this instance's requests are fetching
+	hash      uint64
+	pace      place.Pace // of what is fetched there
+	transfers []transfer // that this instance's requests began
+}
+
+// transfer is a fetch until the moment at which it should have ended. When it
+// did shows only in the answer's first token, which comes later.
+type transfer struct {
+	tokens int
+	until  time.Time
+}
+
+// begin records a fetch that takes as long as reading so many tokens.
+func (s *source) begin(tokens, cost int, now time.Time) {
+	took := time.Duration(float64(cost) / readRate * float64(time.Second))
+	s.transfers = append(s.transfers, transfer{tokens: tokens, until: now.Add(took)})
+}
+
+// queue returns the tokens that this instance's requests are fetching at now.
+func (s *source) queue(now time.Time) int {
+	tokens := 0
+	s.transfers = slices.DeleteFunc(s.transfers, func(t transfer) bool { return !now.Before(t.until) })
+	for _, t := range s.transfers {
+		tokens += t.tokens
+	}
+	return tokens
 }
 
 // source returns the state of an address.
@@ -90,7 +114,7 @@
 func (e *Endpoints) quote(address, dataCentre string, base float64, l links, mbps float64, tokens int, now time.Time) supply {
 	s := e.source(address)
 	slow := s.pace.Slow(now)
-	queue := float64(s.own + e.others.Others(s.hash).Pending)
+	queue := float64(s.queue(now) + e.others.Others(s.hash).Pending)
 	return supply{
 		address: address, dataCentre: dataCentre,
 		fixed: slow * (base + l.rate(mbps)*queue),
@@ -110,10 +134,12 @@
 }
 
 // fetchLoads adds what this instance fetches to its loads.
-func (e *Endpoints) fetchLoads(loads map[uint64]peers.Load) {
+func (e *Endpoints) fetchLoads(loads map[uint64]peers.Load, now time.Time) {
 	for _, s := range e.sources {
-		if s.own > 0 {
-			loads[s.hash] = peers.Load{Pending: s.own}
+		if tokens := s.queue(now); tokens > 0 {
+			l := loads[s.hash]
+			l.Pending += tokens
+			loads[s.hash] = l
 		}
 	}
 }
