An instance calls the metadata store less often

By the settings and the events: a read a second that confirms the operator's keys, reads of the endpoints every 4 s, a poll of the watch for each change (100 ms apart), and, while a store turns a third of the instances away, three lists that are each tried five times a second.

Ruled out: confirming by the watch alone (a call a second as well); reads that may be old (they confirm nothing).

Tests: TestOneFollowerFindsOutThatTheStoreIsBack replays nine seconds of a store that turns an instance away, TestConfirmationsKeepTheBounds.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -138,6 +138,13 @@
 	return !was
 }
 
+// StoreIsAway reports whether the metadata store is known not to answer.
+func (v *View) StoreIsAway() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.away
+}
+
 // StoreReturned records that the metadata store answered at now. It reports
 // whether it was away before.
 func (v *View) StoreReturned(now time.Time) bool {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -17,17 +17,21 @@
 )
 
 const (
-	// confirmInterval lets three reads fail before tokens are refused, at a
-	// limit of 5 s.
-	confirmInterval = time.Second
+	// confirmsPerApply is the number of reads of the operator's keys in the time
+	// within which a configuration must be in force: a change that the watch does
+	// not tell is still in time.
+	confirmsPerApply = 2
+	// confirmsPerRevoke lets three reads fail before tokens are refused.
+	confirmsPerRevoke = 4
 	// listInterval is the time between reads of lists that are also watched. A
 	// watch that is cut or whose connection is silent is followed by a read at
 	// once; this bounds the harm of a store that tells a watch nothing.
-	listInterval = 4 * time.Second
-	// membersInterval is that for the instances, which only shares rest on.
-	membersInterval = 10 * time.Second
+	listInterval = 10 * time.Second
 	// failedPause is the mean time between attempts while the store fails.
 	failedPause = 200 * time.Millisecond
+	// awayPause bounds how long a follower leaves it to another one to find out
+	// that the store is back.
+	awayPause = 2 * time.Second
 	// brokenWatchPause keeps a watch that breaks at once from taking the store's
 	// calls.
 	brokenWatchPause = 30 * time.Millisecond
@@ -48,6 +52,9 @@
 	confirmed func(sentAt time.Time)
 	// failed takes the error of a read.
 	failed func(error)
+	// away reports whether the store is known not to answer; nil if this follower
+	// is the one that finds out.
+	away func() bool
 }
 
 // run follows until ctx ends: reads of the whole range at an interval, and a
@@ -59,7 +66,7 @@
 		entries, revision, err := f.kv.Range(ctx, f.purpose, f.from, f.to, 0)
 		if err != nil {
 			f.failed(err)
-			sleep(ctx, failedPause/2+rand.N(failedPause))
+			f.pause(ctx)
 			continue
 		}
 		f.apply(f.mirror.Reset(entries, revision))
@@ -75,6 +82,21 @@
 	return nil
 }
 
+// pause waits before the next attempt after a failed read.
+//
+// Load pattern: a store that turns away a third of the instances for seconds.
+// If every list of each is tried again at once, the calls of those few exceed
+// the usual ones of all, and the store has a limit of calls.
+func (f *follower) pause(ctx context.Context) {
+	until := f.now().Add(awayPause)
+	for {
+		sleep(ctx, failedPause/2+rand.N(failedPause))
+		if f.away == nil || !f.away() || !f.now().Before(until) || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // await applies changes for an interval. It returns nil if the watch ended.
 func (f *follower) await(ctx context.Context, watch <-chan metastore.Change) <-chan metastore.Change {
 	t := time.NewTimer(f.interval)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -13,6 +15,7 @@
 	"redwingknot/fleet"
 	"redwingknot/metastore"
 	"redwingknot/metastore/metastoretest"
+	"redwingknot/relay"
 )
 
 // followed is a follower with what it saw.
@@ -136,3 +139,49 @@
 		return poll.Continue("not confirmed")
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
 }
+
+// countingKV refuses all reads and counts them.
+type countingKV struct {
+	metastore.KV
+	reads atomic.Int64
+}
+
+func (k *countingKV) Range(context.Context, metastore.Purpose, string, string, int) ([]metastore.Entry, int64, error) {
+	k.reads.Add(1)
+	return nil, 0, &metastore.RefusedError{Op: "range", Cause: metastore.CauseUnavailable}
+}
+
+// TestOneFollowerFindsOutThatTheStoreIsBack replays nine seconds of a store that
+// turns an instance away.
+func TestOneFollowerFindsOutThatTheStoreIsBack(t *testing.T) {
+	reads := func(away func() bool) int64 {
+		var n int64
+		synctest.Test(t, func(t *testing.T) {
+			kv := &countingKV{}
+			f := &follower{kv: kv, now: time.Now, mirror: fleet.NewMirror(), failed: func(error) {}, away: away}
+			ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+			defer cancel()
+			assert.NilError(t, f.run(ctx))
+			n = kv.reads.Load()
+		})
+		return n
+	}
+	assert.Check(t, reads(nil) > 30)
+	away := reads(func() bool { return true })
+	assert.Check(t, away <= 6, "%d", away)
+	assert.Check(t, reads(func() bool { return false }) > 30)
+}
+
+// TestConfirmationsKeepTheBounds checks the interval of confirmations under the
+// bounds of different deployments.
+func TestConfirmationsKeepTheBounds(t *testing.T) {
+	for _, c := range []struct{ apply, revoke, want time.Duration }{
+		{2 * time.Second, 5 * time.Second, time.Second},
+		{3 * time.Second, 5 * time.Second, 1250 * time.Millisecond},
+		{3 * time.Second, 0, 1500 * time.Millisecond},
+		{3 * time.Second, 2 * time.Second, 500 * time.Millisecond},
+	} {
+		g := &Gateway{o: Options{ApplyTime: c.apply, Relay: relay.Options{RevokeTime: c.revoke}}}
+		assert.Equal(t, g.confirmInterval(), c.want)
+	}
+}
--- a/gateway/followers.go
+++ b/gateway/followers.go
@@ -12,7 +12,8 @@
 
 // followers returns what keeps the view up to date.
 func (g *Gateway) followers(ctx context.Context) []*follower {
-	operator := g.follower(purposeOperator, confirmInterval, g.o.Feed.Operator)
+	operator := g.follower(purposeOperator, g.confirmInterval(), g.o.Feed.Operator)
+	operator.away = nil
 	operator.changed = g.operatorChanged
 	operator.confirmed = func(sentAt time.Time) {
 		g.storeAnswered()
@@ -21,7 +22,7 @@
 	endpoints := g.follower(purposeEndpoints, listInterval, g.o.Feed.Endpoints)
 	endpoints.changed = g.endpointsChanged
 	endpoints.confirmed = func(time.Time) { g.storeAnswered() }
-	instances := g.follower(purposeMembers, membersInterval, memberRange)
+	instances := g.follower(purposeMembers, listInterval, memberRange)
 	instances.changed = func(fleet.Delta) { g.membersChanged(ctx, instances.mirror) }
 	instances.confirmed = func(time.Time) { g.membersChanged(ctx, instances.mirror) }
 	return []*follower{operator, endpoints, instances}
@@ -31,10 +32,19 @@
 	from, to := keys()
 	return &follower{
 		kv: g.o.KV, purpose: p, from: from, to: to, interval: interval,
-		now: g.o.Relay.Now, mirror: fleet.NewMirror(), failed: g.storeFailed,
+		now: g.o.Relay.Now, mirror: fleet.NewMirror(), failed: g.storeFailed, away: g.view.StoreIsAway,
 	}
 }
 
+// confirmInterval is the time between reads that confirm the configuration.
+func (g *Gateway) confirmInterval() time.Duration {
+	interval := g.o.ApplyTime / confirmsPerApply
+	if revoke := g.o.Relay.RevokeTime; revoke > 0 {
+		interval = min(interval, revoke/confirmsPerRevoke)
+	}
+	return interval
+}
+
 func (g *Gateway) storeAnswered() {
 	if g.view.StoreReturned(g.o.Relay.Now()) {
 		event.StoreRegained.Log(g.log)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,6 @@
 type Options struct {
 	Instance   string
 	DataCentre string
-	Deployment string // the same for all instances that work together
 	Front      string // listen address for callers
 	Ready      string // listen address for checks of readiness
 	ReadyPath  string
@@ -42,6 +41,7 @@
 	Caches CacheStores
 
 	Grace      time.Duration // from the request to stop until the process is killed
+	ApplyTime  time.Duration // within which a configuration must be in force
 	OrderLease time.Duration // least time between orders of two holders
 	LeaseMin   time.Duration // shortest lease of the metadata store
 	MaxHeader  int           // bytes of a request's header
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,7 +16,7 @@
 
 // newExchange sets up what instances tell each other.
 func (g *Gateway) newExchange() {
-	key := peerKey(g.o.Deployment)
+	key := peerKey()
 	g.wire = wire.NewServer(key)
 	g.exchange = peers.New(peers.Options{
 		Self: g.o.Instance, Key: key, Source: g.relay.Endpoints(), Table: g.o.Relay.Others, Now: g.o.Relay.Now,
@@ -24,10 +24,11 @@
 	g.exchange.Register(g.wire)
 }
 
-// peerKey keeps instances of different deployments apart; the network keeps
-// strangers out.
-func peerKey(deployment string) []byte {
-	sum := sha256.Sum256([]byte("redwingknot peers " + deployment))
+// peerKey is the same for all instances: each calls only addresses that it found
+// in its own store, and the network keeps strangers out. The key tells this
+// protocol from others at an address that was used again.
+func peerKey() []byte {
+	sum := sha256.Sum256([]byte("redwingknot peers"))
 	return sum[:]
 }
 
