An instance wakes up less often for what rarely changes

Profiles of gateways in a soak of 60 (15 s each): a quarter of their time is the scheduler's, a third exchanges of load.

Change: only the instance that leads looks every 30 ms for orders, the others every 300 ms or when the lead changes hands; sums of rows are exchanged half as often as the work of the own row.

Not shown: the soak's profile before and after (4.9 and 5.3% of a core under 2,000 requests a second over 60 gateways) differs by less than the machine's other load.

--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -21,6 +21,9 @@
 const (
 	// orderInterval is the time between looks for orders that are due.
 	orderInterval = 30 * time.Millisecond
+	// idleInterval is the time between looks whether this instance leads, beside
+	// the lead's own word: a renewal that comes late says nothing.
+	idleInterval = 300 * time.Millisecond
 	// holderMargin is added to the least time between two holders.
 	holderMargin = 150 * time.Millisecond
 )
@@ -34,19 +37,15 @@
 
 // runOrders brings the engines to the wanted weights while this instance leads.
 func (g *Gateway) runOrders(ctx context.Context) error {
-	t := time.NewTicker(orderInterval)
-	defer t.Stop()
 	var current tenure
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	for ctx.Err() == nil {
+		changed := g.lead.Changed()
 		fence, held := g.lead.Held()
 		if !held {
+			wait(ctx, changed, idleInterval)
 			continue
 		}
+		sleep(ctx, orderInterval)
 		now := g.o.Relay.Now()
 		if current.fence != fence {
 			current = tenure{fence: fence, since: now, planner: rollout.NewPlanner()}
@@ -59,6 +58,18 @@
 		g.ask(ctx, &current, current.planner.Ask(s, now))
 		g.give(ctx, &current, current.planner.Next(s, now))
 	}
+	return nil
+}
+
+// wait returns when changed is closed, after d or when ctx ends.
+func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
 }
 
 // ask finds out which orders are carried out by now.
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -23,6 +23,9 @@
 	// perPeer bounds the exchanges that an instance begins to some 40 a second: with
 	// each peer one of the two begins.
 	perPeer = 12 * time.Millisecond
+	// columnPace is how many times as rarely sums of rows are exchanged: they
+	// change less than what a single instance has under way.
+	columnPace = 2
 	// exchangeTimeout ends an exchange with a peer that is out of reach.
 	exchangeTimeout = 400 * time.Millisecond
 	// maxPlacements bounds what is kept for a peer that can't be reached.
@@ -139,10 +142,15 @@
 	return e.peers[name]
 }
 
-func (e *Exchange) interval() time.Duration {
+// interval is the time between exchanges with a peer.
+func (e *Exchange) interval(p *peer) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return max(leastInterval, perPeer*time.Duration(len(e.peers)))
+	interval := max(leastInterval, perPeer*time.Duration(len(e.peers)))
+	if p.column {
+		interval *= columnPace
+	}
+	return interval
 }
 
 // call exchanges reports with a peer until ctx ends.
@@ -157,7 +165,7 @@
 			metric.Counter("peer_exchange_failures_total").Inc(1)
 			client.Close()
 		}
-		t := time.NewTimer(e.interval())
+		t := time.NewTimer(e.interval(p))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
