A prompt's headers at a plain service change nothing; gauges

Change: only services with engines take a request as a prompt; the headers go on unchanged. Gauges on the metrics address: age of the confirmed configuration, endpoints, requests under way and prompt tokens to be read by service, bytes of bodies. contains is slices.Contains.

Test: TestAPromptAtAPlainServiceIsAPlainRequest failed first (503).

--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -203,7 +204,7 @@
 		switch {
 		case !ep.health.Usable(now):
 			doubtful = append(doubtful, ep)
-		case contains(q.tried, spec.Key()):
+		case slices.Contains(q.tried, spec.Key()):
 			usable = append(usable, ep)
 		default:
 			fresh = append(fresh, ep)
@@ -332,3 +333,16 @@
 		ep.pool.Prune(time.Now())
 	}
 }
+
+// sums returns this instance's own work at the endpoints of each service.
+func (e *Endpoints) sums() map[string]peers.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sums := map[string]peers.Load{}
+	for _, ep := range e.known {
+		l := sums[ep.spec.Service]
+		l.Add(ep.own)
+		sums[ep.spec.Service] = l
+	}
+	return sums
+}
--- a/relay/query.go
+++ b/relay/query.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"redwingknot/fleet"
@@ -46,22 +47,13 @@
 
 // mayTry reports whether an attempt may go to an endpoint.
 func (q *query) mayTry(k fleet.Key) bool {
-	if contains(q.avoid, k) {
+	if slices.Contains(q.avoid, k) {
 		return false
 	}
 	if len(q.tried) < q.maxAttempts {
 		return true
 	}
-	return contains(q.tried, k)
-}
-
-func contains(list []fleet.Key, k fleet.Key) bool {
-	for _, x := range list {
-		if x == k {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(q.tried, k)
 }
 
 // pickShare chooses the service of a request by the weights of its route, the
--- a/relay/run.go
+++ b/relay/run.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -275,7 +276,7 @@
 
 // note records an endpoint that the request was sent to.
 func (q *run) note(p *pick) {
-	if key := p.spec.Key(); !contains(q.query.tried, key) {
+	if key := p.spec.Key(); !slices.Contains(q.query.tried, key) {
 		q.query.tried = append(q.query.tried, key)
 	}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -76,10 +76,25 @@
 			return nil
 		case <-t.C:
 			s.endpoints.prune()
+			s.measure()
 		}
 	}
 }
 
+// measure updates the gauges of what the server holds and how old it is.
+func (s *Server) measure() {
+	metric.Gauge("confirmed_age_ms").Update(s.confirmedAge().Milliseconds())
+	metric.Gauge("request_body_bytes").Update(s.bodies.Load())
+	snapshot := s.o.View.Snapshot()
+	for name, list := range snapshot.ByService {
+		metric.Gauge("endpoints", "service", name).Update(int64(len(list)))
+	}
+	for name, l := range s.endpoints.sums() {
+		metric.Gauge("requests_running", "service", name).Update(int64(l.Running))
+		metric.Gauge("prompt_tokens_pending", "service", name).Update(int64(l.Pending))
+	}
+}
+
 // Drain makes every answer from now on ask its caller for another connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -136,7 +151,11 @@
 		return contract.Refuse(http.StatusRequestEntityTooLarge, contract.ReasonTooLarge, "the body is too large")
 	}
 	q.limitTime()
-	q.query = newQuery(&q.call, q.route, pickShare(q.route, q.call.AttemptID))
+	service := pickShare(q.route, q.call.AttemptID)
+	if s := cfg.Services[service]; s == nil || s.Engine == nil {
+		q.call.Prompt = nil // only engines have weights and cached parts
+	}
+	q.query = newQuery(&q.call, q.route, service)
 	q.query.team = q.team
 	return nil
 }
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -337,3 +337,18 @@
 	assert.Equal(t, runs(f), 0)
 	assert.Equal(t, runs(g), 5)
 }
+
+// TestAPromptAtAPlainServiceIsAPlainRequest sends the headers of a prompt on a
+// route to a service without engines.
+func TestAPromptAtAPlainServiceIsAPlainRequest(t *testing.T) {
+	b := newBed(t)
+	c := config(2, 1)
+	c.Services["s"] = &fleet.Service{Name: "s"}
+	b.view.ApplyConfig(c)
+	f := b.endpoint("i-1", ok)
+	f.spec.Weights = nil
+	got := b.ask("/plain/1", promptHeaders()...)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, f.requests()[0].Header.Get("Expect-Version"), "")
+	assert.Equal(t, f.requests()[0].Header.Get("Model"), "m", "it goes on unchanged")
+}
