--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,7 +27,8 @@
 func main() {
 	root := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system", SilenceUsage: true}
 	listen := root.PersistentFlags().String("listen", "127.0.0.1:0", "address to serve")
-	root.AddCommand(keyValue(listen), engineCommand(listen), storeCommand(listen), appCommand(listen), getCommand(), postCommand(), metricCommand())
+	root.AddCommand(keyValue(listen), engineCommand(listen), storeCommand(listen), appCommand(listen), fleetStoreCommand(listen), fleetWorkerCommand(listen),
+		getCommand(), postCommand(), sendCommand(), metricCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"redwingknot/internal/standin/fleetstore"
-	"redwingknot/metastore"
 	"redwingknot/metastore/metastoretest"
 )
 
@@ -61,19 +60,8 @@
 
 // put writes a key whatever it held.
 func (o *operator) put(key string, value []byte) {
-	for {
-		e, err := o.content.Get(key)
-		if err == nil {
-			_, err = o.content.Swap(key, value, e.ModRevision, 0)
-		} else {
-			_, err = o.content.Create(key, value, 0)
-		}
-		if err == nil {
-			return
-		}
-		if !metastore.IsCause(err, metastore.CauseConflict) {
-			panic(err) // the store in memory fails in no other way
-		}
+	if err := fleetstore.Put(o.content, key, value); err != nil {
+		panic(err) // the store in memory fails in no other way
 	}
 }
 
--- a/internal/standin/fleetworker/order.go
+++ b/internal/standin/fleetworker/order.go
@@ -52,7 +52,11 @@
 		return http.StatusOK
 	}
 	s.orders = append(s.orders, o)
-	s.weights = o.Version
 	s.loadingTo = o.At.Add(s.o.LoadTime)
+	time.AfterFunc(s.o.LoadTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.weights = o.Version
+	})
 	return http.StatusAccepted
 }
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -67,13 +67,7 @@
 // put writes a key whatever it held.
 func (m *machines) put(key, value string) {
 	m.t.Helper()
-	if e, err := m.content.Get(key); err == nil {
-		_, err = m.content.Swap(key, []byte(value), e.ModRevision, 0)
-		assert.NilError(m.t, err)
-		return
-	}
-	_, err := m.content.Create(key, []byte(value), 0)
-	assert.NilError(m.t, err)
+	assert.NilError(m.t, fleetstore.Put(m.content, key, []byte(value)))
 }
 
 // list writes the worker's entry.
