Reports between instances count until the next is due

Cause: read in the review, not seen in a run: a report counts for a second, and in a fleet of 380 the sums of rows come every 0.9 s, so that one late exchange would let a row's work vanish.

Change: reports count for at least twice the longest interval: 1 s in small fleets as before, 1.1 s of 88, 1.8 s of 380.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -26,6 +26,9 @@
 	// columnPace is how many times as rarely sums of rows are exchanged: they
 	// change less than what a single instance has under way.
 	columnPace = 2
+	// reportsPerTTL is the number of reports of the rarest kind in the time that
+	// one counts.
+	reportsPerTTL = 2
 	// exchangeTimeout ends an exchange with a peer that is out of reach.
 	exchangeTimeout = 400 * time.Millisecond
 	// maxPlacements bounds what is kept for a peer that can't be reached.
@@ -194,11 +197,16 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			e.o.Table.Expire(e.o.Now())
+			e.o.Table.Expire(e.o.Now(), e.ttl())
 		}
 	}
 }
 
+// ttl is how long reports count: of two in a row one may be late.
+func (e *Exchange) ttl() time.Duration {
+	return max(reportTTL, reportsPerTTL*e.interval(&peer{column: true}))
+}
+
 // take uses another instance's report. What the own row has placed goes on to
 // the other rows.
 func (e *Exchange) take(r *peerspb.Report) {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -17,7 +17,7 @@
 	assert.Equal(t, table.Others(1), Load{Running: 3, Pending: 150})
 	table.Put("a", map[uint64]Load{1: {Running: 1}}, now.Add(reportTTL))
 	assert.Equal(t, table.Others(1), Load{Running: 2, Pending: 50})
-	table.Expire(now.Add(reportTTL + 1))
+	table.Expire(now.Add(reportTTL+1), reportTTL)
 	assert.Equal(t, table.Others(1), Load{Running: 1})
 	assert.Equal(t, table.Others(2), Load{})
 	table.Put("c", map[uint64]Load{1: {Held: 3}}, now)
@@ -107,3 +107,23 @@
 		}
 	}
 }
+
+// TestReportsCountUntilTheNextIsDue checks the time that reports count in fleets
+// of today's sizes and of the stated target.
+func TestReportsCountUntilTheNextIsDue(t *testing.T) {
+	for _, n := range []int{7, 88, 380} {
+		names := fleetOf(n)
+		e := New(Options{Self: names[0], Table: NewTable()})
+		g := newGrid(names[0], names)
+		for _, p := range g.row {
+			e.peers[p] = &peer{name: p}
+		}
+		for _, p := range g.column {
+			e.peers[p] = &peer{name: p, column: true}
+		}
+		assert.Check(t, e.ttl() >= reportTTL)
+		for _, p := range e.peers {
+			assert.Check(t, e.ttl() >= 2*e.interval(p), "%d instances", n)
+		}
+	}
+}
--- a/peers/table.go
+++ b/peers/table.go
@@ -25,8 +25,9 @@
 	l.Held -= o.Held
 }
 
-// reportTTL is how long a report counts: an instance that tells nothing more
-// is gone or out of reach, and what it sent is answered by then or lost.
+// reportTTL is the least time that a report counts: an instance that tells
+// nothing more is gone or out of reach, and what it sent is answered by then or
+// lost.
 const reportTTL = time.Second
 
 type report struct {
@@ -60,12 +61,12 @@
 	}
 }
 
-// Expire drops reports that no longer count.
-func (t *Table) Expire(now time.Time) {
+// Expire drops the reports that are older than ttl.
+func (t *Table) Expire(now time.Time, ttl time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for instance, r := range t.reports {
-		if now.Sub(r.at) > reportTTL {
+		if now.Sub(r.at) > ttl {
 			t.remove(instance)
 		}
 	}
