The soak's protocol stands with the stand-ins, its promises have plain names

internal/standin/fleetwire renders settings, configuration and calls of the users' machines; internal/soak knows none of their names any more.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"redwingknot/internal/standin/fleetwire"
 	"redwingknot/internal/standin/fleetworker"
 )
 
@@ -93,6 +94,9 @@
 // Error implements error.
 func (e *NotReadyError) Error() string { return e.Gateway + " is not ready" }
 
+// sharedParts is how many different parts prompts begin with.
+const sharedParts = 3
+
 // withdrawnEvery is one of how many callers has the token that is withdrawn.
 const withdrawnEvery = 4
 
@@ -141,23 +145,23 @@
 	if k.kind == callOpen || k.kind == callMoved {
 		method, body = http.MethodGet, ""
 	}
-	req, err := http.NewRequest(method, "http://"+host+k.path, strings.NewReader(body))
-	if err != nil {
-		k.err = err
-		return
+	request := fleetwire.Call{
+		Attempt: k.attempt, Method: method, Host: host, Path: k.path, Body: body, Token: k.token, Budget: answerTime,
 	}
-	req.Header.Set("Attempt-Id", k.attempt)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(answerTime.Milliseconds()))
-	if k.kind != callOpen {
-		req.Header.Set("Authorization", "Bearer "+k.token)
+	if k.kind == callOpen {
+		request.Token = ""
 	}
 	if k.kind == callStream || k.kind == callResume {
-		req.Header.Set("Model", model)
-		req.Header.Set("Token-Count", "300,20")
-		req.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:200,%x:100", c.id%3, c.id*1000+c.sent))
+		shared, own := c.id%sharedParts, c.id*1000+c.sent
+		request.Prompt = &fleetwire.Prompt{
+			Model: model, Input: 300, Output: 20, Parts: []string{fmt.Sprintf("%x:200", shared), fmt.Sprintf("%x:100", own)},
+		}
+	}
+	req, err := request.Request()
+	if err != nil {
+		k.err = err
+		return
 	}
-	// The library must not repeat a call by itself.
-	req.GetBody = nil
 	res, err := c.client.Do(req)
 	if err != nil {
 		k.err = err
@@ -173,7 +177,7 @@
 
 // wrong tells what is wrong with a success.
 func wrong(k *call, method, body string, h http.Header, got string) string {
-	if h.Get("Response-Stamp") != fleetworker.Stamp || h.Get("Attempt-Id") != k.attempt {
+	if !fleetwire.Answers(h, k.attempt) {
 		return "the success bears no mark of an endpoint, or answers another request"
 	}
 	want := ""
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -9,9 +9,28 @@
 	"redwingknot/internal/standin/fleetworker"
 )
 
+// Promise is what the checks look for; its value names how it was broken.
+type Promise string
+
+// The promises.
+const (
+	RunUnsent      Promise = "unsent-run"       // only what was sent runs, as it was sent
+	RunTwice       Promise = "second-run"       // what may not be repeated runs once
+	WrongAnswer    Promise = "wrong-answer"     // a success is the whole answer of an endpoint to this request
+	RefusedButRan  Promise = "refused-but-ran"  // a refusal that says not run is true
+	Denied         Promise = "denied"           // proper calls are not denied
+	TwoHolders     Promise = "two-holders"      // engines are ordered by one holder at a time
+	WithdrawnToken Promise = "withdrawn-token"  // a withdrawn token is refused in time
+	OldRoute       Promise = "old-route"        // a configuration is followed in time
+	LeftEndpoint   Promise = "left-endpoint"    // an endpoint that leaves gets no requests after its time
+	LostAnswer     Promise = "lost-answer"      // planned work costs no answer, nor does the store alone
+	TooManyRepeats Promise = "too-many-repeats" // runs beyond the first stay within their allowance
+	NoRecovery     Promise = "no-recovery"      // everything works again after the last disruption
+)
+
 // Violation is a promise that was broken.
 type Violation struct {
-	Promise string
+	Promise Promise
 	Detail  string
 	At      time.Duration // from the start of the run
 }
@@ -70,11 +89,11 @@
 	for attempt, runs := range e.runs {
 		k := e.calls[attempt]
 		if k == nil {
-			r.violate("UNASKED", "%s ran and was never sent", attempt)
+			r.violate(RunUnsent, "%s ran and was never sent", attempt)
 			continue
 		}
 		if len(runs) > 1 && !k.kind.repeatable() {
-			r.violate("TWICE", "%s (%s) ran %d times", attempt, k.kind, len(runs))
+			r.violate(RunTwice, "%s (%s) ran %d times", attempt, k.kind, len(runs))
 		}
 		for _, one := range runs {
 			wantTeam := team
@@ -82,7 +101,7 @@
 				wantTeam = ""
 			}
 			if one.Path != k.path || one.Token || one.Team != wantTeam {
-				r.violate("UNASKED", "%s ran as %s %s for the team %q, credentials passed on: %t", attempt, one.Method, one.Path, one.Team, one.Token)
+				r.violate(RunUnsent, "%s ran as %s %s for the team %q, credentials passed on: %t", attempt, one.Method, one.Path, one.Team, one.Token)
 			}
 		}
 	}
@@ -95,14 +114,14 @@
 			continue
 		}
 		if k.fault != "" {
-			r.violate("MIXED", "%s: %s", attempt, k.fault)
+			r.violate(WrongAnswer, "%s: %s", attempt, k.fault)
 		}
 		if k.promised() && len(e.runs[attempt]) > 0 && !k.kind.repeatable() {
-			r.violate("REFUSED", "%s (%s) was answered %d and ran", attempt, k.kind, k.status)
+			r.violate(RefusedButRan, "%s (%s) was answered %d and ran", attempt, k.kind, k.status)
 		}
 		revoked := k.token == withdrawn && k.kind != callOpen && !r.operator.tokenGone().IsZero()
 		if slices.Contains([]int{http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusBadRequest}, k.status) && !revoked {
-			r.violate("DENIED", "%s (%s) was answered %d", attempt, k.kind, k.status)
+			r.violate(Denied, "%s (%s) was answered %d", attempt, k.kind, k.status)
 		}
 	}
 }
@@ -120,17 +139,17 @@
 			for n, o := range i.worker.Orders() {
 				g := holders[o.Holder]
 				if g == nil {
-					r.violate("ONE", "%s took an order of %q", i, o.Holder)
+					r.violate(TwoHolders, "%s took an order of %q", i, o.Holder)
 					continue
 				}
 				if sinceThaw := o.At.Sub(g.lastThaw()); sinceThaw >= 0 && sinceThaw < thaw {
 					continue
 				}
 				if n > 0 && (o.Fence < last.Fence || o.Fence == last.Fence && o.Holder != last.Holder) {
-					r.violate("ONE", "%s took an order of %s with fence %d after one of %s with %d", i, o.Holder, o.Fence, last.Holder, last.Fence)
+					r.violate(TwoHolders, "%s took an order of %s with fence %d after one of %s with %d", i, o.Holder, o.Fence, last.Holder, last.Fence)
 				}
 				if n > 0 && o.Holder != last.Holder && o.At.Sub(last.At) < orderLease {
-					r.violate("ONE", "%s took orders of %s and %s %s apart", i, last.Holder, o.Holder, o.At.Sub(last.At))
+					r.violate(TwoHolders, "%s took orders of %s and %s %s apart", i, last.Holder, o.Holder, o.At.Sub(last.At))
 				}
 				last = o
 			}
@@ -146,7 +165,7 @@
 	}
 	for attempt, k := range e.calls {
 		if k.kind != callOpen && k.token == withdrawn && k.sent.After(gone.Add(revokeTime)) && len(e.runs[attempt]) > 0 {
-			r.violate("REVOKED", "%s (%s) ran, sent %s after its token was withdrawn", attempt, k.kind, k.sent.Sub(gone))
+			r.violate(WithdrawnToken, "%s (%s) ran, sent %s after its token was withdrawn", attempt, k.kind, k.sent.Sub(gone))
 		}
 	}
 }
@@ -163,7 +182,7 @@
 		}
 		for _, one := range e.runs[attempt] {
 			if one.of.service != service {
-				r.violate("CONFIG", "%s ran at %s, sent %s after the route led to %s", attempt, one.of.service, k.sent.Sub(since), service)
+				r.violate(OldRoute, "%s ran at %s, sent %s after the route led to %s", attempt, one.of.service, k.sent.Sub(since), service)
 			}
 		}
 	}
@@ -178,7 +197,7 @@
 			if left.IsZero() || k == nil || !one.Began.After(left.Add(drainTime)) || !r.trouble.calm(left.Add(-settleTime), one.Began, false) {
 				continue
 			}
-			r.violate("DRAIN", "%s ran at %s %s after it announced its end", attempt, one.at, one.Began.Sub(left))
+			r.violate(LeftEndpoint, "%s ran at %s %s after it announced its end", attempt, one.at, one.Began.Sub(left))
 		}
 	}
 }
@@ -194,11 +213,11 @@
 		if r.trouble.calm(from, k.ended, false) {
 			ran := len(e.runs[attempt]) > 0
 			if ran && (!k.whole() || k.status >= http.StatusInternalServerError) && !timedOut(k.err) {
-				r.violate("LOST", "%s (%s) at %s ran and got %d, %v, with planned work only", attempt, k.kind, k.gateway.name, k.status, k.err)
+				r.violate(LostAnswer, "%s (%s) at %s ran and got %d, %v, with planned work only", attempt, k.kind, k.gateway.name, k.status, k.err)
 			}
 		}
 		if k.kind == callOpen && r.trouble.calm(from, k.ended, true) && k.status >= http.StatusInternalServerError {
-			r.violate("LOST", "%s at %s got %d with the store in trouble only", attempt, k.gateway.name, k.status)
+			r.violate(LostAnswer, "%s at %s got %d with the store in trouble only", attempt, k.gateway.name, k.status)
 		}
 	}
 }
@@ -211,6 +230,6 @@
 	}
 	spans := 1 + float64(time.Since(r.started))/float64(budgetSpan)
 	if most := budgetRatio*float64(len(e.calls)) + budgetSlack*spans; float64(repeats) > most {
-		r.violate("BUDGET", "%d runs beyond the first of a call, at most %.0f are allowed", repeats, most)
+		r.violate(TooManyRepeats, "%d runs beyond the first of a call, at most %.0f are allowed", repeats, most)
 	}
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -61,58 +61,58 @@
 func TestChecksFindBrokenPromises(t *testing.T) {
 	const path = "/once/1"
 	cases := map[string]struct {
-		promise string
+		promise Promise
 		place   func(s *scene)
 	}{
-		"a run that nobody asked for": {"UNASKED", func(s *scene) { s.runs(s.endpoints[1], "stranger", path, team) }},
-		"a run for another team": {"UNASKED", func(s *scene) {
+		"a run that nobody asked for": {RunUnsent, func(s *scene) { s.runs(s.endpoints[1], "stranger", path, team) }},
+		"a run for another team": {RunUnsent, func(s *scene) {
 			s.call("a", callOnce, 0, 200, nil)
 			s.runs(s.endpoints[1], "a", path, "theirs")
 		}},
-		"a second run": {"TWICE", func(s *scene) {
+		"a second run": {RunTwice, func(s *scene) {
 			s.call("a", callOnce, 0, 200, nil)
 			s.runs(s.endpoints[1], "a", path, team)
 			s.runs(s.endpoints[1], "a", path, team)
 		}},
-		"a refusal of what ran": {"REFUSED", func(s *scene) {
+		"a refusal of what ran": {RefusedButRan, func(s *scene) {
 			s.call("a", callOnce, 0, http.StatusServiceUnavailable, nil)
 			s.runs(s.endpoints[1], "a", path, team)
 		}},
-		"an answer at fault":   {"MIXED", func(s *scene) { s.call("a", callOpen, 0, 200, nil).fault = "other bytes" }},
-		"a proper call denied": {"DENIED", func(s *scene) { s.call("a", callOpen, 0, http.StatusNotFound, nil) }},
-		"a lower fence after a higher": {"ONE", func(s *scene) {
+		"an answer at fault":   {WrongAnswer, func(s *scene) { s.call("a", callOpen, 0, 200, nil).fault = "other bytes" }},
+		"a proper call denied": {Denied, func(s *scene) { s.call("a", callOpen, 0, http.StatusNotFound, nil) }},
+		"a lower fence after a higher": {TwoHolders, func(s *scene) {
 			s.order("front-1", `{"holder":"front-1","fencing_token":5,"model":"m","version":2}`)
 			time.Sleep(weightsTime + 10*time.Millisecond)
 			s.order("front-2", `{"holder":"front-2","fencing_token":4,"model":"m","version":3}`)
 		}},
-		"a withdrawn token honoured": {"REVOKED", func(s *scene) {
+		"a withdrawn token honoured": {WithdrawnToken, func(s *scene) {
 			s.operator.revoke()
 			s.operator.revokedAt = time.Now().Add(-time.Minute)
 			s.call("a", callOnce, time.Second, 200, nil).token = withdrawn
 			s.runs(s.endpoints[1], "a", path, team)
 		}},
-		"a moved route at its old service": {"CONFIG", func(s *scene) {
+		"a moved route at its old service": {OldRoute, func(s *scene) {
 			s.operator.move()
 			s.operator.movedAt = time.Now().Add(-time.Minute)
 			s.call("a", callMoved, time.Second, 200, nil)
 			s.runs(s.endpoints[1], "a", "/moved/1", team)
 		}},
-		"a request to an endpoint that left": {"DRAIN", func(s *scene) {
+		"a request to an endpoint that left": {LeftEndpoint, func(s *scene) {
 			i := s.endpoints[1].running()
 			i.leave(s.operator, s.endpoints[1])
 			i.left = time.Now().Add(-time.Minute)
 			s.call("a", callOnce, 0, 200, nil)
 			s.runs(s.endpoints[1], "a", path, team)
 		}},
-		"an answer lost in calm": {"LOST", func(s *scene) {
+		"an answer lost in calm": {LostAnswer, func(s *scene) {
 			s.call("a", callOnce, 0, http.StatusBadGateway, nil)
 			s.runs(s.endpoints[1], "a", path, team)
 		}},
-		"a refusal for the store's sake": {"LOST", func(s *scene) {
+		"a refusal for the store's sake": {LostAnswer, func(s *scene) {
 			s.trouble.begin(true)
 			s.call("a", callOpen, 0, http.StatusServiceUnavailable, nil)
 		}},
-		"too many repeats": {"BUDGET", func(s *scene) {
+		"too many repeats": {TooManyRepeats, func(s *scene) {
 			s.call("a", callOpen, 0, 200, nil)
 			for range 2 * budgetSlack {
 				s.runs(s.endpoints[1], "a", "/open/1", "")
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"redwingknot/internal/standin/fleetwire"
 )
 
 // Bounds that the settings of the gateways name, short so that a run of some
@@ -27,29 +29,10 @@
 	budgetRatio = 0.2
 	budgetSlack = 52
 	leaseLeast  = 1 * time.Second
+	memoryMiB   = 134
+	descriptors = 4100
 )
 
-const settingsForm = `node_name=%[1]s
-zone=%[2]s
-listen.front=%[3]s:8005
-listen.ready=%[3]s:8002
-internal_ports=7700,7715
-limits.memory_mb=134
-limits.max_fds=4100
-heartbeat_ms=1200
-bounds.drain_ms=%[5]d
-bounds.grace_s=%[6]g
-bounds.strict_revoke=true
-bounds.revoke_ms=%[7]d
-bounds.budget_ratio=%[8]g
-bounds.budget_window_s=%[9]g
-bounds.budget_slack=%[10]d
-bounds.lease_ms=%[11]d
-bounds.version_ms=%[12]d
-platform.address=%[4]s
-platform.ttl_min_ms=%[13]d
-`
-
 // gateway is one gateway, which may be restarted as a new process.
 type gateway struct {
 	name    string
@@ -72,14 +55,17 @@
 	if g.store, err = NewLink(store); err != nil {
 		return nil, err
 	}
-	if g.callers, err = NewLink(net.JoinHostPort(g.ip, "8005")); err != nil {
+	if g.callers, err = NewLink(net.JoinHostPort(g.ip, fleetwire.FrontPort)); err != nil {
 		return nil, err
 	}
 	g.path = filepath.Join(o.Dir, g.name+".conf")
-	text := fmt.Sprintf(settingsForm, g.name, zoneOf(n), g.ip, g.store.Addr(), drainTime.Milliseconds(), graceTime.Seconds(),
-		revokeTime.Milliseconds(), budgetRatio, budgetSpan.Seconds(), budgetSlack, orderLease.Milliseconds(),
-		loadTime.Milliseconds(), leaseLeast.Milliseconds())
-	if err := os.WriteFile(g.path, []byte(text), 0o600); err != nil {
+	settings := fleetwire.Settings{
+		Name: g.name, Zone: zoneOf(n), IP: ip, Store: g.store.Addr(),
+		Drain: drainTime, Grace: graceTime, Revoke: revokeTime, OrderLease: orderLease, Load: loadTime, Apply: applyTime,
+		LeaseLeast: leaseLeast, RetrySpan: budgetSpan, RetryRatio: budgetRatio, RetrySlack: budgetSlack,
+		MemoryMiB: memoryMiB, Descriptors: descriptors,
+	}
+	if err := os.WriteFile(g.path, settings.Render(), 0o600); err != nil {
 		return nil, err
 	}
 	g.log, err = os.Create(filepath.Join(o.Dir, g.name+".log"))
@@ -96,7 +82,7 @@
 		return nil
 	}
 	cmd := exec.Command(g.binary)
-	cmd.Env = append(os.Environ(), "REDWINGKNOT_BOOT="+g.path)
+	cmd.Env = append(os.Environ(), fleetwire.EnvSettings+"="+g.path)
 	cmd.Stdout, cmd.Stderr = g.log, g.log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", g.name)
@@ -139,7 +125,7 @@
 // ready reports whether the balancer would send callers there.
 func (g *gateway) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := client.Get("http://" + g.ip + ":8002/redwingknot/ready")
+	res, err := client.Get("http://" + net.JoinHostPort(g.ip, fleetwire.ReadyPort) + fleetwire.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -1,12 +1,12 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
 
 	"redwingknot/internal/standin/fleetstore"
+	"redwingknot/internal/standin/fleetwire"
 	"redwingknot/metastore/metastoretest"
 )
 
@@ -21,6 +21,10 @@
 	token      = "our-token"
 	withdrawn  = "withdrawn-token" // until ConfigRevoke
 	heartbeats = 300 * time.Millisecond
+
+	targetTime  = 300 * time.Millisecond // to a first answer
+	maxAttempts = 2
+	maxConns    = 200 // of an endpoint
 )
 
 // operator writes what the users' operator and endpoints write to the store.
@@ -71,14 +75,14 @@
 	o.heartbeats++
 	n := o.heartbeats
 	o.mu.Unlock()
-	o.put("servers/"+i.id, i.worker.Entry(i.link.Addr(), e.zone, n))
+	o.put(fleetwire.EndpointKey(i.id), i.worker.Entry(i.link.Addr(), e.zone, n))
 }
 
 // unlist removes an endpoint's entry.
 func (o *operator) unlist(i *incarnation) {
-	if e, err := o.content.Get("servers/" + i.id); err == nil {
+	if e, err := o.content.Get(fleetwire.EndpointKey(i.id)); err == nil {
 		// The entry is gone already if another removed it.
-		_ = o.content.Delete("servers/"+i.id, e.ModRevision)
+		_ = o.content.Delete(fleetwire.EndpointKey(i.id), e.ModRevision)
 	}
 }
 
@@ -131,7 +135,7 @@
 	o.version++
 	v := o.version
 	o.mu.Unlock()
-	o.put("op/version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, v))
+	o.put(fleetwire.Weights(model, v))
 }
 
 // publish writes the configuration.
@@ -146,36 +150,24 @@
 	if o.revoked {
 		tokens = tokens[:1]
 	}
-	route := func(name, kind, service string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeout_ms": 4000, "target_latency_ms": 300, "priority": 1, "max_attempts": 2,
-		}
-		for k, v := range more {
-			r[k] = v
+	route := func(kind callKind, form, service string) fleetwire.Route {
+		return fleetwire.Route{
+			Name: string(kind), Host: host, Kind: form, Service: service,
+			Timeout: answerTime, Target: targetTime, MaxAttempts: maxAttempts,
 		}
-		return r
 	}
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "health_path": "/health", "max_conns": 200}
-	}
-	llm := service(engines)
-	llm["engine"] = map[string]any{"kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []any{map[string]any{"name": model}}}
-	data, err := json.Marshal(map[string]any{
-		"version": o.config,
-		"routes": []any{
-			route(string(callOpen), "idempotent", apps, map[string]any{"public": true}),
-			route(string(callOnce), "non_idempotent", apps, nil),
-			route(string(callMoved), "idempotent", target, nil),
-			route(string(callStream), "stream", engines, nil),
-			route(string(callResume), "stream", engines, map[string]any{"resumable": true}),
+	open, resume := route(callOpen, fleetwire.Repeatable, apps), route(callResume, fleetwire.Stream, engines)
+	open.Public, resume.Resumable = true, true
+	config := fleetwire.Config{
+		Version: o.config, Team: team, Tokens: tokens,
+		Routes: []fleetwire.Route{
+			open, route(callOnce, fleetwire.Once, apps), route(callMoved, fleetwire.Repeatable, target),
+			route(callStream, fleetwire.Stream, engines), resume,
+		},
+		Services: []fleetwire.Service{
+			{Name: engines, MaxConns: maxConns, Model: model, CacheTokens: 100_000, TokenBytes: 1000},
+			{Name: apps, MaxConns: maxConns}, {Name: otherApps, MaxConns: maxConns},
 		},
-		"services": []any{llm, service(apps), service(otherApps)},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": team, "api_keys": tokens}},
-	})
-	if err != nil {
-		panic(err) // a map of plain values
 	}
-	o.put("op/config", data)
+	o.put(fleetwire.ConfigKey, config.Encode())
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"redwingknot/internal/standin/fleetstore"
+	"redwingknot/internal/standin/fleetwire"
 )
 
 // Options describe a run.
@@ -108,7 +109,7 @@
 	}
 	r.front = httptest.NewServer(r.operator.store)
 	r.operator.publish()
-	r.operator.put("op/version/"+model, fmt.Appendf(nil, `{"model":%q,"version":1}`, model))
+	r.operator.put(fleetwire.Weights(model, 1))
 	add := func(service, ofModel string, count int) {
 		for range count {
 			r.endpoints = append(r.endpoints, &endpoint{service: service, model: ofModel, zone: zoneOf(len(r.endpoints)), operate: r.operator})
@@ -177,12 +178,12 @@
 }
 
 // violate records a broken promise once.
-func (r *run) violate(promise, format string, args ...any) {
+func (r *run) violate(promise Promise, format string, args ...any) {
 	detail := fmt.Sprintf(format, args...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.violations[promise+detail]; !known {
-		r.violations[promise+detail] = Violation{Promise: promise, Detail: detail, At: time.Since(r.started)}
+	if _, known := r.violations[string(promise)+detail]; !known {
+		r.violations[string(promise)+detail] = Violation{Promise: promise, Detail: detail, At: time.Since(r.started)}
 	}
 }
 
@@ -214,7 +215,7 @@
 			return false
 		}
 		if time.Now().After(end) {
-			r.violate("RECOVER", "%s: not within %s", what, patience)
+			r.violate(NoRecovery, "%s: not within %s", what, patience)
 			return false
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -380,7 +381,7 @@
 
 func (r *run) restart(g *gateway) {
 	if err := g.start(); err != nil {
-		r.violate("RECOVER", "%s does not start: %v", g.name, err)
+		r.violate(NoRecovery, "%s does not start: %v", g.name, err)
 	}
 }
 
@@ -443,7 +444,7 @@
 		return
 	}
 	if err := e.start(); err != nil {
-		r.violate("RECOVER", "an endpoint does not start: %v", err)
+		r.violate(NoRecovery, "an endpoint does not start: %v", err)
 	}
 }
 
--- /dev/null
+++ b/internal/standin/fleetwire/call.go
@@ -0,0 +1,55 @@
+package fleetwire
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"redwingknot/internal/standin/fleetworker"
+)
+
+// Call is a request of a caller.
+type Call struct {
+	Attempt string
+	Method  string
+	Host    string
+	Path    string
+	Body    string
+	Token   string // empty for none
+	Budget  time.Duration
+	Prompt  *Prompt // nil for calls to applications
+}
+
+// Prompt describes the prompt of a call to an engine.
+type Prompt struct {
+	Model         string
+	Input, Output int      // tokens
+	Parts         []string // as identifier:tokens
+}
+
+// Request renders the call. The library must not repeat it by itself.
+func (c *Call) Request() (*http.Request, error) {
+	req, err := http.NewRequest(c.Method, "http://"+c.Host+c.Path, strings.NewReader(c.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Attempt-Id", c.Attempt)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(c.Budget.Milliseconds()))
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	if p := c.Prompt; p != nil {
+		req.Header.Set("Model", p.Model)
+		req.Header.Set("Token-Count", fmt.Sprintf("%d,%d", p.Input, p.Output))
+		req.Header.Set("Prompt-Prefix", strings.Join(p.Parts, ","))
+	}
+	return req, nil
+}
+
+// Answers reports whether an answer's header bears an endpoint's mark and answers
+// an attempt.
+func Answers(h http.Header, attempt string) bool {
+	return h.Get("Response-Stamp") == fleetworker.Stamp && h.Get("Attempt-Id") == attempt
+}
