The soak knows of a withdrawn token before the store has it

Read in the review: a 401 between the store's taking the configuration and the soak's note of it would have counted as a proper call denied.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -119,7 +119,7 @@
 		if k.promised() && len(e.runs[attempt]) > 0 && !k.kind.repeatable() {
 			r.violate(RefusedButRan, "%s (%s) was answered %d and ran", attempt, k.kind, k.status)
 		}
-		revoked := k.token == withdrawn && k.kind != callOpen && !r.operator.tokenGone().IsZero()
+		revoked := k.token == withdrawn && k.kind != callOpen && r.operator.withdraws()
 		if slices.Contains([]int{http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusBadRequest}, k.status) && !revoked {
 			r.violate(Denied, "%s (%s) was answered %d", attempt, k.kind, k.status)
 		}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// withdraws reports whether the token is withdrawn, or is about to be.
+func (o *operator) withdraws() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.revoked
+}
+
 // tokenGone returns when the token was withdrawn, zero if it was not.
 func (o *operator) tokenGone() time.Time {
 	o.mu.Lock()
