One ticker loop, one wait, one prefix a decision

Read in the last review; behaviour stays as it is. - The ticker loop stood in relay, gateway, peers, endpoint, entry and the soak: timer.Every serves all of them. gateway.sleep was timer.Sleep again, the waits of relay and gateway are timer.Wait. - contains of route and suspect is slices.Contains, as in relay. - A placement worked out the chosen engine's prefix twice. - fleetworker.Restart was called by nobody.

--- a/endpoint/orders.go
+++ b/endpoint/orders.go
@@ -12,6 +12,7 @@
 
 	"redwingknot/engine"
 	"redwingknot/event"
+	"redwingknot/internal/timer"
 	"redwingknot/metastore"
 	"redwingknot/metric"
 	"redwingknot/note"
@@ -84,16 +85,7 @@
 
 // Run plans and gives orders until ctx ends.
 func (o *Orders) Run(ctx context.Context) error {
-	t := time.NewTicker(planInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			o.round(ctx)
-		}
-	}
+	return timer.Every(ctx, planInterval, func() { o.round(ctx) })
 }
 
 // round makes one planning if this instance leads.
--- a/entry/blocks.go
+++ b/entry/blocks.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingknot/block"
+	"redwingknot/internal/timer"
 	"redwingknot/link"
 	"redwingknot/note"
 	"redwingknot/serve"
@@ -127,7 +128,7 @@
 // runShares keeps the directory's and the links' shares in step with the
 // members of the data centre.
 func (b *blocks) runShares(ctx context.Context) error {
-	return every(ctx, ownInterval, b.share)
+	return timer.Every(ctx, ownInterval, b.share)
 }
 
 func (b *blocks) share() {
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -10,6 +10,7 @@
 
 	"redwingknot/endpoint"
 	"redwingknot/engine"
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/note"
 	"redwingknot/serve"
@@ -46,7 +47,7 @@
 
 // runReports passes new reports on until ctx ends.
 func (f *feed) runReports(ctx context.Context) error {
-	return every(ctx, feedInterval, func() { f.reports(time.Now()) })
+	return timer.Every(ctx, feedInterval, func() { f.reports(time.Now()) })
 }
 
 func (f *feed) reports(now time.Time) {
@@ -68,23 +69,9 @@
 	}
 }
 
-// every calls do at each interval until ctx ends.
-func every(ctx context.Context, d time.Duration, do func()) error {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			do()
-		}
-	}
-}
-
 // runEvents reads the cache events of local engines until ctx ends.
 func (f *feed) runEvents(ctx context.Context) error {
-	return every(ctx, eventsInterval, func() { f.readEvents(ctx, time.Now()) })
+	return timer.Every(ctx, eventsInterval, func() { f.readEvents(ctx, time.Now()) })
 }
 
 // readEvents reads the events of local engines in turn, as far as the byte
--- a/entry/marks.go
+++ b/entry/marks.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"redwingknot/event"
+	"redwingknot/internal/timer"
 	"redwingknot/note"
 	"redwingknot/wire"
 )
@@ -31,7 +32,7 @@
 // the live instances there have in force.
 func (e *Entry) markInForce(ctx context.Context) error {
 	var marked uint64
-	return every(ctx, markInterval, func() {
+	return timer.Every(ctx, markInterval, func() {
 		_, leads := e.lead.Held()
 		head := e.book.Head()
 		if !leads || head <= marked {
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -49,7 +49,7 @@
 func (e *Entry) followWhile(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go every(ctx, time.Second, func() {
+	go timer.Every(ctx, time.Second, func() {
 		if !e.follows() {
 			cancel()
 		}
--- a/entry/spill.go
+++ b/entry/spill.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/note"
 )
@@ -21,7 +22,7 @@
 // model service has no usable endpoint in the own one, so that its requests go
 // there instead of being refused.
 func (f *feed) runSpill(ctx context.Context) error {
-	return every(ctx, spillInterval, func() { f.spill(ctx) })
+	return timer.Every(ctx, spillInterval, func() { f.spill(ctx) })
 }
 
 func (f *feed) spill(ctx context.Context) {
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -7,6 +7,7 @@
 
 	"redwingknot/event"
 	"redwingknot/fleet"
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/promptcache"
 )
@@ -116,7 +117,7 @@
 		if err != nil {
 			g.storeSilent(store, !silent, err)
 			silent = true
-			sleep(ctx, failedPause)
+			timer.Sleep(ctx, failedPause)
 			continue
 		}
 		if silent {
@@ -126,9 +127,9 @@
 		switch missing := cache.Told(store.Address, news, g.o.Relay.Now()); {
 		case missing:
 		case wait:
-			sleep(ctx, newsPause)
+			timer.Sleep(ctx, newsPause)
 		default:
-			sleep(ctx, promptcache.Poll)
+			timer.Sleep(ctx, promptcache.Poll)
 		}
 	}
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingknot/fleet"
+	"redwingknot/internal/timer"
 	"redwingknot/metastore"
 )
 
@@ -90,7 +91,7 @@
 func (f *follower) pause(ctx context.Context) {
 	until := f.now().Add(awayPause)
 	for {
-		sleep(ctx, failedPause/2+rand.N(failedPause))
+		timer.Sleep(ctx, failedPause/2+rand.N(failedPause))
 		if f.away == nil || !f.away() || !f.now().Before(until) || ctx.Err() != nil {
 			return
 		}
@@ -109,7 +110,7 @@
 			return watch
 		case c, ok := <-watch:
 			if !ok {
-				sleep(ctx, brokenWatchPause)
+				timer.Sleep(ctx, brokenWatchPause)
 				return nil
 			}
 			f.applyChange(c)
@@ -130,12 +131,3 @@
 		f.changed(d)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"redwingknot/datacentre"
 	"redwingknot/event"
 	"redwingknot/fleet"
+	"redwingknot/internal/timer"
 	"redwingknot/metastore"
 	"redwingknot/metric"
 	"redwingknot/peers"
@@ -222,14 +223,5 @@
 const expireInterval = 200 * time.Millisecond
 
 func (g *Gateway) expire(ctx context.Context) error {
-	t := time.NewTicker(expireInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			g.view.Expire(g.o.Relay.Now())
-		}
-	}
+	return timer.Every(ctx, expireInterval, func() { g.view.Expire(g.o.Relay.Now()) })
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"redwingknot/internal/timer"
 	"redwingknot/metastore"
 	"redwingknot/metric"
 )
@@ -38,7 +39,7 @@
 		lease, err := m.register(ctx)
 		if err != nil {
 			metric.Counter("member_failures_total").Inc(1)
-			sleep(ctx, failedPause+rand.N(failedPause))
+			timer.Sleep(ctx, failedPause+rand.N(failedPause))
 			continue
 		}
 		m.keep(ctx, lease)
@@ -54,7 +55,7 @@
 	_, err = m.kv.Create(ctx, purposeMembers, memberPrefix+m.self, []byte(m.address), lease)
 	if metastore.IsCause(err, metastore.CauseExists) {
 		// A key of this instance's earlier process ends with that one's lease.
-		sleep(ctx, m.ttl/memberRenewals)
+		timer.Sleep(ctx, m.ttl/memberRenewals)
 	}
 	return lease, err
 }
@@ -62,7 +63,7 @@
 // keep renews the lease until it has ended.
 func (m *members) keep(ctx context.Context, lease metastore.LeaseID) {
 	for ctx.Err() == nil {
-		sleep(ctx, m.ttl/memberRenewals)
+		timer.Sleep(ctx, m.ttl/memberRenewals)
 		_, err := m.kv.KeepAlive(ctx, purposeMembers, lease)
 		if metastore.IsCause(err, metastore.CauseLapsed) {
 			return
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -8,6 +8,7 @@
 
 	"redwingknot/event"
 	"redwingknot/fleet"
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/rollout"
 )
@@ -42,10 +43,10 @@
 		changed := g.lead.Changed()
 		fence, held := g.lead.Held()
 		if !held {
-			wait(ctx, changed, idleInterval)
+			timer.Wait(ctx, changed, idleInterval)
 			continue
 		}
-		sleep(ctx, orderInterval)
+		timer.Sleep(ctx, orderInterval)
 		now := g.o.Relay.Now()
 		if current.fence != fence {
 			current = tenure{fence: fence, since: now, planner: rollout.NewPlanner()}
@@ -61,17 +62,6 @@
 	return nil
 }
 
-// wait returns when changed is closed, after d or when ctx ends.
-func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-t.C:
-	}
-}
-
 // ask finds out which orders are carried out by now.
 func (g *Gateway) ask(ctx context.Context, t *tenure, orders []rollout.Order) {
 	loaded := make([]bool, len(orders))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,6 +13,7 @@
 
 	"redwingknot/internal/standin/fleetstore"
 	"redwingknot/internal/standin/fleetwire"
+	"redwingknot/internal/timer"
 )
 
 // Options describe a run.
@@ -91,8 +92,8 @@
 	for id := range r.o.Callers {
 		tasks.Go(func() { newCaller(r, id).loop(callers) })
 	}
-	tasks.Go(func() { every(callers, checkInterval, func() { r.check(r.o.Timed) }) })
-	tasks.Go(func() { every(callers, heartbeats, r.heartbeat) })
+	tasks.Go(func() { _ = timer.Every(callers, checkInterval, func() { r.check(r.o.Timed) }) })
+	tasks.Go(func() { _ = timer.Every(callers, heartbeats, r.heartbeat) })
 	r.disrupt(ctx, steps)
 	r.recover(ctx)
 	stopCallers()
@@ -163,20 +164,6 @@
 	}
 }
 
-// every calls do at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, do func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			do()
-		}
-	}
-}
-
 // violate records a broken promise once.
 func (r *run) violate(promise Promise, format string, args ...any) {
 	detail := fmt.Sprintf(format, args...)
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"redwingknot/internal/timer"
 )
 
 // Options describe an endpoint. An empty Model makes it an application.
@@ -115,13 +117,6 @@
 	s.leaving = leaving
 }
 
-// Restart clears what a new process would not know. The weights stay.
-func (s *Server) Restart() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.born, s.orders, s.leaving = time.Now(), nil, false
-}
-
 // Entry returns the endpoint's entry in the metadata store.
 func (s *Server) Entry(address, zone string, heartbeat int) []byte {
 	s.mu.Lock()
@@ -158,12 +153,5 @@
 	s.mu.Lock()
 	d *= time.Duration(s.slow)
 	s.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return timer.Sleep(r.Context(), d)
 }
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/peers/peerspb"
 	"redwingknot/upstream"
@@ -168,12 +169,7 @@
 			metric.Counter("peer_exchange_failures_total").Inc(1)
 			client.Close()
 		}
-		t := time.NewTimer(e.interval(p))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		timer.Sleep(ctx, e.interval(p))
 	}
 }
 
@@ -190,16 +186,7 @@
 
 // Run drops the reports of instances that fell silent until ctx ends.
 func (e *Exchange) Run(ctx context.Context) error {
-	t := time.NewTicker(reportTTL / 4)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			e.o.Table.Expire(e.o.Now(), e.ttl())
-		}
-	}
+	return timer.Every(ctx, reportTTL/4, func() { e.o.Table.Expire(e.o.Now(), e.ttl()) })
 }
 
 // ttl is how long reports count: of two in a row one may be late.
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -110,6 +110,7 @@
 func (e *Endpoints) choosePrompt(s *fleet.Snapshot, q *query, list []*endpoint, now time.Time) *pick {
 	byWeights := map[int64][]sharedPart{}
 	engines := make([]place.Engine, len(list))
+	prefixes := make([]prefix, len(list))
 	capacity := 0
 	if svc := s.Config.Services[q.service]; svc != nil && svc.Engine != nil {
 		capacity = svc.Engine.CacheTokens
@@ -123,11 +124,11 @@
 			byWeights[version] = parts
 		}
 		load := e.load(ep)
-		prefix := bestPrefix(ep, parts, q.prompt)
+		prefixes[i] = bestPrefix(ep, parts, q.prompt)
 		engines[i] = place.Engine{
 			Hash: ep.hash, Local: ep.spec.DataCentre == e.dataCentre, Slow: ep.pace.Slow(now),
 			Running: load.Running, Slots: ep.spec.Slots, Pending: load.Pending, Held: load.Held,
-			Capacity: capacity, Missing: prefix.read, Fetch: prefix.fetch, Need: q.prompt.Input + q.prompt.Output,
+			Capacity: capacity, Missing: prefixes[i].read, Fetch: prefixes[i].fetch, Need: q.prompt.Input + q.prompt.Output,
 		}
 	}
 	at := place.Prompt(q.session, engines)
@@ -138,7 +139,7 @@
 	p := &pick{idle: engines[at].Pending < idlePending, endpoint: ep, spec: ep.spec, weights: ep.version(q.prompt.Model), cost: engines[at].Cost()}
 	p.reserved = peers.Load{Running: 1, Pending: engines[at].Missing, Held: engines[at].Need}
 	p.parts = byWeights[p.weights]
-	p.fetchFrom(bestPrefix(ep, p.parts, q.prompt).parts)
+	p.fetchFrom(prefixes[at].parts)
 	e.placed(p)
 	return p
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -13,6 +13,7 @@
 	"redwingknot/contract"
 	"redwingknot/event"
 	"redwingknot/fleet"
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/retry"
 	"redwingknot/upstream"
@@ -173,25 +174,12 @@
 			}
 			return nil, q.truthful(contract.Overloaded(reason, q.comeBack(), "no endpoint can take the request"))
 		}
-		if !wait(ctx, changed, placePoll) {
+		if !timer.Wait(ctx, changed, placePoll) {
 			return nil, nil
 		}
 	}
 }
 
-// wait returns after d or when changed is closed; false if ctx ended.
-func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-changed:
-	case <-t.C:
-	}
-	return true
-}
-
 // truthful turns a refusal that promises that nothing ran into one that does
 // not, if an attempt may have run.
 func (q *run) truthful(r *contract.Refusal) *contract.Refusal {
--- a/relay/server.go
+++ b/relay/server.go
@@ -16,6 +16,7 @@
 	"redwingknot/contract"
 	"redwingknot/event"
 	"redwingknot/fleet"
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/peers"
 	"redwingknot/promptcache"
@@ -68,17 +69,10 @@
 
 // Run keeps the connections in order until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	t := time.NewTicker(pruneInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			s.endpoints.prune()
-			s.measure()
-		}
-	}
+	return timer.Every(ctx, pruneInterval, func() {
+		s.endpoints.prune()
+		s.measure()
+	})
 }
 
 // measure updates the gauges of what the server holds and how old it is.
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -157,7 +158,7 @@
 		return Withdrawn
 	case e.leaving || e.report.Leaving:
 		return Leaving
-	case contains(q.Exclude, e.spec.Name):
+	case slices.Contains(q.Exclude, e.spec.Name):
 		return Excluded
 	case e.quarantined > 0:
 		return Quarantined
@@ -180,17 +181,8 @@
 		return WrongVersion
 	case e.report.Model != q.Model || e.report.Version != q.Version || q.Version == "":
 		return WrongVersion
-	case q.Adapter != "" && !contains(e.report.Adapters, q.Adapter):
+	case q.Adapter != "" && !slices.Contains(e.report.Adapters, q.Adapter):
 		return WrongAdapter
 	}
 	return NearBest
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/route/fuzz_test.go
+++ b/route/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -123,7 +124,7 @@
 	}
 	var i int
 	fmt.Sscanf(c.Endpoint, "w%d", &i)
-	if !f.truths[i].mayRun(q, f.now) || contains(q.Exclude, c.Endpoint) {
+	if !f.truths[i].mayRun(q, f.now) || slices.Contains(q.Exclude, c.Endpoint) {
 		f.t.Fatalf("chose %s for version %q: %+v", c.Endpoint, q.Version, f.truths[i])
 	}
 	f.count++
@@ -140,7 +141,7 @@
 	}
 	for i := range f.truths {
 		e := &f.truths[i]
-		if e.mayRun(q, f.now) && e.failures == 0 && !contains(q.Exclude, spec(i).Name) {
+		if e.mayRun(q, f.now) && e.failures == 0 && !slices.Contains(q.Exclude, spec(i).Name) {
 			f.t.Fatalf("refused with %v though w%d could run it", err, i)
 		}
 	}
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"redwingknot/internal/options"
@@ -186,18 +187,9 @@
 func (e *entry) endpoints() []string {
 	var names []string
 	for _, c := range e.crashes {
-		if !contains(names, c.Endpoint) {
+		if !slices.Contains(names, c.Endpoint) {
 			names = append(names, c.Endpoint)
 		}
 	}
 	return names
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -136,7 +136,7 @@
 	var free []string
 	for i := range endpoints {
 		name := fmt.Sprintf("%s/e%d", dataCentre, i)
-		if !contains(p.Exclude, name) && w.free(name, p.Alone) {
+		if !slices.Contains(p.Exclude, name) && w.free(name, p.Alone) {
 			free = append(free, name)
 		}
 	}
