A gateway survives SIGHUP early in its start; the test of the platform's outage waits until it is stopped

The gateway caught SIGHUP in run(), after all packages were initialised and the flags were read; a slower start left a window in which the signal ended it. TestPlatformOutage called right after SIGSTOP was sent, which takes effect some milliseconds later. The test waits until the kernel lists all threads as stopped; its bound stays. A signal that arrives before the Go runtime has installed its handlers still ends the process: nothing in the process can help there.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -20,6 +20,7 @@
 	"redwingknot/gateway"
 	"redwingknot/internal/boottime"
 	"redwingknot/internal/boundlog"
+	"redwingknot/internal/hangup"
 	"redwingknot/platform"
 	"redwingknot/relay"
 	"redwingknot/settings"
@@ -69,9 +70,6 @@
 
 // run runs the gateway until SIGTERM, SIGINT or an error.
 func run(o options) error {
-	// SIGHUP ends the process until it is handled, so this has to come first.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv(platform.EnvSettings)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
@@ -82,7 +80,7 @@
 	defer stop()
 	log, flush := startLog(o)
 	defer flush()
-	go watchSettings(ctx, path, hup, log)
+	go watchSettings(ctx, path, hangup.Signals(), log)
 	g := s.GatewayOptions(relay.Options{
 		Log: log, Now: boottime.Now, MaxBodyBytes: int64(bodyShare * float64(s.MemoryMiB) * (1 << 20)),
 	})
--- a/processtest/entry_deployment_test.go
+++ b/processtest/entry_deployment_test.go
@@ -154,6 +154,36 @@
 	assert.NilError(d.t, d.processes[name].cmd.Process.Signal(sig))
 }
 
+// pause stops a process with SIGSTOP and waits until all its threads have stopped: a
+// process goes on running for some milliseconds after the signal was sent.
+func (d *entryDeployment) pause(name string) {
+	d.t.Helper()
+	d.signal(name, syscall.SIGSTOP)
+	pid := d.processes[name].cmd.Process.Pid
+	d.waitFor(name+" is stopped", func() bool { return allThreadsStopped(d.t, pid) })
+}
+
+// allThreadsStopped reports whether the kernel lists every thread of a process as
+// stopped.
+func allThreadsStopped(t *testing.T, pid int) bool {
+	t.Helper()
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	assert.NilError(t, err)
+	for _, path := range paths {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return false // the thread has ended; the next call lists the others
+		}
+		// The state follows the name of the program, which is in parentheses.
+		_, fields, found := strings.Cut(string(stat), ") ")
+		assert.Assert(t, found, "%s: %s", path, stat)
+		if !strings.HasPrefix(fields, "T") {
+			return false
+		}
+	}
+	return len(paths) > 0
+}
+
 // kill kills a process and waits until it has exited.
 func (d *entryDeployment) kill(name string) {
 	d.t.Helper()
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -275,3 +276,27 @@
 	}, poll.WithTimeout(waitTimeout), poll.WithDelay(20*time.Millisecond))
 	return d.worker.Orders()
 }
+
+// TestGatewayCatchesHangupFirst checks the order in which the gateway's packages are
+// initialised: SIGHUP is caught before any package of another module is, so that a
+// slow start does not leave the process without a handler.
+func TestGatewayCatchesHangupFirst(t *testing.T) {
+	cmd := exec.Command(filepath.Join(binaryDir, "gatewayd"))
+	cmd.Env = []string{"GODEBUG=inittrace=1"}
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(err, &exit), "without settings the gateway ends with an error: %v", err)
+	for line := range strings.Lines(string(out)) {
+		name, found := strings.CutPrefix(line, "init ")
+		if !found {
+			continue
+		}
+		name, _, _ = strings.Cut(name, " ")
+		if name == "redwingknot/internal/hangup" {
+			return
+		}
+		module, _, _ := strings.Cut(name, "/")
+		assert.Check(t, !strings.Contains(module, ".") && module != "redwingknot", "initialised before SIGHUP is caught: %s", name)
+	}
+	t.Errorf("the handler of SIGHUP is not initialised:\n%s", out)
+}
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -43,7 +43,7 @@
 		return leaders == 1
 	})
 	head = d.submitNote(paused, "title: Swap\nchange: {models: [{name: m, version: v2}]}\n")
-	d.signal(paused, syscall.SIGSTOP)
+	d.pause(paused)
 	others := without(entries, paused)
 	d.waitForNote(head, others...)
 	d.waitFor("another leader", func() bool { _, leaders := d.findLeader(others...); return leaders == 1 })
@@ -134,7 +134,7 @@
 	d.waitForNote(d.submitNote("e1", d.startEndpointsWithNote("ilala", "kinondoni")), "e1", "e2")
 	d.waitUntilServing("e1")
 	d.waitUntilServing("e2")
-	d.signal("kvs", syscall.SIGSTOP)
+	d.pause("kvs")
 	survivorKey, killedKey := newIdempotencyKey(), newIdempotencyKey()
 	for entry, key := range map[string]string{"e2": survivorKey, "e1": killedKey} {
 		status, body := d.callNonIdempotent(entry, key, "juma")
