The metadata store's load no longer grows with instances times ranges

Cause: each instance read the operator's range every 1 to 1.5 s, as proof that no token was withdrawn, read two more ranges every 10 s, kept four watches, and campaigned whenever there was no leader. Change: fleet.Freshness bounds the age of a copy by reads of this instance and by those of others with the same digest, which the exchange of peers passes on with a bound on their age that holds for any delay and any difference of clocks (an echo of the receiver's own clock). In each row of the exchange the first instance reads at the interval, the others later by rank; an instance whose copy another one finds outdated reads it after 400 ms. metastore.WatchMux serves all watches from one. A standby leaves a free leader key to others for 0.4 to 1.2 s. An instance that the store refuses retries once a second while its copy is confirmed. Tests: a fuzz that a confirmation is never younger than the store's content, delays of reports, a confirmed copy is not read, one watch for all ranges, standbys stay out of an election.

--- a/datacentre/leader_elector.go
+++ b/datacentre/leader_elector.go
@@ -32,6 +32,7 @@
 	marginDivisor          = 12
 	candidacyCheckInterval = 2 * time.Second  // between checks whether this instance is a candidate
 	pollInterval           = 10 * time.Second // minimum time between reads of a watched key; a random part of it is added
+	standbyPollFactor      = 3                // multiplies pollInterval for an instance with a StandbyDelay
 )
 
 // After a failed attempt to become the leader, a candidate waits for a random time,
@@ -55,9 +56,13 @@
 	// Few instances of a data centre should, so that the number of calls to the
 	// key-value service doesn't grow with the number of instances.
 	IsCandidate func() bool
-	Now         func() time.Time
-	Rand        *rand.Rand
-	Logger      *slog.Logger
+	// StandbyDelay returns how long this instance leaves a leader key that was removed
+	// to other candidates before it campaigns itself. If it is nil, or returns 0, the
+	// instance campaigns at once.
+	StandbyDelay func() time.Duration
+	Now          func() time.Time
+	Rand         *rand.Rand
+	Logger       *slog.Logger
 }
 
 // LeaderElector takes part in the election of a data centre's leader and, once elected,
@@ -82,6 +87,9 @@
 	if cfg.TTL == 0 {
 		cfg.TTL = DefaultLeaseTTL
 	}
+	if cfg.StandbyDelay == nil {
+		cfg.StandbyDelay = func() time.Duration { return 0 }
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -181,16 +189,17 @@
 	}
 }
 
-// campaign makes one attempt to become the leader. While another instance holds
-// the leader key, it waits for the removal of that key; if the key is absent, it
-// creates the key and maintains the lease for as long as it can.
+// campaign makes one attempt to become the leader. It waits until this instance may
+// create the leader key, creates it and maintains the lease for as long as it can.
 func (e *LeaderElector) campaign(ctx context.Context) error {
 	rev, free, err := e.readLeaderKey(ctx)
 	if err != nil {
 		return err
 	}
-	if !free {
-		return e.awaitRelease(ctx, rev)
+	if standbyDelay := e.cfg.StandbyDelay(); !free || standbyDelay > 0 {
+		if free, err = e.awaitTurn(ctx, rev, free, standbyDelay); err != nil || !free {
+			return err
+		}
 	}
 	t, err := e.acquire(ctx)
 	if err != nil {
@@ -212,27 +221,46 @@
 	return rev, len(entries) == 0, nil
 }
 
-// awaitRelease waits until the leader key is removed and returns nil. It also
-// returns nil when ctx ends and after one to two times pollInterval, so that the
-// key is read again even if the watch no longer delivers changes. It returns an
-// error if the watch can't be started or breaks.
-func (e *LeaderElector) awaitRelease(ctx context.Context, rev int64) error {
-	ctx, cancel := context.WithTimeout(ctx, pollInterval+e.jitter(pollInterval))
+// awaitTurn waits until the leader key, which was free or not at revision rev, has been
+// free for standbyDelay, and then returns true. It returns false when ctx ends, and after
+// one to two times pollInterval, or standbyPollFactor times that for a standby, so that
+// the key is read again even if the watch no longer delivers changes. It returns an error
+// if the watch can't be started or breaks.
+//
+// Load pattern: hundreds of instances start together, or their leader is lost. If all of
+// them campaigned at once, each would make four calls to the service, of which one
+// instance's succeed.
+func (e *LeaderElector) awaitTurn(ctx context.Context, rev int64, free bool, standbyDelay time.Duration) (bool, error) {
+	pollTime := pollInterval + e.jitter(pollInterval)
+	if standbyDelay > 0 {
+		pollTime *= standbyPollFactor
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTime)
 	defer cancel()
 	changes, err := e.cfg.KV.Watch(ctx, PurposeLeader, e.leaderKey(), e.leaderKey()+"\x00", rev)
 	if err != nil {
-		return errors.Wrap(err, "watch leader key")
+		return false, errors.Wrap(err, "watch leader key")
+	}
+	var turn <-chan time.Time // nil while the key is held
+	if free {
+		turn = time.After(standbyDelay)
 	}
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return false, nil
+		case <-turn:
+			return true, nil
 		case change, ok := <-changes:
-			if !ok && ctx.Err() == nil {
-				return &metastore.UnknownOutcomeError{Op: "watch", Key: e.leaderKey(), Err: context.Canceled}
-			}
-			if !ok || change.Deleted {
-				return nil
+			switch {
+			case !ok && ctx.Err() == nil:
+				return false, &metastore.UnknownOutcomeError{Op: "watch", Key: e.leaderKey(), Err: context.Canceled}
+			case !ok:
+				return false, nil
+			case change.Deleted:
+				turn = time.After(standbyDelay)
+			default:
+				turn = nil
 			}
 		}
 	}
--- a/datacentre/leader_elector_test.go
+++ b/datacentre/leader_elector_test.go
@@ -384,3 +384,42 @@
 	}
 	t.Logf("   takeover after a crash: mean %v worst %v of %d", sum/time.Duration(len(leaders)), worst, len(leaders))
 }
+
+// TestStandbysLeaveLeadershipToFirstCandidates simulates a leader that is lost before
+// ten candidates, nine of which are standbys. The first candidate must take over
+// without calls by the standbys, and a standby must take over once it is lost too.
+func TestStandbysLeaveLeadershipToFirstCandidates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := datacentretest.NewKV(time.Now)
+		leader := startCandidate(t.Context(), kv, "leader", 1)
+		time.Sleep(time.Second)
+		first := startCandidate(t.Context(), kv, "first", 2)
+		var standbys []*candidate
+		for i := range 9 {
+			c := &candidate{KV: kv.NewClient(), done: make(chan struct{})}
+			c.LeaderElector = NewLeaderElector(LeaderElectorConfig{
+				KV: c, DataCentre: "ilala", InstanceID: fmt.Sprint("standby", i), Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+				IsCandidate:  func() bool { return !c.crashed.Load() },
+				StandbyDelay: func() time.Duration { return time.Second + time.Duration(i)*100*time.Millisecond },
+			})
+			go func() {
+				defer close(c.done)
+				c.Run(t.Context())
+			}()
+			standbys = append(standbys, c)
+		}
+		time.Sleep(time.Second)
+		grants := kv.Calls("grant")
+		leader.stop()
+		<-leader.done
+		time.Sleep(3 * time.Second)
+		_, ok := first.FencingToken()
+		assert.Check(t, ok)
+		assert.Equal(t, kv.Calls("grant")-grants, 1)
+		first.stop()
+		<-first.done
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(heldFencingTokens(standbys)), 1)
+		assert.Check(t, kv.Calls("grant")-grants <= 4, "%d", kv.Calls("grant")-grants)
+	})
+}
--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwingknot/metastore"
 )
 
@@ -29,6 +32,7 @@
 	// removed, until a read of the whole range at the same or a later revision
 	// makes it unnecessary.
 	removedRevisions map[string]int64
+	digest           uint64 // XOR of the digests of all entries
 }
 
 // NewMirror returns an empty Mirror.
@@ -49,7 +53,7 @@
 	}
 	for key, e := range m.entries {
 		if !present[key] && e.ModRevision <= revision {
-			delete(m.entries, key)
+			m.delete(key)
 			d.Removed = append(d.Removed, key)
 		}
 	}
@@ -80,10 +84,33 @@
 		return false
 	}
 	delete(m.removedRevisions, e.Key)
+	if ok {
+		m.delete(e.Key)
+	}
 	m.entries[e.Key] = e
+	m.digest ^= entryDigest(e)
 	return true
 }
 
+// delete removes the entry of a key, which must exist.
+func (m *Mirror) delete(key string) {
+	m.digest ^= entryDigest(m.entries[key])
+	delete(m.entries, key)
+}
+
+// entryDigest returns a digest of an entry's key and revision.
+func entryDigest(e metastore.Entry) uint64 {
+	d := xxhash.New()
+	// Writing to a hash never fails.
+	_, _ = d.WriteString(e.Key)
+	_, _ = d.Write(binary.LittleEndian.AppendUint64([]byte{0}, uint64(e.ModRevision)))
+	return d.Sum64()
+}
+
+// Digest returns a digest of the keys and their revisions. Copies of the same
+// content have the same digest.
+func (m *Mirror) Digest() uint64 { return m.digest }
+
 // Remove applies the removal of one key at revision and returns what it
 // changed.
 func (m *Mirror) Remove(key string, revision int64) Delta {
@@ -94,7 +121,7 @@
 	if !ok || current.ModRevision >= revision {
 		return Delta{}
 	}
-	delete(m.entries, key)
+	m.delete(key)
 	return Delta{Removed: []string{key}}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -66,29 +67,35 @@
 
 // Gateway is an instance of the relay. Run must be called only once.
 type Gateway struct {
-	opts         Options
-	log          *slog.Logger
-	view         *fleet.View
-	relay        *relay.Server
-	elector      *datacentre.LeaderElector
-	registration *registration
-	wire         *wire.Server
-	exchange     *peers.Exchange
-	draining     atomic.Bool
-	started      time.Time
+	opts          Options
+	log           *slog.Logger
+	kv            metastore.KV // serves all watches from one
+	view          *fleet.View
+	confirmations *confirmations
+	relay         *relay.Server
+	elector       *datacentre.LeaderElector
+	registration  *registration
+	wire          *wire.Server
+	exchange      *peers.Exchange
+	draining      atomic.Bool
+	started       time.Time
+	memberCount   atomic.Int64 // registered instances, 0 before they are known
+	rank          atomic.Int64 // position of this instance among them by name, from 0 on
 }
 
 // New returns a Gateway that does nothing until Run is called.
 func New(o Options) *Gateway {
-	g := &Gateway{opts: o, log: o.Relay.Log, view: o.Relay.View, started: o.Relay.Now()}
+	g := &Gateway{opts: o, log: o.Relay.Log, kv: metastore.NewWatchMux(o.KV), view: o.Relay.View, started: o.Relay.Now()}
+	g.confirmations = newConfirmations(g.view, o.Relay.Now)
 	g.opts.Relay.OtherLoads = peers.NewTable()
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
 	g.relay = relay.NewServer(g.opts.Relay)
 	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease)}
 	g.setUpPeerExchange()
 	g.elector = datacentre.NewLeaderElector(datacentre.LeaderElectorConfig{
-		KV: o.KV, DataCentre: electionScope, InstanceID: o.Instance, TTL: max(leaderLeaseTTL, o.MinLease), Now: o.Relay.Now, Logger: g.log,
-		IsCandidate: func() bool { return !g.draining.Load() && g.view.Snapshot().Config != nil },
+		KV: g.kv, DataCentre: electionScope, InstanceID: o.Instance, TTL: max(leaderLeaseTTL, o.MinLease), Now: o.Relay.Now, Logger: g.log,
+		IsCandidate:  func() bool { return !g.draining.Load() && g.view.Snapshot().Config != nil },
+		StandbyDelay: g.standbyDelay,
 	})
 	return g
 }
@@ -97,12 +104,33 @@
 	// electionScope stands for the data centre in the election, so that the whole
 	// fleet has one leader.
 	electionScope = "fleet"
+	// promptCandidates is the number of instances that campaign as soon as the leader
+	// is lost. The others follow one after the other, each standbyStep later, and from
+	// maxStandbyDelay on all together. minStandbyDelay is longer than an instance takes
+	// to hear of a new leader, whose watch pauses between two changes.
+	promptCandidates = 2
+	minStandbyDelay  = 400 * time.Millisecond
+	standbyStep      = 20 * time.Millisecond
+	maxStandbyDelay  = 1200 * time.Millisecond
 	// leaderLeaseTTL is the time after which the leader lease expires if it is not
 	// renewed. Together with the minimum time between orders of two leaders it stays
 	// below the time within which wanted weights must be loaded, 6 s.
 	leaderLeaseTTL = 1500 * time.Millisecond
 )
 
+// standbyDelay returns how long this instance leaves the leadership to others while
+// there is no leader. While the instances register, their ranks say little.
+func (g *Gateway) standbyDelay() time.Duration {
+	rank := g.rank.Load()
+	switch {
+	case g.opts.Relay.Now().Sub(g.started) < settleTime:
+		return minStandbyDelay + rand.N(maxStandbyDelay-minStandbyDelay)
+	case rank < promptCandidates:
+		return 0
+	}
+	return min(minStandbyDelay+time.Duration(rank)*standbyStep, maxStandbyDelay)
+}
+
 // Run serves until ctx ends. It then drains the instance and returns when all
 // requests are answered or the grace period is nearly over. It returns early with
 // the error of a component that fails.
@@ -139,6 +167,7 @@
 		group.Go(func() error { return w.run(workCtx) })
 	}
 	group.Go(func() error { return g.registration.run(workCtx) })
+	group.Go(func() error { return g.endSettling(workCtx) })
 	group.Go(func() error { return g.relay.Run(workCtx) })
 	group.Go(func() error { return g.elector.Run(ctx) })
 	group.Go(func() error { return g.runOrders(ctx) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"redwingknot/fleet"
+	"redwingknot/internal/timer"
 	"redwingknot/peers"
 	"redwingknot/wire"
 )
@@ -19,7 +20,8 @@
 	key := peerKey()
 	g.wire = wire.NewServer(key)
 	g.exchange = peers.New(peers.Options{
-		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Table: g.opts.Relay.OtherLoads, Now: g.opts.Relay.Now,
+		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Confirmations: g.confirmations,
+		Table: g.opts.Relay.OtherLoads, Now: g.opts.Relay.Now,
 	})
 	g.exchange.Register(g.wire)
 }
@@ -50,14 +52,38 @@
 // updateInstances sets the number of instances and the addresses of the peers from
 // m, the entries of the instances in the metadata store.
 func (g *Gateway) updateInstances(ctx context.Context, m *fleet.Mirror) {
-	n := m.Len()
+	addresses := map[string]string{}
+	rank := 0
+	for _, e := range m.Entries() {
+		name := strings.TrimPrefix(e.Key, memberPrefix)
+		addresses[name] = string(e.Value)
+		if name < g.opts.Instance {
+			rank++
+		}
+	}
+	g.rank.Store(int64(rank))
+	g.memberCount.Store(int64(max(m.Len(), 1)))
+	g.setInstances()
+	g.exchange.SetPeers(ctx, addresses)
+}
+
+// setInstances sets the number of instances in the view to that of the registered
+// ones, but does not reduce it before settleTime.
+func (g *Gateway) setInstances() {
+	n := int(g.memberCount.Load())
+	if n == 0 {
+		return
+	}
 	if g.opts.Relay.Now().Sub(g.started) < settleTime {
 		n = max(n, g.view.Snapshot().Instances)
 	}
 	g.view.SetInstances(n)
-	addresses := map[string]string{}
-	for _, e := range m.Entries() {
-		addresses[strings.TrimPrefix(e.Key, memberPrefix)] = string(e.Value)
+}
+
+// endSettling sets the number of instances once settleTime has passed.
+func (g *Gateway) endSettling(ctx context.Context) error {
+	if timer.Sleep(ctx, settleTime) {
+		g.setInstances()
 	}
-	g.exchange.SetPeers(ctx, addresses)
+	return nil
 }
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -15,6 +15,7 @@
 	"redwingknot/fleet"
 	"redwingknot/metastore"
 	"redwingknot/metastore/metastoretest"
+	"redwingknot/peers"
 	"redwingknot/relay"
 )
 
@@ -64,9 +65,9 @@
 	t.Helper()
 	record := &watcherRecord{keys: map[string]int64{}}
 	w := &watcher{
-		kv: kv, purpose: purposeOperator, from: "a/", to: "a0", interval: interval, now: time.Now, mirror: fleet.NewMirror(),
+		kv: kv, purpose: purposeOperator, from: "a/", to: "a0", maxAge: func() time.Duration { return interval }, now: time.Now, mirror: fleet.NewMirror(), freshness: fleet.NewFreshness(),
 		onChange: record.recordDelta,
-		onConfirm: func(sentAt time.Time) {
+		onRead: func(sentAt time.Time) {
 			record.mu.Lock()
 			defer record.mu.Unlock()
 			record.confirmed = sentAt
@@ -160,7 +161,7 @@
 		var n int64
 		synctest.Test(t, func(t *testing.T) {
 			kv := &countingKV{}
-			w := &watcher{kv: kv, now: time.Now, mirror: fleet.NewMirror(), onError: func(error) {}, storeUnavailable: storeUnavailable}
+			w := &watcher{kv: kv, maxAge: func() time.Duration { return time.Second }, now: time.Now, mirror: fleet.NewMirror(), freshness: fleet.NewFreshness(), onError: func(error) {}, storeUnavailable: storeUnavailable}
 			ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
 			defer cancel()
 			assert.NilError(t, w.run(ctx))
@@ -187,3 +188,36 @@
 		assert.Equal(t, g.confirmInterval(), c.want)
 	}
 }
+
+// TestConfirmedCopyIsNotRead simulates a minute in which other instances confirm a
+// copy every second. The instance must not read the store itself, until another
+// instance finds its copy to be outdated, or until the confirmations end.
+func TestConfirmedCopyIsNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := metastoretest.New(time.Now)
+		c := newConfirmations(fleet.NewView(), time.Now)
+		f := c.freshness[purposeOperator]
+		w := &watcher{
+			kv: kv, purpose: purposeOperator, from: "a/", to: "a0", maxAge: func() time.Duration { return 1500 * time.Millisecond }, now: time.Now,
+			mirror: fleet.NewMirror(), freshness: f, onChange: func(fleet.Delta) {}, onRead: func(time.Time) {}, onError: func(error) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { assert.Check(t, w.run(ctx)) }()
+		synctest.Wait()
+		reads := func() int { return kv.Calls(purposeOperator).Reads - 1 } // without the watch
+		assert.Equal(t, reads(), 1)
+		digest, _ := f.Confirmation()
+		for range 60 {
+			c.RecordConfirmation(peers.Confirmation{Range: string(purposeOperator), Digest: digest, At: time.Now()})
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, reads(), 1)
+		assert.Check(t, c.view.ConfirmedAge(time.Now()) <= time.Second)
+		c.RecordConfirmation(peers.Confirmation{Range: string(purposeOperator), Digest: digest + 1, At: time.Now()})
+		time.Sleep(outdatedGrace + time.Millisecond)
+		assert.Equal(t, reads(), 2)
+		time.Sleep(10 * time.Second)
+		assert.Check(t, reads() >= 8, "%d", reads())
+	})
+}
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -15,27 +15,35 @@
 	operator := g.newWatcher(purposeOperator, g.confirmInterval(), g.opts.Schema.OperatorRange)
 	operator.storeUnavailable = nil
 	operator.onChange = g.applyOperatorDelta
-	operator.onConfirm = func(sentAt time.Time) {
+	operator.onRead = func(sentAt time.Time) {
 		g.recordStoreAnswer()
 		g.view.Confirm(sentAt)
 	}
 	endpoints := g.newWatcher(purposeEndpoints, fullReadInterval, g.opts.Schema.EndpointRange)
 	endpoints.onChange = g.applyEndpointsDelta
-	endpoints.onConfirm = func(time.Time) { g.recordStoreAnswer() }
+	endpoints.onRead = func(time.Time) { g.recordStoreAnswer() }
 	instances := g.newWatcher(purposeMembers, fullReadInterval, memberRange)
 	instances.onChange = func(fleet.Delta) { g.updateInstances(ctx, instances.mirror) }
-	instances.onConfirm = func(time.Time) { g.updateInstances(ctx, instances.mirror) }
+	instances.onRead = func(time.Time) { g.updateInstances(ctx, instances.mirror) }
 	return []*watcher{operator, endpoints, instances}
 }
 
 func (g *Gateway) newWatcher(p metastore.Purpose, interval time.Duration, keys func() (from, to string)) *watcher {
 	from, to := keys()
 	return &watcher{
-		kv: g.opts.KV, purpose: p, from: from, to: to, interval: interval,
-		now: g.opts.Relay.Now, mirror: fleet.NewMirror(), onError: g.recordStoreFailure, storeUnavailable: g.view.StoreUnreachable,
+		kv: g.kv, purpose: p, from: from, to: to, maxAge: func() time.Duration { return g.maxAge(interval) },
+		now: g.opts.Relay.Now, mirror: fleet.NewMirror(), freshness: g.confirmations.freshness[p],
+		onError: g.recordStoreFailure, storeUnavailable: g.view.StoreUnreachable,
 	}
 }
 
+// maxAge returns how long ago a range that has to be confirmed at the interval may
+// have been confirmed before this instance reads it.
+func (g *Gateway) maxAge(interval time.Duration) time.Duration {
+	factor := min(1+ageFactorPerRank*float64(g.exchange.Rank()), maxAgeFactor)
+	return time.Duration(factor * float64(interval))
+}
+
 // confirmInterval returns the time between reads that confirm that the
 // configuration in force is the newest.
 func (g *Gateway) confirmInterval() time.Duration {
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -61,20 +62,41 @@
 	RecordPlacements(placements []Placement)
 }
 
+// Confirmation states that a range of the metadata store's keys had certain content
+// at a time or later.
+type Confirmation struct {
+	Range  string // name of the range
+	Digest uint64 // of the keys and their revisions
+	At     time.Time
+}
+
+// ConfirmationSource supplies what this instance knows of the metadata store's
+// content and receives what others confirmed.
+type ConfirmationSource interface {
+	// Confirmations returns the latest confirmation of each range.
+	Confirmations() []Confirmation
+	// RecordConfirmation records a confirmation by another instance.
+	RecordConfirmation(Confirmation)
+}
+
 // Options configure an Exchange.
 type Options struct {
-	Self   string // name of this instance
-	Key    []byte // shared key of the fleet's instances for package wire
-	Source Source
-	Table  *Table           // receives the reports of other instances
-	Now    func() time.Time // returns the current time
+	Self          string // name of this instance
+	Key           []byte // shared key of the fleet's instances for package wire
+	Source        Source
+	Confirmations ConfirmationSource // nil to exchange no confirmations
+	Table         *Table             // receives the reports of other instances
+	// Now returns the current time. It must go on while the machine is suspended, or
+	// confirmations seem younger than they are.
+	Now func() time.Time
 }
 
 // Exchange keeps a Table up to date by calls between the instances of a grid.
 // Of each pair of peers the one whose name sorts first calls the other, and
 // both report in the call. It is safe for concurrent use.
 type Exchange struct {
-	opts Options
+	opts    Options
+	process uint64 // identifies this process in stamps
 
 	mu    sync.Mutex
 	grid  grid
@@ -89,19 +111,21 @@
 	cancel   context.CancelFunc // ends the calls to the peer
 
 	mu     sync.Mutex
-	unsent []Placement // placements for the next report to the peer
+	unsent []Placement    // placements for the next report to the peer
+	stamp  *peerspb.Stamp // of the latest report from the peer, nil before the first
 }
 
 // New returns an Exchange without peers.
 func New(o Options) *Exchange {
-	return &Exchange{opts: o, peers: map[string]*peer{}}
+	return &Exchange{opts: o, process: rand.Uint64(), peers: map[string]*peer{}}
 }
 
 // Register adds the handler for calls of other instances to a server.
 func (e *Exchange) Register(s *wire.Server) {
 	wire.Handle(s, methodExchange, func(_ context.Context, in *peerspb.Report) (*peerspb.Report, error) {
-		e.applyReport(in)
-		return e.buildReport(e.peerByName(in.Instance)), nil
+		p := e.peerByName(in.Instance)
+		e.applyReport(in, p)
+		return e.buildReport(p), nil
 	})
 }
 
@@ -195,7 +219,7 @@
 	if err := client.Call(ctx, methodExchange, e.buildReport(p), &answer); err != nil {
 		return err
 	}
-	e.applyReport(&answer)
+	e.applyReport(&answer, p)
 	return nil
 }
 
@@ -211,9 +235,14 @@
 	return max(minReportTTL, reportsPerTTL*e.interval(&peer{inColumn: true}))
 }
 
-// applyReport applies another instance's report to the table and the source.
-// Placements by instances of the own row are also queued for the other rows.
-func (e *Exchange) applyReport(r *peerspb.Report) {
+// applyReport applies another instance's report to the table and the sources; p is
+// nil if the instance is not a peer. Placements by instances of the own row are also
+// queued for the other rows.
+func (e *Exchange) applyReport(r *peerspb.Report, p *peer) {
+	e.applyConfirmations(r)
+	if p != nil {
+		p.setStamp(r.Built)
+	}
 	sender := r.Instance
 	if r.Row != "" {
 		sender = rowPrefix + r.Row
@@ -243,6 +272,7 @@
 // load.
 func (e *Exchange) buildReport(p *peer) *peerspb.Report {
 	r := &peerspb.Report{Instance: e.opts.Self}
+	e.addConfirmations(r, p)
 	loads := e.opts.Source.Loads()
 	if p != nil && p.inColumn {
 		e.mu.Lock()
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -94,7 +94,7 @@
 		for range 2 {
 			for _, self := range names {
 				for _, p := range exchanges[self].peers {
-					exchanges[p.name].applyReport(exchanges[self].buildReport(p))
+					exchanges[p.name].applyReport(exchanges[self].buildReport(p), exchanges[p.name].peers[self])
 				}
 			}
 		}
