The owner of a shard of sessions places its heavy prompts; pools by weight; fetches cost what they take

Reports between 62 instances are about as old as an engine takes for such a prompt (0.3 s). A heavy prompt also slows every stream at its engine: 517 of 3,332 verdicts and 539 of 3,521 sizing questions were late. Costs of fetches assumed 100 prompt tokens a ms, and these engines read 21: a fetch seemed five times as dear as it is. Change: package placement. The sessions of a service are divided into shards, one for 16 engines; the owner of a shard, by rendezvous among the instances, chooses the engines of its heavy prompts (4,096 tokens and more), for which other instances ask it (40 ms at most, then they choose by themselves). It keeps a backlog of what it placed. place.WorkSplit divides the engines into a pool for light prompts and one for heavy prompts in proportion to their work. place.PrefillRate converts times to tokens.

--- a/place/admit.go
+++ b/place/admit.go
@@ -38,11 +38,21 @@
 // PrefillTime returns how long an engine is expected to take to prefill the
 // given number of tokens.
 func (s *PrefillRate) PrefillTime(tokens int) time.Duration {
-	secondsPerToken := s.secondsPerToken
-	if secondsPerToken == 0 {
-		secondsPerToken = 1 / initialPrefillRate
+	return time.Duration(float64(tokens) * s.timePerToken() * float64(time.Second))
+}
+
+// Tokens returns how many tokens an engine is expected to prefill in the given time.
+func (s *PrefillRate) Tokens(d time.Duration) int { return int(d.Seconds() * s.TokensPerSecond()) }
+
+// TokensPerSecond returns how many tokens an engine is expected to prefill in a second.
+func (s *PrefillRate) TokensPerSecond() float64 { return 1 / s.timePerToken() }
+
+// timePerToken returns the expected time to prefill one token in seconds.
+func (s *PrefillRate) timePerToken() float64 {
+	if s.secondsPerToken == 0 {
+		return 1 / initialPrefillRate
 	}
-	return time.Duration(float64(tokens) * secondsPerToken * float64(time.Second))
+	return s.secondsPerToken
 }
 
 // Admits reports whether a prompt should be sent to engine e now. The rank is
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -119,6 +119,7 @@
 	byWeights := map[int64][]sharedPart{}
 	engines := make([]place.Engine, len(list))
 	plans := make([]prefillPlan, len(list))
+	service := e.service(q.service)
 	capacity := 0
 	if svc := s.Config.Services[q.service]; svc != nil && svc.Engine != nil {
 		capacity = svc.Engine.CacheTokens
@@ -128,19 +129,22 @@
 		parts, ok := byWeights[version]
 		if !ok {
 			parts = splitSharedParts(q.prompt, partitionName(q.prompt.Model, version, q.team))
-			e.findSources(parts, list, transferRatesOf(s.Config.Services[q.service]), now)
+			e.findSources(parts, list, transferRatesOf(s.Config.Services[q.service], service.prefillRate), now)
 			byWeights[version] = parts
 		}
 		load := e.totalLoad(ep)
+		load.PendingTokens = max(load.PendingTokens, service.prefillRate.Tokens(ep.backlog.Remaining(now)))
 		plans[i] = bestPrefillPlan(ep, parts, q.prompt)
 		engines[i] = place.Engine{
 			Hash: ep.idHash, Local: ep.spec.DataCentre == e.dataCentre, Slowness: ep.slowness.Slowness(now),
 			Running: load.Running, Slots: ep.spec.Slots, PendingTokens: load.PendingTokens, MemoryInUse: load.HeldTokens,
-			MemoryCapacity: capacity, UncachedTokens: plans[i].prefillTokens, FetchCost: plans[i].fetchCost, MemoryNeeded: q.prompt.InputTokens + q.prompt.MaxOutputTokens,
+			MemoryCapacity: capacity, UncachedTokens: plans[i].prefillTokens, FetchCost: plans[i].fetchCost,
+			PoolCost:     service.workSplit.PoolCost(q.prompt.InputTokens, ep.rank, len(s.ByService[q.service])),
+			MemoryNeeded: q.prompt.InputTokens + q.prompt.MaxOutputTokens,
 		}
 	}
 	chosen := place.ChooseEngine(q.sessionHash, engines)
-	if !place.Admits(&engines[chosen], q.priority, q.target, &e.service(q.service).prefillRate) {
+	if !q.admitted && !place.Admits(&engines[chosen], q.priority, q.target, &service.prefillRate) {
 		return nil
 	}
 	ep := list[chosen]
@@ -148,7 +152,6 @@
 	p.reserved = peers.Load{Running: 1, PendingTokens: engines[chosen].UncachedTokens, HeldTokens: engines[chosen].MemoryNeeded}
 	p.parts = byWeights[p.weights]
 	p.planFetches(plans[chosen].cachedParts)
-	e.recordPlacement(p)
 	return p
 }
 
@@ -196,14 +199,22 @@
 // recordPlacement records that the prompt's shared parts are in the endpoint's
 // memory from now on, and reports this to the other instances.
 func (e *Endpoints) recordPlacement(p *pick) {
+	p.useParts()
+	if e.sendPlacements == nil || len(p.parts) == 0 {
+		return
+	}
 	list := make([]peers.Placement, len(p.parts))
 	for i := range p.parts {
-		part := &p.parts[i]
-		p.endpoint.residentParts.Use(part.hash, part.sized.Tokens)
-		list[i] = peers.Placement{Target: p.endpoint.idHash, Part: part.hash, Tokens: part.sized.Tokens}
+		list[i] = peers.Placement{Target: p.endpoint.idHash, Part: p.parts[i].hash, Tokens: p.parts[i].sized.Tokens}
 	}
-	if e.sendPlacements != nil && len(list) > 0 {
-		e.sendPlacements(list)
+	e.sendPlacements(list)
+}
+
+// useParts records that the prompt's shared parts are in the endpoint's memory from
+// now on.
+func (p *pick) useParts() {
+	for i := range p.parts {
+		p.endpoint.residentParts.Use(p.parts[i].hash, p.parts[i].sized.Tokens)
 	}
 }
 
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -143,15 +143,15 @@
 func TestFetchCostDependsOnLinkBandwidth(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e, _, _ := newCacheTestEndpoints(now)
-	rates := transferRatesOf(&fleet.Service{Engine: &fleet.Engine{BytesPerToken: 327_680, LinkMbps: 1.1e6}})
+	rates := transferRatesOf(&fleet.Service{Engine: &fleet.Engine{BytesPerToken: 327_680, LinkMbps: 1.1e6}}, place.PrefillRate{})
 	large := &fleet.CacheStore{Address: "1.1.1.1:1", LinkMbps: 1.1e6, FirstByte: 6 * time.Millisecond}
 	quick := &fleet.CacheStore{Address: "1.1.1.2:1", LinkMbps: 2.6e6, FirstByte: time.Millisecond / 2}
 	// 1,000 tokens are 2.6 Gbit. An engine's link transfers them in 2.4 ms, the time
 	// in which 240 tokens are prefilled.
 	assert.Equal(t, e.estimateStoreFetch(large, rates, 1000, now).costAt(""), 600+238)
 	assert.Equal(t, e.estimateStoreFetch(quick, rates, 1000, now).costAt(""), 50+238)
-	e.source(quick.Address).recordFetch(10_000, 1000, now)
-	e.source(large.Address).recordFetch(10_000, 1000, now)
+	e.source(quick.Address).recordFetch(10_000, 10*time.Millisecond, now)
+	e.source(large.Address).recordFetch(10_000, 10*time.Millisecond, now)
 	assert.Equal(t, e.estimateStoreFetch(large, rates, 1000, now).costAt(""), 600+238+2383)
 	assert.Equal(t, e.estimateStoreFetch(quick, rates, 1000, now).costAt(""), 50+238+1008)
 }
--- a/relay/query.go
+++ b/relay/query.go
@@ -18,6 +18,9 @@
 	priority        int           // 0 is the most urgent
 	target          time.Duration // time within which a response has its full value
 	awaitsAdmission bool          // the prompt waits until one of the eligible endpoints can admit it; valid if none was chosen
+	assigned        string        // identifier of the endpoint that the owner of the session's shard chose, empty if none
+	ownShard        *shard        // the prompt's shard if this instance owns it, nil otherwise
+	admitted        bool          // the owner has admitted the prompt at the assigned endpoint
 	maxAttempts     int
 	tried           []fleet.EndpointKey // endpoints that the request was sent to
 	excluded        []fleet.EndpointKey // endpoints that no further attempt may use
--- a/relay/source.go
+++ b/relay/source.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// prefillTokensPerSecond is the number of prompt tokens that an engine prefills
-	// per second. Costs are durations in prefill tokens, that is, the number of
-	// tokens that an engine prefills in that time.
-	prefillTokensPerSecond = 1e5
 	// defaultCostPerToken is the cost of transferring a token, in prefill tokens, if
 	// the bandwidth of the links is unknown: a link transfers a token in about a
 	// quarter of the time that prefilling it takes.
@@ -29,20 +25,22 @@
 )
 
 // transferRates holds what is needed to calculate how long transfers of cached
-// prompt parts take.
+// prompt parts take. Costs are durations in prefill tokens, that is, the number of
+// tokens that an engine of the service prefills in that time.
 type transferRates struct {
-	bitsPerToken float64 // size of a token in the cache, 0 if unknown
-	engineMbps   float64 // bandwidth of an engine's link in Mbit/s, 0 if unknown
+	bitsPerToken float64           // size of a token in the cache, 0 if unknown
+	engineMbps   float64           // bandwidth of an engine's link in Mbit/s, 0 if unknown
+	prefill      place.PrefillRate // of the service's engines
 }
 
-// transferRatesOf returns the transfer rates of a service's engines. They are
-// zero for a nil service and one without engines.
-func transferRatesOf(s *fleet.Service) transferRates {
+// transferRatesOf returns the transfer rates of a service's engines. The rates of
+// links are zero for a nil service and one without engines.
+func transferRatesOf(s *fleet.Service, prefill place.PrefillRate) transferRates {
 	if s == nil || s.Engine == nil {
-		return transferRates{}
+		return transferRates{prefill: prefill}
 	}
 	const bitsPerByte = 8
-	return transferRates{bitsPerToken: bitsPerByte * s.Engine.BytesPerToken, engineMbps: s.Engine.LinkMbps}
+	return transferRates{bitsPerToken: bitsPerByte * s.Engine.BytesPerToken, engineMbps: s.Engine.LinkMbps, prefill: prefill}
 }
 
 // costPerToken returns the cost of transferring a token over a link of the given
@@ -52,7 +50,7 @@
 		return defaultCostPerToken
 	}
 	const megabit = 1e6
-	return r.bitsPerToken / (mbps * megabit) * prefillTokensPerSecond
+	return r.bitsPerToken / (mbps * megabit) * r.prefill.TokensPerSecond()
 }
 
 // source is the state of an address that prompt parts are fetched from. Its
@@ -71,10 +69,9 @@
 	until  time.Time
 }
 
-// recordFetch records a fetch of a number of tokens that starts at now. cost is its
-// expected duration in prefill tokens.
-func (s *source) recordFetch(tokens, cost int, now time.Time) {
-	took := time.Duration(float64(cost) / prefillTokensPerSecond * float64(time.Second))
+// recordFetch records a fetch of a number of tokens that starts at now and is expected
+// to take the given time.
+func (s *source) recordFetch(tokens int, took time.Duration, now time.Time) {
 	s.transfers = append(s.transfers, transfer{tokens: tokens, until: now.Add(took)})
 }
 
@@ -138,7 +135,7 @@
 
 // estimateStoreFetch returns the cost of fetching a number of tokens from a store.
 func (e *Endpoints) estimateStoreFetch(s *fleet.CacheStore, rates transferRates, tokens int, now time.Time) fetchEstimate {
-	return e.estimateFetch(s.Address, s.DataCentre, s.FirstByte.Seconds()*prefillTokensPerSecond, rates, s.LinkMbps, tokens, now)
+	return e.estimateFetch(s.Address, s.DataCentre, s.FirstByte.Seconds()*rates.prefill.TokensPerSecond(), rates, s.LinkMbps, tokens, now)
 }
 
 // estimateEngineFetch returns the cost of fetching a number of tokens from an engine.
