--- a/place/admit.go
+++ b/place/admit.go
@@ -55,6 +55,12 @@
 	return s.secondsPerToken
 }
 
+// hasMemory reports whether the engine has memory for the request beside its running
+// requests, or has none of these.
+func (e *Engine) hasMemory() bool {
+	return e.MemoryCapacity == 0 || e.MemoryInUse == 0 || float64(e.MemoryInUse+e.MemoryNeeded) <= maxMemoryShare*float64(e.MemoryCapacity)
+}
+
 // Admits reports whether a prompt should be sent to engine e now. The rank is
 // the prompt's priority, 0 being the most urgent; target is the time within
 // which its answer has its full worth.
@@ -70,7 +76,7 @@
 // The memory limit does not apply to an engine without running requests, since
 // waiting there would free no memory.
 func Admits(e *Engine, rank int, target time.Duration, s *PrefillRate) bool {
-	if e.MemoryCapacity > 0 && e.MemoryInUse > 0 && float64(e.MemoryInUse+e.MemoryNeeded) > maxMemoryShare*float64(e.MemoryCapacity) {
+	if !e.hasMemory() {
 		return false
 	}
 	waitShare := lowPriorityWaitShare
--- a/place/prompt.go
+++ b/place/prompt.go
@@ -53,7 +53,8 @@
 }
 
 // ChooseEngine returns the index of the engine with the earliest expected first
-// token, or -1 if there are no engines.
+// token, or -1 if there are no engines. It chooses an engine without memory for the
+// request only if no engine has any.
 //
 // Load pattern: prompts of ten thousand tokens among prompts of hundreds. An
 // engine that has a few long prompts to prefill is seconds late while others are
@@ -63,15 +64,15 @@
 // Instances that place the first requests of a session at the same time thus choose
 // the same engine, and the session's prompt is prefilled only once.
 func ChooseEngine(sessionHash uint64, engines []Engine) int {
-	lowestCost := 0.0
-	for i := range engines {
-		if cost := engines[i].Cost(); i == 0 || cost < lowestCost {
-			lowestCost = cost
-		}
+	lowest := lowestCost(engines, (*Engine).hasMemory)
+	mayChoose := (*Engine).hasMemory
+	if lowest < 0 {
+		mayChoose = func(*Engine) bool { return true }
+		lowest = lowestCost(engines, mayChoose)
 	}
 	best, bestWeight := -1, uint64(0)
 	for i := range engines {
-		if engines[i].Cost() > lowestCost+costTolerance {
+		if !mayChoose(&engines[i]) || engines[i].Cost() > lowest+costTolerance {
 			continue
 		}
 		if w := rendezvousWeight(sessionHash, engines[i].Hash); best < 0 || w > bestWeight {
@@ -80,3 +81,18 @@
 	}
 	return best
 }
+
+// lowestCost returns the lowest cost of the engines that may be chosen, -1 if there are
+// none.
+func lowestCost(engines []Engine, mayChoose func(*Engine) bool) float64 {
+	lowest := -1.0
+	for i := range engines {
+		if !mayChoose(&engines[i]) {
+			continue
+		}
+		if cost := engines[i].Cost(); lowest < 0 || cost < lowest {
+			lowest = cost
+		}
+	}
+	return lowest
+}
--- a/place/prompt_test.go
+++ b/place/prompt_test.go
@@ -60,6 +60,20 @@
 	assert.Check(t, memoryFull.Cost() > idle.Cost())
 }
 
+// TestChooseEngineNeedsMemory checks that a prompt does not wait for memory at the engine
+// that holds its session while another one has room.
+func TestChooseEngineNeedsMemory(t *testing.T) {
+	list := newEngines(9)
+	list[4].UncachedTokens, list[4].MemoryInUse = 1000, list[4].MemoryCapacity-list[4].MemoryNeeded
+	chosen := ChooseEngine(1, list)
+	assert.Check(t, chosen != 4)
+	assert.Check(t, Admits(&list[chosen], 0, time.Second, &PrefillRate{}))
+	for i := range list {
+		list[i].MemoryInUse = list[i].MemoryCapacity - list[i].MemoryNeeded
+	}
+	assert.Equal(t, ChooseEngine(1, list), 4)
+}
+
 // simulateOverload simulates ten seconds in which prompts arrive at 1.5 times
 // the rate at which the engines prefill them. It returns how many prompts got their
 // first token within the target time, over all ranks and for the most urgent
