Instances tell each other which endpoints they can't reach; connections, not requests, find out when they are back

Change: a report between instances also says, for each endpoint, how many instances it lately answered (0.5 s) and how many could not reach it. An endpoint that two instances could not reach and that answered none is avoided by all.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -309,21 +309,34 @@
 		out.Running = append(out.Running, clampUint32(l.Running))
 		out.PendingTokens = append(out.PendingTokens, clampUint32(l.PendingTokens))
 		out.HeldTokens = append(out.HeldTokens, clampUint32(l.HeldTokens))
+		out.Reached = append(out.Reached, clampUint32(l.Reached))
+		out.Unreachable = append(out.Unreachable, clampUint32(l.Unreachable))
 	}
 	return out
 }
 
-// decodeLoads converts a message to loads. If its lists differ in length,
+// decodeLoads converts a message to loads. If its lists of loads differ in length,
 // entries beyond the end of the shortest are ignored.
 func decodeLoads(in *peerspb.Loads) map[uint64]Load {
 	n := min(len(in.GetTargets()), len(in.GetRunning()), len(in.GetPendingTokens()), len(in.GetHeldTokens()))
 	loads := make(map[uint64]Load, n)
 	for i := range n {
-		loads[in.Targets[i]] = Load{Running: int(in.Running[i]), PendingTokens: int(in.PendingTokens[i]), HeldTokens: int(in.HeldTokens[i])}
+		loads[in.Targets[i]] = Load{
+			Running: int(in.Running[i]), PendingTokens: int(in.PendingTokens[i]), HeldTokens: int(in.HeldTokens[i]),
+			Reached: valueAt(in.Reached, i), Unreachable: valueAt(in.Unreachable, i),
+		}
 	}
 	return loads
 }
 
+// valueAt returns the value at index i, 0 beyond the end.
+func valueAt(values []uint32, i int) int {
+	if i >= len(values) {
+		return 0
+	}
+	return int(values[i])
+}
+
 // clampUint32 converts n to uint32; negative numbers become 0.
 func clampUint32(n int) uint32 { return uint32(max(n, 0)) }
 
--- a/peers/table.go
+++ b/peers/table.go
@@ -5,11 +5,14 @@
 	"time"
 )
 
-// Load is the load of requests at one endpoint or cache store.
+// Load is the load of requests at one endpoint or cache store, and how many instances
+// have lately reached it.
 type Load struct {
 	Running       int // requests that have not been answered completely
 	PendingTokens int // tokens still to be prefilled or fetched
 	HeldTokens    int // tokens of memory that the running requests need
+	Reached       int // instances that it has lately answered
+	Unreachable   int // instances whose last connection to it failed or was lost
 }
 
 // Add adds other to the load.
@@ -17,6 +20,8 @@
 	l.Running += other.Running
 	l.PendingTokens += other.PendingTokens
 	l.HeldTokens += other.HeldTokens
+	l.Reached += other.Reached
+	l.Unreachable += other.Unreachable
 }
 
 // subtract subtracts other from the load.
@@ -24,6 +29,8 @@
 	l.Running -= other.Running
 	l.PendingTokens -= other.PendingTokens
 	l.HeldTokens -= other.HeldTokens
+	l.Reached -= other.Reached
+	l.Unreachable -= other.Unreachable
 }
 
 // minReportTTL is the minimum time for which a report stays valid. An instance
--- a/place/health.go
+++ b/place/health.go
@@ -24,6 +24,11 @@
 	// failureHalvingTime is the time without requests after which the failure
 	// rate counts half, so that an avoided endpoint gets requests again.
 	failureHalvingTime = 2 * time.Second
+	// reachedTime is how long an answer shows that an endpoint is reachable.
+	reachedTime = 500 * time.Millisecond
+	// minWitnesses is the number of instances that must have failed to reach an endpoint
+	// for the others to avoid it: one alone may be cut off itself.
+	minWitnesses = 2
 )
 
 // Health tracks an endpoint's reliability as seen by one instance. It does no
@@ -33,6 +38,8 @@
 	updated      time.Time     // time of the last result
 	backoff      time.Duration // length of the last backoff, 0 after a success
 	backoffUntil time.Time     // end of the backoff, or of the trialInterval after the last trial
+	reachedAt    time.Time     // time of the last success
+	failedAt     time.Time     // time of the last failure to connect, zero after a success or a connection
 }
 
 // RecordSuccess records a successful answer and ends any backoff.
@@ -40,8 +47,42 @@
 	h.record(0, now)
 	h.backoff = 0
 	h.backoffUntil = time.Time{}
+	h.reachedAt = now
+	h.failedAt = time.Time{}
 }
 
+// RecordConnected records that a connection could be opened outside of a request, which
+// ends a backoff. The next backoff is as long as if there had been no connection: a
+// process that hangs accepts connections, too.
+func (h *Health) RecordConnected(now time.Time) {
+	if now.Before(h.backoffUntil) {
+		h.backoffUntil = now
+	}
+	h.failedAt = time.Time{}
+}
+
+// RecordNotConnected records that no connection could be opened outside of a request.
+func (h *Health) RecordNotConnected(now time.Time) { h.failedAt = now }
+
+// Unreachable reports whether the last connection failed or was lost, no longer than
+// maxBackoff ago.
+func (h *Health) Unreachable(now time.Time) bool {
+	return !h.failedAt.IsZero() && now.Sub(h.failedAt) <= maxBackoff
+}
+
+// Reached reports whether the endpoint has answered within reachedTime.
+func (h *Health) Reached(now time.Time) bool {
+	return !h.reachedAt.IsZero() && now.Sub(h.reachedAt) <= reachedTime
+}
+
+// IsDark reports whether an endpoint should be taken for unreachable by an instance that
+// has not tried it, given the number of other instances that it has lately answered and
+// of those that failed to reach it.
+//
+// Load pattern: a quarter of the engines go dark before hundreds of instances. If each
+// instance learns for itself that an engine is dark, each loses requests to each of them.
+func IsDark(reached, unreachable int) bool { return reached == 0 && unreachable >= minWitnesses }
+
 // RecordFailure records a failure that a reachable endpoint caused itself. It
 // starts no backoff; for a lost connection, see RecordUnreachable.
 func (h *Health) RecordFailure(now time.Time) { h.record(1, now) }
@@ -51,6 +92,7 @@
 // Failures during a backoff do not extend it.
 func (h *Health) RecordUnreachable(now time.Time) {
 	h.record(1, now)
+	h.failedAt = now
 	if now.Before(h.backoffUntil) {
 		return
 	}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -91,3 +91,28 @@
 	}
 	assert.Check(t, sent <= 2, "%d", sent)
 }
+
+// TestDarkEndpointNeedsWitnesses checks that one instance that is itself cut off does not
+// condemn an endpoint, nor several of them while another one is answered.
+func TestDarkEndpointNeedsWitnesses(t *testing.T) {
+	assert.Check(t, !IsDark(0, 0))
+	assert.Check(t, !IsDark(0, minWitnesses-1))
+	assert.Check(t, IsDark(0, minWitnesses))
+	assert.Check(t, !IsDark(1, 100))
+}
+
+func TestHealthReportsWhatItReached(t *testing.T) {
+	var h Health
+	now := time.Unix(1000, 0)
+	assert.Check(t, !h.Reached(now) && !h.Unreachable(now))
+	h.RecordSuccess(now)
+	assert.Check(t, h.Reached(now.Add(reachedTime)) && !h.Reached(now.Add(reachedTime+1)))
+	h.RecordUnreachable(now)
+	assert.Check(t, h.Unreachable(now.Add(maxBackoff)) && !h.Unreachable(now.Add(maxBackoff+1)))
+	h.RecordNotConnected(now.Add(maxBackoff))
+	assert.Check(t, h.Unreachable(now.Add(2*maxBackoff)))
+	h.RecordUnreachable(now.Add(maxBackoff))
+	assert.Check(t, !h.Usable(now.Add(maxBackoff)))
+	h.RecordConnected(now.Add(maxBackoff))
+	assert.Check(t, h.Usable(now.Add(maxBackoff)) && !h.Unreachable(now.Add(maxBackoff)))
+}
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -22,6 +22,7 @@
 	backlog       place.Backlog              // prompts that this instance placed as the owner of a shard
 	residentParts *promptcache.ResidentParts // estimate of the prompt parts in its memory
 	health        place.Health
+	nextProbe     time.Time // of an unreachable endpoint, zero otherwise
 	slowness      place.SlownessTracker
 	seenVersions  map[string]int64     // by model: version of its weights as derived from responses
 	loadingUntil  map[string]time.Time // by model: time before which no request for it is sent
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		switch {
-		case !ep.health.Usable(now):
+		case !ep.health.Usable(now) || e.isDark(ep, now):
 			unhealthy = append(unhealthy, ep)
 		case slices.Contains(q.tried, spec.Key()):
 			tried = append(tried, ep)
@@ -255,6 +255,13 @@
 	return unhealthy
 }
 
+// isDark reports whether other instances could not reach an endpoint that this one has
+// not reached lately either.
+func (e *Endpoints) isDark(ep *endpoint, now time.Time) bool {
+	others := e.otherLoads.Load(ep.idHash)
+	return !ep.health.Reached(now) && place.IsDark(others.Reached, others.Unreachable)
+}
+
 // oldWeightsMargin is subtracted from the time for which old weights may be used
 // after a new version was announced.
 const oldWeightsMargin = 800 * time.Millisecond
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -226,18 +226,26 @@
 }
 
 // Loads returns the load of this instance's requests at endpoints and fetch
-// sources, by the hash of the endpoint's identifier or the source's address. It
+// sources, and which endpoints it reaches, by the hash of the endpoint's identifier or the source's address. It
 // implements peers.Source.
 func (e *Endpoints) Loads() map[uint64]peers.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.now()
 	loads := make(map[uint64]peers.Load, len(e.byKey))
 	for _, ep := range e.byKey {
-		if ep.ownLoad != (peers.Load{}) {
-			loads[ep.idHash] = ep.ownLoad
+		l := ep.ownLoad
+		if ep.health.Reached(now) {
+			l.Reached = 1
+		}
+		if ep.health.Unreachable(now) {
+			l.Unreachable = 1
+		}
+		if l != (peers.Load{}) {
+			loads[ep.idHash] = l
 		}
 	}
-	e.addFetchLoads(loads, e.now())
+	e.addFetchLoads(loads, now)
 	return loads
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -74,6 +74,7 @@
 // Run closes expired idle connections and updates the gauges regularly until ctx
 // ends. It returns nil.
 func (s *Server) Run(ctx context.Context) error {
+	go timer.Every(ctx, probeCheckInterval, func() { s.endpoints.probeUnreachable(ctx) })
 	return timer.Every(ctx, maintenanceInterval, func() {
 		s.endpoints.pruneConnections()
 		s.updateGauges()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -112,6 +112,16 @@
 	return p.dial(ctx)
 }
 
+// Connect opens a connection and keeps it idle. The error is a *NotSentError.
+func (p *Pool) Connect(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c, defaultIdleTimeout)
+	return nil
+}
+
 func (p *Pool) takeIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
