A prompt that can't be admitted in time is refused at once, with a time that follows the backlog; a deadline before the first attempt says not run

Cause: every prompt waited 700 ms for admission whatever the backlog and was then told to come back after 250 to 750 ms by chance; a request whose deadline passed before anything was sent was answered 504, which promises nothing, though it is known not to have run. Change: place.AdmissionDelay is the shortest time until an engine would admit the prompt; beyond the wait it is refused at once. Retry-After is that delay plus a spread that grows with it. Without a possible execution the answer at the deadline is 503.

--- a/place/admit.go
+++ b/place/admit.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of Admits and PrefillRate. urgentWaitShare, normalWaitShare and
 // lowPriorityWaitShare are for the priority ranks 0, 1 and all others: they limit how
@@ -76,9 +79,26 @@
 // The memory limit does not apply to an engine without running requests, since
 // waiting there would free no memory.
 func Admits(e *Engine, rank int, target time.Duration, s *PrefillRate) bool {
-	if !e.hasMemory() {
-		return false
+	return e.hasMemory() && e.admissionDelay(rank, target, s) <= 0
+}
+
+// AdmissionDelay returns how long it takes at least until one of the engines would admit
+// a prompt, if they get no others meanwhile; 0 if that depends on the memory of running
+// requests, whose end is not known. The other arguments are those of Admits.
+//
+// Load pattern: a backlog of seconds in all engines. A prompt that can't be admitted
+// while its caller may wait is refused at once, with the time when it can be.
+func AdmissionDelay(engines []Engine, rank int, target time.Duration, s *PrefillRate) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for i := range engines {
+		shortest = min(shortest, engines[i].admissionDelay(rank, target, s))
 	}
+	return max(shortest, 0)
+}
+
+// admissionDelay returns by how much the queued prompts of the engine exceed what a prompt
+// may wait for, negative if they don't.
+func (e *Engine) admissionDelay(rank int, target time.Duration, s *PrefillRate) time.Duration {
 	waitShare := lowPriorityWaitShare
 	switch rank {
 	case 0:
@@ -86,5 +106,5 @@
 	case 1:
 		waitShare = normalWaitShare
 	}
-	return s.PrefillTime(e.PendingTokens) <= time.Duration(waitShare*float64(target))
+	return s.PrefillTime(e.PendingTokens) - time.Duration(waitShare*float64(target))
 }
--- a/place/prompt_test.go
+++ b/place/prompt_test.go
@@ -74,6 +74,24 @@
 	assert.Equal(t, ChooseEngine(1, list), 4)
 }
 
+// TestAdmissionDelayIsUntilAdmission checks that a prompt is admitted once the engine has
+// prefilled for its AdmissionDelay, and not before.
+func TestAdmissionDelayIsUntilAdmission(t *testing.T) {
+	var rate PrefillRate
+	e := newEngines(1)[0]
+	for _, pending := range []int{0, 10_000, 40_000, 200_000} {
+		for rank := range 3 {
+			e.PendingTokens = pending
+			delay := AdmissionDelay([]Engine{e}, rank, 300*time.Millisecond, &rate)
+			assert.Equal(t, Admits(&e, rank, 300*time.Millisecond, &rate), delay == 0)
+			e.PendingTokens = max(pending-rate.Tokens(delay)-1, 0)
+			assert.Check(t, Admits(&e, rank, 300*time.Millisecond, &rate))
+			e.PendingTokens = pending - rate.Tokens(delay) + 200
+			assert.Check(t, delay == 0 || !Admits(&e, rank, 300*time.Millisecond, &rate))
+		}
+	}
+}
+
 // simulateOverload simulates ten seconds in which prompts arrive at 1.5 times
 // the rate at which the engines prefill them. It returns how many prompts got their
 // first token within the target time, over all ranks and for the most urgent
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -109,8 +109,11 @@
 		event.RelayCallerGone.Log(c.server.opts.Log, c.logAttrs()...)
 		c.abortConnection()
 	}
-	r := &contract.Refusal{Status: http.StatusGatewayTimeout, Reason: contract.ReasonDeadline, Ran: contract.MayHaveRun, Detail: "no answer in time"}
-	c.refuseOrAbort(r)
+	if c.possibleExecutions == 0 {
+		c.refuseOrAbort(contract.Unavailable(contract.ReasonDeadline, c.retryAfter(), "no endpoint got the request in time"))
+		return
+	}
+	c.refuseOrAbort(&contract.Refusal{Status: http.StatusGatewayTimeout, Reason: contract.ReasonDeadline, Ran: contract.MayHaveRun, Detail: "no answer in time"})
 }
 
 // abortConnection closes the caller's connection without a complete response. It
@@ -141,18 +144,23 @@
 	}
 }
 
-// retryAfter returns a duration from minRetryAfter to minRetryAfter plus
-// retryAfterSpread. An overload caused by prompts clears in about the duration of
-// one response. The random spread keeps callers that were refused at the same time
-// from retrying at the same time.
+// Parameters of retryAfter.
 const (
 	minRetryAfter    = 250 * time.Millisecond
 	retryAfterSpread = 500 * time.Millisecond
+	// retryAfterDelayShare is the part of a known delay that is added to the spread:
+	// callers that were refused because of a long backlog come back over a longer time.
+	retryAfterDelayShare = 0.5
 )
 
-// retryAfter returns the delay after which a refused caller should retry.
+// retryAfter returns the delay after which a refused caller should retry: when the
+// engines will have prefilled what is queued before its prompt, or a short time if that
+// is not known. The random spread keeps callers that were refused at the same time from
+// retrying at the same time.
 func (c *callerRequest) retryAfter() time.Duration {
-	return minRetryAfter + rand.N(retryAfterSpread)
+	delay := c.query.admissionDelay
+	spread := retryAfterSpread + time.Duration(retryAfterDelayShare*float64(delay))
+	return max(minRetryAfter, delay) + rand.N(spread)
 }
 
 // maxEndpointWait is the longest time that a request waits for an endpoint that
@@ -165,7 +173,8 @@
 // known endpoints.
 const endpointPollInterval = 20 * time.Millisecond
 
-// selectEndpoint chooses an endpoint, for which it waits up to maxEndpointWait.
+// selectEndpoint chooses an endpoint, for which it waits up to maxEndpointWait if one is
+// expected to be found by then.
 // It returns neither a pick nor a refusal if ctx ends first.
 func (c *callerRequest) selectEndpoint(ctx context.Context) (*pick, *contract.Refusal) {
 	waitUntil := time.Now().Add(maxEndpointWait)
@@ -178,7 +187,8 @@
 		if p != nil {
 			return p, nil
 		}
-		if !time.Now().Before(waitUntil) {
+		// A prompt that can't be admitted within the wait is refused without waiting.
+		if time.Now().Add(c.query.admissionDelay).After(waitUntil) {
 			reason := contract.ReasonNoEndpoint
 			if c.query.awaitsAdmission {
 				reason = contract.ReasonOverload
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -189,7 +189,7 @@
 		return nil, e.changed
 	}
 	var p *pick
-	q.awaitsAdmission = q.prompt != nil
+	q.awaitsAdmission, q.admissionDelay = q.prompt != nil, 0
 	if q.prompt != nil {
 		p = e.choosePromptEndpoint(s, q, list, now)
 	} else {
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -145,6 +145,7 @@
 	}
 	chosen := place.ChooseEngine(q.sessionHash, engines)
 	if !q.admitted && !place.Admits(&engines[chosen], q.priority, q.target, &service.prefillRate) {
+		q.admissionDelay = place.AdmissionDelay(engines, q.priority, q.target, &service.prefillRate)
 		return nil
 	}
 	ep := list[chosen]
--- a/relay/query.go
+++ b/relay/query.go
@@ -21,6 +21,7 @@
 	assigned        string        // identifier of the endpoint that the owner of the session's shard chose, empty if none
 	ownShard        *shard        // the prompt's shard if this instance owns it, nil otherwise
 	admitted        bool          // the owner has admitted the prompt at the assigned endpoint
+	admissionDelay  time.Duration // how long the prompt would have to wait for admission at least; valid if awaitsAdmission is
 	maxAttempts     int
 	tried           []fleet.EndpointKey // endpoints that the request was sent to
 	excluded        []fleet.EndpointKey // endpoints that no further attempt may use
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/fleet"
+	"redwingknot/peers"
+	"redwingknot/place"
 	"redwingknot/promptcache"
 )
 
@@ -175,6 +178,30 @@
 	<-closed
 }
 
+// TestDeadlineBeforeFirstAttemptSaysNotRun checks that a request that no endpoint got is
+// refused with a status that states that it has not run: its caller may repeat it.
+func TestDeadlineBeforeFirstAttemptSaysNotRun(t *testing.T) {
+	b := newTestBed(t)
+	got := b.send("/once/", "Deadline-Ms", "150")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Check(t, got.header.Get("Retry-After") != "")
+}
+
+// TestRetryAfterFollowsBacklog checks that the caller of a prompt that is refused because
+// of a backlog is told to come back when the engine has prefilled it.
+func TestRetryAfterFollowsBacklog(t *testing.T) {
+	b := newTestBed(t)
+	e := b.startEndpoint("i-1", respondOK)
+	b.loads.SetReport("other", map[uint64]peers.Load{place.Hash("i-1"): {Running: 8, PendingTokens: 500_000}}, time.Now())
+	const backlog = 5.0 // seconds, at the prefill rate assumed without measurements
+	got := b.send("/flux/", promptHeaders()...)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, requestCount(e), 0)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Check(t, after > backlog-1 && after < 2*backlog, "%v", after)
+}
+
 func TestCallerDisconnectClosesEndpointConnection(t *testing.T) {
 	// The caller disconnects before or within the response.
 	for _, stage := range []string{"before", "within"} {
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -114,6 +114,7 @@
 	t      *testing.T
 	view   *fleet.View
 	cache  *promptcache.Directory
+	loads  *peers.Table // as reported by other instances
 	server *httptest.Server
 	now    func() time.Time
 }
@@ -154,9 +155,9 @@
 
 // newUnconfiguredTestBed returns a test bed that has no configuration yet.
 func newUnconfiguredTestBed(t *testing.T) *testBed {
-	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), now: time.Now}
+	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable(), now: time.Now}
 	o := relay.Options{
-		View: b.view, Dialect: platform.Dialect{}, Log: slog.New(slog.DiscardHandler), Cache: b.cache, OtherLoads: peers.NewTable(),
+		View: b.view, Dialect: platform.Dialect{}, Log: slog.New(slog.DiscardHandler), Cache: b.cache, OtherLoads: b.loads,
 		Now: func() time.Time { return b.now() }, RevokeTime: 5 * time.Second, OldWeightsTime: 6 * time.Second,
 		RetryRatio: 10, RetryWindow: 10 * time.Second, MaxBodyBytes: 1 << 24,
 	}
