Placement groups, in place of shards: that word names the logs of claims

Cause: the glossary has shard for one of the logs of claims. Result: tests of place, relay, placement and gateway pass.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -29,11 +29,11 @@
 	g.placer.Register(g.wire)
 }
 
-// setUpPlacer sets up the placement of heavy prompts by the owners of their shards.
+// setUpPlacer sets up the placement of heavy prompts by the owners of their groups.
 func (g *Gateway) setUpPlacer() {
 	g.placer = placement.New(placement.Options{
 		Self: g.opts.Instance, Key: peerKey(), Now: g.opts.Relay.Now,
-		Chooser: placement.ChooserFunc(func(r *relay.PlacementRequest) string { return g.relay.Endpoints().ChooseInShard(r) }),
+		Chooser: placement.ChooserFunc(func(r *relay.PlacementRequest) string { return g.relay.Endpoints().ChooseInGroup(r) }),
 	})
 	g.opts.Relay.Placer = g.placer
 }
--- a/place/shard_test.go
+++ b/place/group_test.go
@@ -10,18 +10,18 @@
 	"gotest.tools/v3/assert"
 )
 
-func TestShardCount(t *testing.T) {
+func TestGroupCount(t *testing.T) {
 	for engines, want := range map[int]int{0: 1, 1: 1, 12: 1, 24: 2, 99: 6, 140: 9, 690: 43} {
-		assert.Equal(t, ShardCount(engines), want, "%d engines", engines)
+		assert.Equal(t, GroupCount(engines), want, "%d engines", engines)
 	}
 }
 
-func TestEngineIsInOneShard(t *testing.T) {
-	const shards = 6
+func TestEngineIsInOneGroup(t *testing.T) {
+	const groups = 6
 	for rank := range 99 {
 		in := 0
-		for shard := range shards {
-			if InShard(rank, shard, shards) {
+		for group := range groups {
+			if InGroup(rank, group, groups) {
 				in++
 			}
 		}
@@ -29,29 +29,29 @@
 	}
 }
 
-// TestShardOwnerStaysUntilItLeaves checks that instances agree on an owner in any order
-// of their lists, and that only the shards of an instance that leaves change theirs.
-func TestShardOwnerStaysUntilItLeaves(t *testing.T) {
+// TestGroupOwnerStaysUntilItLeaves checks that instances agree on an owner in any order
+// of their lists, and that only the groups of an instance that leaves change theirs.
+func TestGroupOwnerStaysUntilItLeaves(t *testing.T) {
 	var names []string
 	for i := range 30 {
 		names = append(names, fmt.Sprint("front-", i))
 	}
-	owner := func(names []string, shard int) string {
+	owner := func(names []string, group int) string {
 		var hashes []uint64
 		for _, name := range names {
 			hashes = append(hashes, Hash(name))
 		}
-		return names[ShardOwner(Hash("s"), shard, hashes)]
+		return names[GroupOwner(Hash("s"), group, hashes)]
 	}
-	for shard := range 40 {
-		before := owner(names, shard)
+	for group := range 40 {
+		before := owner(names, group)
 		shuffled := slices.Clone(names)
-		rand.New(rand.NewPCG(1, uint64(shard))).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
-		assert.Equal(t, owner(shuffled, shard), before)
+		rand.New(rand.NewPCG(1, uint64(group))).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		assert.Equal(t, owner(shuffled, group), before)
 		for _, gone := range names {
 			rest := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == gone })
 			if gone != before {
-				assert.Equal(t, owner(rest, shard), before)
+				assert.Equal(t, owner(rest, group), before)
 			}
 		}
 	}
@@ -66,9 +66,9 @@
 }
 
 // simulate places the prompts of twenty seconds and returns the share of them that met
-// another prompt at their engine. If shards is 0, each instance chooses by what it knows;
-// otherwise the owner of the prompt's shard chooses.
-func (a heavyArrivals) simulate(shards int) float64 {
+// another prompt at their engine. If groups is 0, each instance chooses by what it knows;
+// otherwise the owner of the prompt's group chooses.
+func (a heavyArrivals) simulate(groups int) float64 {
 	type placed struct {
 		by, engine int
 		at, end    time.Duration
@@ -79,13 +79,13 @@
 	for now := time.Duration(0); now < 20*time.Second; now += time.Duration(rng.ExpFloat64() / a.perSecond * float64(time.Second)) {
 		session := rng.Uint64()
 		chooser := rng.IntN(a.instances)
-		if shards > 0 {
-			chooser = a.instances + ShardOf(session, shards)
+		if groups > 0 {
+			chooser = a.instances + GroupOf(session, groups)
 		}
 		list, ranks := []Engine{}, []int{}
 		busy := make([]bool, a.engines)
 		for rank := range a.engines {
-			if shards == 0 || InShard(rank, ShardOf(session, shards), shards) {
+			if groups == 0 || InGroup(rank, GroupOf(session, groups), groups) {
 				list = append(list, Engine{Hash: Hash(fmt.Sprint(rank)), Local: true, UncachedTokens: 7000})
 				ranks = append(ranks, rank)
 			}
@@ -113,13 +113,13 @@
 	return float64(met) / float64(total)
 }
 
-// TestShardOwnersKeepHeavyPromptsApart replays the heavy prompts of a calm day of 62
+// TestGroupOwnersKeepHeavyPromptsApart replays the heavy prompts of a calm day of 62
 // instances before 140 engines, two fifths of which are busy, with reports that are as
-// old as a prompt takes. If the owners of shards place the prompts, at most a tenth as
+// old as a prompt takes. If the owners of groups place the prompts, at most a tenth as
 // many must meet another one as if each instance placed its own.
-func TestShardOwnersKeepHeavyPromptsApart(t *testing.T) {
+func TestGroupOwnersKeepHeavyPromptsApart(t *testing.T) {
 	load := heavyArrivals{instances: 62, engines: 140, perSecond: 190, prefillTime: 300 * time.Millisecond, reportAge: 270 * time.Millisecond}
-	alone, owners := load.simulate(0), load.simulate(ShardCount(load.engines))
-	t.Logf("prompts that meet another: %.3f by each instance alone, %.3f by owners of shards", alone, owners)
+	alone, owners := load.simulate(0), load.simulate(GroupCount(load.engines))
+	t.Logf("prompts that meet another: %.3f by each instance alone, %.3f by owners of groups", alone, owners)
 	assert.Check(t, owners <= alone/10)
 }
--- a/placement/message.go
+++ b/placement/message.go
@@ -11,7 +11,7 @@
 	out := &placementpb.Request{
 		Service: r.Service, Model: r.Prompt.Model, Session: r.SessionHash, IsolatedTeam: r.IsolatedTeam,
 		InputTokens: uint32(r.Prompt.InputTokens), MaxOutputTokens: uint32(r.Prompt.MaxOutputTokens),
-		Priority: int32(r.Priority), Target: int64(r.Target), Shard: uint32(r.Shard), Shards: uint32(r.Shards),
+		Priority: int32(r.Priority), Target: int64(r.Target), Group: uint32(r.Group), Groups: uint32(r.Groups),
 	}
 	for _, part := range r.Prompt.Parts {
 		out.Parts = append(out.Parts, &placementpb.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
@@ -26,6 +26,6 @@
 	}
 	return &relay.PlacementRequest{
 		Service: in.Service, Prompt: prompt, SessionHash: in.Session, IsolatedTeam: in.IsolatedTeam,
-		Priority: int(in.Priority), Target: time.Duration(in.Target), Shard: int(in.Shard), Shards: int(in.Shards),
+		Priority: int(in.Priority), Target: time.Duration(in.Target), Group: int(in.Group), Groups: int(in.Groups),
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,16 +29,16 @@
 
 // Chooser chooses engines on behalf of other instances.
 type Chooser interface {
-	// ChooseInShard returns the identifier of the engine that should get a prompt,
-	// empty if no engine of the shard should get it now.
-	ChooseInShard(r *relay.PlacementRequest) (endpointID string)
+	// ChooseInGroup returns the identifier of the engine that should get a prompt,
+	// empty if no engine of the group should get it now.
+	ChooseInGroup(r *relay.PlacementRequest) (endpointID string)
 }
 
 // ChooserFunc is a function that is a Chooser.
 type ChooserFunc func(r *relay.PlacementRequest) (endpointID string)
 
-// ChooseInShard implements Chooser.
-func (f ChooserFunc) ChooseInShard(r *relay.PlacementRequest) string { return f(r) }
+// ChooseInGroup implements Chooser.
+func (f ChooserFunc) ChooseInGroup(r *relay.PlacementRequest) string { return f(r) }
 
 // Options configure a Placer.
 type Options struct {
@@ -48,7 +48,7 @@
 	Now     func() time.Time
 }
 
-// Placer asks the owners of shards. It implements relay.Placer and is safe for
+// Placer asks the owners of groups. It implements relay.Placer and is safe for
 // concurrent use.
 type Placer struct {
 	opts Options
@@ -59,7 +59,7 @@
 	owners map[string]*owner
 }
 
-// owner is another instance that owns shards.
+// owner is another instance that owns groups.
 type owner struct {
 	client *wire.Client
 
@@ -77,7 +77,7 @@
 // Register adds the handler for the requests of other instances to a server.
 func (p *Placer) Register(s *wire.Server) {
 	wire.Handle(s, methodPlace, func(_ context.Context, in *placementpb.Request) (*placementpb.Answer, error) {
-		return &placementpb.Answer{Endpoint: p.opts.Chooser.ChooseInShard(decodeRequest(in))}, nil
+		return &placementpb.Answer{Endpoint: p.opts.Chooser.ChooseInGroup(decodeRequest(in))}, nil
 	})
 }
 
@@ -155,12 +155,12 @@
 	return "", false
 }
 
-// ownerOf returns the name of the instance that owns a request's shard, and the state
+// ownerOf returns the name of the instance that owns a request's group, and the state
 // of that instance if it is another one.
 func (p *Placer) ownerOf(r *relay.PlacementRequest) (string, *owner) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	name := p.names[place.ShardOwner(place.Hash(r.Service), r.Shard, p.hashes)]
+	name := p.names[place.GroupOwner(place.Hash(r.Service), r.Group, p.hashes)]
 	return name, p.owners[name]
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -14,27 +14,27 @@
 	"redwingknot/wire"
 )
 
-// request returns a request of a shard.
-func request(shard int) *relay.PlacementRequest {
+// request returns a request of a group.
+func request(group int) *relay.PlacementRequest {
 	return &relay.PlacementRequest{
-		Service: "s", SessionHash: 1 << 63, IsolatedTeam: "t", Priority: 2, Target: time.Second, Shard: shard, Shards: 9,
+		Service: "s", SessionHash: 1 << 63, IsolatedTeam: "t", Priority: 2, Target: time.Second, Group: group, Groups: 9,
 		Prompt: &relay.Prompt{Model: "m", InputTokens: 9000, MaxOutputTokens: 7, Parts: []relay.Part{{ID: "a", Tokens: 7500}, {ID: "own", Tokens: 1500}}},
 	}
 }
 
-// shardOwnedBy returns a shard whose owner among the names is the given one.
-func shardOwnedBy(t *testing.T, owner string, names ...string) int {
+// groupOwnedBy returns a group whose owner among the names is the given one.
+func groupOwnedBy(t *testing.T, owner string, names ...string) int {
 	t.Helper()
 	var hashes []uint64
 	for _, name := range names {
 		hashes = append(hashes, place.Hash(name))
 	}
-	for shard := range 100 {
-		if names[place.ShardOwner(place.Hash("s"), shard, hashes)] == owner {
-			return shard
+	for group := range 100 {
+		if names[place.GroupOwner(place.Hash("s"), group, hashes)] == owner {
+			return group
 		}
 	}
-	t.Fatalf("%s owns no shard", owner)
+	t.Fatalf("%s owns no group", owner)
 	return 0
 }
 
@@ -63,7 +63,7 @@
 
 	asker := New(Options{Self: "asker", Key: key, Now: time.Now})
 	asker.SetInstances(map[string]string{"owner": listener.Addr().String()})
-	r := request(shardOwnedBy(t, "owner", "asker", "owner"))
+	r := request(groupOwnedBy(t, "owner", "asker", "owner"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result { // the first answers may come late on a busy machine
 		endpointID, own := asker.Place(t.Context(), r)
 		if own || endpointID != "e-7" {
@@ -74,7 +74,7 @@
 	assert.DeepEqual(t, asked, r)
 }
 
-func TestOwnShardIsNotAsked(t *testing.T) {
+func TestOwnGroupIsNotAsked(t *testing.T) {
 	p := New(Options{Self: "a", Now: time.Now})
 	endpointID, own := p.Place(t.Context(), request(0))
 	assert.Check(t, own)
@@ -90,7 +90,7 @@
 	now := time.Unix(100, 0)
 	p := New(Options{Self: "asker", Key: []byte("key"), Now: func() time.Time { return now }})
 	p.SetInstances(map[string]string{"owner": listener.Addr().String()})
-	r := request(shardOwnedBy(t, "owner", "asker", "owner"))
+	r := request(groupOwnedBy(t, "owner", "asker", "owner"))
 	endpointID, own := p.Place(t.Context(), r)
 	assert.Check(t, endpointID == "" && !own)
 	_, o := p.ownerOf(r)
@@ -98,5 +98,5 @@
 	assert.Check(t, o.mayAsk(now.Add(ownerBackoff)))
 	p.SetInstances(nil)
 	_, own = p.Place(t.Context(), r)
-	assert.Check(t, own, "the shards of an instance that has left belong to the others")
+	assert.Check(t, own, "the groups of an instance that has left belong to the others")
 }
--- a/relay/placer_test.go
+++ b/relay/placer_test.go
@@ -29,37 +29,37 @@
 	return &Prompt{Model: "m", InputTokens: 9000, MaxOutputTokens: 10, Parts: []Part{{ID: "common", Tokens: 100}, {ID: session, Tokens: 7400}, {ID: "own-" + session, Tokens: 1500}}}
 }
 
-// TestOwnerSpreadsHeavyPromptsOfOthers places prompts of a shard for other instances,
+// TestOwnerSpreadsHeavyPromptsOfOthers places prompts of a group for other instances,
 // none of which has reported its load yet. Each must go to an engine of its own, all of
-// the shard, and a prompt of the same session to the engine that reads the session.
+// the group, and a prompt of the same session to the engine that reads the session.
 func TestOwnerSpreadsHeavyPromptsOfOthers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e := newEngineEndpoints(32, &now)
 	request := func(session string) *PlacementRequest {
-		return &PlacementRequest{Service: "s", Prompt: heavyPrompt(session), SessionHash: place.Hash(session), Target: time.Hour, Shard: 1, Shards: 2}
+		return &PlacementRequest{Service: "s", Prompt: heavyPrompt(session), SessionHash: place.Hash(session), Target: time.Hour, Group: 1, Groups: 2}
 	}
 	chosen := map[string]string{}
 	for i := range 16 {
 		session := fmt.Sprint("session-", i)
-		id := e.ChooseInShard(request(session))
+		id := e.ChooseInGroup(request(session))
 		assert.Check(t, chosen[id] == "", "%s and %s go to engine %s", session, chosen[id], id)
 		chosen[id] = session
-		assert.Check(t, place.InShard(e.byKey[fleet.EndpointKey{ID: id}].rank, 1, 2))
+		assert.Check(t, place.InGroup(e.byKey[fleet.EndpointKey{ID: id}].rank, 1, 2))
 	}
 	for id, session := range chosen {
-		assert.Equal(t, e.ChooseInShard(request(session)), id)
+		assert.Equal(t, e.ChooseInGroup(request(session)), id)
 	}
 }
 
 // TestOwnerRefusesBeyondTarget checks that an owner names no engine while all engines of
-// its shard have more to prefill than the prompt's target allows, and names one again
+// its group have more to prefill than the prompt's target allows, and names one again
 // when they have done it.
 func TestOwnerRefusesBeyondTarget(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e := newEngineEndpoints(4, &now)
 	place := func(i int) string {
 		session := fmt.Sprint("session-", i)
-		return e.ChooseInShard(&PlacementRequest{Service: "s", Prompt: heavyPrompt(session), SessionHash: place.Hash(session), Target: 500 * time.Millisecond, Shards: 1})
+		return e.ChooseInGroup(&PlacementRequest{Service: "s", Prompt: heavyPrompt(session), SessionHash: place.Hash(session), Target: 500 * time.Millisecond, Groups: 1})
 	}
 	placed := 0
 	for place(placed) != "" {
@@ -72,7 +72,7 @@
 }
 
 // TestAssignedEndpointIsUsed checks that a request goes to the engine that the owner of
-// its shard chose, even if this instance would admit it nowhere, and that an engine that
+// its group chose, even if this instance would admit it nowhere, and that an engine that
 // is not eligible is ignored.
 func TestAssignedEndpointIsUsed(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -100,16 +100,16 @@
 	assert.Equal(t, p.spec.ID, "e3")
 }
 
-// TestOwnShardIsTriedFirst checks that an instance places its own prompts of a shard that
-// it owns like those of others, and elsewhere only if the shard has no room.
-func TestOwnShardIsTriedFirst(t *testing.T) {
+// TestOwnGroupIsTriedFirst checks that an instance places its own prompts of a group that
+// it owns like those of others, and elsewhere only if the group has no room.
+func TestOwnGroupIsTriedFirst(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e := newEngineEndpoints(32, &now)
 	for i := range 20 {
 		session := fmt.Sprint("session-", i)
-		q := &placementQuery{service: "s", prompt: heavyPrompt(session), sessionHash: place.Hash(session), target: 100 * time.Millisecond, maxAttempts: 1, ownShard: &shard{1, 2}}
+		q := &placementQuery{service: "s", prompt: heavyPrompt(session), sessionHash: place.Hash(session), target: 100 * time.Millisecond, maxAttempts: 1, ownGroup: &placementGroup{1, 2}}
 		p, _ := e.choose(q)
 		assert.Assert(t, p != nil)
-		assert.Equal(t, place.InShard(p.endpoint.rank, 1, 2), i < 16, "prompt %d", i)
+		assert.Equal(t, place.InGroup(p.endpoint.rank, 1, 2), i < 16, "prompt %d", i)
 	}
 }
