A cache store whose fetches are late is avoided by all instances

Change: the reports between instances say of each source whether the latest fetch was late or in time; with two late ones and none in time it is not used. The same rule as for dark endpoints.

--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -313,7 +313,7 @@
 	}
 	p.endpoint.slowness.Observe(secondsPerCost/s.averageSecondsPerCost, now)
 	for _, f := range p.plannedFetches {
-		e.source(f.address).slowness.ObserveSparse(secondsPerCost/s.averageSecondsPerCost, now)
+		e.source(f.address).recordFirstData(took, secondsPerCost/s.averageSecondsPerCost, now)
 	}
 	s.averageSecondsPerCost += averageSampleWeight * (secondsPerCost - s.averageSecondsPerCost)
 	e.releasePending(p)
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -50,17 +50,18 @@
 }
 
 // findSources sets cheapestFetch of each part. Its source is a store that reports
-// the part, or an endpoint of list that is believed to hold it in memory.
+// the part, or an endpoint of list that is believed to hold it in memory, unless
+// fetches from there are late.
 func (e *Endpoints) findSources(parts []sharedPart, list []*endpoint, rates transferRates, now time.Time) {
 	for i := range parts {
 		p := &parts[i]
 		if e.cache != nil {
-			if store := e.cache.Holder(p.sized.Part, now); store != nil {
+			if store := e.cache.Holder(p.sized.Part, now); store != nil && !e.fetchesLate(store.Address, now) {
 				p.useIfCheaper(e.estimateStoreFetch(store, rates, p.sized.Tokens, now))
 			}
 		}
 		for _, ep := range list {
-			if ep.residentParts.Has(p.hash) {
+			if ep.residentParts.Has(p.hash) && !e.fetchesLate(ep.spec.Address, now) {
 				p.useIfCheaper(e.estimateEngineFetch(ep, rates, p.sized.Tokens, now))
 			}
 		}
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -155,3 +155,25 @@
 	assert.Equal(t, e.estimateStoreFetch(large, rates, 1000, now).costAt(""), 600+238+2383)
 	assert.Equal(t, e.estimateStoreFetch(quick, rates, 1000, now).costAt(""), 50+238+1008)
 }
+
+// TestLateSourceIsAvoidedByAll checks that a store from which two instances' fetches were
+// late is not used by a third one, until a fetch was in time.
+func TestLateSourceIsAvoidedByAll(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, parts, list := newCacheTestEndpoints(now)
+	source := func() string {
+		for i := range parts {
+			parts[i].cheapestFetch = fetchEstimate{}
+		}
+		e.findSources(parts, list, transferRates{}, now)
+		return parts[0].cheapestFetch.address
+	}
+	e.otherLoads.SetReport("a", map[uint64]peers.Load{place.Hash(storeAddress): {Unreachable: 1}}, now)
+	assert.Equal(t, source(), storeAddress)
+	e.source(storeAddress).recordFirstData(promptcache.FetchTimeout, lateFetchRatio, now)
+	assert.Equal(t, source(), "")
+	assert.Equal(t, e.Loads()[place.Hash(storeAddress)].Unreachable, 1)
+	now = now.Add(time.Millisecond)
+	e.source(storeAddress).recordFirstData(promptcache.FetchTimeout/10, 1, now)
+	assert.Equal(t, source(), storeAddress)
+}
--- a/relay/source.go
+++ b/relay/source.go
@@ -7,6 +7,7 @@
 	"redwingknot/fleet"
 	"redwingknot/peers"
 	"redwingknot/place"
+	"redwingknot/promptcache"
 )
 
 const (
@@ -59,6 +60,38 @@
 	addressHash uint64
 	slowness    place.SlownessTracker // of requests that fetch from the address
 	transfers   []transfer            // fetches of this instance's requests
+	lateAt      time.Time             // when a request that fetched from the address last had its first data late
+	inTimeAt    time.Time             // when one last had it in time
+}
+
+const (
+	// lateFetchRatio is how many times as long as usual a request takes that waited in
+	// vain for a fetch, which is abandoned after promptcache.FetchTimeout.
+	lateFetchRatio = 2
+	// lateFetchTime is how long a late fetch counts.
+	lateFetchTime = 2 * time.Second
+	// inTimeFetchTime is how long a fetch in time counts.
+	inTimeFetchTime = 500 * time.Millisecond
+)
+
+// recordFirstData records that a request that fetched from the address had its first data
+// after took, ratio times as long as usual.
+func (s *source) recordFirstData(took time.Duration, ratio float64, now time.Time) {
+	s.slowness.ObserveSparse(ratio, now)
+	if took >= promptcache.FetchTimeout && ratio >= lateFetchRatio {
+		s.lateAt = now
+	} else {
+		s.inTimeAt = now
+	}
+}
+
+// isLate and isInTime report what this instance's latest fetches from the address were.
+func (s *source) isLate(now time.Time) bool {
+	return s.lateAt.After(s.inTimeAt) && now.Sub(s.lateAt) <= lateFetchTime
+}
+
+func (s *source) isInTime(now time.Time) bool {
+	return s.inTimeAt.After(s.lateAt) && now.Sub(s.inTimeAt) <= inTimeFetchTime
 }
 
 // transfer is a fetch that counts until the time at which it is expected to end.
@@ -143,13 +176,38 @@
 	return e.estimateFetch(ep.spec.Address, ep.spec.DataCentre, engineFixedCost, rates, rates.engineMbps, tokens, now)
 }
 
+// fetchesLate reports whether fetches from an address have lately been late, as several
+// instances found, and none was in time.
+//
+// Load pattern: the link of a cache store turns slow. If each instance learned that for
+// itself, each would have some requests wait in vain.
+func (e *Endpoints) fetchesLate(address string, now time.Time) bool {
+	s := e.source(address)
+	found := e.otherLoads.Load(s.addressHash)
+	found.Add(s.findings(now))
+	return place.IsDark(found.Reached, found.Unreachable)
+}
+
+// findings returns whether this instance's latest fetches from the address were in time,
+// as an address that was reached or was not.
+func (s *source) findings(now time.Time) (l peers.Load) {
+	if s.isInTime(now) {
+		l.Reached = 1
+	}
+	if s.isLate(now) {
+		l.Unreachable = 1
+	}
+	return l
+}
+
 // addFetchLoads adds to loads the tokens that this instance's requests are
-// fetching, as pending tokens of the source's address.
+// fetching, as pending tokens of the source's address, and the findings about it.
 func (e *Endpoints) addFetchLoads(loads map[uint64]peers.Load, now time.Time) {
 	for _, s := range e.sources {
-		if tokens := s.fetchingTokens(now); tokens > 0 {
-			l := loads[s.addressHash]
-			l.PendingTokens += tokens
+		l := s.findings(now)
+		l.PendingTokens = s.fetchingTokens(now)
+		if l != (peers.Load{}) {
+			l.Add(loads[s.addressHash])
 			loads[s.addressHash] = l
 		}
 	}
