--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"redwingknot/metastore"
 	"redwingknot/metric"
 	"redwingknot/peers"
-	"redwingknot/placement"
 	"redwingknot/relay"
 	"redwingknot/wire"
 )
@@ -78,7 +77,6 @@
 	registration  *registration
 	wire          *wire.Server
 	exchange      *peers.Exchange
-	placer        *placement.Placer
 	draining      atomic.Bool
 	started       time.Time
 	memberCount   atomic.Int64 // registered instances, 0 before they are known
@@ -91,7 +89,6 @@
 	g.confirmations = newConfirmations(g.view, o.Relay.Now)
 	g.opts.Relay.OtherLoads = peers.NewTable()
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
-	g.setUpPlacer()
 	g.relay = relay.NewServer(g.opts.Relay)
 	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease)}
 	g.setUpPeerExchange()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,8 +12,6 @@
 	"redwingknot/fleet"
 	"redwingknot/internal/timer"
 	"redwingknot/peers"
-	"redwingknot/placement"
-	"redwingknot/relay"
 	"redwingknot/wire"
 )
 
@@ -26,16 +24,6 @@
 		Table: g.opts.Relay.OtherLoads, Now: g.opts.Relay.Now,
 	})
 	g.exchange.Register(g.wire)
-	g.placer.Register(g.wire)
-}
-
-// setUpPlacer sets up the placement of heavy prompts by the owners of their groups.
-func (g *Gateway) setUpPlacer() {
-	g.placer = placement.New(placement.Options{
-		Self: g.opts.Instance, Key: peerKey(), Now: g.opts.Relay.Now,
-		Chooser: placement.ChooserFunc(func(r *relay.PlacementRequest) string { return g.relay.Endpoints().ChooseInGroup(r) }),
-	})
-	g.opts.Relay.Placer = g.placer
 }
 
 // peerKey returns the key of the connections between instances, which is the same
@@ -77,7 +65,6 @@
 	g.memberCount.Store(int64(max(m.Len(), 1)))
 	g.setInstances()
 	g.exchange.SetPeers(ctx, addresses)
-	g.placer.SetInstances(addresses)
 }
 
 // setInstances sets the number of instances in the view to that of the registered
--- a/place/admit.go
+++ b/place/admit.go
@@ -44,9 +44,6 @@
 	return time.Duration(float64(tokens) * s.timePerToken() * float64(time.Second))
 }
 
-// Tokens returns how many tokens an engine is expected to prefill in the given time.
-func (s *PrefillRate) Tokens(d time.Duration) int { return int(d.Seconds() * s.TokensPerSecond()) }
-
 // TokensPerSecond returns how many tokens an engine is expected to prefill in a second.
 func (s *PrefillRate) TokensPerSecond() float64 { return 1 / s.timePerToken() }
 
--- a/place/prompt.go
+++ b/place/prompt.go
@@ -15,7 +15,6 @@
 	MemoryCapacity int     // its memory, 0 if unknown
 	UncachedTokens int     // tokens of this prompt that it would have to prefill
 	FetchCost      int     // time to fetch cached parts of this prompt
-	PoolCost       int     // see WorkSplit.PoolCost
 	MemoryNeeded   int     // memory that this request would need
 }
 
@@ -38,7 +37,7 @@
 // Cost returns the expected time from sending the request to the engine until
 // its first token, as a number of tokens that the engine prefills meanwhile.
 func (e *Engine) Cost() float64 {
-	cost := float64(baseCostTokens + e.PendingTokens + e.UncachedTokens + e.FetchCost + e.PoolCost)
+	cost := float64(baseCostTokens + e.PendingTokens + e.UncachedTokens + e.FetchCost)
 	if excessRequests := e.Running + 1 - e.Slots; e.Slots > 0 && excessRequests > 0 {
 		cost += float64(excessRequests * slotWaitTokens)
 	}
--- a/place/prompt_test.go
+++ b/place/prompt_test.go
@@ -84,9 +84,10 @@
 			e.PendingTokens = pending
 			delay := AdmissionDelay([]Engine{e}, rank, 300*time.Millisecond, &rate)
 			assert.Equal(t, Admits(&e, rank, 300*time.Millisecond, &rate), delay == 0)
-			e.PendingTokens = max(pending-rate.Tokens(delay)-1, 0)
+			prefilled := int(delay.Seconds() * rate.TokensPerSecond())
+			e.PendingTokens = max(pending-prefilled-1, 0)
 			assert.Check(t, Admits(&e, rank, 300*time.Millisecond, &rate))
-			e.PendingTokens = pending - rate.Tokens(delay) + 200
+			e.PendingTokens = pending - prefilled + 200
 			assert.Check(t, delay == 0 || !Admits(&e, rank, 300*time.Millisecond, &rate))
 		}
 	}
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -178,7 +178,6 @@
 // It returns neither a pick nor a refusal if ctx ends first.
 func (c *callerRequest) selectEndpoint(ctx context.Context) (*pick, *contract.Refusal) {
 	waitUntil := time.Now().Add(maxEndpointWait)
-	c.assignEndpoint(ctx)
 	for {
 		if r := c.checkAuthorization(); r != nil {
 			return nil, c.markPossibleExecution(r)
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -16,10 +16,8 @@
 type endpoint struct {
 	spec          *fleet.Endpoint
 	idHash        uint64
-	rank          int // among the endpoints of its service, from 0 on
 	pool          *upstream.Pool
 	ownLoad       peers.Load                 // load from this instance's requests
-	backlog       place.Backlog              // prompts that this instance placed as the owner of a group
 	residentParts *promptcache.ResidentParts // estimate of the prompt parts in its memory
 	health        place.Health
 	nextProbe     time.Time // of an unreachable endpoint, zero otherwise
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -42,7 +41,6 @@
 type serviceState struct {
 	retryWindow           *retry.Window
 	prefillRate           place.PrefillRate
-	workSplit             place.WorkSplit
 	averageSecondsPerCost float64 // moving average of the time to the first data, in seconds per unit of pick.cost
 }
 
@@ -86,29 +84,11 @@
 			delete(e.byKey, key)
 		}
 	}
-	e.orderEndpoints(s)
 	close(e.changed)
 	e.changed = make(chan struct{})
 	return s
 }
 
-// orderEndpoints sets the rank of each endpoint among those of its service, in the order
-// of the hashes of their identifiers.
-func (e *Endpoints) orderEndpoints(s *fleet.Snapshot) {
-	for _, specs := range s.ByService {
-		var list []*endpoint
-		for _, spec := range specs {
-			if ep := e.byKey[spec.Key()]; ep != nil {
-				list = append(list, ep)
-			}
-		}
-		slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.idHash, b.idHash) })
-		for i, ep := range list {
-			ep.rank = i
-		}
-	}
-}
-
 // connLimit returns the number of connections that this instance may open to an
 // endpoint of a service: its share of the service's limit, at least 1.
 func (e *Endpoints) connLimit(s *fleet.Snapshot, service string) int {
@@ -191,7 +171,7 @@
 	var p *pick
 	q.awaitsAdmission, q.admissionDelay = q.prompt != nil, 0
 	if q.prompt != nil {
-		p = e.choosePromptEndpoint(s, q, list, now)
+		p = e.chooseForPrompt(s, q, list, now)
 	} else {
 		p = e.chooseWithoutPrompt(q, list, now)
 	}
@@ -199,7 +179,6 @@
 		return nil, e.changed
 	}
 	if q.prompt != nil {
-		e.service(q.service).workSplit.Observe(q.prompt.InputTokens, p.reserved.PendingTokens, q.prompt.MaxOutputTokens)
 		e.recordPlacement(p)
 	}
 	p.endpoint.ownLoad.Add(p.reserved)
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -134,18 +134,16 @@
 			byWeights[version] = parts
 		}
 		load := e.totalLoad(ep)
-		load.PendingTokens = max(load.PendingTokens, service.prefillRate.Tokens(ep.backlog.Remaining(now)))
 		plans[i] = bestPrefillPlan(ep, parts, q.prompt)
 		engines[i] = place.Engine{
 			Hash: ep.idHash, Local: ep.spec.DataCentre == e.dataCentre, Slowness: ep.slowness.Slowness(now),
 			Running: load.Running, Slots: ep.spec.Slots, PendingTokens: load.PendingTokens, MemoryInUse: load.HeldTokens,
 			MemoryCapacity: capacity, UncachedTokens: plans[i].prefillTokens, FetchCost: plans[i].fetchCost,
-			PoolCost:     service.workSplit.PoolCost(q.prompt.InputTokens, ep.rank, len(s.ByService[q.service])),
 			MemoryNeeded: q.prompt.InputTokens + q.prompt.MaxOutputTokens,
 		}
 	}
 	chosen := place.ChooseEngine(q.sessionHash, engines)
-	if !q.admitted && !place.Admits(&engines[chosen], q.priority, q.target, &service.prefillRate) {
+	if !place.Admits(&engines[chosen], q.priority, q.target, &service.prefillRate) {
 		q.admissionDelay = place.AdmissionDelay(engines, q.priority, q.target, &service.prefillRate)
 		return nil
 	}
--- a/relay/query.go
+++ b/relay/query.go
@@ -11,17 +11,14 @@
 // placementQuery is the input for choosing an endpoint for a request.
 type placementQuery struct {
 	service         string
-	prompt          *Prompt         // nil for plain requests
-	sessionHash     uint64          // hash of the prompt part that identifies the session
-	requestHash     uint64          // hash of the caller's attempt identifier
-	team            *fleet.Team     // nil on public routes
-	priority        int             // 0 is the most urgent
-	target          time.Duration   // time within which a response has its full value
-	awaitsAdmission bool            // the prompt waits until one of the eligible endpoints can admit it; valid if none was chosen
-	assigned        string          // identifier of the endpoint that the owner of the session's group chose, empty if none
-	ownGroup        *placementGroup // the prompt's group if this instance owns it, nil otherwise
-	admitted        bool            // the owner has admitted the prompt at the assigned endpoint
-	admissionDelay  time.Duration   // how long the prompt would have to wait for admission at least; valid if awaitsAdmission is
+	prompt          *Prompt       // nil for plain requests
+	sessionHash     uint64        // hash of the prompt part that identifies the session
+	requestHash     uint64        // hash of the caller's attempt identifier
+	team            *fleet.Team   // nil on public routes
+	priority        int           // 0 is the most urgent
+	target          time.Duration // time within which a response has its full value
+	awaitsAdmission bool          // the prompt waits until one of the eligible endpoints can admit it; valid if none was chosen
+	admissionDelay  time.Duration // how long the prompt would have to wait for admission at least; valid if awaitsAdmission is
 	maxAttempts     int
 	tried           []fleet.EndpointKey // endpoints that the request was sent to
 	excluded        []fleet.EndpointKey // endpoints that no further attempt may use
--- a/relay/server.go
+++ b/relay/server.go
@@ -31,7 +31,6 @@
 	Cache          *promptcache.Directory  // nil without cache stores
 	OtherLoads     *peers.Table            // load of the other instances' requests
 	SendPlacements func([]peers.Placement) // reports prompt placements to the other instances; may be nil
-	Placer         Placer                  // nil to place heavy prompts without the help of other instances
 
 	// Now returns the time of a clock that also advances while the machine is
 	// suspended.
