A former candidate does not take a free leader key; names and comments of the review

Cause: reading the diff: awaitTurn now leads to the acquisition without the check that Run makes before each attempt, so that an entry that had ceased to be a candidate while it waited could have become the leader. The constants of reads count confirmations now. Change: campaign checks again; a test that fails without it; confirmationsPerApplyTime and confirmationsPerRevokeTime; comments. Result: tests.

--- a/datacentre/leader_elector.go
+++ b/datacentre/leader_elector.go
@@ -44,7 +44,8 @@
 	maxRetryDelay = 8 * time.Second
 )
 
-// LeaderElectorConfig configures a LeaderElector. TTL, Now, Rand and Logger are optional.
+// LeaderElectorConfig configures a LeaderElector. TTL, StandbyDelay, Now, Rand
+// and Logger are optional.
 type LeaderElectorConfig struct {
 	KV         metastore.KV
 	DataCentre string
@@ -201,6 +202,9 @@
 			return err
 		}
 	}
+	if !e.cfg.IsCandidate() {
+		return nil // it may have ceased to be one while it waited
+	}
 	t, err := e.acquire(ctx)
 	if err != nil {
 		return err
--- a/datacentre/leader_elector_test.go
+++ b/datacentre/leader_elector_test.go
@@ -423,3 +423,21 @@
 		assert.Check(t, kv.Calls("grant")-grants <= 4, "%d", kv.Calls("grant")-grants)
 	})
 }
+
+// TestFormerCandidateDoesNotTakeOver checks that an instance that ceased to be a candidate
+// while it waited for the leader key leaves the key alone.
+func TestFormerCandidateDoesNotTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := datacentretest.NewKV(time.Now)
+		leader := startCandidate(t.Context(), kv, "leader", 1)
+		time.Sleep(time.Second)
+		former := startCandidate(t.Context(), kv, "former", 2)
+		time.Sleep(time.Second)
+		former.crashed.Store(true) // its IsCandidate returns false from now on
+		grants := kv.Calls("grant")
+		leader.stop()
+		<-leader.done
+		time.Sleep(time.Minute)
+		assert.Equal(t, kv.Calls("grant"), grants)
+	})
+}
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -19,14 +19,14 @@
 )
 
 const (
-	// readsPerApplyTime is the number of confirmations of the operator's keys in the
+	// confirmationsPerApplyTime is the number of confirmations of the operator's keys in the
 	// time within which a configuration must be in force, so that a change that the
 	// watch doesn't report is still applied in time.
-	readsPerApplyTime = 2
-	// readsPerRevokeTime is the number of confirmations of the operator's keys in the
+	confirmationsPerApplyTime = 2
+	// confirmationsPerRevokeTime is the number of confirmations of the operator's keys in the
 	// time within which a withdrawn token must be refused. It lets three reads fail
 	// before all tokens are refused.
-	readsPerRevokeTime = 4
+	confirmationsPerRevokeTime = 4
 	// ageFactorPerRank staggers the reads of the instances in a row of the exchange
 	// between instances: the first one reads the store as soon as a confirmation is
 	// due, each following one only once its copy was not confirmed for longer by that
@@ -34,9 +34,9 @@
 	// about the time of one step.
 	ageFactorPerRank = 0.25
 	maxAgeFactor     = 1.5
-	// fullReadInterval is the time between confirmations of a range that is only
-	// watched otherwise. It limits how long a change goes unnoticed that the store fails to
-	// report to the watch. If the watch breaks or its connection goes silent, the
+	// fullReadInterval is the time between confirmations of a range that is otherwise
+	// only watched. It limits how long a change goes unnoticed that the store fails
+	// to report to the watch. If the watch breaks or its connection goes silent, the
 	// range is read at once.
 	fullReadInterval = 10 * time.Second
 	// retryDelay is the mean time between attempts while the store fails.
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -47,9 +47,9 @@
 // confirmInterval returns the time between reads that confirm that the
 // configuration in force is the newest.
 func (g *Gateway) confirmInterval() time.Duration {
-	interval := g.opts.ApplyTime / readsPerApplyTime
+	interval := g.opts.ApplyTime / confirmationsPerApplyTime
 	if revoke := g.opts.Relay.RevokeTime; revoke > 0 {
-		interval = min(interval, revoke/readsPerRevokeTime)
+		interval = min(interval, revoke/confirmationsPerRevokeTime)
 	}
 	return interval
 }
--- a/metastore/watch_mux.go
+++ b/metastore/watch_mux.go
@@ -49,7 +49,8 @@
 	changes  chan Change
 }
 
-// NewWatchMux returns a WatchMux in front of kv.
+// NewWatchMux returns a WatchMux in front of kv, whose Watch must return without waiting
+// for the service: it is called while the other watches are held up.
 func NewWatchMux(kv KV) *WatchMux {
 	return &WatchMux{KV: kv, subscribers: map[*muxSubscriber]bool{}}
 }
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -225,9 +225,9 @@
 	return l
 }
 
-// Loads returns the load of this instance's requests at endpoints and fetch
-// sources, and which endpoints it reaches, by the hash of the endpoint's identifier or the source's address. It
-// implements peers.Source.
+// Loads returns the load of this instance's requests at endpoints and fetch sources,
+// and which of these it reaches, by the hash of the endpoint's identifier or the
+// source's address. It implements peers.Source.
 func (e *Endpoints) Loads() map[uint64]peers.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
