--- a/datacentre/leader_elector.go
+++ b/datacentre/leader_elector.go
@@ -57,8 +57,8 @@
 	// Few instances of a data centre should, so that the number of calls to the
 	// key-value service doesn't grow with the number of instances.
 	IsCandidate func() bool
-	// StandbyDelay returns how long this instance leaves a leader key that was removed
-	// to other candidates before it campaigns itself. If it is nil, or returns 0, the
+	// StandbyDelay returns how long this instance leaves a free leader key to other
+	// candidates before it creates the key itself. If it is nil, or returns 0, the
 	// instance campaigns at once.
 	StandbyDelay func() time.Duration
 	Now          func() time.Time
--- a/fleet/freshness.go
+++ b/fleet/freshness.go
@@ -14,7 +14,7 @@
 // withdrawn. If each read the store as often as that takes, the store's load would
 // grow with the fleet; a few readers are enough if they pass on what they confirmed.
 //
-// Invariant: at ConfirmedAt or a later time the store held the content with the
+// Invariant: at confirmedAt or a later time the store held the content with the
 // copy's digest.
 type Freshness struct {
 	mu          sync.Mutex
--- a/metastore/watch_mux.go
+++ b/metastore/watch_mux.go
@@ -56,13 +56,14 @@
 }
 
 // Watch implements KV. The channel is also closed when its receiver falls far
-// behind.
+// behind. When another watch starts at an earlier revision, changes may come a second
+// time, in their order; fleet.Mirror keeps the highest revision of each key.
 func (m *WatchMux) Watch(ctx context.Context, _ Purpose, from, to string, rev int64) (<-chan Change, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &muxSubscriber{from: from, to: to, revision: rev, changes: make(chan Change, muxSubscriberBuffer)}
 	if m.source != nil && rev < m.source.startsAt {
-		// Other subscribers ignore the changes that they get a second time.
+		// The other subscribers get the changes since rev a second time.
 		m.source.cancel()
 		m.source = nil
 	}
--- a/peers/table.go
+++ b/peers/table.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// Load is the load of requests at one endpoint or cache store, and how many instances
-// have lately reached it.
+// Load is the load of requests at one endpoint or source of fetches, and how many
+// instances have lately reached it. A source counts as reached if an instance's latest
+// fetch from it was in time, and as unreachable if that fetch was late.
 type Load struct {
 	Running       int // requests that have not been answered completely
 	PendingTokens int // tokens still to be prefilled or fetched
