--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -8,6 +8,7 @@
 	"redwingknot/fleet"
 	"redwingknot/internal/timer"
 	"redwingknot/metastore"
+	"redwingknot/metric"
 )
 
 // Purposes of calls to the metadata store. They are labels of the metric that counts
@@ -165,6 +166,7 @@
 		w.notify(w.mirror.Put(c.Entry))
 	}
 	w.freshness.RecordChange(w.mirror.Digest(), w.now())
+	metric.Counter("metastore_changes_applied_total", "purpose", string(w.purpose)).Inc(1)
 }
 
 func (w *watcher) notify(d fleet.Delta) {
--- a/metastore/watch_mux.go
+++ b/metastore/watch_mux.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"redwingknot/metric"
 )
 
 // PurposeWatch labels the one watch of a WatchMux at the key-value service.
@@ -44,6 +46,7 @@
 
 // muxSubscriber is one watch served by a WatchMux.
 type muxSubscriber struct {
+	purpose  Purpose
 	from, to string
 	revision int64 // only later changes are passed on
 	changes  chan Change
@@ -58,10 +61,10 @@
 // Watch implements KV. The channel is also closed when its receiver falls far
 // behind. When another watch starts at an earlier revision, changes may come a second
 // time, in their order; fleet.Mirror keeps the highest revision of each key.
-func (m *WatchMux) Watch(ctx context.Context, _ Purpose, from, to string, rev int64) (<-chan Change, error) {
+func (m *WatchMux) Watch(ctx context.Context, p Purpose, from, to string, rev int64) (<-chan Change, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := &muxSubscriber{from: from, to: to, revision: rev, changes: make(chan Change, muxSubscriberBuffer)}
+	s := &muxSubscriber{purpose: p, from: from, to: to, revision: rev, changes: make(chan Change, muxSubscriberBuffer)}
 	if m.source != nil && rev < m.source.startsAt {
 		// The other subscribers get the changes since rev a second time.
 		m.source.cancel()
@@ -143,6 +146,7 @@
 	}
 	select {
 	case s.changes <- c:
+		metric.Counter("metastore_changes_received_total", "purpose", string(s.purpose)).Inc(1)
 	default:
 		m.remove(s)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -86,6 +86,9 @@
 	metric.Gauge("confirmed_age_ms").Update(s.confirmedAge().Milliseconds())
 	metric.Gauge("request_body_bytes").Update(s.bodyBytes.Load())
 	snapshot := s.opts.View.Snapshot()
+	if snapshot.Config != nil {
+		metric.Gauge("config_version").Update(snapshot.Config.Version)
+	}
 	for name, list := range snapshot.ByService {
 		metric.Gauge("endpoints", "service", name).Update(int64(len(list)))
 	}
