--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -15,6 +15,9 @@
 	Delay        time.Duration // before each chunk is passed on, in each direction
 	HoldToTarget bool          // bytes from the dialer are held
 	HoldToDialer bool          // bytes to the dialer are held
+	// BytesPerSecond is the bandwidth to the dialer that all connections share, 0 for
+	// no limit.
+	BytesPerSecond float64
 }
 
 // Link is a TCP proxy on the loopback interface that forwards connections to one
@@ -26,7 +29,10 @@
 	mu      sync.Mutex
 	fault   LinkFault
 	changed chan struct{} // closed when fault changes
-	pairs   map[*connPair]bool
+	// busyUntil is when the link will have transferred the bytes to the dialer that
+	// it has taken on.
+	busyUntil time.Time
+	pairs     map[*connPair]bool
 }
 
 // connPair is an accepted connection and the connection to the target that it is
@@ -138,6 +144,9 @@
 			return
 		}
 		if n > 0 {
+			if to == p.dialer {
+				l.waitForTransfer(p, n)
+			}
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				p.reset()
 				return
@@ -188,6 +197,26 @@
 	}
 }
 
+// waitForTransfer waits as long as n bytes to the dialer take at the link's bandwidth,
+// behind those of other connections, or until the pair is closed.
+func (l *Link) waitForTransfer(p *connPair, n int) {
+	l.mu.Lock()
+	if l.fault.BytesPerSecond == 0 {
+		l.mu.Unlock()
+		return
+	}
+	if now := time.Now(); l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(n) / l.fault.BytesPerSecond * float64(time.Second)))
+	wait := time.Until(l.busyUntil)
+	l.mu.Unlock()
+	select {
+	case <-p.done:
+	case <-time.After(wait):
+	}
+}
+
 // reset closes both connections with a TCP reset. Further calls do nothing.
 func (p *connPair) reset() {
 	p.once.Do(func() {
