Gateway: a watched change is applied while reads of its range are under way or fail

Cause: the watcher read the range and applied the watch's changes in turn. While a read lasted, or was repeated after a failure, what the watch delivered waited in its channel.

Change: reads run beside the watch; one goroutine owns the copy and applies whatever comes first. The mirror already takes reads and changes in any order. Pauses after failures and during outages are the same.

Before: TestWatchedChangeIsAppliedWhileReadsFail fails (0 of 1 changes applied). Now it passes, 20 times under the race detector, with the other watcher tests.

--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"redwingknot/fleet"
-	"redwingknot/internal/timer"
 	"redwingknot/metastore"
 	"redwingknot/metric"
 )
@@ -78,88 +77,136 @@
 	// storeUnavailable reports whether the store is known not to answer. It is nil
 	// for the watcher that detects when the store is available again.
 	storeUnavailable func() bool
+
+	// The remaining fields are used only by run.
+
+	changes        <-chan metastore.Change // of the watch, nil if there is none
+	noReadBefore   time.Time
+	outageWaitEnds time.Time // until then, reads are left to another watcher while storeUnavailable; zero after a read
+}
+
+// readResult is the outcome of a read of the whole range.
+type readResult struct {
+	sentAt   time.Time
+	entries  []metastore.Entry
+	revision int64
+	err      error
 }
 
 // run keeps the copy up to date until ctx ends: it watches the range, and it reads the
-// whole range at first, when the watch ends and when the copy may be out of date.
+// whole range at first, when the watch ends and when the copy may be out of date. Reads
+// run beside the watch, so that changes are applied even if reads take long or fail.
 func (w *watcher) run(ctx context.Context) error {
-	var changes <-chan metastore.Change
-	for ctx.Err() == nil {
-		sentAt := w.now()
-		entries, revision, err := w.kv.Range(ctx, w.purpose, w.from, w.to, 0)
-		if err != nil {
-			w.onError(err)
-			w.waitToRetry(ctx)
-			continue
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan readResult, 1)
+	reading := false
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		var readDue <-chan time.Time
+		if !reading {
+			t.Reset(w.untilRead())
+			readDue = t.C
 		}
-		w.notify(w.mirror.Reset(entries, revision))
-		w.freshness.RecordRead(w.mirror.Digest(), sentAt, w.now())
-		w.onRead(sentAt)
-		if changes == nil {
-			changes, err = w.kv.Watch(ctx, w.purpose, w.from, w.to, revision)
-			if err != nil {
-				w.onError(err)
+		select {
+		case <-ctx.Done():
+			cancel()
+			if reading {
+				<-results
 			}
+			return nil
+		case <-readDue:
+			if w.untilRead() <= 0 && !w.awaitsOtherWatcher() {
+				reading = true
+				go func() { results <- w.read(ctx) }()
+			}
+		case r := <-results:
+			reading = false
+			w.applyRead(ctx, r)
+		case <-w.freshness.Outdated():
+		case c, ok := <-w.changes:
+			w.applyChange(c, ok)
 		}
-		changes = w.applyChangesUntilReadDue(ctx, changes)
 	}
-	return nil
 }
 
-// waitToRetry waits before the next attempt after a failed read: for a random time
-// with mean retryDelay or, while other instances confirm the copy, confirmedRetryDelay.
-// While storeUnavailable returns true, it waits for up to about maxOutageWait.
+// read reads the whole range.
+func (w *watcher) read(ctx context.Context) readResult {
+	r := readResult{sentAt: w.now()}
+	r.entries, r.revision, r.err = w.kv.Range(ctx, w.purpose, w.from, w.to, 0)
+	return r
+}
+
+// applyRead applies a read to the copy and starts the watch if there is none.
+func (w *watcher) applyRead(ctx context.Context, r readResult) {
+	if r.err != nil {
+		w.onError(r.err)
+		w.outageWaitEnds = w.now().Add(maxOutageWait)
+		w.delayRead()
+		return
+	}
+	w.outageWaitEnds = time.Time{}
+	w.notify(w.mirror.Reset(r.entries, r.revision))
+	w.freshness.RecordRead(w.mirror.Digest(), r.sentAt, w.now())
+	w.onRead(r.sentAt)
+	if w.changes != nil {
+		return
+	}
+	changes, err := w.kv.Watch(ctx, w.purpose, w.from, w.to, r.revision)
+	if err != nil {
+		w.onError(err)
+		w.delayRead()
+		return
+	}
+	w.changes = changes
+}
+
+// delayRead puts off the next read for a random time with mean retryDelay or, while other
+// instances confirm the copy, confirmedRetryDelay.
 //
-// The longer waits are for a store that refuses a third of the instances for seconds.
-// If each of these retried every one of its ranges at once, their calls would
-// exceed the usual calls of all instances, and the store limits the number of calls.
-func (w *watcher) waitToRetry(ctx context.Context) {
-	until := w.now().Add(maxOutageWait)
-	for {
-		delay := retryDelay
-		if w.untilRead() > 0 {
-			delay = confirmedRetryDelay
-		}
-		timer.Sleep(ctx, delay/2+rand.N(delay))
-		if w.storeUnavailable == nil || !w.storeUnavailable() || !w.now().Before(until) || ctx.Err() != nil {
-			return
-		}
+// The longer delay is for a store that refuses a third of the instances for seconds. If
+// each of these retried every one of its ranges at once, their calls would exceed the
+// usual calls of all instances, and the store limits the number of calls.
+func (w *watcher) delayRead() {
+	delay := retryDelay
+	if w.freshness.NextRead(w.maxAge(), outdatedGrace).After(w.now()) {
+		delay = confirmedRetryDelay
 	}
+	w.noReadBefore = w.now().Add(delay/2 + rand.N(delay))
 }
 
-// applyChangesUntilReadDue applies the changes of a watch until the range has to be
-// read. It returns the channel of the watch, nil if the watch ended.
-func (w *watcher) applyChangesUntilReadDue(ctx context.Context, changes <-chan metastore.Change) <-chan metastore.Change {
-	t := time.NewTimer(w.untilRead())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return changes
-		case <-t.C:
-			if w.untilRead() <= 0 {
-				return changes
-			}
-		case <-w.freshness.Outdated():
-		case c, ok := <-changes:
-			if !ok {
-				timer.Sleep(ctx, brokenWatchDelay)
-				return nil
-			}
-			w.applyChange(c)
-			continue
-		}
-		t.Reset(w.untilRead())
+// awaitsOtherWatcher reports whether a read that is due is left to another watcher, which
+// detects when the store is available again, and puts the read off if so.
+func (w *watcher) awaitsOtherWatcher() bool {
+	if w.storeUnavailable == nil || !w.storeUnavailable() || !w.now().Before(w.outageWaitEnds) {
+		return false
 	}
+	w.delayRead()
+	return true
 }
 
 // untilRead returns the time until this instance has to read the range, 0 or less if
 // that is due.
 func (w *watcher) untilRead() time.Duration {
-	return w.freshness.NextRead(w.maxAge(), outdatedGrace).Sub(w.now())
+	due := w.now()
+	if w.changes != nil {
+		due = w.freshness.NextRead(w.maxAge(), outdatedGrace)
+	}
+	if due.Before(w.noReadBefore) {
+		due = w.noReadBefore
+	}
+	return due.Sub(w.now())
 }
 
-func (w *watcher) applyChange(c metastore.Change) {
+// applyChange applies a change of the watch; ok is false if the watch has ended. The
+// range is then read again, because a watch starts at the revision of a read.
+func (w *watcher) applyChange(c metastore.Change, ok bool) {
+	if !ok {
+		w.changes = nil
+		w.noReadBefore = w.now().Add(brokenWatchDelay)
+		return
+	}
 	if c.Deleted {
 		w.notify(w.mirror.Remove(c.Entry.Key, c.Entry.ModRevision))
 	} else {
