--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -78,9 +78,13 @@
 	body io.Reader
 }
 
+// progressBytes is the largest read. net/http fills the whole buffer from a chunked body
+// before a read returns, so that a larger read would hide progress for longer.
+const progressBytes = 4 << 10
+
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
+	n, err := r.body.Read(p[:min(len(p), progressBytes)])
 	if n > 0 && r.call.timer.Stop() {
 		r.call.timer.Reset(r.call.limits.Gap)
 	}
