Gateway: a large copy is confirmed by its revisions, and not read while its change arrives

Cause: what confirms the configuration every second, in each row of the exchange, is a read of all of it, 1.1 MB over links of 10 Mbit/s; and an instance that learns from others that its copy is outdated reads it while its watch receives the same bytes.

Change: StoreClient compares up to 32 revisions in a transaction that writes nothing (metastore.RevisionChecker); the operator's range is confirmed that way from 32 KB on, the keys that the operator may still create included. A check that fails leads to a read. A read of the whole range waits while a response of the watch is arriving (metastore.WatchObserver).

--- a/fleet/freshness.go
+++ b/fleet/freshness.go
@@ -71,16 +71,33 @@
 		f.confirm(at)
 		return true
 	}
-	if f.outdatedAt.IsZero() && at.After(f.changedAt) && at.After(f.confirmedAt) {
-		f.outdatedAt = now
-		select {
-		case f.outdated <- struct{}{}:
-		default: // the signal is already pending
-		}
+	if at.After(f.changedAt) && at.After(f.confirmedAt) {
+		f.markOutdated(now)
 	}
 	return false
 }
 
+// MarkOutdated records that the store holds other content than the copy. It reports
+// whether that was not known.
+func (f *Freshness) MarkOutdated(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.markOutdated(now)
+}
+
+// markOutdated does what MarkOutdated documents. The caller holds mu.
+func (f *Freshness) markOutdated(now time.Time) bool {
+	if !f.outdatedAt.IsZero() {
+		return false
+	}
+	f.outdatedAt = now
+	select {
+	case f.outdated <- struct{}{}:
+	default: // the signal is already pending
+	}
+	return true
+}
+
 // Outdated returns a channel that receives a value when the copy is found to be
 // outdated.
 func (f *Freshness) Outdated() <-chan struct{} { return f.outdated }
--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -33,6 +33,7 @@
 	// makes it unnecessary.
 	removedRevisions map[string]int64
 	digest           uint64 // XOR of the digests of all entries
+	valueBytes       int    // of all entries
 }
 
 // NewMirror returns an empty Mirror.
@@ -89,12 +90,14 @@
 	}
 	m.entries[e.Key] = e
 	m.digest ^= entryDigest(e)
+	m.valueBytes += len(e.Value)
 	return true
 }
 
 // delete removes the entry of a key, which must exist.
 func (m *Mirror) delete(key string) {
 	m.digest ^= entryDigest(m.entries[key])
+	m.valueBytes -= len(m.entries[key].Value)
 	delete(m.entries, key)
 }
 
@@ -128,6 +131,18 @@
 // Len returns the number of keys.
 func (m *Mirror) Len() int { return len(m.entries) }
 
+// ValueBytes returns the size of the values of all keys in bytes.
+func (m *Mirror) ValueBytes() int { return m.valueBytes }
+
+// Revisions returns the revision of each key.
+func (m *Mirror) Revisions() map[string]int64 {
+	revisions := make(map[string]int64, len(m.entries))
+	for key, e := range m.entries {
+		revisions[key] = e.ModRevision
+	}
+	return revisions
+}
+
 // Entries returns the entries of all keys in no particular order.
 func (m *Mirror) Entries() []metastore.Entry {
 	return slices.Collect(maps.Values(m.entries))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,9 @@
 type Schema interface {
 	// OperatorRange returns the range of the operator's keys.
 	OperatorRange() (from, to string)
+	// OperatorKeys returns the keys that the operator may write under a configuration,
+	// nil before the first, apart from keys that have no effect under it.
+	OperatorKeys(c *fleet.Config) []string
 	// EndpointRange returns the range of the endpoints' entries.
 	EndpointRange() (from, to string)
 	// ApplyOperator applies an entry of the operator to v and reports whether v
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -53,6 +53,12 @@
 	// brokenWatchDelay keeps a watch that breaks at once each time from using up
 	// the store's limit of calls.
 	brokenWatchDelay = 30 * time.Millisecond
+	// minCheckedBytes is the size of a copy from which it is confirmed by its revisions
+	// instead of a read. A read of that size takes a thirtieth of a second on a link of
+	// 10 Mbit/s.
+	minCheckedBytes = 32 << 10
+	// arrivalCheckInterval is the time between checks whether changes are still arriving.
+	arrivalCheckInterval = 50 * time.Millisecond
 )
 
 // watcher keeps a copy of the entries in a range of the metadata store's keys.
@@ -65,6 +71,12 @@
 	maxAge func() time.Duration
 	now    func() time.Time
 	mirror *fleet.Mirror
+	// checker confirms a large copy without reading it, nil if the store can't do that.
+	checker metastore.RevisionChecker
+	// expectedKeys returns the keys whose absence must be confirmed, too. It is nil if
+	// there are none.
+	expectedKeys func() []string
+	observer     metastore.WatchObserver // nil if the store's client doesn't tell
 	// freshness is shared with the exchange between instances.
 	freshness *fleet.Freshness
 	// onChange is called with each difference between two states of the copy.
@@ -80,17 +92,25 @@
 
 	// The remaining fields are used only by run.
 
-	changes        <-chan metastore.Change // of the watch, nil if there is none
-	noReadBefore   time.Time
+	changes      <-chan metastore.Change // of the watch, nil if there is none
+	noReadBefore time.Time
+	// mustRead is set after a check of the revisions that failed or showed that the copy
+	// is outdated, until the next read.
+	mustRead       bool
 	outageWaitEnds time.Time // until then, reads are left to another watcher while storeUnavailable; zero after a read
 }
 
-// readResult is the outcome of a read of the whole range.
+// readResult is the outcome of a read of the whole range, or of a check whether the copy
+// is still what the store holds.
 type readResult struct {
 	sentAt   time.Time
 	entries  []metastore.Entry
 	revision int64
 	err      error
+
+	isCheck   bool
+	digest    uint64 // of the copy that was checked
+	unchanged bool   // the store holds that copy
 }
 
 // run keeps the copy up to date until ctx ends: it watches the range, and it reads the
@@ -117,9 +137,9 @@
 			}
 			return nil
 		case <-readDue:
-			if w.untilRead() <= 0 && !w.awaitsOtherWatcher() {
+			if w.untilRead() <= 0 && !w.awaitsOtherWatcher() && !w.awaitsArrivingChanges() {
 				reading = true
-				go func() { results <- w.read(ctx) }()
+				w.startRead(ctx, results)
 			}
 		case r := <-results:
 			reading = false
@@ -131,23 +151,65 @@
 	}
 }
 
-// read reads the whole range.
-func (w *watcher) read(ctx context.Context) readResult {
+// startRead reads the whole range, or checks the revisions of a large copy, and sends the
+// result.
+//
+// Load pattern: a configuration of a megabyte, links on which it takes a second, and
+// confirmations every second.
+func (w *watcher) startRead(ctx context.Context, results chan<- readResult) {
 	r := readResult{sentAt: w.now()}
-	r.entries, r.revision, r.err = w.kv.Range(ctx, w.purpose, w.from, w.to, 0)
-	return r
+	if revisions := w.checkableRevisions(); revisions != nil {
+		r.isCheck, r.digest = true, w.mirror.Digest()
+		go func() {
+			r.unchanged, r.err = w.checker.CheckRevisions(ctx, w.purpose, revisions)
+			results <- r
+		}()
+		return
+	}
+	go func() {
+		r.entries, r.revision, r.err = w.kv.Range(ctx, w.purpose, w.from, w.to, 0)
+		results <- r
+	}()
+}
+
+// checkableRevisions returns the revisions by which the copy can be confirmed, nil if the
+// range has to be read.
+func (w *watcher) checkableRevisions() map[string]int64 {
+	if w.checker == nil || w.mustRead || w.changes == nil || w.mirror.ValueBytes() < minCheckedBytes {
+		return nil
+	}
+	revisions := w.mirror.Revisions()
+	if w.expectedKeys != nil {
+		for _, key := range w.expectedKeys() {
+			if _, ok := revisions[key]; !ok {
+				revisions[key] = 0
+			}
+		}
+	}
+	if len(revisions) > metastore.MaxCheckedKeys {
+		return nil
+	}
+	return revisions
 }
 
 // applyRead applies a read to the copy and starts the watch if there is none.
 func (w *watcher) applyRead(ctx context.Context, r readResult) {
 	if r.err != nil {
+		w.mustRead = true
 		w.onError(r.err)
 		w.outageWaitEnds = w.now().Add(maxOutageWait)
 		w.delayRead()
 		return
 	}
 	w.outageWaitEnds = time.Time{}
-	w.notify(w.mirror.Reset(r.entries, r.revision))
+	if r.isCheck && !r.unchanged {
+		w.awaitChange(r.digest)
+		return
+	}
+	if !r.isCheck {
+		w.mustRead = false
+		w.notify(w.mirror.Reset(r.entries, r.revision))
+	}
 	w.freshness.RecordRead(w.mirror.Digest(), r.sentAt, w.now())
 	w.onRead(r.sentAt)
 	if w.changes != nil {
@@ -162,6 +224,18 @@
 	w.changes = changes
 }
 
+// awaitChange handles a check that found the copy with the digest to be outdated: unless
+// the watch reports the change first, the range is read.
+func (w *watcher) awaitChange(digest uint64) {
+	if digest != w.mirror.Digest() {
+		return // the watch has reported a change since
+	}
+	w.mustRead = true
+	if w.freshness.MarkOutdated(w.now()) {
+		w.noReadBefore = w.now().Add(outdatedGrace)
+	}
+}
+
 // delayRead puts off the next read for a random time with mean retryDelay or, while other
 // instances confirm the copy, confirmedRetryDelay.
 //
@@ -186,6 +260,17 @@
 	return true
 }
 
+// awaitsArrivingChanges reports whether a read of the whole range is left until the changes
+// of the watch that are arriving are there, and puts the read off if so. Beside it, the
+// transfer of the same value would take twice as long.
+func (w *watcher) awaitsArrivingChanges() bool {
+	if w.observer == nil || w.changes == nil || w.checkableRevisions() != nil || !w.observer.ReceivingChanges() {
+		return false
+	}
+	w.noReadBefore = w.now().Add(arrivalCheckInterval)
+	return true
+}
+
 // untilRead returns the time until this instance has to read the range, 0 or less if
 // that is due.
 func (w *watcher) untilRead() time.Duration {
@@ -212,6 +297,7 @@
 	} else {
 		w.notify(w.mirror.Put(c.Entry))
 	}
+	w.mustRead = false
 	w.freshness.RecordChange(w.mirror.Digest(), w.now())
 	metric.Counter("metastore_changes_applied_total", "purpose", string(w.purpose)).Inc(1)
 }
--- a/gateway/watcher_reads_test.go
+++ b/gateway/watcher_reads_test.go
@@ -67,3 +67,132 @@
 		})
 	}
 }
+
+// checkBed is a watcher of a store whose one key has a value large enough to be checked
+// instead of read.
+type checkBed struct {
+	store    *metastoretest.Store
+	kv       *metastoretest.KV // the watcher's connection
+	view     *fleet.View
+	applied  *atomic.Int64   // changes reported by the watcher
+	observer arrivingChanges // the watcher's
+}
+
+// newCheckBed starts a watcher in a synctest bubble, with wrap around its connection to
+// the store. It ends with ctx.
+func newCheckBed(t *testing.T, ctx context.Context, wrap func(metastore.KV) metastore.KV) *checkBed {
+	kv := metastoretest.New(time.Now)
+	b := &checkBed{store: kv.Store(), kv: kv, view: fleet.NewView(), applied: &atomic.Int64{}}
+	_, err := b.store.Create("a/config", make([]byte, minCheckedBytes), 0)
+	assert.NilError(t, err)
+	w := &watcher{
+		kv: wrap(kv), checker: kv, purpose: purposeOperator, from: "a/", to: "a0", maxAge: func() time.Duration { return time.Second }, now: time.Now,
+		observer:     &b.observer,
+		expectedKeys: func() []string { return []string{"a/config", "a/absent"} },
+		mirror:       fleet.NewMirror(), freshness: fleet.NewFreshness(), onError: func(error) {},
+		onChange: func(d fleet.Delta) { b.applied.Add(int64(len(d.Changed))) },
+		onRead:   func(sentAt time.Time) { b.view.Confirm(sentAt) },
+	}
+	go func() { assert.Check(t, w.run(ctx)) }()
+	synctest.Wait()
+	return b
+}
+
+// countRanges makes a connection count its reads of ranges and fail its checks of
+// revisions while failChecks is set.
+func (b *checkBed) countRanges(failChecks *atomic.Bool) *atomic.Int64 {
+	var ranges atomic.Int64
+	b.kv.SetHook(func(_ context.Context, op metastoretest.Op) metastoretest.Fault {
+		if op.Name == "range" {
+			ranges.Add(1)
+		}
+		if op.Name == "check" && failChecks.Load() {
+			return metastoretest.LostResponse
+		}
+		return metastoretest.NoFault
+	})
+	return &ranges
+}
+
+// TestLargeCopyIsConfirmedWithoutReadingIt checks that a large copy stays confirmed for a
+// minute without a read of its values, and that it is read if checks get no answer.
+func TestLargeCopyIsConfirmedWithoutReadingIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := newCheckBed(t, ctx, func(kv metastore.KV) metastore.KV { return kv })
+		var failChecks atomic.Bool
+		ranges := b.countRanges(&failChecks)
+		for range 60 {
+			time.Sleep(time.Second)
+			assert.Check(t, b.view.ConfirmedAge(time.Now()) <= time.Second)
+		}
+		assert.Equal(t, ranges.Load(), int64(0))
+		failChecks.Store(true)
+		for range 60 {
+			time.Sleep(time.Second)
+			assert.Check(t, b.view.ConfirmedAge(time.Now()) <= 3*time.Second, "%s", b.view.ConfirmedAge(time.Now()))
+		}
+		assert.Check(t, ranges.Load() > 20, "%d", ranges.Load())
+	})
+}
+
+// deafKV is a KV whose watches report nothing.
+type deafKV struct{ metastore.KV }
+
+// Watch implements metastore.KV.
+func (deafKV) Watch(context.Context, metastore.Purpose, string, string, int64) (<-chan metastore.Change, error) {
+	return make(chan metastore.Change), nil
+}
+
+// TestCheckFindsChangesThatTheWatchMisses changes a key, and writes one that was absent,
+// behind a watch that reports nothing. Each must be applied within the time in which a
+// configuration must be in force.
+func TestCheckFindsChangesThatTheWatchMisses(t *testing.T) {
+	const applyTime = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := newCheckBed(t, ctx, func(kv metastore.KV) metastore.KV { return deafKV{kv} })
+		e, err := b.store.Get("a/config")
+		assert.NilError(t, err)
+		time.Sleep(1700 * time.Millisecond)
+		_, err = b.store.Swap("a/config", make([]byte, 2*minCheckedBytes), e.ModRevision, 0)
+		assert.NilError(t, err)
+		time.Sleep(applyTime)
+		assert.Equal(t, b.applied.Load(), int64(2))
+		_, err = b.store.Create("a/absent", nil, 0)
+		assert.NilError(t, err)
+		time.Sleep(applyTime)
+		assert.Equal(t, b.applied.Load(), int64(3))
+	})
+}
+
+// arrivingChanges is a metastore.WatchObserver.
+type arrivingChanges struct{ atomic.Bool }
+
+// ReceivingChanges implements metastore.WatchObserver.
+func (a *arrivingChanges) ReceivingChanges() bool { return a.Load() }
+
+// TestRangeIsNotReadWhileItsChangeArrives checks that a copy that is known to be outdated
+// is not read while changes of the watch arrive, and is read when none do any more.
+func TestRangeIsNotReadWhileItsChangeArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := newCheckBed(t, ctx, func(kv metastore.KV) metastore.KV { return deafKV{kv} })
+		var failChecks atomic.Bool
+		ranges := b.countRanges(&failChecks)
+		b.observer.Store(true)
+		e, err := b.store.Get("a/config")
+		assert.NilError(t, err)
+		_, err = b.store.Swap("a/config", make([]byte, minCheckedBytes), e.ModRevision, 0)
+		assert.NilError(t, err)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, ranges.Load(), int64(0))
+		b.observer.Store(false)
+		time.Sleep(arrivalCheckInterval + time.Millisecond)
+		assert.Equal(t, ranges.Load(), int64(1))
+		assert.Equal(t, b.applied.Load(), int64(2))
+	})
+}
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -14,6 +14,9 @@
 func (g *Gateway) newWatchers(ctx context.Context) []*watcher {
 	operator := g.newWatcher(purposeOperator, g.confirmInterval(), g.opts.Schema.OperatorRange)
 	operator.storeUnavailable = nil
+	operator.checker, _ = g.opts.KV.(metastore.RevisionChecker)
+	operator.observer, _ = g.opts.KV.(metastore.WatchObserver)
+	operator.expectedKeys = func() []string { return g.opts.Schema.OperatorKeys(g.view.Snapshot().Config) }
 	operator.onChange = g.applyOperatorDelta
 	operator.onRead = func(sentAt time.Time) {
 		g.recordStoreAnswer()
--- a/internal/standin/fleetstore/server.go
+++ b/internal/standin/fleetstore/server.go
@@ -190,11 +190,24 @@
 	Remove []string    `json:"remove"`
 }
 
+// maxTxnEntries is the number of entries that a transaction may have.
+const maxTxnEntries = 32
+
 // serveTxn carries out a transaction with exactly one write or removal and at
-// most one expected revision. It refuses others with 400 Bad Request.
+// most one expected revision, or with expected revisions only. It refuses others
+// with 400 Bad Request.
 func (s *Server) serveTxn(w http.ResponseWriter, r *http.Request) {
 	var req txnRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Writes)+len(req.Remove) != 1 || len(req.Expected) > 1 {
+	err := json.NewDecoder(r.Body).Decode(&req)
+	changes := len(req.Writes) + len(req.Remove)
+	switch {
+	case err != nil || changes > 1 || changes+len(req.Expected) > maxTxnEntries:
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case changes == 0:
+		s.serveCheck(w, req)
+		return
+	case len(req.Expected) > 1:
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -209,6 +222,19 @@
 	}
 }
 
+// serveCheck answers a transaction that writes nothing.
+func (s *Server) serveCheck(w http.ResponseWriter, req txnRequest) {
+	revisions := map[string]int64{}
+	for _, e := range req.Expected {
+		revisions[e.Key] = e.Revision
+	}
+	if !s.store.CheckRevisions(revisions) {
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": []wireEntry{}})
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"revision": s.store.Revision()})
+}
+
 // applyTxn carries out a transaction. It returns the revision of a write, or the
 // store's revision before a removal.
 func (s *Server) applyTxn(req txnRequest) (int64, error) {
--- a/metastore/kv.go
+++ b/metastore/kv.go
@@ -65,3 +65,23 @@
 	Entry   Entry
 	Deleted bool
 }
+
+// RevisionChecker is implemented by a KV that can compare the revisions of several keys
+// in one call that transfers no values.
+type RevisionChecker interface {
+	// CheckRevisions reports whether each key has the ModRevision that it is mapped to,
+	// where 0 means that the key is missing. All keys are compared at the same moment
+	// of the call. There must be at most MaxCheckedKeys.
+	CheckRevisions(ctx context.Context, p Purpose, revisions map[string]int64) (bool, error)
+}
+
+// MaxCheckedKeys is the number of keys that one call to CheckRevisions can compare.
+const MaxCheckedKeys = 32
+
+// WatchObserver is implemented by a KV that knows whether changes of its watches are
+// arriving.
+type WatchObserver interface {
+	// ReceivingChanges reports whether a part of a response of a watch has arrived and
+	// the rest has not.
+	ReceivingChanges() bool
+}
--- a/metastore/metastoretest/kv.go
+++ b/metastore/metastoretest/kv.go
@@ -215,6 +215,13 @@
 	return err
 }
 
+// CheckRevisions implements metastore.RevisionChecker.
+func (k *KV) CheckRevisions(ctx context.Context, p metastore.Purpose, revisions map[string]int64) (bool, error) {
+	return callWithFault(ctx, k, Op{Name: "check", Purpose: p}, func() (bool, error) {
+		return k.store.CheckRevisions(revisions), nil
+	})
+}
+
 // Grant implements metastore.KV.
 func (k *KV) Grant(ctx context.Context, p metastore.Purpose, ttl time.Duration) (metastore.LeaseID, error) {
 	return callWithFault(ctx, k, Op{Name: "grant", Purpose: p, Write: true}, func() (metastore.LeaseID, error) {
--- a/metastore/metastoretest/store.go
+++ b/metastore/metastoretest/store.go
@@ -158,6 +158,20 @@
 	return entries, total, s.revision
 }
 
+// CheckRevisions reports whether each key has the revision that it is mapped to, where
+// 0 means that the key is missing.
+func (s *Store) CheckRevisions(revisions map[string]int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	for key, revision := range revisions {
+		if s.entries[key].ModRevision != revision {
+			return false
+		}
+	}
+	return true
+}
+
 // Create writes key if it is absent and returns the revision of the write.
 func (s *Store) Create(key string, value []byte, id metastore.LeaseID) (int64, error) {
 	s.mu.Lock()
