--- a/metastore/client.go
+++ b/metastore/client.go
@@ -13,12 +13,14 @@
 	"sync/atomic"
 	"time"
 
+	"redwingknot/internal/stall"
 	"redwingknot/metric"
 )
 
 const (
 	dialTimeout      = time.Second
-	callTimeout      = 3 * time.Second
+	callTimeout      = 3 * time.Second // until the response begins, and between two of its bytes
+	transferTimeout  = 30 * time.Second
 	maxResponseBytes = 64 << 20
 	maxIdleConns     = 16
 	idleConnTimeout  = time.Minute
@@ -215,14 +217,14 @@
 
 // post sends req and decodes the response into res.
 func (c *Client) post(ctx context.Context, info callInfo, req, res any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	ctx, call := stall.Start(ctx, stall.Limits{Response: callTimeout, Gap: callTimeout, Total: transferTimeout})
+	defer call.End()
 	body, err := c.openResponse(ctx, info, req)
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	data, err := call.ReadAll(body, maxResponseBytes)
 	if err != nil {
 		return info.unknownOutcomeError(err)
 	}
