An endpoint's answers say that it leaves, or for how long it wants nothing

Leaving holds for an incarnation, whatever its entry says later, and is passed on between instances under a hash of the incarnation; such an endpoint serves only if no other one can, until 0.5 s before its drain time is over. place.Pause: no request, report or order until the pause is over, never shortened, with up to 0.25 s more at random, then one request at a time until one is executed. If all endpoints of a service pause, requests are refused at once with the time of the shortest pause. A pause is no failure: health is as before. Values that mean nothing are typed errors, counted, and no pause; a date counts from the answer's own date. Cache stores that ask for a pause get one.

--- a/event/relay.go
+++ b/event/relay.go
@@ -26,5 +26,8 @@
 	CacheStoreLost        = define(rangeRelay+23, "cache-store-lost", slog.LevelWarn, "A prompt cache store does not answer; nothing is fetched from it or saved to it.", "If this lasts, check the store.")
 	CacheStoreRegained    = define(rangeRelay+24, "cache-store-regained", slog.LevelInfo, "A prompt cache store answers again.", "")
 	CacheFreed            = define(rangeRelay+25, "cache-freed", slog.LevelInfo, "Parts of prompts that a store had cached were freed because they had been prefilled with weights that are now replaced; if the attribute error is present, freeing them failed.", "")
+	EndpointLeaving       = define(rangeRelay+26, "endpoint-leaving", slog.LevelInfo, "An endpoint told this instance, or another one, that it leaves; it gets no new requests unless no other endpoint can take them.", "")
+	EndpointPaused        = define(rangeRelay+27, "endpoint-paused", slog.LevelInfo, "An endpoint asked this instance for no requests for a time.", "If all endpoints of a service do so, it is overloaded.")
+	NoticeInvalid         = define(rangeRelay+28, "notice-invalid", slog.LevelWarn, "A header by which an endpoint asks for a pause can't be decoded; it is ignored.", "Correct the endpoint's software.")
 	LogDropped            = define(rangeRelay+22, "log-dropped", slog.LevelWarn, "Log lines were dropped to bound the volume of the log.", "")
 )
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"redwingknot/event"
 	"redwingknot/fleet"
 	"redwingknot/internal/timer"
@@ -130,7 +132,7 @@
 		if err != nil {
 			g.recordCacheStoreFailure(store, !failing, err)
 			failing = true
-			timer.Sleep(ctx, retryDelay)
+			timer.Sleep(ctx, cacheStoreRetryDelay(err))
 			continue
 		}
 		if failing {
@@ -148,6 +150,16 @@
 	}
 }
 
+// cacheStoreRetryDelay returns the time until the next call to a cache store whose last
+// call failed with err.
+func cacheStoreRetryDelay(err error) time.Duration {
+	var paused *promptcache.PausedError
+	if errors.As(err, &paused) {
+		return max(paused.Pause, retryDelay)
+	}
+	return retryDelay
+}
+
 // recordCacheStoreFailure records that a cache store did not answer. It logs only
 // the first failure after an answer.
 func (g *Gateway) recordCacheStoreFailure(store *fleet.CacheStore, first bool, err error) {
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -15,14 +15,22 @@
 
 // EndpointClient asks endpoints for their state and orders them to load weights.
 type EndpointClient interface {
-	// State returns the state of an endpoint.
-	State(ctx context.Context, endpoint *fleet.Endpoint) (rollout.EndpointState, error)
+	// State returns the state of an endpoint, and what its response says about further
+	// calls.
+	State(ctx context.Context, endpoint *fleet.Endpoint) (rollout.EndpointState, fleet.Notice, error)
 	// Load sends an order to load weights; leader is the name of the sender and
 	// fencingToken its fencing token. The endpoint refuses the order unless the
 	// number of orders that it has accepted is expectedOrders.
-	Load(ctx context.Context, o rollout.Order, expectedOrders int64, leader string, fencingToken int64) (rollout.Result, error)
+	Load(ctx context.Context, o rollout.Order, expectedOrders int64, leader string, fencingToken int64) (rollout.Result, fleet.Notice, error)
 }
 
+// PausedError reports that an endpoint was not called because it has asked this instance
+// for a pause.
+type PausedError struct{ Endpoint string }
+
+// Error implements the error interface.
+func (e *PausedError) Error() string { return "endpoint " + e.Endpoint + " has asked for a pause" }
+
 const (
 	// orderInterval is the interval of checks for orders that are due.
 	orderInterval = 30 * time.Millisecond
@@ -73,7 +81,7 @@
 func (g *Gateway) checkPendingOrders(ctx context.Context, t *leaderTerm, orders []rollout.Order) {
 	loaded := make([]bool, len(orders))
 	forEachConcurrently(orders, func(i int, o rollout.Order) {
-		state, err := g.opts.Endpoints.State(ctx, o.Endpoint)
+		state, err := g.endpointState(ctx, o.Endpoint)
 		if err != nil {
 			event.LoadOrderFailed.Log(g.log, slog.String("endpoint", o.Endpoint.ID), slog.String("error", err.Error()))
 			return
@@ -88,6 +96,16 @@
 	}
 }
 
+// endpointState asks an endpoint for its state unless it has asked for a pause.
+func (g *Gateway) endpointState(ctx context.Context, endpoint *fleet.Endpoint) (rollout.EndpointState, error) {
+	if !g.relay.Endpoints().MayCall(endpoint.Key()) {
+		return rollout.EndpointState{}, &PausedError{Endpoint: endpoint.ID}
+	}
+	state, notice, err := g.opts.Endpoints.State(ctx, endpoint)
+	g.relay.Endpoints().RecordNotice(endpoint.Key(), notice)
+	return state, err
+}
+
 // forEachConcurrently calls f for all orders concurrently and waits for the calls to
 // return.
 func forEachConcurrently(orders []rollout.Order, f func(i int, o rollout.Order)) {
@@ -121,7 +139,7 @@
 		slog.String("endpoint", o.Endpoint.ID), slog.String("model", o.Model), slog.Int64("version", o.Version),
 		slog.Int64("fence", fencingToken),
 	}
-	state, err := g.opts.Endpoints.State(ctx, o.Endpoint)
+	state, err := g.endpointState(ctx, o.Endpoint)
 	if err != nil {
 		event.LoadOrderFailed.Log(g.log, append(attrs, slog.String("error", err.Error()))...)
 		return rollout.NoAnswer
@@ -132,7 +150,8 @@
 	if currentToken, ok := g.elector.FencingToken(); !ok || currentToken != fencingToken {
 		return rollout.NoAnswer
 	}
-	result, err := g.opts.Endpoints.Load(ctx, o, state.AcceptedOrders, g.opts.Instance, fencingToken)
+	result, notice, err := g.opts.Endpoints.Load(ctx, o, state.AcceptedOrders, g.opts.Instance, fencingToken)
+	g.relay.Endpoints().RecordNotice(o.Endpoint.Key(), notice)
 	metric.Counter("load_orders_total").Inc(1)
 	attrs = append(attrs, slog.Int64("expected", state.AcceptedOrders), slog.String("result", result.String()))
 	if err != nil {
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -311,6 +311,7 @@
 		out.HeldTokens = append(out.HeldTokens, clampUint32(l.HeldTokens))
 		out.Reached = append(out.Reached, clampUint32(l.Reached))
 		out.Unreachable = append(out.Unreachable, clampUint32(l.Unreachable))
+		out.Leaving = append(out.Leaving, clampUint32(l.Leaving))
 	}
 	return out
 }
@@ -324,6 +325,7 @@
 		loads[in.Targets[i]] = Load{
 			Running: int(in.Running[i]), PendingTokens: int(in.PendingTokens[i]), HeldTokens: int(in.HeldTokens[i]),
 			Reached: valueAt(in.Reached, i), Unreachable: valueAt(in.Unreachable, i),
+			Leaving: valueAt(in.Leaving, i),
 		}
 	}
 	return loads
--- a/peers/table.go
+++ b/peers/table.go
@@ -14,6 +14,7 @@
 	HeldTokens    int // tokens of memory that the running requests need
 	Reached       int // instances that it has lately answered
 	Unreachable   int // instances whose last connection to it failed or was lost
+	Leaving       int // instances that it has told that it leaves; see EndpointKey.Hash of package fleet
 }
 
 // Add adds other to the load.
@@ -23,6 +24,7 @@
 	l.HeldTokens += other.HeldTokens
 	l.Reached += other.Reached
 	l.Unreachable += other.Unreachable
+	l.Leaving += other.Leaving
 }
 
 // subtract subtracts other from the load.
@@ -32,6 +34,7 @@
 	l.HeldTokens -= other.HeldTokens
 	l.Reached -= other.Reached
 	l.Unreachable -= other.Unreachable
+	l.Leaving -= other.Leaving
 }
 
 // minReportTTL is the minimum time for which a report stays valid. An instance
--- a/promptcache/directory.go
+++ b/promptcache/directory.go
@@ -49,6 +49,13 @@
 	Changes     []Change
 }
 
+// PausedError reports that a store did not answer a call because it wants no calls from
+// this instance for a time.
+type PausedError struct{ Pause time.Duration }
+
+// Error implements the error interface.
+func (e *PausedError) Error() string { return "the store asks for a pause of " + e.Pause.String() }
+
 // store is the state known about one store.
 type store struct {
 	spec           *fleet.CacheStore
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -274,6 +274,7 @@
 		res.PreventReuse()
 		return c.handleLost(ctx, p, &upstream.UnrelatedResponseError{Detail: "it names the attempt " + reply.AttemptID})
 	}
+	c.recordNotice(p, reply)
 	if reply.NotExecuted {
 		return c.handleRefused(p, res, reply)
 	}
@@ -285,6 +286,16 @@
 	return c.relayResponse(ctx, p, res, sent)
 }
 
+// recordNotice records what the header of a response says about further requests to the
+// endpoint.
+func (c *callerRequest) recordNotice(p *pick, reply Reply) {
+	if reply.NoticeErr != nil {
+		metric.Counter("endpoint_notices_invalid_total", "service", c.query.service).Inc(1)
+		event.NoticeInvalid.Log(c.server.opts.Log, slog.String("endpoint", p.spec.ID), slog.String("error", reply.NoticeErr.Error()))
+	}
+	c.server.endpoints.recordReplyNotice(p, reply)
+}
+
 // recordTried records an endpoint that the request was sent to.
 func (c *callerRequest) recordTried(p *pick) {
 	if key := p.spec.Key(); !slices.Contains(c.query.tried, key) {
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"redwingknot/fleet"
 )
 
 // Part is a contiguous part of a prompt. Parts of different prompts with the same
@@ -62,6 +64,10 @@
 	Stamped        bool   // the response bears the stamp of an endpoint's own response
 	WeightsVersion int64  // weights version that executed the request, 0 if not stated
 	EndpointID     string // identifier of the endpoint, empty if not stated
+	Notice         fleet.Notice
+	// NoticeErr is the error of a header that would be part of Notice but can't be
+	// decoded; it is ignored then. It is nil if there is none.
+	NoticeErr error
 }
 
 // Dialect translates between HTTP headers and the relay's types.
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -14,17 +14,21 @@
 // endpoint is this instance's state of one incarnation of an endpoint. Its
 // fields are guarded by the mutex of Endpoints; the pool has its own.
 type endpoint struct {
-	spec          *fleet.Endpoint
-	idHash        uint64
-	pool          *upstream.Pool
-	ownLoad       peers.Load                 // load from this instance's requests
-	residentParts *promptcache.ResidentParts // estimate of the prompt parts in its memory
-	health        place.Health
-	nextProbe     time.Time // of an unreachable endpoint, zero otherwise
-	slowness      place.SlownessTracker
-	seenVersions  map[string]int64     // by model: version of its weights as derived from responses
-	loadingUntil  map[string]time.Time // by model: time before which no request for it is sent
-	replaced      bool                 // another endpoint or incarnation responds at its address
+	spec   *fleet.Endpoint
+	idHash uint64
+	// incarnationHash stands for this incarnation in reports to other instances.
+	incarnationHash uint64
+	pool            *upstream.Pool
+	ownLoad         peers.Load                 // load from this instance's requests
+	residentParts   *promptcache.ResidentParts // estimate of the prompt parts in its memory
+	health          place.Health
+	nextProbe       time.Time // of an unreachable endpoint, zero otherwise
+	slowness        place.SlownessTracker
+	seenVersions    map[string]int64     // by model: version of its weights as derived from responses
+	loadingUntil    map[string]time.Time // by model: time before which no request for it is sent
+	pause           place.Pause
+	leavingSince    time.Time // when this instance learned that it is leaving, zero if it is not
+	replaced        bool      // another endpoint or incarnation responds at its address
 }
 
 // newEndpoint returns the state of a newly known endpoint. limit is the maximum
@@ -32,7 +36,7 @@
 func newEndpoint(spec *fleet.Endpoint, limit, cacheTokens int) *endpoint {
 	opened := metric.Counter("endpoint_connections_opened_total", "service", spec.Service)
 	return &endpoint{
-		spec: spec, idHash: place.Hash(spec.ID), seenVersions: map[string]int64{}, loadingUntil: map[string]time.Time{},
+		spec: spec, idHash: place.Hash(spec.ID), incarnationHash: incarnationHash(spec.Key()), seenVersions: map[string]int64{}, loadingUntil: map[string]time.Time{},
 		residentParts: promptcache.NewResidentParts(int(promptCacheShare * float64(cacheTokens))),
 		pool:          upstream.NewPool(spec.Address, limit, func() { opened.Inc(1) }),
 	}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	view           *fleet.View
 	dataCentre     string
 	oldWeightsTime time.Duration
+	drainTime      time.Duration
+	log            *slog.Logger
 	retryConfig    retry.WindowConfig
 	now            func() time.Time
 	startedAt      time.Time
@@ -52,7 +55,7 @@
 func newEndpoints(o Options) *Endpoints {
 	return &Endpoints{
 		view: o.View, dataCentre: o.DataCentre, oldWeightsTime: o.OldWeightsTime, now: o.Now, startedAt: o.Now(),
-		cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, sources: map[string]*source{},
+		drainTime: o.DrainTime, log: o.Log, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		byKey:       map[fleet.EndpointKey]*endpoint{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
@@ -166,6 +169,8 @@
 	now := e.now()
 	list := e.eligible(s, q, now)
 	if len(list) == 0 {
+		q.admissionDelay = e.pauseLeft(s, q, now)
+		q.awaitsAdmission = q.admissionDelay > 0
 		return nil, e.changed
 	}
 	var p *pick
@@ -205,9 +210,10 @@
 
 // eligible returns the endpoints that may execute q, by preference: the healthy
 // ones that were not tried yet; if there are none, the healthy ones that were
-// tried; if there are none either, the unhealthy ones.
+// tried; if there are none either, healthy ones that are leaving, and then the unhealthy
+// ones. Those that asked for a pause get nothing.
 func (e *Endpoints) eligible(s *fleet.Snapshot, q *placementQuery, now time.Time) []*endpoint {
-	var untried, tried, unhealthy []*endpoint
+	var untried, tried, leaving, unhealthy []*endpoint
 	for _, spec := range s.ByService[q.service] {
 		ep := e.byKey[spec.Key()]
 		if ep == nil || ep.replaced || spec.Leaving || !q.mayTry(spec.Key()) {
@@ -216,9 +222,16 @@
 		if q.prompt != nil && !e.canServeModel(s, ep, q.prompt.Model, now) {
 			continue
 		}
+		if !ep.pause.Admits(now, ep.ownLoad.Running) {
+			continue
+		}
+		isLeaving := !ep.leavingSince.IsZero()
 		switch {
+		case isLeaving && !e.mayServeWhileLeaving(ep, now):
 		case !ep.health.Usable(now) || e.isDark(ep, now):
 			unhealthy = append(unhealthy, ep)
+		case isLeaving:
+			leaving = append(leaving, ep)
 		case slices.Contains(q.tried, spec.Key()):
 			tried = append(tried, ep)
 		default:
@@ -231,9 +244,28 @@
 	if len(tried) > 0 {
 		return tried
 	}
+	if len(leaving) > 0 {
+		return leaving
+	}
 	return unhealthy
 }
 
+// pauseLeft returns how long the shortest pause of an endpoint that could execute q
+// lasts, 0 if none of them has asked for a pause.
+func (e *Endpoints) pauseLeft(s *fleet.Snapshot, q *placementQuery, now time.Time) time.Duration {
+	var shortest time.Duration
+	for _, spec := range s.ByService[q.service] {
+		ep := e.byKey[spec.Key()]
+		if ep == nil || ep.replaced || spec.Leaving || !ep.leavingSince.IsZero() || !q.mayTry(spec.Key()) {
+			continue
+		}
+		if left := ep.pause.Left(now); left > 0 && (shortest == 0 || left < shortest) {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // isDark reports whether other instances could not reach an endpoint that this one has
 // not reached lately either.
 func (e *Endpoints) isDark(ep *endpoint, now time.Time) bool {
@@ -282,6 +314,7 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	p.endpoint.health.RecordSuccess(now)
+	p.endpoint.pause.RecordExecuted(now)
 	s := e.service(q.service)
 	secondsPerCost := took.Seconds() / p.cost
 	if p.endpointIdle {
--- /dev/null
+++ b/relay/notice.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"redwingknot/event"
+	"redwingknot/fleet"
+	"redwingknot/metric"
+	"redwingknot/place"
+)
+
+const (
+	// pauseSpread is the longest time that an instance adds to a pause at random.
+	pauseSpread = 250 * time.Millisecond
+	// drainMargin is subtracted from the time for which leaving endpoints may be used, to
+	// allow for the transfer of the request.
+	drainMargin = 500 * time.Millisecond
+)
+
+// incarnationHash returns the hash that stands for an incarnation of an endpoint in
+// reports to other instances.
+func incarnationHash(k fleet.EndpointKey) uint64 {
+	return place.Hash(k.ID + "\x00" + strconv.FormatInt(k.StartMillis, 10))
+}
+
+// RecordNotice records what a response of an endpoint to a call of this instance says
+// about further calls.
+func (e *Endpoints) RecordNotice(key fleet.EndpointKey, n fleet.Notice) {
+	if n == (fleet.Notice{}) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ep := e.byKey[key]; ep != nil {
+		e.recordNotice(ep, n)
+	}
+}
+
+// recordReplyNotice does the same for the response to an attempt. The response concerns
+// the endpoint that it names, which is another one than p's if the address was reused.
+func (e *Endpoints) recordReplyNotice(p *pick, r Reply) {
+	if r.Notice == (fleet.Notice{}) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.EndpointID == "" || r.EndpointID == p.spec.ID {
+		e.recordNotice(p.endpoint, r.Notice)
+		return
+	}
+	for _, ep := range e.byKey {
+		if ep.spec.ID == r.EndpointID {
+			e.recordNotice(ep, r.Notice)
+		}
+	}
+}
+
+// recordNotice does what RecordNotice documents. The caller holds mu.
+func (e *Endpoints) recordNotice(ep *endpoint, n fleet.Notice) {
+	now := e.now()
+	if n.Leaving {
+		e.recordLeaving(ep, now)
+	}
+	if n.Pause > 0 {
+		if !ep.pause.Active(now) {
+			event.EndpointPaused.Log(e.log, slog.String("endpoint", ep.spec.ID), slog.Duration("pause", n.Pause))
+		}
+		metric.Counter("endpoint_pauses_total", "service", ep.spec.Service).Inc(1)
+		ep.pause.Extend(now, n.Pause, rand.N(pauseSpread))
+	}
+}
+
+// recordLeaving records that an endpoint announced that it leaves. That holds for its
+// incarnation, whatever its entry or later responses say. The caller holds mu.
+func (e *Endpoints) recordLeaving(ep *endpoint, now time.Time) {
+	if !ep.leavingSince.IsZero() {
+		return
+	}
+	ep.leavingSince = now
+	event.EndpointLeaving.Log(e.log, slog.String("endpoint", ep.spec.ID), slog.String("service", ep.spec.Service))
+	metric.Counter("endpoints_leaving_total", "service", ep.spec.Service).Inc(1)
+}
+
+// RecordReportedLeaving records which endpoints have told other instances that they
+// leave.
+func (e *Endpoints) RecordReportedLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	for _, ep := range e.byKey {
+		if ep.leavingSince.IsZero() && e.otherLoads.Load(ep.incarnationHash).Leaving > 0 {
+			e.recordLeaving(ep, now)
+		}
+	}
+}
+
+// mayServeWhileLeaving reports whether an endpoint that announced that it leaves may still
+// get requests if no other one can.
+func (e *Endpoints) mayServeWhileLeaving(ep *endpoint, now time.Time) bool {
+	return now.Before(ep.leavingSince.Add(e.drainTime - drainMargin))
+}
+
+// MayCall reports whether this instance may call an endpoint outside of requests: it has
+// not asked for a pause.
+func (e *Endpoints) MayCall(key fleet.EndpointKey) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ep := e.byKey[key]
+	return ep == nil || !ep.pause.Active(e.now())
+}
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -244,6 +244,9 @@
 		if l != (peers.Load{}) {
 			loads[ep.idHash] = l
 		}
+		if !ep.leavingSince.IsZero() {
+			loads[ep.incarnationHash] = peers.Load{Leaving: 1}
+		}
 	}
 	e.addFetchLoads(loads, now)
 	return loads
--- a/relay/query.go
+++ b/relay/query.go
@@ -17,8 +17,8 @@
 	team            *fleet.Team   // nil on public routes
 	priority        int           // 0 is the most urgent
 	target          time.Duration // time within which a response has its full value
-	awaitsAdmission bool          // the prompt waits until one of the eligible endpoints can admit it; valid if none was chosen
-	admissionDelay  time.Duration // how long the prompt would have to wait for admission at least; valid if awaitsAdmission is
+	awaitsAdmission bool          // the request waits until an endpoint can admit it or a pause ends; valid if none was chosen
+	admissionDelay  time.Duration // how long that takes at least; valid if awaitsAdmission is
 	maxAttempts     int
 	tried           []fleet.EndpointKey // endpoints that the request was sent to
 	excluded        []fleet.EndpointKey // endpoints that no further attempt may use
--- a/relay/response.go
+++ b/relay/response.go
@@ -44,7 +44,10 @@
 	c.server.endpoints.recordFirstData(p, c.query, time.Since(sent))
 	buffered := &bufferedResponse{status: res.Status, header: res.Header, body: body}
 	if !c.returnable(res) {
-		c.server.endpoints.recordFailure(p, false)
+		// An endpoint that asks for a pause is busy, not at fault.
+		if c.server.opts.Dialect.ParseReply(res.Status, res.Header).Notice.Pause == 0 {
+			c.server.endpoints.recordFailure(p, false)
+		}
 		c.lastErr = &StatusError{Status: res.Status}
 		if impliesNotExecuted(res.Status) || !c.server.opts.Dialect.ParseReply(res.Status, res.Header).Stamped {
 			return outcomeUnknown
--- a/relay/server.go
+++ b/relay/server.go
@@ -41,9 +41,12 @@
 	// OldWeightsTime is how long endpoints may use old weights after a new wanted
 	// version was set.
 	OldWeightsTime time.Duration
-	RetryRatio     float64       // retries allowed per request in RetryWindow
-	RetryWindow    time.Duration // sliding window in which retries are counted
-	RetrySlack     float64       // retries allowed in RetryWindow in addition, shared by all instances
+	// DrainTime is how long an endpoint goes on serving after it has announced that it
+	// leaves.
+	DrainTime   time.Duration
+	RetryRatio  float64       // retries allowed per request in RetryWindow
+	RetryWindow time.Duration // sliding window in which retries are counted
+	RetrySlack  float64       // retries allowed in RetryWindow in addition, shared by all instances
 	// MaxBodyBytes is the maximum total size in bytes of the request bodies in memory
 	// at one time.
 	MaxBodyBytes int64
@@ -73,7 +76,10 @@
 // Run closes expired idle connections and updates the gauges regularly until ctx
 // ends. It returns nil.
 func (s *Server) Run(ctx context.Context) error {
-	go timer.Every(ctx, probeCheckInterval, func() { s.endpoints.probeUnreachable(ctx) })
+	go timer.Every(ctx, probeCheckInterval, func() {
+		s.endpoints.RecordReportedLeaving()
+		s.endpoints.probeUnreachable(ctx)
+	})
 	return timer.Every(ctx, maintenanceInterval, func() {
 		s.endpoints.pruneConnections()
 		s.updateGauges()
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -115,6 +115,7 @@
 	view   *fleet.View
 	cache  *promptcache.Directory
 	loads  *peers.Table // as reported by other instances
+	relay  *relay.Server
 	server *httptest.Server
 	now    func() time.Time
 }
@@ -127,6 +128,9 @@
 	publicRoute        = fleet.Route{Name: "open", Host: "h", PathPrefix: "/open/", Kind: fleet.KindIdempotent, Public: true}
 )
 
+// testDrainTime is how long endpoints serve after they have announced that they leave.
+const testDrainTime = 2 * time.Second
+
 // newConfig returns a configuration in which all routes use the service s and
 // allow the given number of attempts.
 func newConfig(version int64, attempts int) *fleet.Config {
@@ -158,10 +162,11 @@
 	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable(), now: time.Now}
 	o := relay.Options{
 		View: b.view, Dialect: platform.Dialect{}, Log: slog.New(slog.DiscardHandler), Cache: b.cache, OtherLoads: b.loads,
-		Now: func() time.Time { return b.now() }, RevokeTime: 5 * time.Second, OldWeightsTime: 6 * time.Second,
+		Now: func() time.Time { return b.now() }, RevokeTime: 5 * time.Second, OldWeightsTime: 6 * time.Second, DrainTime: testDrainTime,
 		RetryRatio: 10, RetryWindow: 10 * time.Second, MaxBodyBytes: 1 << 24,
 	}
-	b.server = httptest.NewServer(relay.NewServer(o))
+	b.relay = relay.NewServer(o)
+	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
 	return b
 }
