A metadata store that comes back from an older copy: positions order eras before revisions

Every write after the drill stands below what the copy holds and is ignored until the counter has caught up.

Change: StoreClient turns revisions into positions, era in the high bits, so that copies, digests, confirmations, watches, conditions and fencing tokens keep their order through a drill without a case of their own. A store without the header is in era 0, where positions are revisions: nothing changes there.

--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -14,6 +14,9 @@
 type Delta struct {
 	Changed []metastore.Entry
 	Removed []string // keys
+	// Restored is set if the state is the first one of a store that has come back from
+	// an older copy.
+	Restored bool
 }
 
 // Empty reports whether the two states are equal.
@@ -22,7 +25,8 @@
 // Mirror is a copy of the keys under a prefix of the metadata store. It is
 // updated by reads of the whole range and by single changes, in any order. For
 // each key the highest revision wins, so a change that arrives late has no
-// effect. It is not safe for concurrent use.
+// effect. Revisions are positions, see package metastore: what a store holds that has come
+// back from an older copy replaces what it held before. It is not safe for concurrent use.
 type Mirror struct {
 	entries map[string]metastore.Entry // by key
 	// rangeRevision is the revision of the newest read of the whole range. A
@@ -44,7 +48,7 @@
 // Reset applies a read of the whole range that was made at revision, and
 // returns what it changed. Entries that are newer than revision are kept.
 func (m *Mirror) Reset(entries []metastore.Entry, revision int64) Delta {
-	var d Delta
+	d := Delta{Restored: m.isNewEra(revision)}
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
@@ -67,6 +71,13 @@
 	return d
 }
 
+// isNewEra reports whether a revision is of a later era than the newest read of the range.
+func (m *Mirror) isNewEra(revision int64) bool {
+	known, _ := metastore.SplitPosition(m.rangeRevision)
+	era, _ := metastore.SplitPosition(revision)
+	return m.rangeRevision != 0 && era > known
+}
+
 // Put applies the write of one key and returns what it changed.
 func (m *Mirror) Put(e metastore.Entry) Delta {
 	if !m.put(e) {
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -90,3 +90,25 @@
 	}
 	return c
 }
+
+// TestMirrorFollowsRestoredStore checks that a read of a store that has come back from an
+// older copy replaces newer revisions of the era before, and is reported as such once.
+func TestMirrorFollowsRestoredStore(t *testing.T) {
+	m := NewMirror()
+	entry := func(key string, era, revision int64) metastore.Entry {
+		return metastore.Entry{Key: key, ModRevision: metastore.Position(era, revision)}
+	}
+	m.Reset([]metastore.Entry{entry("a", 0, 80), entry("b", 0, 90)}, metastore.Position(0, 100))
+	before := m.Digest()
+	d := m.Reset([]metastore.Entry{entry("a", 1, 20)}, metastore.Position(1, 30))
+	assert.Check(t, d.Restored)
+	assert.Equal(t, len(d.Changed), 1)
+	assert.DeepEqual(t, d.Removed, []string{"b"})
+	d = m.Put(entry("b", 0, 95))
+	assert.Check(t, d.Empty(), "a late change of the era before")
+	d = m.Put(entry("b", 1, 31))
+	assert.Equal(t, len(d.Changed), 1)
+	d = m.Reset([]metastore.Entry{entry("a", 1, 80), entry("b", 1, 90)}, metastore.Position(1, 100))
+	assert.Check(t, !d.Restored)
+	assert.Check(t, m.Digest() != before, "the same revisions in another era are other content")
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -38,12 +38,13 @@
 	mu               sync.Mutex
 	storeUnreachable bool            // the metadata store does not answer
 	storeReturnedAt  time.Time       // when the store last became reachable again
+	leftIDs          map[string]bool // identifiers of endpoints that were removed and have not registered since
 	lapsedEntries    map[string]bool // identifiers of endpoints whose entries are missing since an outage
 }
 
 // NewView returns a View without configuration and endpoints.
 func NewView() *View {
-	v := &View{lapsedEntries: map[string]bool{}}
+	v := &View{lapsedEntries: map[string]bool{}, leftIDs: map[string]bool{}}
 	v.current.Store(&Snapshot{
 		WantedWeights: map[string]int64{}, WantedSince: map[string]time.Time{}, Endpoints: map[string]*Endpoint{},
 		ByService: map[string][]*Endpoint{}, Instances: assumedInstances,
@@ -100,11 +101,19 @@
 	v.updateSnapshot(func(s *Snapshot) { s.Instances = max(n, 1) })
 }
 
-// PutEndpoint adds an endpoint or replaces the one with the same identifier.
+// PutEndpoint adds an endpoint or replaces the one with the same identifier. An
+// incarnation that leaves goes on leaving, even if its entry comes back from an older copy
+// of the metadata store.
 func (v *View) PutEndpoint(e *Endpoint) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.lapsedEntries, e.ID)
+	delete(v.leftIDs, e.ID)
+	if old := v.current.Load().Endpoints[e.ID]; old != nil && old.Key() == e.Key() && old.Leaving && !e.Leaving {
+		leaving := *e
+		leaving.Leaving = true
+		e = &leaving
+	}
 	v.updateSnapshot(func(s *Snapshot) {
 		s.Endpoints = maps.Clone(s.Endpoints)
 		s.Endpoints[e.ID] = e
@@ -131,6 +140,10 @@
 	if _, ok := v.current.Load().Endpoints[id]; !ok {
 		return
 	}
+	if len(v.leftIDs) >= maxLeftIDs {
+		clear(v.leftIDs)
+	}
+	v.leftIDs[id] = true
 	v.updateSnapshot(func(s *Snapshot) {
 		s.Endpoints = maps.Clone(s.Endpoints)
 		delete(s.Endpoints, id)
@@ -138,6 +151,17 @@
 	})
 }
 
+// maxLeftIDs bounds the memory for endpoints that were removed. Only those removed in the
+// last seconds can be in an older copy of the metadata store.
+const maxLeftIDs = 4096
+
+// HasLeft reports whether an endpoint was removed and has not registered since.
+func (v *View) HasLeft(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leftIDs[id]
+}
+
 // MarkStoreUnreachable records that the metadata store does not answer. It reports
 // whether the store was reachable before.
 func (v *View) MarkStoreUnreachable() bool {
@@ -168,6 +192,15 @@
 	return wasUnreachable
 }
 
+// MarkStoreRestored records that the metadata store was seen at now to have come back from
+// an older copy. Entries that the copy lacks get the same time to be written again as
+// after an outage.
+func (v *View) MarkStoreRestored(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.storeReturnedAt = now
+}
+
 // ExpireLapsed removes the endpoints whose entries were not written again within
 // the grace period after an outage of the metadata store.
 func (v *View) ExpireLapsed(now time.Time) {
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -63,3 +63,38 @@
 	assert.Check(t, c.Match("h", "/x") == nil)
 	assert.Check(t, c.Match("none", "/a/x") == nil)
 }
+
+// TestLeavingEndpointGoesOnLeaving checks that an entry which comes back from an older copy
+// of the metadata store does not make a leaving endpoint ready again, and that a new
+// incarnation does.
+func TestLeavingEndpointGoesOnLeaving(t *testing.T) {
+	v := NewView()
+	v.PutEndpoint(&Endpoint{ID: "a", Service: "s", StartMillis: 5, Leaving: true})
+	v.PutEndpoint(&Endpoint{ID: "a", Service: "s", StartMillis: 5})
+	assert.Check(t, v.Snapshot().Endpoints["a"].Leaving)
+	v.PutEndpoint(&Endpoint{ID: "a", Service: "s", StartMillis: 6})
+	assert.Check(t, !v.Snapshot().Endpoints["a"].Leaving)
+}
+
+func TestHasLeftUntilItRegisters(t *testing.T) {
+	v := NewView()
+	v.PutEndpoint(&Endpoint{ID: "a", Service: "s"})
+	assert.Check(t, !v.HasLeft("a"))
+	v.RemoveEndpoint("a", atMillis(0))
+	assert.Check(t, v.HasLeft("a") && !v.HasLeft("b"))
+	v.PutEndpoint(&Endpoint{ID: "a", Service: "s"})
+	assert.Check(t, !v.HasLeft("a"))
+}
+
+// TestEntriesMissingInRestoredStoreGetGracePeriod checks that endpoints which an older copy
+// of the metadata store lacks are kept until they can have registered again.
+func TestEntriesMissingInRestoredStoreGetGracePeriod(t *testing.T) {
+	v := NewView()
+	v.PutEndpoint(&Endpoint{ID: "a", Service: "s"})
+	v.MarkStoreRestored(atMillis(1000))
+	v.RemoveEndpoint("a", atMillis(1000))
+	v.ExpireLapsed(atMillis(2000))
+	assert.Equal(t, len(v.Snapshot().Endpoints), 1)
+	v.ExpireLapsed(atMillis(1000).Add(lapseGracePeriod))
+	assert.Equal(t, len(v.Snapshot().Endpoints), 0)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	registration  *registration
 	wire          *wire.Server
 	exchange      *peers.Exchange
+	era           int64 // of the metadata store at the last read of the operator's range; used only by its watcher
 	draining      atomic.Bool
 	started       time.Time
 	memberCount   atomic.Int64 // registered instances, 0 before they are known
@@ -88,7 +89,7 @@
 
 // New returns a Gateway that does nothing until Run is called.
 func New(o Options) *Gateway {
-	g := &Gateway{opts: o, log: o.Relay.Log, kv: metastore.NewWatchMux(o.KV), view: o.Relay.View, started: o.Relay.Now()}
+	g := &Gateway{opts: o, era: unknownEra, log: o.Relay.Log, kv: metastore.NewWatchMux(o.KV), view: o.Relay.View, started: o.Relay.Now()}
 	g.confirmations = newConfirmations(g.view, o.Relay.Now)
 	g.opts.Relay.OtherLoads = peers.NewTable()
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
@@ -103,6 +104,9 @@
 	return g
 }
 
+// unknownEra stands for the era of the metadata store before its first answer.
+const unknownEra = -1
+
 const (
 	// electionScope stands for the data centre in the election, so that the whole
 	// fleet has one leader.
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -20,6 +20,7 @@
 	operator.onChange = g.applyOperatorDelta
 	operator.onRead = func(sentAt time.Time) {
 		g.recordStoreAnswer()
+		g.recordEra()
 		g.view.Confirm(sentAt)
 	}
 	endpoints := g.newWatcher(purposeEndpoints, fullReadInterval, g.opts.Schema.EndpointRange)
@@ -63,6 +64,20 @@
 	}
 }
 
+// recordEra logs when the metadata store has come back from an older copy since the last
+// read of the operator's range.
+func (g *Gateway) recordEra() {
+	observer, ok := g.opts.KV.(metastore.EraObserver)
+	if !ok {
+		return
+	}
+	era := observer.Era()
+	if g.era != unknownEra && era > g.era {
+		event.StoreEraRose.Log(g.log, slog.Int64("era", era), slog.Int64("before", g.era))
+	}
+	g.era = era
+}
+
 func (g *Gateway) recordStoreFailure(err error) {
 	if g.view.MarkStoreUnreachable() {
 		event.MetadataStoreLost.Log(g.log, slog.String("error", err.Error()))
@@ -90,7 +105,13 @@
 
 func (g *Gateway) applyEndpointsDelta(d fleet.Delta) {
 	now := g.opts.Relay.Now()
+	if d.Restored {
+		g.view.MarkStoreRestored(now)
+	}
 	for _, e := range d.Changed {
+		if d.Restored && g.view.HasLeft(g.opts.Schema.EndpointID(e.Key)) {
+			continue // its entry is in the older copy; a new one comes by the watch
+		}
 		if err := g.opts.Schema.ApplyEndpoint(g.view, e, now); err != nil {
 			event.StoreEntryInvalid.Log(g.log, slog.String("key", e.Key), slog.String("error", err.Error()))
 			continue
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -15,9 +15,6 @@
 	Delay        time.Duration // before each chunk is passed on, in each direction
 	HoldToTarget bool          // bytes from the dialer are held
 	HoldToDialer bool          // bytes to the dialer are held
-	// BytesPerSecond is the bandwidth to the dialer that all connections share, 0 for
-	// no limit.
-	BytesPerSecond float64
 }
 
 // Link is a TCP proxy on the loopback interface that forwards connections to one
@@ -29,6 +26,9 @@
 	mu      sync.Mutex
 	fault   LinkFault
 	changed chan struct{} // closed when fault changes
+	// bytesPerSecond is the bandwidth to the dialer that all connections share, 0 for no
+	// limit.
+	bytesPerSecond float64
 	// busyUntil is when the link will have transferred the bytes to the dialer that
 	// it has taken on.
 	busyUntil time.Time
@@ -74,6 +74,13 @@
 	l.changed = make(chan struct{})
 }
 
+// SetBandwidth limits the bytes to the dialer that pass in a second, over all connections.
+func (l *Link) SetBandwidth(bytesPerSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytesPerSecond = bytesPerSecond
+}
+
 // Reset closes all open connections with a TCP reset.
 func (l *Link) Reset() {
 	for _, p := range l.openPairs() {
@@ -201,14 +208,14 @@
 // behind those of other connections, or until the pair is closed.
 func (l *Link) waitForTransfer(p *connPair, n int) {
 	l.mu.Lock()
-	if l.fault.BytesPerSecond == 0 {
+	if l.bytesPerSecond == 0 {
 		l.mu.Unlock()
 		return
 	}
 	if now := time.Now(); l.busyUntil.Before(now) {
 		l.busyUntil = now
 	}
-	l.busyUntil = l.busyUntil.Add(time.Duration(float64(n) / l.fault.BytesPerSecond * float64(time.Second)))
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
 	wait := time.Until(l.busyUntil)
 	l.mu.Unlock()
 	select {
--- a/internal/standin/fleetstore/server.go
+++ b/internal/standin/fleetstore/server.go
@@ -35,6 +35,7 @@
 
 	mu          sync.Mutex
 	fault       Fault
+	era         int64 // number of restores
 	callsByPath map[string]int
 }
 
@@ -58,6 +59,41 @@
 	s.fault = f
 }
 
+// Restore brings the store back from an older copy of its content, in the next era.
+func (s *Server) Restore(c metastoretest.Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Restore(c)
+	s.era++
+}
+
+// eraWriter writes an answer with the era that is present when the answer begins.
+type eraWriter struct {
+	http.ResponseWriter
+	server *Server
+	begun  bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.server.mu.Lock()
+	era := w.server.era
+	w.server.mu.Unlock()
+	if era > 0 && !w.begun {
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+	}
+	w.begun = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(data []byte) (int, error) {
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
 // Calls returns the number of calls received by URL path, including those that
 // a fault hit.
 func (s *Server) Calls() map[string]int {
@@ -71,7 +107,8 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(plain http.ResponseWriter, r *http.Request) {
+	w := &eraWriter{ResponseWriter: plain, server: s}
 	s.mu.Lock()
 	f := s.fault
 	s.callsByPath[r.URL.Path]++
--- a/processtest/thin_link_test.go
+++ b/processtest/thin_link_test.go
@@ -19,8 +19,14 @@
 
 // largeConfig returns a configuration of some 900 KB whose first route has the given
 // host.
-func largeConfig(version int, host string) string {
-	const routeCount = 4000
+func largeConfig(version int, host string) string { return configWithRoutes(version, host, 4000) }
+
+// smallConfig returns a configuration with one route, which has the given host.
+func smallConfig(version int, host string) string { return configWithRoutes(version, host, 0) }
+
+// configWithRoutes returns a configuration with a route that has the given host, and
+// routeCount others.
+func configWithRoutes(version int, host string, routeCount int) string {
 	var routes strings.Builder
 	fmt.Fprintf(&routes, `{"name":"r","host":%q,"path_prefix":"/x/","kind":"stream","timeout_ms":8000,"target_latency_ms":300,"priority":0,"service":"s","max_attempts":1}`, host)
 	for i := range routeCount {
@@ -41,7 +47,7 @@
 	link, err := soak.NewLink(d.storeAddr)
 	assert.NilError(t, err)
 	t.Cleanup(link.Close)
-	link.SetFault(soak.LinkFault{BytesPerSecond: thinLinkBytesPerSecond})
+	link.SetBandwidth(thinLinkBytesPerSecond)
 	d.storeAddr = link.Addr()
 	g := d.startGateway("front-1")
 	waitForStatus := func(want int) {
