Soak: thin links, a configuration that grows, a restored store, endpoints that leave and pause

Now each gateway's link to the store carries 10 Mbit/s, and config-grow adds 1,400 routes a step, up to 4,200.

New steps: store-restored (the store comes back from a copy taken at the step's beginning; operator and endpoints write again), endpoint-pause and endpoint-bad-pause (503 with Retry-After, valid or not); endpoint-leave also says so in the endpoint's answers. New checks: announced-leave and pause-ignored, each seen reporting a violation in TestChecksReportViolations. The new kinds are drawn from a second stream, so that the seeds that failed before keep their steps.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,8 @@
 	RevokedTokenAccepted Invariant = "withdrawn-token"  // a revoked token is refused within revokeTime
 	OldRouteUsed         Invariant = "old-route"        // a new configuration is in force within applyTime
 	LeftEndpointUsed     Invariant = "left-endpoint"    // an endpoint gets no requests later than drainTime after it announced that it leaves
+	AnnouncedLeaveMissed Invariant = "announced-leave"  // an endpoint gets no requests from a gateway later than drainTime after it told that gateway that it leaves
+	PauseIgnored         Invariant = "pause-ignored"    // an endpoint gets hardly any requests from a gateway that it has asked for a pause
 	LostAnswer           Invariant = "lost-answer"      // planned steps lose no answer, and neither do disruptions of the store alone
 	TooManyRepeats       Invariant = "too-many-repeats" // repeated runs stay within the retry budget
 	NoRecovery           Invariant = "no-recovery"      // everything works again after the last step
@@ -83,6 +85,7 @@
 		r.checkRevokedToken(obs)
 		r.checkMovedRoute(obs)
 		r.checkLeftEndpoints(obs)
+		r.checkNotices(obs)
 		r.checkLostAnswers(obs)
 		r.checkRepeats(obs)
 	}
@@ -186,7 +189,7 @@
 		return
 	}
 	for attempt, c := range obs.calls {
-		if c.kind != callMoved || c.sentAt.Before(since.Add(applyTime)) || !r.disruptions.noneBetween(c.sentAt.Add(-settleTime), c.sentAt, false) {
+		if c.kind != callMoved || c.sentAt.Before(since.Add(applyTime)) || !r.disruptions.noneBetween(c.sentAt.Add(-settleTime), c.sentAt, nil) {
 			continue
 		}
 		for _, ran := range obs.runs[attempt] {
@@ -204,7 +207,7 @@
 		for _, ran := range runs {
 			leavingSince := ran.incarnation.leavingSince()
 			c := obs.calls[attempt]
-			if leavingSince.IsZero() || c == nil || !ran.StartedAt.After(leavingSince.Add(drainTime)) || !r.disruptions.noneBetween(leavingSince.Add(-settleTime), ran.StartedAt, false) {
+			if leavingSince.IsZero() || c == nil || !ran.StartedAt.After(leavingSince.Add(drainTime)) || !r.disruptions.noneBetween(leavingSince.Add(-settleTime), ran.StartedAt, nil) {
 				continue
 			}
 			r.recordViolation(LeftEndpointUsed, "%s ran at %s %s after the endpoint announced that it leaves", attempt, ran.incarnation, ran.StartedAt.Sub(leavingSince))
@@ -212,6 +215,95 @@
 	}
 }
 
+// arrival is a request that reached an endpoint, from a gateway.
+type arrival struct {
+	fleetworker.Notice
+	gateway *gateway
+	sentAt  time.Time // when the caller sent it
+}
+
+// checkNotices checks that every gateway heeds what an endpoint's responses to it say,
+// whatever disturbs the gateway.
+func (r *run) checkNotices(obs *observations) {
+	for _, e := range r.endpoints {
+		for _, i := range e.incarnations() {
+			for _, list := range obs.arrivals(i) {
+				r.checkAnnouncedLeave(i, list)
+				r.checkPauses(i, list)
+			}
+		}
+	}
+}
+
+// arrivals returns the requests that reached an incarnation by gateway, the first ones
+// first.
+func (o *observations) arrivals(i *incarnation) map[*gateway][]arrival {
+	byGateway := map[*gateway][]arrival{}
+	add := func(n fleetworker.Notice) {
+		if c := o.calls[n.Attempt]; c != nil && c.gateway != nil {
+			byGateway[c.gateway] = append(byGateway[c.gateway], arrival{n, c.gateway, c.sentAt})
+		}
+	}
+	noticed := map[string]bool{}
+	for _, n := range i.worker.Notices() {
+		noticed[n.Attempt] = true
+		add(n)
+	}
+	for attempt, runs := range o.runs {
+		for _, ran := range runs {
+			if ran.incarnation == i && !noticed[attempt] {
+				add(fleetworker.Notice{Attempt: attempt, At: ran.StartedAt})
+			}
+		}
+	}
+	for _, list := range byGateway {
+		slices.SortFunc(list, func(a, b arrival) int { return a.At.Compare(b.At) })
+	}
+	return byGateway
+}
+
+// checkAnnouncedLeave checks the requests from one gateway that reached an incarnation
+// after it told that gateway that it leaves.
+func (r *run) checkAnnouncedLeave(i *incarnation, list []arrival) {
+	told := slices.IndexFunc(list, func(a arrival) bool { return a.Leaving })
+	if told < 0 {
+		return
+	}
+	g := list[told].gateway
+	if toldAt := list[told].At; g.lastStarted().After(toldAt) || g.lastResumed().After(toldAt) {
+		return
+	}
+	for _, a := range list[told:] {
+		if since := a.sentAt.Sub(list[told].At); since > drainTime {
+			r.recordViolation(AnnouncedLeaveMissed, "%s from %s reached %s although it was sent %s after the endpoint told that gateway that it leaves", a.Attempt, a.gateway.name, i, since)
+		}
+	}
+}
+
+// checkPauses checks the requests from one gateway that reached an incarnation during
+// pauses that it asked that gateway for.
+func (r *run) checkPauses(i *incarnation, list []arrival) {
+	const (
+		reactionTime = 500 * time.Millisecond
+		maxArrivals  = 2
+	)
+	for _, asked := range list {
+		undisturbed := r.disruptions.noneBetween(asked.At.Add(-settleTime), asked.PauseEnds, pauseKinds)
+		if asked.PauseEnds.IsZero() || !undisturbed || asked.gateway.lastStarted().After(asked.At) {
+			continue
+		}
+		n := 0
+		for _, a := range list {
+			if a.At.After(asked.At.Add(reactionTime)) && a.At.Before(asked.PauseEnds) {
+				n++
+			}
+		}
+		if n > maxArrivals {
+			r.recordViolation(PauseIgnored, "%d requests from %s reached %s between %s after it asked for a pause and its end", n, asked.gateway.name, i, reactionTime)
+		}
+	}
+}
+
 // checkLostAnswers checks that no answer is lost to planned steps, and that calls
 // which may be repeated and need no token lose none to disruptions of the store alone.
 func (r *run) checkLostAnswers(obs *observations) {
@@ -220,13 +312,13 @@
 			continue
 		}
 		from := c.sentAt.Add(-settleTime)
-		if r.disruptions.noneBetween(from, c.endedAt, false) {
+		if r.disruptions.noneBetween(from, c.endedAt, nil) {
 			hasRun := len(obs.runs[attempt]) > 0
 			if hasRun && (!c.complete() || c.status >= http.StatusInternalServerError) && !timedOut(c.err) {
 				r.recordViolation(LostAnswer, "%s (%s) at %s ran but got status %d, error %v, during planned steps only", attempt, c.kind, c.gateway.name, c.status, c.err)
 			}
 		}
-		if c.kind == callOpen && r.disruptions.noneBetween(from, c.endedAt, true) && c.status >= http.StatusInternalServerError {
+		if c.kind == callOpen && r.disruptions.noneBetween(from, c.endedAt, append(slices.Clone(storeKinds), addedStoreKinds...)) && c.status >= http.StatusInternalServerError {
 			r.recordViolation(LostAnswer, "%s at %s got status %d during disruptions of the store only", attempt, c.gateway.name, c.status)
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -110,9 +110,24 @@
 			f.addRun(f.endpoints[1], "a", path, team)
 		}},
 		"a refused call during a store disruption": {LostAnswer, func(f *checkFixture) {
-			f.disruptions.begin(true)
+			f.disruptions.begin(StoreBusy)
 			f.addCall("a", callOpen, 0, http.StatusServiceUnavailable, nil)
 		}},
+		"a request after an endpoint told that it leaves": {AnnouncedLeaveMissed, func(f *checkFixture) {
+			f.endpoints[1].running().worker.SetLeaving(true)
+			f.addCall("a", callOpen, 0, 200, nil)
+			f.addRun(f.endpoints[1], "a", "/open/1", "")
+			f.addCall("b", callOpen, -drainTime-time.Second, 200, nil)
+			f.addRun(f.endpoints[1], "b", "/open/1", "")
+		}},
+		"requests during a pause": {PauseIgnored, func(f *checkFixture) {
+			f.endpoints[1].running().worker.SetPause("9")
+			for _, attempt := range []string{"a", "b", "c", "d", "e"} {
+				f.addCall(attempt, callOpen, 0, http.StatusServiceUnavailable, nil)
+				f.addRun(f.endpoints[1], attempt, "/open/1", "")
+				time.Sleep(300 * time.Millisecond)
+			}
+		}},
 		"too many repeats": {TooManyRepeats, func(f *checkFixture) {
 			f.addCall("a", callOpen, 0, 200, nil)
 			for range 2 * retrySlack {
--- a/internal/soak/disruption_log.go
+++ b/internal/soak/disruption_log.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,14 +18,14 @@
 
 // disruption is one entry of a disruptionLog.
 type disruption struct {
-	storeOnly  bool      // only the metadata store is disrupted
+	kind       StepKind
 	began, end time.Time // end is zero while the disruption lasts
 }
 
 // begin records the start of a disruption and returns a function that records its
 // end.
-func (l *disruptionLog) begin(storeOnly bool) (end func()) {
-	d := &disruption{storeOnly: storeOnly, began: time.Now()}
+func (l *disruptionLog) begin(kind StepKind) (end func()) {
+	d := &disruption{kind: kind, began: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.disruptions = append(l.disruptions, d)
@@ -35,13 +36,13 @@
 	}
 }
 
-// noneBetween reports whether no disruption was active between from and to. With
-// exceptStore, disruptions of the metadata store alone are ignored.
-func (l *disruptionLog) noneBetween(from, to time.Time, exceptStore bool) bool {
+// noneBetween reports whether no disruption was active between from and to, apart from
+// those of the kinds in ignored.
+func (l *disruptionLog) noneBetween(from, to time.Time, ignored []StepKind) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, d := range l.disruptions {
-		if d.storeOnly && exceptStore {
+		if slices.Contains(ignored, d.kind) {
 			continue
 		}
 		if d.began.Before(to) && (d.end.IsZero() || d.end.After(from)) {
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -31,6 +31,9 @@
 	minLease       = 1 * time.Second  // shortest lease of the store
 	memoryMiB      = 134
 	maxDescriptors = 4100
+	// storeLinkBytesPerSecond is the bandwidth of the narrowest links of the users'
+	// machines, 10 Mbit/s.
+	storeLinkBytesPerSecond = 10e6 / 8
 )
 
 // gateway is a gateway of the run. After a restart it is a new process.
@@ -47,6 +50,7 @@
 	process   *os.Process   // nil while none runs
 	exited    chan struct{} // closed when the last process has exited
 	resumedAt time.Time     // end of the last pause or store link fault
+	startedAt time.Time     // start of the last process
 }
 
 // newGateway writes the settings of gateway n, counted from 0, and returns it. store
@@ -57,6 +61,7 @@
 	if g.storeLink, err = NewLink(store); err != nil {
 		return nil, err
 	}
+	g.storeLink.SetBandwidth(storeLinkBytesPerSecond)
 	if g.callerLink, err = NewLink(net.JoinHostPort(g.ip, fleetwire.FrontPort)); err != nil {
 		return nil, err
 	}
@@ -91,7 +96,7 @@
 		return errors.Wrapf(err, "start %s", g.name)
 	}
 	exited := make(chan struct{})
-	g.process, g.exited = cmd.Process, exited
+	g.process, g.exited, g.startedAt = cmd.Process, exited, time.Now()
 	go func() {
 		// The exit status is ignored: the checks look at what callers see.
 		_ = cmd.Wait()
@@ -137,6 +142,13 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// lastStarted returns the start of the gateway's last process.
+func (g *gateway) lastStarted() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.startedAt
+}
+
 // recordResume records that a pause or store link fault of the gateway has ended.
 func (g *gateway) recordResume() {
 	g.mu.Lock()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -25,6 +25,7 @@
 	targetLatency = 300 * time.Millisecond // of all routes
 	maxAttempts   = 2
 	maxConns      = 200 // connections to an endpoint
+	firstWeights  = 1   // weight version that needs no order
 )
 
 // operator writes to the metadata store what the users' operator and endpoints
@@ -36,7 +37,9 @@
 	mu                sync.Mutex
 	lastEndpointID    int
 	configVersion     int64
-	routeMoved        bool // the route /moved/ leads to otherAppService
+	config            []byte // as last written
+	extraRoutes       int    // routes that no caller uses
+	routeMoved        bool   // the route /moved/ leads to otherAppService
 	tokenRevoked      bool
 	weightsVersion    int64 // newest weight version that was named
 	routeMovedAt      time.Time
@@ -46,7 +49,7 @@
 
 func newOperator() *operator {
 	content := metastoretest.NewStore(time.Now)
-	return &operator{content: content, store: fleetstore.New(content), weightsVersion: 1}
+	return &operator{content: content, store: fleetstore.New(content), weightsVersion: firstWeights}
 }
 
 // nextEndpointID returns a new ID for an endpoint.
@@ -101,6 +104,21 @@
 	o.routeMovedAt = time.Now()
 }
 
+// Sizes of the growth of the configuration. With maxExtraRoutes it takes 0.8 s on the link
+// to a gateway.
+const (
+	routesPerStep  = 1400
+	maxExtraRoutes = 4200
+)
+
+// addRoutes adds routes that no caller uses, up to maxExtraRoutes.
+func (o *operator) addRoutes() {
+	o.mu.Lock()
+	o.extraRoutes = min(o.extraRoutes+routesPerStep, maxExtraRoutes)
+	o.mu.Unlock()
+	o.publishConfig()
+}
+
 // movedRoute returns the service of the route of callMoved and when it was moved
 // there; the time is zero before the first move and during a move.
 func (o *operator) movedRoute() (string, time.Time) {
@@ -150,6 +168,18 @@
 	o.put(fleetwire.WeightsEntry(model, v))
 }
 
+// writeAgain writes the newest configuration and weight version again, after the store has
+// come back from an older copy.
+func (o *operator) writeAgain() {
+	o.mu.Lock()
+	config, weights := o.config, o.weightsVersion
+	o.mu.Unlock()
+	o.put(fleetwire.ConfigKey, config)
+	if weights > firstWeights {
+		o.put(fleetwire.WeightsEntry(model, weights))
+	}
+}
+
 // publishConfig writes the configuration to the store, under a new version.
 func (o *operator) publishConfig() {
 	o.mu.Lock()
@@ -181,5 +211,9 @@
 			{Name: appService, MaxConns: maxConns}, {Name: otherAppService, MaxConns: maxConns},
 		},
 	}
-	o.put(fleetwire.ConfigKey, config.Encode())
+	for n := range o.extraRoutes {
+		config.Routes = append(config.Routes, route(callKind(fmt.Sprint("extra-", n)), fleetwire.Idempotent, appService))
+	}
+	o.config = config.Encode()
+	o.put(fleetwire.ConfigKey, o.config)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,22 +24,26 @@
 	StoreLosesAnswers StepKind = "store-loses"     // writes take effect but are not answered
 	StoreLateWrites   StepKind = "store-late"      // writes take effect after storeDelay and are not answered
 	StoreDropsHistory StepKind = "store-forgets"   // the store drops its history
+	StoreRestored     StepKind = "store-restored"  // at the end of the step the store comes back from a copy of its beginning
 	StoreLeasesExpire StepKind = "store-leases"    // all leases expire
 	StoreLinkCut      StepKind = "store-link-cut"  // bytes between one gateway and the store are held in both directions
 	StoreLinkHoldOut  StepKind = "store-link-out"  // bytes from the gateway to the store are held
 	StoreLinkHoldBack StepKind = "store-link-back" // bytes from the store to the gateway are held
 	StoreLinkSilent   StepKind = "store-link-mute" // the gateway's open connections pass no more bytes
 
-	EndpointCrash    StepKind = "endpoint-crash" // the endpoint stops, and restarts under a new ID at the end of the step
-	EndpointSlow     StepKind = "endpoint-slow"  // its work takes slowFactor times as long
-	EndpointLeave    StepKind = "endpoint-leave" // the endpoint announces that it leaves, stops and restarts under a new ID
-	EndpointReset    StepKind = "endpoint-reset" // its open connections are reset
-	EndpointCut      StepKind = "endpoint-cut"   // bytes to and from the endpoint are held
-	EndpointHoldBack StepKind = "endpoint-back"  // bytes from the endpoint are held
-	EndpointSilent   StepKind = "endpoint-mute"  // its open connections pass no more bytes
-	EndpointDelay    StepKind = "endpoint-delay" // bytes to and from the endpoint are delayed by linkDelay
+	EndpointCrash    StepKind = "endpoint-crash"     // the endpoint stops, and restarts under a new ID at the end of the step
+	EndpointSlow     StepKind = "endpoint-slow"      // its work takes slowFactor times as long
+	EndpointLeave    StepKind = "endpoint-leave"     // the endpoint announces that it leaves, stops and restarts under a new ID
+	EndpointReset    StepKind = "endpoint-reset"     // its open connections are reset
+	EndpointCut      StepKind = "endpoint-cut"       // bytes to and from the endpoint are held
+	EndpointHoldBack StepKind = "endpoint-back"      // bytes from the endpoint are held
+	EndpointSilent   StepKind = "endpoint-mute"      // its open connections pass no more bytes
+	EndpointDelay    StepKind = "endpoint-delay"     // bytes to and from the endpoint are delayed by linkDelay
+	EndpointPause    StepKind = "endpoint-pause"     // the endpoint refuses all requests and asks for a pause
+	EndpointBadPause StepKind = "endpoint-bad-pause" // the same, with a value that means nothing
 
 	ConfigMove    StepKind = "config-move"    // a route moves to another service
+	ConfigGrow    StepKind = "config-grow"    // many routes are added
 	ConfigRevoke  StepKind = "config-revoke"  // a token is revoked
 	WeightsNamed  StepKind = "weights-named"  // a new weight version is named
 	CallersReset  StepKind = "callers-reset"  // open connections of callers to one gateway are reset
@@ -54,6 +58,22 @@
 // repeated and need no token may not lose an answer because of them.
 var storeKinds = []StepKind{StoreBusy, StoreSilent, StoreSlow, StoreLosesAnswers, StoreLateWrites, StoreDropsHistory}
 
+// addedPlannedKinds and addedUnplannedKinds came later. They are drawn apart, so that a
+// seed that has failed before still gives the steps that it gave then.
+var (
+	addedPlannedKinds   = []StepKind{ConfigGrow}
+	addedStoreKinds     = []StepKind{StoreRestored}
+	addedUnplannedKinds = []StepKind{EndpointPause, EndpointBadPause}
+)
+
+// isPlanned reports whether an operator plans the steps of a kind.
+func isPlanned(k StepKind) bool {
+	return slices.Contains(plannedKinds, k) || slices.Contains(addedPlannedKinds, k)
+}
+
+// pauseKinds are the steps in which endpoints ask for pauses.
+var pauseKinds = []StepKind{EndpointPause, EndpointBadPause}
+
 // unplannedKinds are all other disruptions.
 var unplannedKinds = []StepKind{
 	GatewayKill, GatewayPause, StoreLeasesExpire, StoreLinkCut, StoreLinkHoldOut, StoreLinkHoldBack, StoreLinkSilent,
@@ -83,6 +103,7 @@
 	seriesLength     = 3                      // steps in a series of the same kind
 	seriesInterval   = 150 * time.Millisecond // between the steps of a series
 	seriesOneIn      = 5                      // one step in seriesOneIn begins a series
+	addedInterval    = 2 * time.Second        // between steps of the added kinds, on average
 )
 
 // NewPlan returns the steps that a seed gives for a run of the given duration, in
@@ -91,12 +112,14 @@
 // can be checked.
 func NewPlan(seed uint64, duration time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	kinds := slices.Clone(plannedKinds)
+	kinds, addedKinds := slices.Clone(plannedKinds), slices.Clone(addedPlannedKinds)
 	switch rng.IntN(3) {
 	case 1:
 		kinds = append(kinds, storeKinds...)
+		addedKinds = append(addedKinds, addedStoreKinds...)
 	case 2:
 		kinds = append(append(kinds, storeKinds...), unplannedKinds...)
+		addedKinds = append(append(addedKinds, addedStoreKinds...), addedUnplannedKinds...)
 	}
 	var steps []Step
 	for at := firstStep; at < duration; at += meanStepInterval/2 + randDuration(rng, meanStepInterval) {
@@ -111,10 +134,24 @@
 			steps = append(steps, s)
 		}
 	}
+	steps = append(steps, addedSteps(seed, duration, addedKinds)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
 
+// addedSteps returns the steps of the added kinds.
+func addedSteps(seed uint64, duration time.Duration, kinds []StepKind) []Step {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var steps []Step
+	for at := firstStep; at < duration; at += addedInterval/2 + randDuration(rng, addedInterval) {
+		steps = append(steps, Step{
+			At: at, Duration: minStepDuration + randDuration(rng, maxStepDuration-minStepDuration),
+			Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(1 << 10),
+		})
+	}
+	return steps
+}
+
 // randDuration draws a duration of at least 0 and less than d.
 func randDuration(rng *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(rng.Int64N(int64(d)))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -287,8 +287,8 @@
 // runStep carries out one step and returns when it has ended.
 func (r *run) runStep(ctx context.Context, s Step) {
 	end := func() {}
-	if !slices.Contains(plannedKinds, s.Kind) {
-		end = r.disruptions.begin(slices.Contains(storeKinds, s.Kind))
+	if !isPlanned(s.Kind) {
+		end = r.disruptions.begin(s.Kind)
 	}
 	defer end()
 	g := r.gateways[s.Target%len(r.gateways)]
@@ -304,6 +304,8 @@
 		r.signalGateway(g, s.Kind, waitEnd)
 	case StoreDropsHistory:
 		r.operator.content.Compact()
+	case StoreRestored:
+		r.restoreStore(waitEnd)
 	case StoreLeasesExpire:
 		r.operator.content.ExpireLeases()
 	case StoreBusy, StoreSilent, StoreSlow, StoreLosesAnswers, StoreLateWrites:
@@ -317,6 +319,8 @@
 		disturbLink(g.callerLink, s.Kind, waitEnd)
 	case ConfigMove:
 		r.operator.moveRoute()
+	case ConfigGrow:
+		r.operator.addRoutes()
 	case ConfigRevoke:
 		r.operator.revokeToken()
 	case WeightsNamed:
@@ -326,6 +330,39 @@
 	}
 }
 
+// restoreOutage is how long the store is away before it comes back from a copy.
+const restoreOutage = 200 * time.Millisecond
+
+// restoreStore takes a copy of the store, and brings the store back from it after waitEnd.
+// The operator and the endpoints then write again what they had written; the entries of
+// endpoints that have stopped since expire.
+func (r *run) restoreStore(waitEnd func()) {
+	copied := r.operator.content.Backup()
+	waitEnd()
+	r.operator.store.SetFault(fleetstore.Fault{Unavailable: true})
+	time.Sleep(restoreOutage)
+	r.operator.store.Restore(copied)
+	r.operator.store.SetFault(fleetstore.Fault{})
+	r.operator.writeAgain()
+	for _, e := range r.endpoints {
+		running := e.running()
+		for _, i := range e.incarnations() {
+			if i == running {
+				r.operator.writeEntry(e, i)
+			}
+		}
+	}
+	time.Sleep(entryDeleteDelay)
+	for _, e := range r.endpoints {
+		running := e.running()
+		for _, i := range e.incarnations() {
+			if i != running {
+				r.operator.deleteEntry(i)
+			}
+		}
+	}
+}
+
 // storeDelay is longer than the timeout of the gateways for store calls.
 const storeDelay = 700 * time.Millisecond
 
@@ -408,6 +445,9 @@
 	l.SetFault(LinkFault{})
 }
 
+// pauseValues holds the value of Retry-After for each kind of pause.
+var pauseValues = map[StepKind]string{EndpointPause: "2", EndpointBadPause: "soon"}
+
 // entryDeleteDelay is the time from the crash of an endpoint until its store entry is
 // deleted.
 const entryDeleteDelay = 3 * entryCheckInterval
@@ -433,6 +473,11 @@
 		time.Sleep(drainTime + graceTime/2)
 		r.operator.deleteEntry(i)
 		e.stop(i)
+	case EndpointPause, EndpointBadPause:
+		i.worker.SetPause(pauseValues[kind])
+		waitEnd()
+		i.worker.SetPause("")
+		return
 	case EndpointSlow:
 		i.worker.SetSlowFactor(slowFactor)
 		waitEnd()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -73,7 +73,7 @@
 		plan := NewPlan(seed, time.Minute)
 		assert.DeepEqual(t, plan, NewPlan(seed, time.Minute))
 		assert.Check(t, slices.IsSortedFunc(plan, func(a, b Step) int { return int(a.At - b.At) }))
-		planCounts[slices.ContainsFunc(plan, func(s Step) bool { return !slices.Contains(plannedKinds, s.Kind) })]++
+		planCounts[slices.ContainsFunc(plan, func(s Step) bool { return !isPlanned(s.Kind) })]++
 	}
 	assert.Check(t, planCounts[true] > 20 && planCounts[false] > 10, "%v", planCounts)
 }
--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -19,6 +19,8 @@
 	headerNotExecuted    = "Not-Executed"
 	headerStamp          = "Response-Stamp"
 	headerLastEvent      = "Last-Event-Id"
+	headerLeaving        = "Server-Leaving"
+	headerRetryAfter     = "Retry-After"
 )
 
 // ResponseStamp is the Response-Stamp of every answer to a request that was run. It
@@ -56,6 +58,9 @@
 		refuseNotExecuted(w, http.StatusBadRequest)
 		return
 	}
+	if s.refuseForPause(w, r) {
+		return
+	}
 	if !s.acquireSlot(r) {
 		refuseNotExecuted(w, http.StatusServiceUnavailable)
 		return
@@ -109,6 +114,26 @@
 	return true
 }
 
+// refuseForPause refuses a request if the endpoint asks for a pause, and records what the
+// response to the request says. It reports whether it refused.
+func (s *Server) refuseForPause(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := Notice{Attempt: r.Header.Get(headerAttempt), At: time.Now(), Leaving: s.leaving}
+	if seconds, err := strconv.Atoi(s.pauseValue); err == nil && seconds > 0 {
+		n.PauseEnds = n.At.Add(time.Duration(seconds) * time.Second)
+	}
+	if n.Leaving || s.pauseValue != "" {
+		s.notices = append(s.notices, n)
+	}
+	if s.pauseValue == "" {
+		return false
+	}
+	w.Header().Set(headerRetryAfter, s.pauseValue)
+	refuseNotExecuted(w, http.StatusServiceUnavailable)
+	return true
+}
+
 // acquireSlot waits for a slot. It reports false while weights load, if the queue
 // is full or if the client disconnects.
 func (s *Server) acquireSlot(r *http.Request) bool {
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -49,6 +49,14 @@
 	At       time.Time // time of its arrival
 }
 
+// Notice is what a response to a request said about further requests.
+type Notice struct {
+	Attempt   string
+	At        time.Time
+	Leaving   bool      // the endpoint leaves
+	PauseEnds time.Time // end of the pause that the endpoint asked for, zero without one
+}
+
 // Server is a fake endpoint. It implements http.Handler and is safe for
 // concurrent use.
 type Server struct {
@@ -63,6 +71,8 @@
 	loadingUntil   time.Time // when the latest load of weights is complete
 	slowFactor     int       // multiplies the times that work takes
 	leaving        bool
+	pauseValue     string // Retry-After of the refusals of all requests, empty to refuse none
+	notices        []Notice
 	runs           []Run
 	orders         []Order // accepted since the start, the oldest first
 }
@@ -81,7 +91,15 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	if leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
 // Runs returns the requests that the endpoint started to execute, in order.
 func (s *Server) Runs() []Run {
@@ -90,6 +108,13 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Notices returns what the responses to requests have said so far, in order.
+func (s *Server) Notices() []Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Notice(nil), s.notices...)
+}
+
 // Orders returns the orders accepted since the endpoint started, in order.
 func (s *Server) Orders() []Order {
 	s.mu.Lock()
@@ -111,7 +136,16 @@
 	s.slowFactor = factor
 }
 
-// SetLeaving sets whether the endpoint reports that it is leaving.
+// SetPause makes the endpoint refuse all requests and ask for a pause by the value of
+// Retry-After, which need not be valid. An empty value ends that.
+func (s *Server) SetPause(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pauseValue = value
+}
+
+// SetLeaving sets whether the endpoint reports, and says in all responses, that it is
+// leaving.
 func (s *Server) SetLeaving(leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
