Gateway: a watch starts at the revision of a read, not of a check

Found by reading: if the watch ended while a check of the revisions was under way, its result started the next watch at revision 0.

TestWatchThatEndsDuringCheckIsStartedAgain fails without the condition (a watch is started before the range is read) and passes with it.

--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -212,7 +212,7 @@
 	}
 	w.freshness.RecordRead(w.mirror.Digest(), r.sentAt, w.now())
 	w.onRead(r.sentAt)
-	if w.changes != nil {
+	if w.changes != nil || r.isCheck {
 		return
 	}
 	changes, err := w.kv.Watch(ctx, w.purpose, w.from, w.to, r.revision)
--- a/gateway/watcher_reads_test.go
+++ b/gateway/watcher_reads_test.go
@@ -137,6 +137,39 @@
 	})
 }
 
+// TestWatchThatEndsDuringCheckIsStartedAgain ends the watch while a check is under way: the
+// check must not be taken for the read at whose revision a watch starts.
+func TestWatchThatEndsDuringCheckIsStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := newCheckBed(t, ctx, func(kv metastore.KV) metastore.KV { return kv })
+		var ranges, watchesFromStart atomic.Int64
+		ended := false
+		b.kv.SetHook(func(_ context.Context, op metastoretest.Op) metastoretest.Fault {
+			switch {
+			case op.Name == "range":
+				ranges.Add(1)
+			case op.Name == "watch" && ranges.Load() == 0:
+				watchesFromStart.Add(1)
+			case op.Name == "check" && !ended:
+				ended = true
+				b.store.SetDown(true) // ends the watch
+				time.Sleep(10 * time.Millisecond)
+				b.store.SetDown(false)
+			}
+			return metastoretest.NoFault
+		})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, watchesFromStart.Load(), int64(0))
+		assert.Equal(t, ranges.Load(), int64(1))
+		_, err := b.store.Create("a/new", nil, 0)
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, b.applied.Load(), int64(2))
+	})
+}
+
 // deafKV is a KV whose watches report nothing.
 type deafKV struct{ metastore.KV }
 
