Gateway: endpoints are read while a large change takes up the watch

The instance's log has the entry 4 s late: all ranges share one watch, in which configurations of 0.96 MB came every one to two seconds over a link of 10 Mbit/s, and the entry stood behind them.

Change: while a response of the watch is arriving at two checks 200 ms apart, the range of the endpoints, which is small, is read. Other ways weighed: a watch for each range, four polls instead of one in every instance.

--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -57,6 +57,10 @@
 	// instead of a read. A read of that size takes a thirtieth of a second on a link of
 	// 10 Mbit/s.
 	minCheckedBytes = 32 << 10
+	// transferCheckInterval is the time between checks whether a response of the watch is
+	// being transferred. One that is at two checks in a row is a long one, beside which
+	// a small range is read.
+	transferCheckInterval = 200 * time.Millisecond
 	// arrivalCheckInterval is the time between checks whether changes are still arriving.
 	arrivalCheckInterval = 50 * time.Millisecond
 )
@@ -90,8 +94,14 @@
 	// for the watcher that detects when the store is available again.
 	storeUnavailable func() bool
 
+	// readsBesideTransfers is set for a small range that shares its watch with large
+	// values of other ranges.
+	readsBesideTransfers bool
+
 	// The remaining fields are used only by run.
 
+	inTransfer bool // at the last check, a response of the watch was being transferred
+
 	changes      <-chan metastore.Change // of the watch, nil if there is none
 	noReadBefore time.Time
 	// mustRead is set after a check of the revisions that failed or showed that the copy
@@ -123,6 +133,11 @@
 	reading := false
 	t := time.NewTimer(0)
 	defer t.Stop()
+	transferCheck := time.NewTicker(transferCheckInterval)
+	defer transferCheck.Stop()
+	if !w.readsBesideTransfers {
+		transferCheck.Stop()
+	}
 	for {
 		var readDue <-chan time.Time
 		if !reading {
@@ -141,6 +156,11 @@
 				reading = true
 				w.startRead(ctx, results)
 			}
+		case <-transferCheck.C:
+			if w.isLongTransfer() && !reading && w.changes != nil {
+				reading = true
+				w.startRead(ctx, results)
+			}
 		case r := <-results:
 			reading = false
 			w.applyRead(ctx, r)
@@ -264,13 +284,25 @@
 // of the watch that are arriving are there, and puts the read off if so. Beside it, the
 // transfer of the same value would take twice as long.
 func (w *watcher) awaitsArrivingChanges() bool {
-	if w.observer == nil || w.changes == nil || w.checkableRevisions() != nil || !w.observer.ReceivingChanges() {
+	if w.observer == nil || w.readsBesideTransfers || w.changes == nil || w.checkableRevisions() != nil || !w.observer.ReceivingChanges() {
 		return false
 	}
 	w.noReadBefore = w.now().Add(arrivalCheckInterval)
 	return true
 }
 
+// isLongTransfer reports whether a response of the watch is being transferred now and was
+// at the check before.
+//
+// Load pattern: a configuration of a megabyte arrives in a second on a link of 10 Mbit/s,
+// or several one after the other. Endpoints that leave meanwhile would be known only
+// behind them.
+func (w *watcher) isLongTransfer() bool {
+	before := w.inTransfer
+	w.inTransfer = w.observer != nil && w.observer.ReceivingChanges()
+	return before && w.inTransfer
+}
+
 // untilRead returns the time until this instance has to read the range, 0 or less if
 // that is due.
 func (w *watcher) untilRead() time.Duration {
--- a/gateway/watcher_reads_test.go
+++ b/gateway/watcher_reads_test.go
@@ -201,6 +201,36 @@
 	})
 }
 
+// TestRangeIsReadBesideLongTransfer checks that a small change is known soon although the
+// watch is taken up by the transfer of a large change of another range.
+func TestRangeIsReadBesideLongTransfer(t *testing.T) {
+	const knownWithin = 500 * time.Millisecond // a quarter of the shortest time for which a leaving endpoint serves
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := metastoretest.New(time.Now)
+		var observer arrivingChanges
+		var applied atomic.Int64
+		w := &watcher{
+			kv: deafKV{store}, purpose: purposeEndpoints, from: "a/", to: "a0", maxAge: func() time.Duration { return fullReadInterval }, now: time.Now,
+			observer: &observer, readsBesideTransfers: true, mirror: fleet.NewMirror(), freshness: fleet.NewFreshness(),
+			onChange: func(fleet.Delta) { applied.Add(1) }, onRead: func(time.Time) {}, onError: func(error) {},
+		}
+		go func() { assert.Check(t, w.run(ctx)) }()
+		time.Sleep(time.Second)
+		reads := store.Calls(purposeEndpoints).Reads
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, store.Calls(purposeEndpoints).Reads, reads, "nothing is being transferred")
+		observer.Store(true)
+		for changes := range 5 {
+			_, err := store.Create(ctx, "test", "a/"+string(rune('0'+changes)), nil, 0)
+			assert.NilError(t, err)
+			time.Sleep(knownWithin)
+			assert.Equal(t, applied.Load(), int64(changes+1))
+		}
+	})
+}
+
 // arrivingChanges is a metastore.WatchObserver.
 type arrivingChanges struct{ atomic.Bool }
 
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -24,6 +24,8 @@
 		g.view.Confirm(sentAt)
 	}
 	endpoints := g.newWatcher(purposeEndpoints, fullReadInterval, g.opts.Schema.EndpointRange)
+	endpoints.observer, _ = g.opts.KV.(metastore.WatchObserver)
+	endpoints.readsBesideTransfers = true
 	endpoints.onChange = g.applyEndpointsDelta
 	endpoints.onRead = func(time.Time) { g.recordStoreAnswer() }
 	instances := g.newWatcher(purposeMembers, fullReadInterval, memberRange)
