An endpoint that announces that it leaves serves as the last resort for 1 s less than its drain time

Its entry in the metadata store may have told so before this instance got a response from it; what counts is the entry. With a margin of 0.5 s, and an entry that is known 0.7 s late behind a large configuration, the last resort could have exceeded the drain time.

--- a/relay/notice.go
+++ b/relay/notice.go
@@ -16,8 +16,9 @@
 	// pauseSpread is the longest time that an instance adds to a pause at random.
 	pauseSpread = 250 * time.Millisecond
 	// drainMargin is subtracted from the time for which leaving endpoints may be used, to
-	// allow for the transfer of the request.
-	drainMargin = 500 * time.Millisecond
+	// allow for the transfer of the request, and because the endpoint may have announced
+	// that it leaves before this instance first got a response from it.
+	drainMargin = time.Second
 )
 
 // incarnationHash returns the hash that stands for an incarnation of an endpoint in
