--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -189,6 +192,37 @@
 	}
 }
 
+// plainSchema is a Schema whose endpoints' entries hold nothing but their keys.
+type plainSchema struct{ Schema }
+
+// ApplyEndpoint implements Schema.
+func (plainSchema) ApplyEndpoint(v *fleet.View, e metastore.Entry, _ time.Time) error {
+	v.PutEndpoint(&fleet.Endpoint{ID: e.Key, Service: "s"})
+	return nil
+}
+
+// EndpointID implements Schema.
+func (plainSchema) EndpointID(key string) string { return key }
+
+// TestRestoredEntryDoesNotBringBackRemovedEndpoint checks that an endpoint which was
+// removed does not come back with an older copy of the metadata store, but with its next
+// registration, and that one which the copy lacks is kept for a time.
+func TestRestoredEntryDoesNotBringBackRemovedEndpoint(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := fleet.NewView()
+	g := &Gateway{view: view, log: slog.New(slog.DiscardHandler), opts: Options{Schema: plainSchema{}, Relay: relay.Options{Now: func() time.Time { return now }}}}
+	entry := func(key string) metastore.Entry { return metastore.Entry{Key: key} }
+	listed := func() string { return fmt.Sprint(slices.Sorted(maps.Keys(view.Snapshot().Endpoints))) }
+	g.applyEndpointsDelta(fleet.Delta{Changed: []metastore.Entry{entry("gone"), entry("new")}})
+	g.applyEndpointsDelta(fleet.Delta{Removed: []string{"gone"}})
+	g.applyEndpointsDelta(fleet.Delta{Restored: true, Changed: []metastore.Entry{entry("gone"), entry("unseen")}, Removed: []string{"new"}})
+	assert.Equal(t, listed(), "[new unseen]")
+	g.applyEndpointsDelta(fleet.Delta{Changed: []metastore.Entry{entry("gone")}})
+	assert.Equal(t, listed(), "[gone new unseen]")
+	view.ExpireLapsed(now.Add(time.Minute))
+	assert.Equal(t, listed(), "[gone unseen]")
+}
+
 // TestConfirmedCopyIsNotRead simulates a minute in which other instances confirm a
 // copy every second. The instance must not read the store itself, until another
 // instance finds its copy to be outdated, or until the confirmations end.
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -149,7 +149,7 @@
 	b := newTestBed(t)
 	pauses := make(chan string, 2)
 	pauses <- "30"
-	pauses <- "0"
+	pauses <- "1"
 	both := make(chan struct{}, 2)
 	f := b.startEndpoint("i-1", func(x *exchange) {
 		both <- struct{}{}
@@ -165,6 +165,7 @@
 	<-done
 	<-done
 	reached := requestCount(f)
+	b.now = func() time.Time { return time.Now().Add(3 * time.Second) } // the short one is over
 	assert.Equal(t, b.send("/plain/").status, http.StatusServiceUnavailable)
 	assert.Equal(t, requestCount(f), reached)
 }
