--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -166,6 +166,18 @@
 	return res.StatusCode, strings.Count(string(data), "\n\n"), err
 }
 
+// waitForStatus sends requests until one is answered with the status.
+func (g *gatewayProcess) waitForStatus(t *testing.T, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		status, _, err := g.ask("key")
+		if err == nil && status == want {
+			return poll.Success()
+		}
+		return poll.Continue("status %d, error %v, want status %d", status, err, want)
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(50*time.Millisecond))
+}
+
 // TestGatewayCompletesStreamOnSIGTERM sends SIGTERM while an answer streams: that
 // answer must be complete, requests that still arrive must be served, and the
 // process must exit without an error.
--- a/processtest/restored_store_test.go
+++ b/processtest/restored_store_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 )
 
 // TestGatewayFollowsRestoredStore restores the metadata store to a copy that has an older
@@ -16,24 +15,14 @@
 func TestGatewayFollowsRestoredStore(t *testing.T) {
 	d := newGatewayDeployment(t)
 	g := d.startGateway("front-1")
-	waitForStatus := func(want int) {
-		t.Helper()
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			status, _, err := g.ask("key")
-			if err == nil && status == want {
-				return poll.Success()
-			}
-			return poll.Continue("status %d, error %v, want status %d", status, err, want)
-		}, poll.WithTimeout(waitTimeout), poll.WithDelay(50*time.Millisecond))
-	}
-	waitForStatus(http.StatusOK)
+	g.waitForStatus(t, http.StatusOK)
 	copied := d.storeContent.Backup()
 	// The revisions given out from here on are those that are given out again.
 	for range 50 {
 		d.registerWorker()
 	}
 	d.putKey("op/config", smallConfig(10, "another-host"))
-	waitForStatus(http.StatusNotFound)
+	g.waitForStatus(t, http.StatusNotFound)
 	d.storeServer.Restore(copied)
 	for range 20 {
 		status, _, err := g.ask("key")
@@ -43,5 +32,5 @@
 	}
 	d.registerWorker()
 	d.putKey("op/config", smallConfig(12, "h"))
-	waitForStatus(http.StatusOK)
+	g.waitForStatus(t, http.StatusOK)
 }
--- a/processtest/thin_link_test.go
+++ b/processtest/thin_link_test.go
@@ -5,10 +5,8 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"redwingknot/internal/soak"
 )
@@ -50,19 +48,9 @@
 	link.SetBandwidth(thinLinkBytesPerSecond)
 	d.storeAddr = link.Addr()
 	g := d.startGateway("front-1")
-	waitForStatus := func(want int) {
-		t.Helper()
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			status, _, err := g.ask("key")
-			if err == nil && status == want {
-				return poll.Success()
-			}
-			return poll.Continue("status %d, error %v, want status %d", status, err, want)
-		}, poll.WithTimeout(waitTimeout), poll.WithDelay(100*time.Millisecond))
-	}
-	waitForStatus(http.StatusOK)
+	g.waitForStatus(t, http.StatusOK)
 	d.putKey("op/config", largeConfig(10, "another-host"))
-	waitForStatus(http.StatusNotFound)
+	g.waitForStatus(t, http.StatusNotFound)
 	d.putKey("op/config", largeConfig(20, "h"))
-	waitForStatus(http.StatusOK)
+	g.waitForStatus(t, http.StatusOK)
 }
