--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -80,13 +80,16 @@
 	// expectedKeys returns the keys whose absence must be confirmed, too. It is nil if
 	// there are none.
 	expectedKeys func() []string
-	observer     metastore.WatchObserver // nil if the store's client doesn't tell
+	// observer tells when changes of the watch are arriving, nil if the store's client
+	// doesn't know.
+	observer metastore.WatchObserver
 	// freshness is shared with the exchange between instances.
 	freshness *fleet.Freshness
 	// onChange is called with each difference between two states of the copy.
 	onChange func(fleet.Delta)
-	// onRead is called after each successful read of the whole range, once its
-	// changes were passed to onChange, with the time at which the read was sent.
+	// onRead is called after each successful read of the whole range, once its changes
+	// were passed to onChange, and after each check that confirmed the copy, with the
+	// time at which the read or the check was sent.
 	onRead func(sentAt time.Time)
 	// onError is called with the error of a read or of starting a watch.
 	onError func(error)
@@ -100,9 +103,8 @@
 
 	// The remaining fields are used only by run.
 
-	inTransfer bool // at the last check, a response of the watch was being transferred
-
 	changes      <-chan metastore.Change // of the watch, nil if there is none
+	inTransfer   bool                    // at the last check, a response of the watch was being transferred
 	noReadBefore time.Time
 	// mustRead is set after a check of the revisions that failed or showed that the copy
 	// is outdated, until the next read.
--- a/peers/table.go
+++ b/peers/table.go
@@ -14,7 +14,7 @@
 	HeldTokens    int // tokens of memory that the running requests need
 	Reached       int // instances that it has lately answered
 	Unreachable   int // instances whose last connection to it failed or was lost
-	Leaving       int // instances that it has told that it leaves; see EndpointKey.Hash of package fleet
+	Leaving       int // instances that it has told that it leaves; used only for targets that stand for an incarnation of an endpoint
 }
 
 // Add adds other to the load.
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -59,12 +59,12 @@
 // Reply holds the data that the relay needs from an endpoint's response headers.
 type Reply struct {
 	AttemptID      string
-	NotExecuted    bool   // the endpoint states that it did not execute the request
-	Misdirected    bool   // another endpoint or another weights version responds at the address
-	Stamped        bool   // the response bears the stamp of an endpoint's own response
-	WeightsVersion int64  // weights version that executed the request, 0 if not stated
-	EndpointID     string // identifier of the endpoint, empty if not stated
-	Notice         fleet.Notice
+	NotExecuted    bool         // the endpoint states that it did not execute the request
+	Misdirected    bool         // another endpoint or another weights version responds at the address
+	Stamped        bool         // the response bears the stamp of an endpoint's own response
+	WeightsVersion int64        // weights version that executed the request, 0 if not stated
+	EndpointID     string       // identifier of the endpoint, empty if not stated
+	Notice         fleet.Notice // what the response says about further requests
 	// NoticeErr is the error of a header that would be part of Notice but can't be
 	// decoded; it is ignored then. It is nil if there is none.
 	NoticeErr error
