--- a/fleet/freshness.go
+++ b/fleet/freshness.go
@@ -85,7 +85,7 @@
 	return f.markOutdated(now)
 }
 
-// markOutdated does what MarkOutdated documents. The caller holds mu.
+// markOutdated is MarkOutdated for callers that hold mu.
 func (f *Freshness) markOutdated(now time.Time) bool {
 	if !f.outdatedAt.IsZero() {
 		return false
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// recordReplyNotice does the same for the response to an attempt. The response concerns
+// recordReplyNotice records the notice in the response to an attempt. The response concerns
 // the endpoint that it names, which is another one than p's if the address was reused.
 func (e *Endpoints) recordReplyNotice(p *pick, r Reply) {
 	if r.Notice == (fleet.Notice{}) {
@@ -59,7 +59,7 @@
 	}
 }
 
-// recordNotice does what RecordNotice documents. The caller holds mu.
+// recordNotice records a notice of ep. The caller holds mu.
 func (e *Endpoints) recordNotice(ep *endpoint, n fleet.Notice) {
 	now := e.now()
 	if n.Leaving {
