Gateway: an endpoint's process that ends under a request is told from a lost connection

A connection that the endpoint closed before its response was complete is followed by one check, shared by all requests that lost theirs at that moment, whether anything listens at the address. endpoint-crashed lines carry the request's fingerprint (team, method, host, path, body), which is the same at every instance; endpoint_crashes_total counts them. No decision uses either yet.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -331,6 +331,9 @@
 	c.lastErr = err
 	event.RelayLost.Log(c.server.opts.Log, c.logAttrs()...)
 	c.server.endpoints.recordFailure(p, true)
+	if upstream.ClosedByPeer(err) && c.server.endpoints.processEnded(ctx, p.endpoint) {
+		c.recordCrash(p)
+	}
 	if c.headerSent {
 		return outcomeTruncated
 	}
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -29,6 +29,7 @@
 	pause           place.Pause
 	leavingSince    time.Time // when this instance learned that it is leaving, zero if it is not
 	replaced        bool      // another endpoint or incarnation responds at its address
+	endCheck        *endCheck // latest check whether its process has ended, nil before the first
 }
 
 // newEndpoint returns the state of a newly known endpoint. limit is the maximum
--- a/suspect/fingerprint.go
+++ b/suspect/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,9 +22,11 @@
 // RequestIdentity is the input of a fingerprint: requests that are equal in all fields
 // have the same fingerprint and are taken for the same request. It includes the
 // weight version, since a request that crashes endpoints under one version may not
-// do so under another.
+// do so under another. Requests that are relayed unchanged have a Target, and no
+// service, model, version and adapter.
 type RequestIdentity struct {
 	Team    string
+	Target  string // method, host and path, with the query
 	Service string
 	Model   string
 	Version string
@@ -35,15 +38,24 @@
 func FingerprintOf(id RequestIdentity) Fingerprint {
 	h := sha256.New()
 	for _, field := range []string{id.Team, id.Service, id.Model, id.Version, id.Adapter} {
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
-		h.Write(size[:])
-		h.Write([]byte(field))
+		writeField(h, field)
+	}
+	if id.Target != "" {
+		writeField(h, id.Target)
 	}
 	h.Write(id.Body)
 	return Fingerprint(h.Sum(nil)[:fingerprintBytes])
 }
 
+// writeField writes a field and its length, so that the end of one field can't be taken
+// for the beginning of the next.
+func writeField(h hash.Hash, field string) {
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+	h.Write(size[:])
+	h.Write([]byte(field))
+}
+
 // rendezvousOwners returns the n members with the highest rendezvous weights for
 // key, highest first, or all members if there are fewer.
 func rendezvousOwners(key string, members []Member, n int) []Member {
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -1,6 +1,12 @@
 package upstream
 
-import "fmt"
+import (
+	"fmt"
+	"io"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
 
 // NotSentError reports that no byte of the request left this process, so that
 // the endpoint cannot have executed it.
@@ -46,3 +52,17 @@
 
 // Error implements error.
 func (e *UnrelatedResponseError) Error() string { return "unrelated response: " + e.Detail }
+
+// ClosedByPeer reports whether err says that the peer, and not the network between,
+// ended a connection.
+func ClosedByPeer(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// ConnRefused reports whether err says that no process listens at an address.
+func ConnRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
