Requests that crash endpoints: failing test with processes, listed

The stand-in of an endpoint crashes when a request begins to run whose body says so, and comes back under a new ID.

--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -1,6 +1,7 @@
 package fleetworker
 
 import (
+	"bytes"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -66,7 +67,12 @@
 		return
 	}
 	defer s.releaseSlot()
-	lastEvent := s.recordRun(r)
+	crashes := s.options.Crash != nil && bytes.HasPrefix(body, []byte(CrashBody))
+	lastEvent := s.recordRun(r, crashes)
+	if crashes {
+		s.options.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(headerStamp, ResponseStamp)
 	if s.options.Model == "" {
 		if s.sleepScaled(r, s.options.WorkTime) {
@@ -164,7 +170,7 @@
 
 // recordRun records a run and returns the ID of the last event that the caller
 // has received, or -1 for none.
-func (s *Server) recordRun(r *http.Request) int {
+func (s *Server) recordRun(r *http.Request, crashes bool) int {
 	lastEvent, err := strconv.Atoi(r.Header.Get(headerLastEvent))
 	if err != nil {
 		lastEvent = -1 // the request names no event
@@ -172,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, Run{
-		Attempt: r.Header.Get(headerAttempt), Method: r.Method, Path: r.URL.Path, Team: r.Header.Get("Tenant"),
+		Attempt: r.Header.Get(headerAttempt), Method: r.Method, Path: r.URL.Path, Crashes: crashes, Team: r.Header.Get("Tenant"),
 		Authenticated: r.Header.Get("Authorization") != "", LastEvent: lastEvent, WeightsVersion: s.weightsVersion, StartedAt: time.Now(),
 	})
 	return lastEvent
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -24,13 +24,22 @@
 	StreamEvents int           // number of events of a stream
 	LoadTime     time.Duration // time to load weights
 	ReportLag    time.Duration // age at which an order shows in reports
+
+	// Crash ends the endpoint's process as a crash does. It is called when a request with
+	// CrashBody begins to run; nil if no request crashes the endpoint.
+	Crash func()
 }
 
+// CrashBody is the beginning of the bodies of requests that crash each endpoint that begins
+// to run them.
+const CrashBody = "crash"
+
 // Run is a request that the endpoint started to execute.
 type Run struct {
 	Attempt        string
 	Method         string
 	Path           string
+	Crashes        bool // the request crashes the endpoint
 	Team           string
 	Authenticated  bool  // the request has an Authorization header
 	LastEvent      int   // ID of the last event that the caller has received, -1 for none
--- /dev/null
+++ b/processtest/crash_test.go
@@ -0,0 +1,183 @@
+package processtest
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"redwingknot/internal/standin/fleetworker"
+)
+
+// crashRestart is how long an endpoint that has crashed is away.
+const crashRestart = 150 * time.Millisecond
+
+// crashableEndpoint is an application's endpoint, which requests with
+// fleetworker.CrashBody crash. It comes back under a new ID.
+type crashableEndpoint struct {
+	deployment *gatewayDeployment
+	name       string
+
+	mu     sync.Mutex
+	starts int
+	server *httptest.Server
+	all    []*fleetworker.Server
+}
+
+// startCrashableEndpoint starts an endpoint of the service app.
+func (d *gatewayDeployment) startCrashableEndpoint(name string) *crashableEndpoint {
+	e := &crashableEndpoint{deployment: d, name: name}
+	e.start()
+	d.t.Cleanup(func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.server.CloseClientConnections()
+		e.server.Close()
+	})
+	return e
+}
+
+func (e *crashableEndpoint) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts++
+	id := fmt.Sprintf("i-%s-%d", e.name, e.starts)
+	worker := fleetworker.New(fleetworker.Options{
+		ID: id, Service: "app", Slots: 8, MaxQueued: 16, WorkTime: 10 * time.Millisecond,
+		Crash: func() { e.crash(id) },
+	})
+	e.all = append(e.all, worker)
+	e.server = httptest.NewServer(worker)
+	e.deployment.putKey("servers/"+id, string(worker.Entry(e.server.Listener.Addr().String(), "z", 1)))
+}
+
+// crash ends the endpoint and starts it again after crashRestart. The entry of the one
+// that has crashed stays, as it does until its lease ends.
+func (e *crashableEndpoint) crash(id string) {
+	e.mu.Lock()
+	server := e.server
+	e.mu.Unlock()
+	server.Listener.Close()
+	server.CloseClientConnections()
+	time.AfterFunc(crashRestart, func() {
+		e.deployment.deleteKey("servers/" + id)
+		e.start()
+	})
+}
+
+// crashes returns the number of requests that have crashed the endpoint.
+func (e *crashableEndpoint) crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, w := range e.all {
+		for _, r := range w.Runs() {
+			if r.Crashes {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// crashDeployment is a deployment with three endpoints that a request can crash.
+type crashDeployment struct {
+	*gatewayDeployment
+	endpoints []*crashableEndpoint
+	sent      int
+}
+
+func newCrashDeployment(t *testing.T) *crashDeployment {
+	d := &crashDeployment{gatewayDeployment: newGatewayDeployment(t)}
+	d.putKey("op/config", `{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/x/","kind":"idempotent","timeout_ms":3000,
+		"target_latency_ms":300,"priority":0,"service":"app","max_attempts":2}],
+		"services":[{"name":"app","health_path":"/health","max_conns":50}],
+		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+		"tenants":[{"name":"t","api_keys":["key"]}]}`)
+	for _, name := range []string{"a", "b", "c"} {
+		d.endpoints = append(d.endpoints, d.startCrashableEndpoint(name))
+	}
+	return d
+}
+
+// crashes returns the number of requests that have crashed an endpoint.
+func (d *crashDeployment) crashes() int {
+	n := 0
+	for _, e := range d.endpoints {
+		n += e.crashes()
+	}
+	return n
+}
+
+// call sends a request under a new attempt identifier and returns the answer's status and
+// Retry-After, 0 and "" without an answer.
+func (d *crashDeployment) call(g *gatewayProcess, path, body string) (status int, retryAfter string) {
+	d.t.Helper()
+	d.sent++
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.frontAddr+path, strings.NewReader(body))
+	assert.NilError(d.t, err)
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", fmt.Sprint("attempt-", d.sent))
+	r.Header.Set("Authorization", "Bearer key")
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer res.Body.Close()
+	return res.StatusCode, res.Header.Get("Retry-After")
+}
+
+// waitUntilServed waits until a request that crashes nothing is answered.
+func (d *crashDeployment) waitUntilServed(g *gatewayProcess) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		status, _ := d.call(g, "/x/innocent", "harmless")
+		if status == http.StatusOK {
+			return poll.Success()
+		}
+		return poll.Continue("status %d", status)
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(20*time.Millisecond))
+}
+
+// Bounds of the users for a request that crashes endpoints.
+const (
+	crashesBeforeLimit = 3 // endpoints that it may crash before it is limited
+	crashNoticeTime    = 3 * time.Second
+	maxCrashRetries    = 3 // how often it may reach endpoints after crashNoticeTime
+)
+
+// TestCrashingRequestIsNotSentOn sends a request that crashes each endpoint at one gateway
+// after the other, under a new attempt identifier each time, as its caller does. Later
+// than crashNoticeTime after it has crashed the third endpoint, it may reach endpoints
+// maxCrashRetries times at most, also from a gateway that has started since. Other
+// requests are served.
+func TestCrashingRequestIsNotSentOn(t *testing.T) {
+	d := newCrashDeployment(t)
+	gateways := []*gatewayProcess{d.startGateway("front-1"), d.startGateway("front-2")}
+	for _, g := range gateways {
+		d.waitUntilServed(g)
+	}
+	crashing := func(g *gatewayProcess) (int, string) { return d.call(g, "/x/1", fleetworker.CrashBody+" it") }
+	for n := 0; d.crashes() < crashesBeforeLimit; n++ {
+		crashing(gateways[n%len(gateways)])
+		d.waitUntilServed(gateways[(n+1)%len(gateways)])
+	}
+	gateways = append(gateways, d.startGateway("front-3"))
+	time.Sleep(crashNoticeTime)
+	for _, g := range gateways {
+		d.waitUntilServed(g)
+	}
+	before := d.crashes()
+	for n := range 12 {
+		status, retryAfter := crashing(gateways[n%len(gateways)])
+		t.Logf("request %d: status %d, Retry-After %q, %d endpoints crashed", n, status, retryAfter, d.crashes())
+		d.waitUntilServed(gateways[(n+1)%len(gateways)])
+	}
+	assert.Check(t, d.crashes()-before <= maxCrashRetries, "crashed %d endpoints more", d.crashes()-before)
+}
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -78,6 +78,14 @@
 	assert.NilError(d.t, fleetstore.Put(d.storeContent, key, []byte(value)))
 }
 
+// deleteKey deletes a key of the metadata store if it is there.
+func (d *gatewayDeployment) deleteKey(key string) {
+	if e, err := d.storeContent.Get(key); err == nil {
+		// The delete fails only if the key has been deleted already.
+		_ = d.storeContent.Delete(key, e.ModRevision)
+	}
+}
+
 // registerWorker writes the worker's entry, with its present state, to the
 // metadata store.
 func (d *gatewayDeployment) registerWorker() {
