Gateway: a request that crashes endpoints is refused after the third, at every instance

What callers saw: a request under which three endpoints had ended was sent to endpoints again and again, each time it came back; each crash broke off the other requests there.

Cause: nothing on the path of a relayed request remembered which requests an endpoint had run when its process ended. Attempt identifiers differ, so each return was a new request. Package suspect served entryd alone. Class: state that protects a shared resource exists on one of two paths.

Change: suspect.Registry, the one that entryd uses, also judges requests that never run alone: after three crashes of at least two rounds they are refused for ten minutes, with 503 and that time as Retry-After. A round counts the crashes that were known when a run began, so that copies lost with a rack are one round. A run that ends well disproves the crashes that were known when it began. Every gateway has a suspect.Replica; reports between peers carry what has changed since the report that the peer has acknowledged, and everything to a process that has just started. Requests are hashed only while there are suspects.

--- a/event/route.go
+++ b/event/route.go
@@ -6,7 +6,7 @@
 var (
 	EndpointEjected  = define(rangeRoute+1, "endpoint-ejected", slog.LevelWarn, "Consecutive attempts at an endpoint failed; this router sends it only occasional probes.", "If this lasts, check the endpoint.")
 	EndpointRestored = define(rangeRoute+2, "endpoint-restored", slog.LevelInfo, "A probe of an ejected endpoint succeeded.", "")
-	SuspectRaised    = define(rangeRoute+3, "suspect-raised", slog.LevelWarn, "A request was in flight when an endpoint crashed; the next time it is sent, it runs on an endpoint that runs nothing else.", "")
-	SuspectRefused   = define(rangeRoute+4, "suspect-refused", slog.LevelError, "A request has crashed two endpoints and is refused from now on.", "Examine the request together with its team; a new weight version allows it to run again.")
-	SuspectCleared   = define(rangeRoute+5, "suspect-cleared", slog.LevelInfo, "A suspect request ran on an endpoint that ran nothing else, without a crash.", "")
+	SuspectRaised    = define(rangeRoute+3, "suspect-raised", slog.LevelWarn, "A request was in flight when an endpoint crashed. In entryd, the next time it is sent, it runs on an endpoint that runs nothing else.", "")
+	SuspectRefused   = define(rangeRoute+4, "suspect-refused", slog.LevelError, "A request has crashed too many endpoints and is refused: from now on if it ran alone in one of the crashes, else for some minutes.", "Examine the request together with its team; a new weight version allows it to run again.")
+	SuspectCleared   = define(rangeRoute+5, "suspect-cleared", slog.LevelInfo, "A suspect request ran without a crash; in entryd, on an endpoint that ran nothing else.", "")
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"redwingknot/metric"
 	"redwingknot/peers"
 	"redwingknot/relay"
+	"redwingknot/suspect"
 	"redwingknot/wire"
 )
 
@@ -92,6 +93,7 @@
 	g := &Gateway{opts: o, era: unknownEra, log: o.Relay.Log, kv: metastore.NewWatchMux(o.KV), view: o.Relay.View, started: o.Relay.Now()}
 	g.confirmations = newConfirmations(g.view, o.Relay.Now)
 	g.opts.Relay.OtherLoads = peers.NewTable()
+	g.opts.Relay.Suspects = suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany, Log: g.log}, o.Relay.Now)
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
 	g.relay = relay.NewServer(g.opts.Relay)
 	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease)}
@@ -104,6 +106,10 @@
 	return g
 }
 
+// maxCrashesInCompany is the number of endpoints that a request may crash before gateways
+// refuse it.
+const maxCrashesInCompany = 3
+
 // unknownEra stands for the era of the metadata store before its first answer.
 const unknownEra = -1
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -20,7 +20,7 @@
 	key := peerKey()
 	g.wire = wire.NewServer(key)
 	g.exchange = peers.New(peers.Options{
-		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Confirmations: g.confirmations,
+		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Confirmations: g.confirmations, Suspects: g.opts.Relay.Suspects,
 		Table: g.opts.Relay.OtherLoads, Now: g.opts.Relay.Now,
 	})
 	g.exchange.Register(g.wire)
--- a/peers/confirmation.go
+++ b/peers/confirmation.go
@@ -6,19 +6,21 @@
 	"redwingknot/peers/peerspb"
 )
 
-// addConfirmations adds this instance's confirmations to a report to p, which is nil
-// for an instance that is not a peer.
-func (e *Exchange) addConfirmations(r *peerspb.Report, p *peer) {
+// addStamps adds the time at which the report is built, and the stamp of the latest report
+// from p, which is nil for an instance that is not a peer.
+func (e *Exchange) addStamps(r *peerspb.Report, p *peer) {
+	r.Built = &peerspb.Stamp{Process: e.process, Time: e.opts.Now().UnixNano()}
+	r.Echo, r.SuspectsAcked = p.received()
+}
+
+// addConfirmations adds this instance's confirmations to a report that has its stamps.
+func (e *Exchange) addConfirmations(r *peerspb.Report) {
 	if e.opts.Confirmations == nil {
 		return
 	}
-	now := e.opts.Now()
-	r.Built = &peerspb.Stamp{Process: e.process, Time: now.UnixNano()}
-	if p != nil {
-		r.Echo = p.lastStamp()
-	}
+	builtAt := time.Unix(0, r.Built.Time)
 	for _, c := range e.opts.Confirmations.Confirmations() {
-		r.Confirmations = append(r.Confirmations, &peerspb.Confirmation{Range: c.Range, Digest: c.Digest, Age: int64(max(now.Sub(c.At), 0))})
+		r.Confirmations = append(r.Confirmations, &peerspb.Confirmation{Range: c.Range, Digest: c.Digest, Age: int64(max(builtAt.Sub(c.At), 0))})
 	}
 }
 
@@ -41,19 +43,28 @@
 	}
 }
 
-// setStamp records the stamp of the latest report from the peer.
-func (p *peer) setStamp(s *peerspb.Stamp) {
+// recordReport records what the latest report from the peer says about reports.
+func (p *peer) recordReport(r *peerspb.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stamp = s
+	if p.stamp.GetProcess() != r.Built.GetProcess() {
+		p.suspectsReceived = 0
+	}
+	p.stamp, p.echo, p.suspectsAcked = r.Built, r.Echo, r.SuspectsAcked
+	if r.SuspectsAfter <= p.suspectsReceived {
+		p.suspectsReceived = max(p.suspectsReceived, r.SuspectsThrough)
+	}
 }
 
-// lastStamp returns the stamp of the latest report from the peer, nil before the
-// first.
-func (p *peer) lastStamp() *peerspb.Stamp {
+// received returns the stamp of the latest report from the peer, nil before the first, and
+// the number of changes of its suspects that this instance has. The peer may be nil.
+func (p *peer) received() (stamp *peerspb.Stamp, suspects uint64) {
+	if p == nil {
+		return nil, 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stamp
+	return p.stamp, p.suspectsReceived
 }
 
 // Rank returns this instance's position in its row of the grid, from 0 on.
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -12,6 +12,7 @@
 	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/peers/peerspb"
+	"redwingknot/suspect"
 	"redwingknot/upstream"
 	"redwingknot/wire"
 )
@@ -85,6 +86,7 @@
 	Key           []byte // shared key of the fleet's instances for package wire
 	Source        Source
 	Confirmations ConfirmationSource // nil to exchange no confirmations
+	Suspects      *suspect.Replica   // nil to exchange no suspects
 	Table         *Table             // receives the reports of other instances
 	// Now returns the current time. It must go on while the machine is suspended, or
 	// confirmations seem younger than they are.
@@ -113,6 +115,11 @@
 	mu     sync.Mutex
 	unsent []Placement    // placements for the next report to the peer
 	stamp  *peerspb.Stamp // of the latest report from the peer, nil before the first
+	echo   *peerspb.Stamp // in the latest report from the peer
+	// suspectsAcked is the number of changes of this instance's suspects that the peer has,
+	// counted by the process that echo names.
+	suspectsAcked    uint64
+	suspectsReceived uint64 // number of changes of the peer's suspects that this instance has
 }
 
 // New returns an Exchange without peers.
@@ -240,8 +247,9 @@
 // queued for the other rows.
 func (e *Exchange) applyReport(r *peerspb.Report, p *peer) {
 	e.applyConfirmations(r)
+	e.applySuspects(r)
 	if p != nil {
-		p.setStamp(r.Built)
+		p.recordReport(r)
 	}
 	sender := r.Instance
 	if r.Row != "" {
@@ -272,7 +280,9 @@
 // load.
 func (e *Exchange) buildReport(p *peer) *peerspb.Report {
 	r := &peerspb.Report{Instance: e.opts.Self}
-	e.addConfirmations(r, p)
+	e.addStamps(r, p)
+	e.addConfirmations(r)
+	e.addSuspects(r, p)
 	loads := e.opts.Source.Loads()
 	if p != nil && p.inColumn {
 		e.mu.Lock()
--- /dev/null
+++ b/peers/suspect.go
@@ -0,0 +1,82 @@
+package peers
+
+import (
+	"time"
+
+	"redwingknot/metric"
+	"redwingknot/peers/peerspb"
+	"redwingknot/suspect"
+)
+
+// maxSuspectsPerReport bounds the size of a report. The crash of an endpoint makes
+// suspects of some tens of requests.
+const maxSuspectsPerReport = 256
+
+// addSuspects adds the changes of suspects that p is not known to have to a report that
+// has its stamps: all if p has not yet told which report of this process it has got.
+func (e *Exchange) addSuspects(r *peerspb.Report, p *peer) {
+	if e.opts.Suspects == nil || p == nil {
+		return
+	}
+	r.SuspectsAfter = p.ackedSuspects(e.process)
+	records, through := e.opts.Suspects.Changes(r.SuspectsAfter, maxSuspectsPerReport)
+	r.SuspectsThrough = through
+	builtAt := time.Unix(0, r.Built.Time)
+	for _, rec := range records {
+		r.Suspects = append(r.Suspects, encodeSuspect(rec, builtAt))
+	}
+}
+
+// ackedSuspects returns the number of changes of suspects of the given process that the
+// peer is known to have.
+func (p *peer) ackedSuspects(process uint64) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.echo.GetProcess() != process {
+		return 0
+	}
+	return p.suspectsAcked
+}
+
+// applySuspects merges the suspects of another instance's report.
+func (e *Exchange) applySuspects(r *peerspb.Report) {
+	if e.opts.Suspects == nil || len(r.Suspects) == 0 {
+		return
+	}
+	now := e.opts.Now()
+	var records []suspect.Record
+	for _, s := range r.Suspects {
+		rec, err := decodeSuspect(s, now)
+		if err != nil {
+			metric.Counter("peer_suspects_invalid_total").Inc(1)
+			continue
+		}
+		records = append(records, rec)
+	}
+	e.opts.Suspects.Merge(records)
+}
+
+// encodeSuspect converts a record to its message in a report that is built at now.
+func encodeSuspect(rec suspect.Record, now time.Time) *peerspb.Suspect {
+	s := &peerspb.Suspect{
+		Fingerprint: rec.Fingerprint[:], CleanRound: clampUint32(rec.CleanRound), Age: int64(max(now.Sub(rec.LastReported), 0)),
+	}
+	for _, c := range rec.Crashes {
+		s.Crashes = append(s.Crashes, &peerspb.Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: clampUint32(c.Round)})
+	}
+	return s
+}
+
+// decodeSuspect converts a message received at now to a record. The error is a
+// *suspect.MalformedFingerprintError.
+func decodeSuspect(s *peerspb.Suspect, now time.Time) (suspect.Record, error) {
+	f, err := suspect.ParseFingerprint(s.Fingerprint)
+	if err != nil {
+		return suspect.Record{}, err
+	}
+	rec := suspect.Record{Fingerprint: f, CleanRound: int(s.CleanRound), LastReported: now.Add(-time.Duration(max(s.Age, 0)))}
+	for _, c := range s.Crashes {
+		rec.Crashes = append(rec.Crashes, suspect.Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: int(c.Round)})
+	}
+	return rec, nil
+}
--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/fleet"
+	"redwingknot/suspect"
 )
 
 // TestPromptBehindLongBacklogIsRefusedAtOnce checks that a prompt does not wait for
@@ -30,7 +31,7 @@
 				ep.ownLoad.PendingTokens = c.pendingTokens
 			}
 			request := &callerRequest{
-				server: &Server{endpoints: e}, route: &fleet.Route{},
+				server: &Server{endpoints: e, opts: Options{Suspects: suspect.NewReplica(suspect.Config{}, time.Now)}}, route: &fleet.Route{},
 				query: &placementQuery{service: "s", prompt: heavyPrompt("x"), target: 300 * time.Millisecond, maxAttempts: 1},
 			}
 			began := time.Now()
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -16,6 +16,7 @@
 	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/retry"
+	"redwingknot/suspect"
 	"redwingknot/upstream"
 )
 
@@ -38,15 +39,17 @@
 	bodyLimit  int64 // maximum body length in bytes, 0 for the server's limit
 	body       []byte
 
-	sends              int               // attempts that may have reached an endpoint
-	possibleExecutions int               // attempts that an endpoint may have executed
-	headerSent         bool              // the response header was sent to the caller
-	lastEvent          int64             // identifier of the last event sent to the caller, -1 before the first
-	timeToFirstData    time.Duration     // from the arrival of the request until response data was ready for the caller
-	cachePlan          string            // where the parts of the prompt come from, for the log; see pick.cachePlan
-	lastEndpoint       *fleet.Endpoint   // endpoint of the latest attempt
-	lastErr            error             // error of the latest failed attempt
-	failureResponse    *bufferedResponse // failure reported by an endpoint, returned if no retry succeeds
+	fingerprint        *suspect.Fingerprint // nil until it is needed
+	crashRounds        int                  // rounds of the request's crashes that were known before the latest attempt
+	sends              int                  // attempts that may have reached an endpoint
+	possibleExecutions int                  // attempts that an endpoint may have executed
+	headerSent         bool                 // the response header was sent to the caller
+	lastEvent          int64                // identifier of the last event sent to the caller, -1 before the first
+	timeToFirstData    time.Duration        // from the arrival of the request until response data was ready for the caller
+	cachePlan          string               // where the parts of the prompt come from, for the log; see pick.cachePlan
+	lastEndpoint       *fleet.Endpoint      // endpoint of the latest attempt
+	lastErr            error                // error of the latest failed attempt
+	failureResponse    *bufferedResponse    // failure reported by an endpoint, returned if no retry succeeds
 }
 
 // outcome is how an attempt ended.
@@ -87,6 +90,9 @@
 			return
 		}
 		o := c.attempt(ctx, p)
+		if o == outcomeDelivered || o == outcomeEndpointFailed {
+			c.recordCleanRun()
+		}
 		switch {
 		case o == outcomeDelivered:
 			c.logServed()
@@ -179,6 +185,9 @@
 func (c *callerRequest) selectEndpoint(ctx context.Context) (*pick, *contract.Refusal) {
 	waitUntil := time.Now().Add(maxEndpointWait)
 	for {
+		if r := c.checkSuspect(); r != nil {
+			return nil, c.markPossibleExecution(r)
+		}
 		if r := c.checkAuthorization(); r != nil {
 			return nil, c.markPossibleExecution(r)
 		}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"time"
 
+	"redwingknot/contract"
 	"redwingknot/event"
 	"redwingknot/metric"
 	"redwingknot/suspect"
@@ -62,18 +64,48 @@
 	return check
 }
 
+// checkSuspect returns a refusal if the request has crashed too many endpoints, at any
+// instance. It must be called before each attempt.
+func (c *callerRequest) checkSuspect() *contract.Refusal {
+	c.crashRounds = 0
+	if c.server.opts.Suspects.Empty() {
+		return nil
+	}
+	known := c.server.opts.Suspects.Lookup(c.suspectFingerprint())
+	c.crashRounds = known.Rounds
+	if known.Verdict != suspect.Refused {
+		return nil
+	}
+	return contract.Unavailable(contract.ReasonSuspectRefused, known.RefusedFor, "endpoints have crashed each time this request ran")
+}
+
 // recordCrash records that the endpoint of p ended while it ran the request.
 func (c *callerRequest) recordCrash(p *pick) {
 	metric.Counter("endpoint_crashes_total", "service", c.query.service).Inc(1)
-	event.EndpointCrashed.Log(c.server.opts.Log, append(c.logAttrs(), slog.String("fingerprint", c.fingerprint().String()))...)
+	f := c.suspectFingerprint()
+	event.EndpointCrashed.Log(c.server.opts.Log, append(c.logAttrs(), slog.String("fingerprint", f.String()))...)
+	crash := suspect.Crash{Endpoint: p.spec.ID, Epoch: strconv.FormatInt(p.spec.StartMillis, 10), Round: c.crashRounds + 1}
+	c.server.opts.Suspects.RecordCrash(f, crash)
 }
 
-// fingerprint returns the fingerprint of the request. A caller that sends the request
-// again, at any instance, sends the same method, path and body for the same team.
-func (c *callerRequest) fingerprint() suspect.Fingerprint {
+// recordCleanRun records that an endpoint ran the request to its end.
+func (c *callerRequest) recordCleanRun() {
+	if c.crashRounds > 0 {
+		c.server.opts.Suspects.RecordCleanRun(c.suspectFingerprint(), c.crashRounds)
+	}
+}
+
+// suspectFingerprint returns the fingerprint of the request. A caller that sends the
+// request again, at any instance, sends the same method, path and body for the same team.
+func (c *callerRequest) suspectFingerprint() suspect.Fingerprint {
+	if c.fingerprint != nil {
+		return *c.fingerprint
+	}
 	id := suspect.RequestIdentity{Target: c.method + " " + c.host + c.requestURI, Body: c.body}
 	if c.team != nil {
 		id.Team = c.team.Name
 	}
-	return suspect.FingerprintOf(id)
+	f := suspect.FingerprintOf(id)
+	c.fingerprint = &f
+	return f
 }
--- /dev/null
+++ b/relay/crash_test.go
@@ -0,0 +1,90 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// crash ends an endpoint as the end of its process does.
+func (f *fakeEndpoint) crash() {
+	f.listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, x := range f.received {
+		x.conn.Close()
+	}
+}
+
+// TestRequestIsRefusedAfterThirdCrash sends a request again that crashes each endpoint:
+// after the third crash it is refused, with a promise that it did not run.
+func TestRequestIsRefusedAfterThirdCrash(t *testing.T) {
+	b := newTestBed(t)
+	var endpoints []*fakeEndpoint
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5"} {
+		var f *fakeEndpoint
+		f = b.startEndpoint(id, func(*exchange) { f.crash() })
+		endpoints = append(endpoints, f)
+	}
+	for range 5 {
+		b.send("/once/poison")
+	}
+	assert.Equal(t, requestCount(endpoints...), 3)
+	r := b.send("/once/poison")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Check(t, headerSeconds(r.header) > 60, "Retry-After is %q", r.header.Get("Retry-After"))
+}
+
+// TestRequestIsNoSuspectWithoutCrash sends a request again that loses its connection each
+// time, without an unannounced end of the endpoint's process: it is never refused.
+func TestRequestIsNoSuspectWithoutCrash(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(b *testBed, f *fakeEndpoint, x *exchange)
+	}{
+		{"connection reset", func(_ *testBed, _ *fakeEndpoint, x *exchange) { x.reset() }},
+		{"response cut off", func(_ *testBed, _ *fakeEndpoint, x *exchange) { x.conn.Close() }},
+		{"endpoint is leaving", func(b *testBed, f *fakeEndpoint, _ *exchange) {
+			leaving := *f.spec
+			leaving.Leaving = true
+			b.view.PutEndpoint(&leaving)
+			f.crash()
+		}},
+		{"endpoint is not listed", func(b *testBed, f *fakeEndpoint, _ *exchange) {
+			b.view.RemoveEndpoint(f.spec.ID, b.now())
+			f.crash()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t)
+			var endpoints []*fakeEndpoint
+			for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5"} {
+				var f *fakeEndpoint
+				f = b.startEndpoint(id, func(x *exchange) { c.lose(b, f, x) })
+				endpoints = append(endpoints, f)
+			}
+			for range 5 {
+				b.send("/once/unlucky")
+			}
+			assert.Check(t, requestCount(endpoints...) >= 5)
+		})
+	}
+}
+
+// TestInnocentRequestIsServedAfterCrashes crashes endpoints one after the other while an
+// innocent request is in flight there. It is sent again each time, and served in the end.
+func TestInnocentRequestIsServedAfterCrashes(t *testing.T) {
+	b := newTestBed(t)
+	b.view.ApplyConfig(newConfig(2, 4))
+	for _, id := range []string{"i-1", "i-2"} {
+		var f *fakeEndpoint
+		f = b.startEndpoint(id, func(*exchange) { f.crash() })
+	}
+	good := b.startEndpoint("i-3", respondOK)
+	for range 6 {
+		r := b.send("/plain/innocent")
+		assert.Equal(t, r.status, http.StatusOK)
+	}
+	assert.Check(t, len(good.requests()) >= 6)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -20,6 +20,7 @@
 	"redwingknot/metric"
 	"redwingknot/peers"
 	"redwingknot/promptcache"
+	"redwingknot/suspect"
 )
 
 // Options configure a Server.
@@ -31,6 +32,7 @@
 	Cache          *promptcache.Directory  // nil without cache stores
 	OtherLoads     *peers.Table            // load of the other instances' requests
 	SendPlacements func([]peers.Placement) // reports prompt placements to the other instances; may be nil
+	Suspects       *suspect.Replica        // requests that may crash endpoints
 
 	// Now returns the time of a clock that also advances while the machine is
 	// suspended.
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -22,6 +22,7 @@
 	"redwingknot/platform"
 	"redwingknot/promptcache"
 	"redwingknot/relay"
+	"redwingknot/suspect"
 )
 
 // exchange is a request received by a fake endpoint, with the connection to
@@ -75,7 +76,8 @@
 
 // fakeEndpoint is an endpoint that passes each request to serve and records it.
 type fakeEndpoint struct {
-	spec *fleet.Endpoint
+	spec     *fleet.Endpoint
+	listener net.Listener
 
 	mu       sync.Mutex
 	received []*exchange
@@ -164,6 +166,7 @@
 		View: b.view, Dialect: platform.Dialect{}, Log: slog.New(slog.DiscardHandler), Cache: b.cache, OtherLoads: b.loads,
 		Now: func() time.Time { return b.now() }, RevokeTime: 5 * time.Second, OldWeightsTime: 6 * time.Second, DrainTime: testDrainTime,
 		RetryRatio: 10, RetryWindow: 10 * time.Second, MaxBodyBytes: 1 << 24,
+		Suspects: suspect.NewReplica(suspect.Config{CompanyCrashLimit: 3}, time.Now),
 	}
 	b.relay = relay.NewServer(o)
 	b.server = httptest.NewServer(b.relay)
@@ -177,7 +180,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(b.t, err)
 	b.t.Cleanup(func() { l.Close() })
-	f := &fakeEndpoint{serve: serve, spec: &fleet.Endpoint{
+	f := &fakeEndpoint{serve: serve, listener: l, spec: &fleet.Endpoint{
 		ID: id, Service: "s", Address: l.Addr().String(), Slots: 8, WeightVersions: map[string]int64{"m": 1},
 	}}
 	go func() {
@@ -239,6 +242,15 @@
 	return []string{"Model", "m", "Token-Count", "900,50", "Prompt-Prefix", "aa:500,bb:300,cc:100"}
 }
 
+// headerSeconds returns the value of Retry-After, or -1 if it is no number.
+func headerSeconds(h http.Header) float64 {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil {
+		return -1
+	}
+	return s
+}
+
 // headerInt returns a header's value as a number, or -1 if it is none.
 func headerInt(h http.Header, name string) int {
 	n, err := strconv.Atoi(h.Get(name))
--- a/suspect/fingerprint.go
+++ b/suspect/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"hash"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,23 @@
 // String implements fmt.Stringer.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// MalformedFingerprintError reports bytes that are no fingerprint.
+type MalformedFingerprintError struct{ Length int }
+
+// Error implements error.
+func (e *MalformedFingerprintError) Error() string {
+	return fmt.Sprintf("a fingerprint has %d bytes, not %d", fingerprintBytes, e.Length)
+}
+
+// ParseFingerprint converts bytes to a fingerprint. The error is a
+// *MalformedFingerprintError.
+func ParseFingerprint(b []byte) (Fingerprint, error) {
+	if len(b) != fingerprintBytes {
+		return Fingerprint{}, &MalformedFingerprintError{Length: len(b)}
+	}
+	return Fingerprint(b), nil
+}
+
 // RequestIdentity is the input of a fingerprint: requests that are equal in all fields
 // have the same fingerprint and are taken for the same request. It includes the
 // weight version, since a request that crashes endpoints under one version may not
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -16,9 +16,22 @@
 	defaultMaxEntries           = 4096
 )
 
+// companyRefusalTime is how long a request is refused after its last crash if it never ran
+// alone. It may be innocent, so it gets another run after that.
+const companyRefusalTime = 10 * time.Minute
+
+// minRefusalRounds is the number of rounds of crashes before a request that never ran alone
+// is refused. Copies of a request that run on several endpoints of a rack that fails are
+// lost in one round.
+const minRefusalRounds = 2
+
+// maxCrashesPerEntry bounds the memory of an entry.
+const maxCrashesPerEntry = 16
+
 // Config configures a Registry. Fields that are zero take their default values.
 type Config struct {
-	CrashedEndpointLimit int           // number of different crashed endpoints after which a request is refused
+	CrashedEndpointLimit int           // number of different crashed endpoints after which a request is refused that ran alone in a crash
+	CompanyCrashLimit    int           // number of crashes after which a request is refused that never ran alone, 0 for no limit
 	SuspicionTTL         time.Duration // how long a request stays a suspect after its last crash
 	RefusalTTL           time.Duration // how long a refused request stays refused after its last crash
 	MaxEntries           int           // maximum number of fingerprints stored
@@ -54,34 +67,51 @@
 type Crash struct {
 	Endpoint string
 	Epoch    string // epoch of the process that ended
+	// Round is the number of rounds of crashes of the request that were known when the run
+	// began, plus one. Runs that began without knowing of each other's crashes are of one
+	// round; 0 counts as 1.
+	Round int
 }
 
+// isOf reports whether other is the same end of a process.
+func (c Crash) isOf(other Crash) bool { return c.Endpoint == other.Endpoint && c.Epoch == other.Epoch }
+
 // Answer says how a request may run and which endpoints have crashed while it was
 // in flight.
 type Answer struct {
-	Verdict Verdict
-	Crashed []string // names of the endpoints
+	Verdict    Verdict
+	Crashed    []string      // names of the endpoints
+	Rounds     int           // rounds of crashes that are known
+	RefusedFor time.Duration // how long the request is refused; valid if Verdict is Refused
 }
 
 // Registry is the state of the fingerprints that this instance owns. It has no
 // clock and does no I/O; the time is an argument of each call. It is not safe for
 // concurrent use.
 //
-// A fingerprint has an entry only after a crash. It is refused once crashes of
+// A fingerprint has an entry only after a crash. It is refused permanently once crashes of
 // Config.CrashedEndpointLimit different endpoints are known and the request ran alone
-// in at least one crash. It is never refused for crashes during which other requests
-// ran on the endpoint as well, since any of the requests in flight may be the cause.
+// in at least one crash. If it never ran alone, any of the requests in flight may be the
+// cause of a crash. It is then refused for companyRefusalTime, after
+// Config.CompanyCrashLimit crashes of at least minRefusalRounds rounds, unless a run that
+// began after the last of them was known has ended without a crash.
+//
+// The crashes of an entry and its clean round only grow, so that the registries of
+// several instances that exchange Records reach the same state in any order.
 type Registry struct {
 	config  Config
 	entries map[Fingerprint]*entry
+	changes uint64 // number of changes of entries so far
 }
 
 // entry is the state of one fingerprint.
 type entry struct {
 	crashes      []Crash
+	cleanRound   int  // crashes up to this round are disproved by a run without a crash
 	crashedAlone bool // the request ran alone in at least one of the crashes
-	refused      bool
-	lastReported time.Time // time of the last report of a crash
+	refused      bool // permanently
+	lastReported time.Time
+	changed      uint64 // number of the last change, of Registry.changes
 }
 
 // NewRegistry returns an empty Registry.
@@ -95,41 +125,77 @@
 	if e == nil {
 		return Answer{}
 	}
-	a := Answer{Verdict: RunAlone, Crashed: e.crashedEndpoints()}
-	if e.refused {
-		a.Verdict = Refused
+	a := Answer{Crashed: e.crashedEndpoints(), Rounds: e.rounds()}
+	switch left := companyRefusalTime - now.Sub(e.lastReported); {
+	case e.refused:
+		a.Verdict, a.RefusedFor = Refused, r.ttl(e)-now.Sub(e.lastReported)
+	case len(a.Crashed) == 0:
+	case r.reachedCompanyLimit(e) && left > 0:
+		a.Verdict, a.RefusedFor = Refused, left
+	default:
+		a.Verdict = RunAlone
 	}
 	return a
 }
 
+// reachedCompanyLimit reports whether the crashes of a request that never ran alone are
+// enough to refuse it.
+func (r *Registry) reachedCompanyLimit(e *entry) bool {
+	crashes := e.standingCrashes()
+	if r.config.CompanyCrashLimit == 0 || len(crashes) < r.config.CompanyCrashLimit {
+		return false
+	}
+	rounds := map[int]bool{}
+	for _, c := range crashes {
+		rounds[c.Round] = true
+	}
+	return len(rounds) >= minRefusalRounds
+}
+
 // RecordCrash records that f was in flight during a crash and whether it ran alone. It
 // returns how the request may run from now on.
 func (r *Registry) RecordCrash(f Fingerprint, crash Crash, alone bool, now time.Time) Answer {
-	e := r.liveEntry(f, now)
-	if e == nil {
-		r.evictIfFull(now)
-		e = &entry{}
-		r.entries[f] = e
-	}
+	e := r.ensureEntry(f, now)
 	e.addCrash(crash)
 	e.crashedAlone = e.crashedAlone || alone
 	e.refused = e.refused || e.crashedAlone && len(e.crashedEndpoints()) >= r.config.CrashedEndpointLimit
 	e.lastReported = now
+	r.markChanged(e)
 	return r.Lookup(f, now)
 }
 
-// RecordCleanRun clears f after it ran alone to its end, or well past its first token,
-// without a crash. It must not be called after a run alongside other requests,
-// which proves nothing about a suspect. A refused fingerprint stays refused.
-func (r *Registry) RecordCleanRun(f Fingerprint, now time.Time) {
-	if e := r.liveEntry(f, now); e != nil && !e.refused {
-		delete(r.entries, f)
+// RecordCleanRun records that a run of f ended without a crash, or got well past its first
+// token, which began when the given number of rounds of crashes was known. A fingerprint
+// that is refused permanently stays refused.
+func (r *Registry) RecordCleanRun(f Fingerprint, rounds int, now time.Time) {
+	e := r.liveEntry(f, now)
+	if e == nil || e.refused || rounds <= e.cleanRound {
+		return
 	}
+	e.cleanRound = rounds
+	e.crashedAlone = e.crashedAlone && len(e.standingCrashes()) > 0
+	r.markChanged(e)
 }
 
 // Len returns the number of fingerprints stored.
 func (r *Registry) Len() int { return len(r.entries) }
 
+// ensureEntry returns the entry of f, which it creates if there is none.
+func (r *Registry) ensureEntry(f Fingerprint, now time.Time) *entry {
+	if e := r.liveEntry(f, now); e != nil {
+		return e
+	}
+	r.evictIfFull(now)
+	e := &entry{}
+	r.entries[f] = e
+	return e
+}
+
+func (r *Registry) markChanged(e *entry) {
+	r.changes++
+	e.changed = r.changes
+}
+
 // liveEntry returns the entry of f, or nil if there is none. An expired entry is
 // deleted.
 func (r *Registry) liveEntry(f Fingerprint, now time.Time) *entry {
@@ -146,7 +212,7 @@
 
 // ttl returns how long e is stored after the last report of a crash.
 func (r *Registry) ttl(e *entry) time.Duration {
-	if e.refused {
+	if e.refused || r.reachedCompanyLimit(e) {
 		return r.config.RefusalTTL
 	}
 	return r.config.SuspicionTTL
@@ -183,20 +249,47 @@
 	return e.lastReported.Before(other.lastReported)
 }
 
-// addCrash adds a crash unless it is already known.
-func (e *entry) addCrash(crash Crash) {
-	for _, other := range e.crashes {
-		if other == crash {
-			return
+// addCrash adds a crash and reports whether the entry has changed. Of two reports of the
+// same crash the one with the later round counts.
+func (e *entry) addCrash(crash Crash) bool {
+	crash.Round = max(crash.Round, 1)
+	for i, known := range e.crashes {
+		if known.isOf(crash) {
+			e.crashes[i].Round = max(known.Round, crash.Round)
+			return crash.Round > known.Round
 		}
 	}
+	if len(e.crashes) >= maxCrashesPerEntry {
+		return false
+	}
 	e.crashes = append(e.crashes, crash)
+	return true
+}
+
+// standingCrashes returns the crashes that no clean run has disproved.
+func (e *entry) standingCrashes() []Crash {
+	var standing []Crash
+	for _, c := range e.crashes {
+		if c.Round > e.cleanRound {
+			standing = append(standing, c)
+		}
+	}
+	return standing
+}
+
+// rounds returns the number of rounds of crashes that are known.
+func (e *entry) rounds() int {
+	rounds := e.cleanRound
+	for _, c := range e.crashes {
+		rounds = max(rounds, c.Round)
+	}
+	return rounds
 }
 
-// crashedEndpoints returns the names of the endpoints that crashed, each once.
+// crashedEndpoints returns the names of the endpoints of standing crashes, each once.
 func (e *entry) crashedEndpoints() []string {
 	var names []string
-	for _, c := range e.crashes {
+	for _, c := range e.standingCrashes() {
 		if !slices.Contains(names, c.Endpoint) {
 			names = append(names, c.Endpoint)
 		}
--- /dev/null
+++ b/suspect/replica_test.go
@@ -0,0 +1,140 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"redwingknot/internal/fuzztest"
+)
+
+// testCompanyLimit is the CompanyCrashLimit of the tests.
+const testCompanyLimit = 3
+
+func companyRegistry() *Registry { return NewRegistry(Config{CompanyCrashLimit: testCompanyLimit}) }
+
+// recordRounds records one crash for each of the given rounds, each of another endpoint.
+func recordRounds(r *Registry, f Fingerprint, now time.Time, rounds ...int) Answer {
+	var a Answer
+	for i, round := range rounds {
+		a = r.RecordCrash(f, Crash{Endpoint: fmt.Sprint("e", i), Round: round}, false, now)
+	}
+	return a
+}
+
+func TestVerdictOnCrashesInCompany(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		rounds []int
+		want   Verdict
+	}{
+		{"one after the other", []int{1, 2, 3}, Refused},
+		{"two copies, then one", []int{1, 1, 2}, Refused},
+		{"below the limit", []int{1, 2}, RunAlone},
+		{"copies on a rack that fails", []int{1, 1, 1, 1}, RunAlone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, recordRounds(companyRegistry(), testFingerprint(1), time.Now(), c.rounds...).Verdict, c.want)
+		})
+	}
+}
+
+// TestRefusalInCompanyEndsAndReturns checks that a refused request gets another run after
+// companyRefusalTime, and that one more crash is enough to refuse it again.
+func TestRefusalInCompanyEndsAndReturns(t *testing.T) {
+	now := time.Now()
+	r := companyRegistry()
+	f := testFingerprint(1)
+	assert.Equal(t, recordRounds(r, f, now, 1, 2, 3).RefusedFor, companyRefusalTime)
+	now = now.Add(companyRefusalTime)
+	a := r.Lookup(f, now)
+	assert.Equal(t, a.Verdict, RunAlone)
+	a = r.RecordCrash(f, Crash{Endpoint: "another", Round: a.Rounds + 1}, false, now)
+	assert.Equal(t, a.Verdict, Refused)
+}
+
+// TestCleanRunDisprovesEarlierCrashes checks that a run without a crash clears a request of
+// the crashes that were known when it began, and of no later ones.
+func TestCleanRunDisprovesEarlierCrashes(t *testing.T) {
+	now := time.Now()
+	r := companyRegistry()
+	f := testFingerprint(1)
+	a := recordRounds(r, f, now, 1, 2)
+	r.RecordCleanRun(f, a.Rounds, now)
+	assert.Equal(t, r.Lookup(f, now).Verdict, Clear)
+	a = r.RecordCrash(f, Crash{Endpoint: "later", Round: r.Lookup(f, now).Rounds + 1}, false, now)
+	assert.Equal(t, a.Verdict, RunAlone)
+	assert.DeepEqual(t, a.Crashed, []string{"later"})
+}
+
+// TestFuzzReplicasConverge records crashes and clean runs at several registries that pass
+// on their changes now and then, in any order and possibly twice, and in parts. In the
+// end all must give the same answer on each fingerprint.
+func TestFuzzReplicasConverge(t *testing.T) {
+	fuzztest.Check(t, func(t *rapid.T) {
+		const replicas, requests = 3, 2
+		now := time.Now()
+		list := make([]*Registry, replicas)
+		acked := make([][replicas]uint64, replicas)
+		for i := range list {
+			list[i] = companyRegistry()
+		}
+		pass := func(from, to, limit int) uint64 {
+			records, through := list[from].Changes(acked[from][to], limit)
+			for _, rec := range records {
+				list[to].Merge(rec, now)
+			}
+			return through
+		}
+		drawn := func(name string) int { return rapid.IntRange(0, replicas-1).Draw(t, name) }
+		t.Repeat(map[string]func(*rapid.T){
+			"crash": func(*rapid.T) {
+				r, f := list[drawn("at")], testFingerprint(rapid.IntRange(0, requests-1).Draw(t, "request"))
+				r.RecordCrash(f, Crash{Endpoint: fmt.Sprint("e", drawn("endpoint")), Round: r.Lookup(f, now).Rounds + 1}, false, now)
+			},
+			"clean": func(*rapid.T) {
+				r, f := list[drawn("at")], testFingerprint(rapid.IntRange(0, requests-1).Draw(t, "request"))
+				r.RecordCleanRun(f, r.Lookup(f, now).Rounds, now)
+			},
+			"pass":      func(*rapid.T) { from, to := drawn("from"), drawn("to"); acked[from][to] = pass(from, to, 1) },
+			"pass lost": func(*rapid.T) { pass(drawn("from"), drawn("to"), 1) },
+		})
+		for range replicas {
+			for from := range replicas {
+				for to := range replicas {
+					acked[from][to] = pass(from, to, requests)
+				}
+			}
+		}
+		for n := range requests {
+			for _, r := range list[1:] {
+				a, b := list[0].Lookup(testFingerprint(n), now), r.Lookup(testFingerprint(n), now)
+				assert.Equal(t, a.Verdict, b.Verdict)
+				assert.Equal(t, a.Rounds, b.Rounds)
+			}
+		}
+	})
+}
+
+// TestReplicaPassesOnEachChange checks that a replica returns only what has changed since
+// an earlier call, in parts of limited size.
+func TestReplicaPassesOnEachChange(t *testing.T) {
+	r := NewReplica(Config{CompanyCrashLimit: testCompanyLimit}, time.Now)
+	assert.Check(t, r.Empty())
+	for n := range 5 {
+		r.RecordCrash(testFingerprint(n), Crash{Endpoint: "e", Round: 1})
+	}
+	assert.Check(t, !r.Empty())
+	other := NewReplica(Config{CompanyCrashLimit: testCompanyLimit}, time.Now)
+	var through uint64
+	for _, want := range []int{2, 2, 1, 0} {
+		var records []Record
+		records, through = r.Changes(through, 2)
+		assert.Equal(t, len(records), want)
+		other.Merge(records)
+	}
+	assert.Equal(t, other.Lookup(testFingerprint(4)).Verdict, RunAlone)
+}
--- a/suspect/server.go
+++ b/suspect/server.go
@@ -71,8 +71,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.registry.Lookup(f, s.now())
-	after := s.registry.RecordCrash(f, Crash{Endpoint: req.Endpoint, Epoch: req.Epoch}, req.Alone, s.now())
-	s.logVerdictChange(f, before.Verdict, after.Verdict)
+	crash := Crash{Endpoint: req.Endpoint, Epoch: req.Epoch, Round: before.Rounds + 1}
+	after := s.registry.RecordCrash(f, crash, req.Alone, s.now())
+	logVerdictChange(s.log, f, before.Verdict, after.Verdict)
 	return &suspectpb.ReportResponse{}, nil
 }
 
@@ -84,8 +85,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.registry.Lookup(f, s.now())
-	s.registry.RecordCleanRun(f, s.now())
-	s.logVerdictChange(f, before.Verdict, s.registry.Lookup(f, s.now()).Verdict)
+	s.registry.RecordCleanRun(f, before.Rounds, s.now())
+	logVerdictChange(s.log, f, before.Verdict, s.registry.Lookup(f, s.now()).Verdict)
 	return &suspectpb.CleanResponse{}, nil
 }
 
@@ -97,9 +98,9 @@
 }
 
 // logVerdictChange logs an event if the verdict on f has changed.
-func (s *Server) logVerdictChange(f Fingerprint, before, after Verdict) {
+func logVerdictChange(log *slog.Logger, f Fingerprint, before, after Verdict) {
 	if before != after {
-		verdictEvents[after].Log(s.log, slog.String("fingerprint", f.String()))
+		verdictEvents[after].Log(log, slog.String("fingerprint", f.String()))
 	}
 }
 
@@ -121,10 +122,11 @@
 // parseFingerprint converts bytes from a wire message to a fingerprint. It returns
 // a wire error if their number is wrong.
 func parseFingerprint(b []byte) (Fingerprint, error) {
-	if len(b) != fingerprintBytes {
-		return Fingerprint{}, wire.Fail(wire.FailureMalformed, "a fingerprint has 16 bytes")
+	f, err := ParseFingerprint(b)
+	if err != nil {
+		return f, wire.Fail(wire.FailureMalformed, err.Error())
 	}
-	return Fingerprint(b), nil
+	return f, nil
 }
 
 // callLocal handles a call of this instance to its own Server and merges the
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -353,7 +353,7 @@
 	r := NewRegistry(Config{})
 	r.RecordCrash(testFingerprint(1), Crash{Endpoint: "a"}, false, now)
 	r.RecordCrash(testFingerprint(1), Crash{Endpoint: "b"}, true, now)
-	r.RecordCleanRun(testFingerprint(1), now)
+	r.RecordCleanRun(testFingerprint(1), 2, now)
 	assert.Equal(t, r.Lookup(testFingerprint(1), now).Verdict, Refused)
 }
 
