Gateway: limits that endpoints name are decoded, logged and counted

Bad values are a *DecodeError, counted as invalid notices, and no limit. No decision uses limits yet.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -264,7 +264,7 @@
 	defer cancel()
 	defer c.server.endpoints.release(p)
 	c.lastEndpoint = p.spec
-	sent := time.Now()
+	sent, sentAt := time.Now(), c.server.endpoints.now()
 	res, err := p.endpoint.pool.Send(ctx, c.buildRequest(p))
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
@@ -283,7 +283,7 @@
 		res.PreventReuse()
 		return c.handleLost(ctx, p, &upstream.UnrelatedResponseError{Detail: "it names the attempt " + reply.AttemptID})
 	}
-	c.recordNotice(p, reply)
+	c.recordNotice(p, reply, sentAt)
 	if reply.NotExecuted {
 		return c.handleRefused(p, res, reply)
 	}
@@ -296,13 +296,13 @@
 }
 
 // recordNotice records what the header of a response says about further requests to the
-// endpoint.
-func (c *callerRequest) recordNotice(p *pick, reply Reply) {
+// endpoint. The request was sent at sentAt.
+func (c *callerRequest) recordNotice(p *pick, reply Reply, sentAt time.Time) {
 	if reply.NoticeErr != nil {
 		metric.Counter("endpoint_notices_invalid_total", "service", c.query.service).Inc(1)
 		event.NoticeInvalid.Log(c.server.opts.Log, slog.String("endpoint", p.spec.ID), slog.String("error", reply.NoticeErr.Error()))
 	}
-	c.server.endpoints.recordReplyNotice(p, reply)
+	c.server.endpoints.recordReplyNotice(p, reply, sentAt)
 }
 
 // recordTried records an endpoint that the request was sent to.
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -34,7 +34,8 @@
 
 	mu             sync.Mutex
 	byKey          map[fleet.EndpointKey]*endpoint
-	syncedSnapshot *fleet.Snapshot // snapshot that byKey was last updated from
+	syncedSnapshot *fleet.Snapshot           // snapshot that byKey was last updated from
+	limits         map[uint64]*endpointLimit // by the hash of an endpoint's incarnation
 	services       map[string]*serviceState
 	sources        map[string]*source // sources of cache fetches, by address
 	changed        chan struct{}      // closed and replaced when byKey is updated
@@ -57,7 +58,7 @@
 		view: o.View, dataCentre: o.DataCentre, oldWeightsTime: o.OldWeightsTime, now: o.Now, startedAt: o.Now(),
 		drainTime: o.DrainTime, log: o.Log, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
-		byKey:       map[fleet.EndpointKey]*endpoint{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
+		byKey:       map[fleet.EndpointKey]*endpoint{}, limits: map[uint64]*endpointLimit{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
 }
 
@@ -191,6 +192,7 @@
 		e.source(f.address).recordFetch(f.tokens, e.service(q.service).prefillRate.PrefillTime(f.cost), now)
 	}
 	p.endpoint.health.RecordSent(now)
+	e.countLimited(p.endpoint)
 	return p, nil
 }
 
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -27,36 +27,46 @@
 	return place.Hash(k.ID + "\x00" + strconv.FormatInt(k.StartMillis, 10))
 }
 
-// RecordNotice records what a response of an endpoint to a call of this instance says
-// about further calls.
+// RecordNotice records what a response of an endpoint to a call of this instance outside
+// of requests says about further calls. It does not end a limit: only the responses to
+// requests are known to name it.
 func (e *Endpoints) RecordNotice(key fleet.EndpointKey, n fleet.Notice) {
-	if n == (fleet.Notice{}) {
-		return
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if ep := e.byKey[key]; ep != nil {
-		e.recordNotice(ep, n)
+	ep := e.byKey[key]
+	if ep == nil {
+		return
+	}
+	e.recordNotice(ep, n)
+	if n.Limit.Named {
+		e.recordLimit(ep, n.Limit, e.now())
 	}
 }
 
-// recordReplyNotice records the notice in the response to an attempt. The response concerns
-// the endpoint that it names, which is another one than p's if the address was reused.
-func (e *Endpoints) recordReplyNotice(p *pick, r Reply) {
-	if r.Notice == (fleet.Notice{}) {
-		return
-	}
+// recordReplyNotice records the notice in the response to an attempt that was sent at
+// sentAt. The response concerns the endpoint that it names, which is another one than p's
+// if the address was reused.
+func (e *Endpoints) recordReplyNotice(p *pick, r Reply, sentAt time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r.EndpointID == "" || r.EndpointID == p.spec.ID {
-		e.recordNotice(p.endpoint, r.Notice)
-		return
-	}
-	for _, ep := range e.byKey {
-		if ep.spec.ID == r.EndpointID {
-			e.recordNotice(ep, r.Notice)
+	ep := p.endpoint
+	if r.EndpointID != "" && r.EndpointID != p.spec.ID {
+		if ep = e.endpointByID(r.EndpointID); ep == nil {
+			return
 		}
 	}
+	e.recordNotice(ep, r.Notice)
+	e.recordLimit(ep, r.Notice.Limit, sentAt)
+}
+
+// endpointByID returns the endpoint with the given identifier, nil if there is none. The
+// caller holds mu.
+func (e *Endpoints) endpointByID(id string) *endpoint {
+	spec := e.view.Snapshot().Endpoints[id]
+	if spec == nil {
+		return nil
+	}
+	return e.byKey[spec.Key()]
 }
 
 // recordNotice records a notice of ep. The caller holds mu.
