--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -22,6 +22,7 @@
 	headerLastEvent      = "Last-Event-Id"
 	headerLeaving        = "Server-Leaving"
 	headerRetryAfter     = "Retry-After"
+	headerLimit          = "Server-Limit"
 )
 
 // ResponseStamp is the Response-Stamp of every answer to a request that was run. It
@@ -52,6 +53,7 @@
 		return // the client has disconnected
 	}
 	w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+	s.recordArrival(w, r)
 	if s.refuseIfMisdirected(w, r) || s.refuseIfOtherWeights(w, r) {
 		return
 	}
@@ -83,6 +85,16 @@
 	s.streamEvents(w, r, lastEvent)
 }
 
+// recordArrival records a request and sets the header that names the limit.
+func (s *Server) recordArrival(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, Arrival{Attempt: r.Header.Get(headerAttempt), At: time.Now(), Limited: s.limitValue != ""})
+	if s.limitValue != "" {
+		w.Header().Set(headerLimit, s.limitValue)
+	}
+}
+
 // refuseNotExecuted answers with a status and promises that the request wasn't
 // executed.
 func refuseNotExecuted(w http.ResponseWriter, status int) {
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -66,6 +66,13 @@
 	PauseEnds time.Time // end of the pause that the endpoint asked for, zero without one
 }
 
+// Arrival is a request that arrived.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+	Limited bool // the response named a limit
+}
+
 // Server is a fake endpoint. It implements http.Handler and is safe for
 // concurrent use.
 type Server struct {
@@ -80,8 +87,10 @@
 	loadingUntil   time.Time // when the latest load of weights is complete
 	slowFactor     int       // multiplies the times that work takes
 	leaving        bool
+	limitValue     string // Server-Limit of the responses to requests, empty for none
 	pauseValue     string // Retry-After of the refusals of all requests, empty to refuse none
 	notices        []Notice
+	arrivals       []Arrival
 	runs           []Run
 	orders         []Order // accepted since the start, the oldest first
 }
@@ -153,6 +162,21 @@
 	s.pauseValue = value
 }
 
+// SetLimit sets the limit that the responses to requests name, which need not be valid. An
+// empty value ends that.
+func (s *Server) SetLimit(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limitValue = value
+}
+
+// Arrivals returns the requests that have arrived, in order, also those that were refused.
+func (s *Server) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
+}
+
 // SetLeaving sets whether the endpoint reports, and says in all responses, that it is
 // leaving.
 func (s *Server) SetLeaving(leaving bool) {
