Gateway: the limit that an endpoint names is shared by all instances

Class: a statement of an endpoint about its load that the data path does not know.

Change: as many instances share the limit as the endpoint takes requests a second, at most all, chosen alike by all from the registered names (place.ShareHolders). Reports between peers carry each limit and its end; the newest word counts. A response without the limit ends it if the request was sent after the limit had been named. Other endpoints take the requests that a limit displaces; if there is none, a request waits for a share that comes in time, behind those that wait already, or is refused at once with that time.

--- a/event/relay.go
+++ b/event/relay.go
@@ -29,7 +29,7 @@
 	EndpointLeaving       = define(rangeRelay+26, "endpoint-leaving", slog.LevelInfo, "An endpoint told this instance, or another one, that it leaves; it gets no new requests unless no other endpoint can take them.", "")
 	EndpointPaused        = define(rangeRelay+27, "endpoint-paused", slog.LevelInfo, "An endpoint asked this instance for no requests for a time.", "If all endpoints of a service do so, it is overloaded.")
 	NoticeInvalid         = define(rangeRelay+28, "notice-invalid", slog.LevelWarn, "A header by which an endpoint asks for a pause or names a limit can't be decoded; it is ignored.", "Correct the endpoint's software.")
-	EndpointLimited       = define(rangeRelay+30, "endpoint-limited", slog.LevelInfo, "An endpoint named, to this instance or to another one, how many requests a second it takes from all instances together, or ended such a limit.", "If all endpoints of a service do so, it is overloaded.")
+	EndpointLimited       = define(rangeRelay+30, "endpoint-limited", slog.LevelInfo, "A response of an endpoint to this instance named a limit, that is, how many requests a second the endpoint takes from all instances together, or ended it.", "If all endpoints of a service do so, it is overloaded.")
 	StoreEraRose          = define(rangeRelay+29, "store-era-rose", slog.LevelWarn, "The metadata store came back from an older copy. What was in force stays in force; what this instance had written there is written again.", "Check that the operator's and the endpoints' entries are written again.")
 	LogDropped            = define(rangeRelay+22, "log-dropped", slog.LevelWarn, "Log lines were dropped to bound the volume of the log.", "")
 )
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/sha256"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,7 +22,7 @@
 	key := peerKey()
 	g.wire = wire.NewServer(key)
 	g.exchange = peers.New(peers.Options{
-		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Confirmations: g.confirmations, Suspects: g.opts.Relay.Suspects,
+		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Confirmations: g.confirmations, Suspects: g.opts.Relay.Suspects, Limits: g.relay.Endpoints(),
 		Table: g.opts.Relay.OtherLoads, Now: g.opts.Relay.Now,
 	})
 	g.exchange.Register(g.wire)
@@ -64,6 +66,7 @@
 	g.rank.Store(int64(rank))
 	g.memberCount.Store(int64(max(m.Len(), 1)))
 	g.setInstances()
+	g.relay.Endpoints().SetInstances(g.opts.Instance, slices.Sorted(maps.Keys(addresses)))
 	g.exchange.SetPeers(ctx, addresses)
 }
 
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -87,6 +87,7 @@
 	Source        Source
 	Confirmations ConfirmationSource // nil to exchange no confirmations
 	Suspects      *suspect.Replica   // nil to exchange no suspects
+	Limits        LimitSource        // nil to exchange no limits
 	Table         *Table             // receives the reports of other instances
 	// Now returns the current time. It must go on while the machine is suspended, or
 	// confirmations seem younger than they are.
@@ -248,6 +249,7 @@
 func (e *Exchange) applyReport(r *peerspb.Report, p *peer) {
 	e.applyConfirmations(r)
 	e.applySuspects(r)
+	e.applyLimits(r)
 	if p != nil {
 		p.recordReport(r)
 	}
@@ -283,6 +285,7 @@
 	e.addStamps(r, p)
 	e.addConfirmations(r)
 	e.addSuspects(r, p)
+	e.addLimits(r)
 	loads := e.opts.Source.Loads()
 	if p != nil && p.inColumn {
 		e.mu.Lock()
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -184,6 +184,7 @@
 // It returns neither a pick nor a refusal if ctx ends first.
 func (c *callerRequest) selectEndpoint(ctx context.Context) (*pick, *contract.Refusal) {
 	waitUntil := time.Now().Add(maxEndpointWait)
+	defer c.server.endpoints.endLimitWait(c.query)
 	for {
 		if r := c.checkSuspect(); r != nil {
 			return nil, c.markPossibleExecution(r)
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -35,6 +35,8 @@
 	mu             sync.Mutex
 	byKey          map[fleet.EndpointKey]*endpoint
 	syncedSnapshot *fleet.Snapshot           // snapshot that byKey was last updated from
+	instance       string                    // name of this instance, empty before it is known
+	instances      []string                  // names of the live instances
 	limits         map[uint64]*endpointLimit // by the hash of an endpoint's incarnation
 	services       map[string]*serviceState
 	sources        map[string]*source // sources of cache fetches, by address
@@ -45,6 +47,7 @@
 type serviceState struct {
 	retryWindow           *retry.Window
 	prefillRate           place.PrefillRate
+	waitingForLimit       int     // requests that wait for a share of an endpoint's limit
 	averageSecondsPerCost float64 // moving average of the time to the first data, in seconds per unit of pick.cost
 }
 
@@ -170,7 +173,7 @@
 	now := e.now()
 	list := e.eligible(s, q, now)
 	if len(list) == 0 {
-		q.admissionDelay = e.pauseLeft(s, q, now)
+		q.admissionDelay = e.blockedFor(s, q, now)
 		q.awaitsAdmission = q.admissionDelay > 0
 		return nil, e.changed
 	}
@@ -192,7 +195,7 @@
 		e.source(f.address).recordFetch(f.tokens, e.service(q.service).prefillRate.PrefillTime(f.cost), now)
 	}
 	p.endpoint.health.RecordSent(now)
-	e.countLimited(p.endpoint)
+	e.takeFromLimit(p.endpoint, now)
 	return p, nil
 }
 
@@ -213,7 +216,7 @@
 // eligible returns the endpoints that may execute q, by preference: the healthy
 // ones that were not tried yet; if there are none, the healthy ones that were
 // tried; if there are none either, healthy ones that are leaving, and then the unhealthy
-// ones. Those that asked for a pause get nothing.
+// ones. Those that asked for a pause, or whose limit is used up, get nothing.
 func (e *Endpoints) eligible(s *fleet.Snapshot, q *placementQuery, now time.Time) []*endpoint {
 	var untried, tried, leaving, unhealthy []*endpoint
 	for _, spec := range s.ByService[q.service] {
@@ -224,7 +227,7 @@
 		if q.prompt != nil && !e.canServeModel(s, ep, q.prompt.Model, now) {
 			continue
 		}
-		if !ep.pause.Admits(now, ep.ownLoad.Running) {
+		if !ep.pause.Admits(now, ep.ownLoad.Running) || !e.admitsByLimit(ep, now) {
 			continue
 		}
 		isLeaving := !ep.leavingSince.IsZero()
@@ -252,6 +255,20 @@
 	return unhealthy
 }
 
+// blockedFor returns how long it takes at least until an endpoint admits q that has asked
+// for a pause or whose limit is used up, 0 if there is none. The caller holds mu.
+func (e *Endpoints) blockedFor(s *fleet.Snapshot, q *placementQuery, now time.Time) time.Duration {
+	pause := e.pauseLeft(s, q, now)
+	wait, limited := e.limitWait(s, q, now)
+	switch {
+	case !limited:
+		return pause
+	case pause == 0:
+		return wait
+	}
+	return min(pause, wait)
+}
+
 // pauseLeft returns how long the shortest pause of an endpoint that could execute q
 // lasts, 0 if none of them has asked for a pause.
 func (e *Endpoints) pauseLeft(s *fleet.Snapshot, q *placementQuery, now time.Time) time.Duration {
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -2,18 +2,49 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"redwingknot/event"
 	"redwingknot/fleet"
 	"redwingknot/metric"
+	"redwingknot/peers"
+	"redwingknot/place"
 )
 
 // endpointLimit is what is known about the limit that an incarnation of an endpoint has
-// named.
+// named, and this instance's share of it.
 type endpointLimit struct {
 	limit      fleet.RateLimit
-	observedAt time.Time // when the latest response that says so arrived
+	observedAt time.Time // when the latest response that says so arrived, at any instance
+	share      place.LimitShare
+}
+
+// endedLimitTime is how long it is remembered that a limit has ended. Reports that still
+// name it have arrived by then.
+const endedLimitTime = 10 * time.Second
+
+// SetInstances sets the names of the live instances, of which self is this one.
+func (e *Endpoints) SetInstances(self string, names []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.instance == self && slices.Equal(e.instances, names) {
+		return
+	}
+	e.instance, e.instances = self, names
+	for incarnation, l := range e.limits {
+		e.updateShare(incarnation, l)
+	}
+}
+
+// updateShare sets this instance's share of a limit. The caller holds mu.
+func (e *Endpoints) updateShare(incarnation uint64, l *endpointLimit) {
+	holders, holds := place.ShareHolders(incarnation, e.instances, e.instance, l.limit.PerSecond)
+	perSecond := 0.0
+	if holds {
+		perSecond = l.limit.PerSecond / float64(holders)
+	}
+	l.share.Set(perSecond, e.now())
 }
 
 // recordLimit records what the response to a request that was sent at sentAt says about a
@@ -21,28 +52,139 @@
 // limit was named: responses may overtake each other. The caller holds mu.
 func (e *Endpoints) recordLimit(ep *endpoint, limit fleet.RateLimit, sentAt time.Time) {
 	known := e.limits[ep.incarnationHash]
-	if known == nil {
-		if !limit.Named {
-			return
-		}
-		known = &endpointLimit{}
-		e.limits[ep.incarnationHash] = known
-	}
-	if !limit.Named && sentAt.Before(known.observedAt) {
+	if !limit.Named && (known == nil || sentAt.Before(known.observedAt)) {
 		return
 	}
-	if known.limit != limit {
+	if known == nil || known.limit != limit {
 		event.EndpointLimited.Log(e.log, slog.String("endpoint", ep.spec.ID), slog.String("service", ep.spec.Service),
 			slog.Bool("limited", limit.Named), slog.Float64("perSecond", limit.PerSecond))
 		metric.Counter("endpoint_limits_total", "service", ep.spec.Service).Inc(1)
 	}
-	known.limit, known.observedAt = limit, e.now()
+	e.setLimit(ep.incarnationHash, limit, e.now())
+}
+
+// setLimit sets the limit of an incarnation of an endpoint as observed at a time. The
+// caller holds mu.
+func (e *Endpoints) setLimit(incarnation uint64, limit fleet.RateLimit, observedAt time.Time) {
+	known := e.limits[incarnation]
+	if known == nil {
+		known = &endpointLimit{}
+		e.limits[incarnation] = known
+	}
+	changed := known.limit != limit
+	known.limit, known.observedAt = limit, observedAt
+	known.share.Heard(observedAt)
+	if changed {
+		e.updateShare(incarnation, known)
+	}
+}
+
+// RecordLimits implements peers.LimitSource: it records what other instances have learned
+// about limits, as far as that is newer than what this one knows.
+func (e *Endpoints) RecordLimits(list []peers.Limit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range list {
+		if known := e.limits[l.Target]; known == nil || l.ObservedAt.After(known.observedAt) {
+			e.setLimit(l.Target, l.Limit, l.ObservedAt)
+		}
+	}
 }
 
-// countLimited counts a request to an endpoint that has named a limit. The caller holds
+// Limits implements peers.LimitSource: it returns the limits that this instance knows, with
+// those that have ended lately. It forgets those of endpoints that are gone and those that
+// ended before.
+func (e *Endpoints) Limits() []peers.Limit {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.limits) == 0 {
+		return nil
+	}
+	live := map[uint64]bool{}
+	for _, ep := range e.byKey {
+		live[ep.incarnationHash] = true
+	}
+	var list []peers.Limit
+	for incarnation, l := range e.limits {
+		if e.now().Sub(l.observedAt) > endedLimitTime && !(l.limit.Named && live[incarnation]) {
+			delete(e.limits, incarnation)
+			continue
+		}
+		list = append(list, peers.Limit{Target: incarnation, Limit: l.limit, ObservedAt: l.observedAt})
+	}
+	return list
+}
+
+// limitOf returns the limit that an endpoint has named, nil if there is none. The caller
+// holds mu.
+func (e *Endpoints) limitOf(ep *endpoint) *endpointLimit {
+	if l := e.limits[ep.incarnationHash]; l != nil && l.limit.Named {
+		return l
+	}
+	return nil
+}
+
+// admitsByLimit reports whether this instance may send a request to an endpoint under its
+// limit. The caller holds mu.
+func (e *Endpoints) admitsByLimit(ep *endpoint, now time.Time) bool {
+	l := e.limitOf(ep)
+	return l == nil || l.share.Admits(now)
+}
+
+// takeFromLimit counts a request to an endpoint that has named a limit. The caller holds
 // mu.
-func (e *Endpoints) countLimited(ep *endpoint) {
-	if known := e.limits[ep.incarnationHash]; known != nil && known.limit.Named {
+func (e *Endpoints) takeFromLimit(ep *endpoint, now time.Time) {
+	if l := e.limitOf(ep); l != nil {
 		metric.Counter("limited_endpoint_requests_total", "service", ep.spec.Service).Inc(1)
+		l.share.Take(now)
+	}
+}
+
+// noShareDelay is the delay stated to a caller whose request only endpoints could run of
+// whose limits this instance holds no share. Another instance does.
+const noShareDelay = time.Second
+
+// limitWait returns how long q has to wait until an endpoint whose limit is used up admits
+// it, and whether there is such an endpoint. The first time it counts q as waiting, behind
+// the requests that wait already. The caller holds mu.
+func (e *Endpoints) limitWait(s *fleet.Snapshot, q *placementQuery, now time.Time) (time.Duration, bool) {
+	var shortest time.Duration
+	perSecond, limited := 0.0, false
+	for _, spec := range s.ByService[q.service] {
+		ep := e.byKey[spec.Key()]
+		if ep == nil || ep.replaced || spec.Leaving || !q.mayTry(spec.Key()) || e.admitsByLimit(ep, now) {
+			continue
+		}
+		limited = true
+		share := &e.limitOf(ep).share
+		if share.PerSecond() == 0 {
+			continue
+		}
+		if wait := share.Wait(now); perSecond == 0 || wait < shortest {
+			shortest = wait
+		}
+		perSecond += share.PerSecond()
+	}
+	if !limited || perSecond == 0 {
+		return noShareDelay, limited
+	}
+	if q.waitsForLimit {
+		return shortest, true
+	}
+	service := e.service(q.service)
+	ahead := service.waitingForLimit
+	q.waitsForLimit = true
+	service.waitingForLimit++
+	return shortest + time.Duration(float64(ahead)/perSecond*float64(time.Second)), true
+}
+
+// endLimitWait ends the wait of q that limitWait has begun.
+func (e *Endpoints) endLimitWait(q *placementQuery) {
+	if !q.waitsForLimit {
+		return
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	q.waitsForLimit = false
+	e.service(q.service).waitingForLimit--
 }
--- a/relay/query.go
+++ b/relay/query.go
@@ -19,6 +19,7 @@
 	target          time.Duration // time within which a response has its full value
 	awaitsAdmission bool          // the request waits until an endpoint can admit it or a pause ends; valid if none was chosen
 	admissionDelay  time.Duration // how long that takes at least; valid if awaitsAdmission is
+	waitsForLimit   bool          // the request is counted in waitingForLimit of its service
 	maxAttempts     int
 	tried           []fleet.EndpointKey // endpoints that the request was sent to
 	excluded        []fleet.EndpointKey // endpoints that no further attempt may use
