Gateway: a request whose caller has closed its connection is not sent on

Change: before each attempt the gateway looks at the caller's socket, as the pool does with the endpoints'. RawConn.Control is used because Read would wait for net/http's own read. The same closes the moment between the read of a request and its state in net/http, in which a shutdown closes connections that it takes for idle.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,7 +200,7 @@
 func (g *Gateway) frontServer() *http.Server {
 	return &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: g.opts.MaxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: g.opts.MaxHeaderBytes, ConnContext: relay.WithCallerConn, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -264,6 +264,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer c.server.endpoints.release(p)
+	if !callerConnected(ctx) {
+		return outcomeCallerGone
+	}
 	c.lastEndpoint = p.spec
 	sent, sentAt := time.Now(), c.server.endpoints.now()
 	res, err := p.endpoint.pool.Send(ctx, c.buildRequest(p))
