Gateway: a failed write to the caller ends the request

The attempt then ended as 'caller gone', for which allowRetry had no case: the request went to a second endpoint, also on routes whose requests must run once at most. Class: an outcome that a switch does not name falls through to the permissive end.

Seen before: TestRequestIsNotSentAgainAfterFailedWrite, two runs of a stream that may not be resumed. Now the outcome ends the request, whatever the context says.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -97,7 +97,7 @@
 		case o == outcomeDelivered:
 			c.logServed()
 			return
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, o == outcomeCallerGone:
 			c.endOnContextDone(ctx)
 			return
 		case !c.allowRetry(ctx, o):
@@ -108,7 +108,7 @@
 }
 
 // endOnContextDone ends a request whose caller disconnected or whose deadline
-// passed.
+// passed. The context may still go on if a write to the caller failed.
 func (c *callerRequest) endOnContextDone(ctx context.Context) {
 	if context.Cause(ctx) != errDeadline {
 		metric.Counter("callers_gone_total").Inc(1)
