Gateway: a second response to an earlier attempt is no promise for a later one

A 421 was taken for the present request whatever attempt it named, and a second refusal of the same request, after it had been sent to that endpoint again, bears the same identifier. The gateway then took a request for not run that ran: its caller got 503, or it was sent to another endpoint.

Change: a 421 counts only if it names the attempt or, without a name, if it is the first response on its connection; a request that an endpoint has refused is sent there again on a new connection only. Outcomes that allow no retry are no longer left out of allowRetry's switch.

Seen before: TestSecondResponseToEarlierRequestIsNoPromise and TestSecondRefusalIsNoPromiseForLaterAttempt, both 503 for a request that ran.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -236,6 +236,8 @@
 			return false
 		}
 		reason = retry.Resume
+	default:
+		return false
 	}
 	if time.Until(c.deadline) < minRetryTime || c.possibleExecutions >= c.route.MaxAttempts || c.sends >= maxSends {
 		return false
@@ -282,7 +284,7 @@
 	}
 	defer res.Close()
 	reply := c.server.opts.Dialect.ParseReply(res.Status, res.Header)
-	if reply.AttemptID != c.call.AttemptID && !reply.Misdirected {
+	if !c.isReplyTo(res, reply) {
 		c.possibleExecutions++
 		res.PreventReuse()
 		return c.handleLost(ctx, p, &upstream.UnrelatedResponseError{Detail: "it names the attempt " + reply.AttemptID})
@@ -299,6 +301,17 @@
 	return c.relayResponse(ctx, p, res, sent)
 }
 
+// isReplyTo reports whether a response belongs to this attempt, and not to an earlier one on
+// the same connection that has got a second response. An endpoint that refuses a request
+// which is meant for another one need not repeat the identifier, but only the first response
+// on a connection is certain to belong to the only request there.
+func (c *callerRequest) isReplyTo(res *upstream.Response, reply Reply) bool {
+	if reply.AttemptID == "" && reply.Misdirected {
+		return !res.Reused
+	}
+	return reply.AttemptID == c.call.AttemptID
+}
+
 // recordNotice records what the header of a response says about further requests to the
 // endpoint. The request was sent at sentAt.
 func (c *callerRequest) recordNotice(p *pick, reply Reply, sentAt time.Time) {
@@ -419,7 +432,15 @@
 		head = appendContentLength(head, len(c.body))
 	}
 	head = append(head, "\r\n"...)
-	return &upstream.Request{Method: c.method, Head: head, Body: c.body, NewConn: c.route.Kind == fleet.KindNonIdempotent}
+	return &upstream.Request{Method: c.method, Head: head, Body: c.body, NewConn: c.needsNewConn(p)}
+}
+
+// needsNewConn reports whether the request must not be sent on a kept connection: because
+// it must not be lost to one that the endpoint closes at that moment, or because the
+// endpoint has refused it before, and a second response to the earlier attempt has the same
+// identifier.
+func (c *callerRequest) needsNewConn(p *pick) bool {
+	return c.route.Kind == fleet.KindNonIdempotent || slices.Contains(c.query.tried, p.spec.Key())
 }
 
 // routePriorities is the number of route priorities within one team priority.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -21,6 +21,7 @@
 	Status int
 	Header http.Header
 	Length int64 // body length in bytes, -1 if unknown
+	Reused bool  // an earlier request was sent on the connection
 	Body   io.Reader
 
 	conn           *conn
@@ -42,7 +43,8 @@
 		c.discard()
 		return nil, &NotSentError{Address: p.address, Err: context.Cause(ctx)}
 	}
-	res := &Response{conn: c}
+	res := &Response{conn: c, Reused: c.used}
+	c.used = true
 	res.detachContext = context.AfterFunc(ctx, func() { c.Conn.Close() })
 	if err := res.write(r); err != nil {
 		res.Close()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -47,6 +47,7 @@
 	pool   *Pool
 	reader *bufio.Reader
 	expiry time.Time // time from which the idle connection must not be reused
+	used   bool      // a request was sent on it
 }
 
 // NewPool returns a pool of at most limit connections to address, a host and
