Bytes without end: each part of a response has a limit

What was seen before, with endpoints on real sockets: 677 MB and 376 MB of headers and of one header line read in 3 s, until the deadline; 3.9 GB of a body passed on; a report of an endpoint read for 0.4 s; a refusal whose body came byte by byte awaited until the deadline; and the first 256 KB of a failure's endless body returned as if they were whole. Class: reads whose length the peer alone decides.

A response without the endpoint's stamp is not read, the body of a refusal for 50 ms at most. More is a typed error (HeadTooLargeError, ResponseTooLargeError, EventTooLargeError, http.MaxBytesError), counted in endless_responses_total, ends the connection at once, and counts against the endpoint like a lost connection. Messages between instances and blocks of stores had limits.

--- a/engine/client.go
+++ b/engine/client.go
@@ -23,6 +23,10 @@
 	HeaderResumeOffset  = "X-Resume-Offset"  // number of tokens that the caller already has
 )
 
+// maxMessageBytes limits the body of a successful response, the largest of which lists the
+// runs of an engine.
+const maxMessageBytes = 4 << 20
+
 // maxDetailBytes limits how much of an engine's error text is read and kept.
 const maxDetailBytes = 512
 
@@ -111,13 +115,13 @@
 	if out == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), path)
+	return errors.Wrap(json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxMessageBytes)).Decode(out), path)
 }
 
 // decodeFencedError returns the *FencedError in the body, or the error of decoding it.
 func decodeFencedError(body io.Reader) error {
 	e := &FencedError{}
-	if err := json.NewDecoder(body).Decode(e); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, maxDetailBytes)).Decode(e); err != nil {
 		return errors.Wrap(err, "decode refusal of an order")
 	}
 	return e
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -59,13 +60,13 @@
 	c.stop()
 }
 
-// ReadAll reads the response's body, of which it returns at most maxBytes. The header has
-// arrived. The error of a call that was given up is an *Error.
+// ReadAll reads the response's body. The header has arrived. The error of a call that was
+// given up is an *Error, that of a body with more than maxBytes an *http.MaxBytesError.
 func (c *Call) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
 	if c.timer.Stop() {
 		c.timer = time.AfterFunc(c.limits.Gap, func() { c.cancel(&Error{Limit: "gap", After: c.limits.Gap}) })
 	}
-	data, err := io.ReadAll(&progressReader{call: c, body: io.LimitReader(body, maxBytes)})
+	data, err := io.ReadAll(&progressReader{call: c, body: http.MaxBytesReader(nil, io.NopCloser(body), maxBytes)})
 	if err != nil && c.ctx.Err() != nil {
 		err = context.Cause(c.ctx)
 	}
--- a/metastore/client.go
+++ b/metastore/client.go
@@ -22,8 +22,10 @@
 	callTimeout      = 3 * time.Second // until the response begins, and between two of its bytes
 	transferTimeout  = 30 * time.Second
 	maxResponseBytes = 64 << 20
-	maxIdleConns     = 16
-	idleConnTimeout  = time.Minute
+	// maxHeadBytes limits the status line and headers of a response.
+	maxHeadBytes    = 64 << 10
+	maxIdleConns    = 16
+	idleConnTimeout = time.Minute
 )
 
 // ClientOptions configure a Client.
@@ -53,9 +55,10 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
 	}
 }
 
--- a/metastore/client_watch.go
+++ b/metastore/client_watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -19,7 +20,8 @@
 		cancel()
 		return nil, err
 	}
-	responses := json.NewDecoder(body)
+	limited := &messageReader{body: body}
+	responses := &watchStream{decoder: json.NewDecoder(limited), limit: limited}
 	if err := awaitCreated(info, responses); err != nil {
 		body.Close()
 		cancel()
@@ -36,9 +38,9 @@
 
 // awaitCreated reads the first response and returns an error unless it confirms
 // that the watch was created.
-func awaitCreated(info callInfo, responses *json.Decoder) error {
+func awaitCreated(info callInfo, responses *watchStream) error {
 	var first watchResponse
-	if err := responses.Decode(&first); err != nil {
+	if err := responses.next(&first); err != nil {
 		return info.unknownOutcomeError(err)
 	}
 	if first.Result == nil || first.Result.Canceled || !first.Result.Created {
@@ -49,12 +51,12 @@
 
 // forwardEvents sends the events of the watch to changes until the stream breaks,
 // the service cancels the watch or ctx ends.
-func forwardEvents(ctx context.Context, body io.Closer, responses *json.Decoder, changes chan<- Change) {
+func forwardEvents(ctx context.Context, body io.Closer, responses *watchStream, changes chan<- Change) {
 	defer close(changes)
 	defer body.Close()
 	for {
 		var res watchResponse
-		if responses.Decode(&res) != nil || res.Result == nil || res.Result.Canceled {
+		if responses.next(&res) != nil || res.Result == nil || res.Result.Canceled {
 			return
 		}
 		for _, e := range res.Result.Events {
@@ -66,3 +68,31 @@
 		}
 	}
 }
+
+// watchStream decodes the responses of a watch, each of which has at most maxResponseBytes.
+type watchStream struct {
+	decoder *json.Decoder
+	limit   *messageReader
+}
+
+// next decodes the next response. The error is an *http.MaxBytesError if it is too large.
+func (s *watchStream) next(res *watchResponse) error {
+	s.limit.read = 0
+	return s.decoder.Decode(res)
+}
+
+// messageReader reads from a body and limits the bytes of one message.
+type messageReader struct {
+	body io.Reader
+	read int // bytes of the message
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.read >= maxResponseBytes {
+		return 0, &http.MaxBytesError{Limit: maxResponseBytes}
+	}
+	n, err := r.body.Read(p)
+	r.read += n
+	return n, err
+}
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -355,6 +355,7 @@
 		return outcomeCallerGone
 	}
 	c.lastErr = err
+	countEndlessResponse(err, c.query.service)
 	event.RelayLost.Log(c.server.opts.Log, c.logAttrs()...)
 	c.server.endpoints.recordFailure(p, true)
 	if upstream.ClosedByPeer(err) && c.server.endpoints.processEnded(ctx, p.endpoint) {
@@ -369,26 +370,18 @@
 // handleRefused ends an attempt that the endpoint refused, that is, stated not to
 // have executed.
 func (c *callerRequest) handleRefused(p *pick, res *upstream.Response, reply Reply) outcome {
-	c.drainBody(res)
+	res.Discard(maxRefusalBytes, refusalBodyTime)
 	c.lastErr = &RejectedError{Status: res.Status, Misdirected: reply.Misdirected}
 	metric.Counter("endpoint_rejections_total", "service", c.query.service, "status", http.StatusText(res.Status)).Inc(1)
 	c.server.endpoints.recordRefusal(p, c.query, reply)
 	return outcomeNotExecuted
 }
 
-// drainBody reads the rest of a short response body so that the connection can
-// be reused.
-func (c *callerRequest) drainBody(res *upstream.Response) {
-	const maxDrain = 4 << 10
-	var buf [512]byte
-	for n := 0; n < maxDrain; {
-		k, err := res.Body.Read(buf[:])
-		n += k
-		if err != nil {
-			return // the end or an error, which Response.Close tells apart
-		}
-	}
-}
+// Limits of the body of a refusal that is read so that its connection can be reused.
+const (
+	maxRefusalBytes = 4 << 10
+	refusalBodyTime = 50 * time.Millisecond
+)
 
 // RejectedError reports that an endpoint refused a request, that is, did not execute
 // it.
--- a/relay/response.go
+++ b/relay/response.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/metric"
 	"redwingknot/upstream"
 )
 
@@ -15,6 +18,37 @@
 // retried if the response breaks off.
 const maxBufferedResponse = 256 << 10
 
+// maxResponseBytes is the largest body of a response that is not an event stream. More is
+// taken for bytes without end.
+const maxResponseBytes = 64 << 20
+
+// ResponseTooLargeError reports a response whose body is larger than its limit:
+// maxBufferedResponse for a failure, maxResponseBytes for others.
+type ResponseTooLargeError struct{}
+
+// Error implements error.
+func (*ResponseTooLargeError) Error() string { return "the body of the response is too large" }
+
+// countEndlessResponse counts an attempt that was given up because a part of the response
+// exceeded its limit.
+func countEndlessResponse(err error, service string) {
+	part := ""
+	var head *upstream.HeadTooLargeError
+	var body *ResponseTooLargeError
+	var event *EventTooLargeError
+	switch {
+	case errors.As(err, &head):
+		part = "head"
+	case errors.As(err, &body):
+		part = "body"
+	case errors.As(err, &event):
+		part = "event"
+	default:
+		return
+	}
+	metric.Counter("endless_responses_total", "service", service, "part", part).Inc(1)
+}
+
 // bufferedResponse holds an endpoint's response, or the first
 // maxBufferedResponse bytes of a longer one.
 type bufferedResponse struct {
@@ -36,6 +70,12 @@
 
 // relayResponse relays a response that is not an event stream.
 func (c *callerRequest) relayResponse(ctx context.Context, p *pick, res *upstream.Response, sent time.Time) outcome {
+	if res.Length > maxResponseBytes {
+		return c.handleLost(ctx, p, &ResponseTooLargeError{})
+	}
+	if !c.isEndpointsOwn(res) {
+		return c.handleUnusable(p, res)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse))
 	if err != nil {
 		return c.handleLost(ctx, p, err)
@@ -44,14 +84,10 @@
 	c.server.endpoints.recordFirstData(p, c.query, time.Since(sent))
 	buffered := &bufferedResponse{status: res.Status, header: res.Header, body: body}
 	if !c.returnable(res) {
-		// An endpoint that asks for a pause is busy, not at fault.
-		if c.server.opts.Dialect.ParseReply(res.Status, res.Header).Notice.Pause == 0 {
-			c.server.endpoints.recordFailure(p, false)
-		}
-		c.lastErr = &StatusError{Status: res.Status}
-		if impliesNotExecuted(res.Status) || !c.server.opts.Dialect.ParseReply(res.Status, res.Header).Stamped {
-			return outcomeUnknown
+		if len(body) == maxBufferedResponse && !c.bodyEnded(res) {
+			return c.handleLost(ctx, p, &ResponseTooLargeError{})
 		}
+		c.handleUnusable(p, res)
 		c.failureResponse = buffered
 		return outcomeEndpointFailed
 	}
@@ -65,6 +101,23 @@
 	return c.relayLongResponse(ctx, p, res, buffered)
 }
 
+// isEndpointsOwn reports whether a response bears the stamp of an endpoint's own response,
+// and no status that only the relay may give its caller. The body of any other response is
+// not read.
+func (c *callerRequest) isEndpointsOwn(res *upstream.Response) bool {
+	return !impliesNotExecuted(res.Status) && c.server.opts.Dialect.ParseReply(res.Status, res.Header).Stamped
+}
+
+// handleUnusable ends an attempt whose response may not be returned to the caller.
+func (c *callerRequest) handleUnusable(p *pick, res *upstream.Response) outcome {
+	// An endpoint that asks for a pause is busy, not at fault.
+	if c.server.opts.Dialect.ParseReply(res.Status, res.Header).Notice.Pause == 0 {
+		c.server.endpoints.recordFailure(p, false)
+	}
+	c.lastErr = &StatusError{Status: res.Status}
+	return outcomeUnknown
+}
+
 // bodyEnded reports whether the response body has been read completely. It tries to
 // read one more byte: the connection can be reused only after the end of the body
 // was read.
@@ -106,8 +159,12 @@
 	if _, err := c.w.Write(buffered.body); err != nil {
 		return outcomeCallerGone
 	}
-	if _, err := io.Copy(c.w, res.Body); err != nil {
+	n, err := io.Copy(c.w, io.LimitReader(res.Body, maxResponseBytes))
+	switch {
+	case err != nil:
 		return c.handleLost(ctx, p, err)
+	case n == maxResponseBytes && !c.bodyEnded(res):
+		return c.handleLost(ctx, p, &ResponseTooLargeError{})
 	}
 	return outcomeDelivered
 }
--- a/serve/service_call.go
+++ b/serve/service_call.go
@@ -12,6 +12,7 @@
 
 	"redwingknot/contract"
 	"redwingknot/note"
+	"redwingknot/upstream"
 )
 
 // strippedHeaders are not forwarded because they apply to one connection only or
@@ -36,6 +37,7 @@
 // NewEndpointClients returns clients with connection pools of their own.
 func NewEndpointClients() *EndpointClients {
 	shared := http.DefaultTransport.(*http.Transport).Clone()
+	shared.MaxResponseHeaderBytes = upstream.MaxHeadBytes
 	shared.Proxy = nil
 	shared.MaxIdleConns = 0
 	shared.MaxIdleConnsPerHost = idleConnsPerEndpoint
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -46,6 +46,14 @@
 // Error implements error.
 func (e *ConnLimitError) Error() string { return fmt.Sprintf("all %d connections are in use", e.Limit) }
 
+// HeadTooLargeError reports a response whose head is larger than MaxHeadBytes.
+type HeadTooLargeError struct{}
+
+// Error implements error.
+func (*HeadTooLargeError) Error() string {
+	return fmt.Sprintf("the head of the response exceeds %d bytes", MaxHeadBytes)
+}
+
 // UnrelatedResponseError reports a response that does not belong to the request
 // that was sent on the same connection.
 type UnrelatedResponseError struct{ Detail string }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // Request is an HTTP request in its wire encoding.
@@ -50,7 +51,9 @@
 		res.Close()
 		return nil, &LostError{Address: p.address, Stage: "sending the request", Err: err}
 	}
+	c.head.left = MaxHeadBytes
 	res.raw, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	c.head.left = unlimited
 	if err != nil {
 		res.Close()
 		return nil, &LostError{Address: p.address, Stage: "reading the response header", Err: err}
@@ -93,6 +96,17 @@
 	return n, err
 }
 
+// Discard reads the rest of a short body, so that the connection can be reused: at most
+// maxBytes, and for at most the given time. If there is more, the connection is not reused.
+func (r *Response) Discard(maxBytes int64, limit time.Duration) {
+	if r.conn.SetReadDeadline(time.Now().Add(limit)) != nil {
+		return // the connection is closed
+	}
+	// Close tells by bodyRead whether the end was reached.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBytes))
+	_ = r.conn.SetReadDeadline(time.Time{})
+}
+
 // PreventReuse prevents the connection from being reused. Close is still required.
 func (r *Response) PreventReuse() { r.bodyRead = false; r.raw = nil }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -25,6 +25,9 @@
 	// maxInlineBody is the largest body, in bytes, that is written before the
 	// response is read. A body of this size fits the smallest socket buffers.
 	maxInlineBody = 4 << 10
+	// MaxHeadBytes is the largest head of a response: status line and headers. Those of
+	// endpoints have less than 1 KB.
+	MaxHeadBytes = 64 << 10
 )
 
 // Pool manages the connections to one incarnation of an endpoint. It is safe for
@@ -45,6 +48,7 @@
 type conn struct {
 	net.Conn
 	pool   *Pool
+	head   *headReader // reads from Conn
 	reader *bufio.Reader
 	expiry time.Time // time from which the idle connection must not be reused
 	used   bool      // a request was sent on it
@@ -147,7 +151,8 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	return &conn{Conn: c, pool: p, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+	head := &headReader{source: c, left: unlimited}
+	return &conn{Conn: c, pool: p, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 // reserveConn counts a connection that is about to be opened. At the limit it
