Gateway: a slow store is heard

A watcher whose read has had no response for 0.8 s may begin another one beside it, up to six, so that confirmations come as often as before; the store counts as unreachable if it has answered nothing for 1.2 s by then, as soon as before in the usual case. A response that has begun is awaited alone (metastore.WithResponseBegun), so that long transfers over thin links are not doubled. Answers that are older than one that has been applied are dropped.

A first form, unreachable if nothing was answered since the read began, counted a store that takes 1 s as lost every second.

--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"redwingknot/fleet"
@@ -61,6 +63,15 @@
 	// being transferred. One that is at two checks in a row is a long one, beside which
 	// a small range is read.
 	transferCheckInterval = 200 * time.Millisecond
+	// slowReadTime is the time without a response after which a read counts as slow, so
+	// that another one may begin beside it.
+	slowReadTime = 800 * time.Millisecond
+	// maxAnswerGap is the time since the last answer after which the store counts as
+	// unreachable if a read is slow. It is longer than the time between the answers to
+	// reads that overlap because each is slow.
+	maxAnswerGap = 1200 * time.Millisecond
+	// maxReads is the number of reads of a watcher that may be under way.
+	maxReads = 6
 	// arrivalCheckInterval is the time between checks whether changes are still arriving.
 	arrivalCheckInterval = 50 * time.Millisecond
 )
@@ -110,11 +121,30 @@
 	// is outdated, until the next read.
 	mustRead       bool
 	outageWaitEnds time.Time // until then, reads are left to another watcher while storeUnavailable; zero after a read
+
+	reads       int           // under way, slow ones included
+	latest      *read         // not slow so far, nil if there is none
+	begun       chan struct{} // receives when the response to a read begins to arrive
+	answeredAt  time.Time     // when the store last responded to a read
+	appliedSent time.Time     // when the newest read or check was sent that has been applied
+}
+
+// read is a read of the whole range, or a check, that is under way.
+type read struct {
+	startedAt time.Time
+	begun     atomic.Bool // its response has begun to arrive
 }
 
+// SlowReadError reports that a read has had no response for After. It is still under way.
+type SlowReadError struct{ After time.Duration }
+
+// Error implements error.
+func (e *SlowReadError) Error() string { return fmt.Sprintf("no response for %s", e.After) }
+
 // readResult is the outcome of a read of the whole range, or of a check whether the copy
 // is still what the store holds.
 type readResult struct {
+	read     *read
 	sentAt   time.Time
 	entries  []metastore.Entry
 	revision int64
@@ -127,12 +157,14 @@
 
 // run keeps the copy up to date until ctx ends: it watches the range, and it reads the
 // whole range at first, when the watch ends and when the copy may be out of date. Reads
-// run beside the watch, so that changes are applied even if reads take long or fail.
+// run beside the watch, so that changes are applied even if reads take long or fail, and
+// beside reads that are slow, so that a store whose answers take seconds confirms the copy
+// as often as another one.
 func (w *watcher) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan readResult, 1)
-	reading := false
+	results := make(chan readResult, maxReads)
+	w.begun = make(chan struct{}, 1)
 	t := time.NewTimer(0)
 	defer t.Stop()
 	transferCheck := time.NewTicker(transferCheckInterval)
@@ -141,31 +173,24 @@
 		transferCheck.Stop()
 	}
 	for {
-		var readDue <-chan time.Time
-		if !reading {
-			t.Reset(w.untilRead())
-			readDue = t.C
-		}
+		t.Reset(w.untilNextStep())
 		select {
 		case <-ctx.Done():
 			cancel()
-			if reading {
+			for ; w.reads > 0; w.reads-- {
 				<-results
 			}
 			return nil
-		case <-readDue:
-			if w.untilRead() <= 0 && !w.awaitsOtherWatcher() && !w.awaitsArrivingChanges() {
-				reading = true
-				w.startRead(ctx, results)
-			}
+		case <-t.C:
+			w.step(ctx, results)
 		case <-transferCheck.C:
-			if w.isLongTransfer() && !reading && w.changes != nil {
-				reading = true
+			if w.isLongTransfer() && w.reads == 0 && w.changes != nil {
 				w.startRead(ctx, results)
 			}
+		case <-w.begun:
+			w.answeredAt = w.now()
 		case r := <-results:
-			reading = false
-			w.applyRead(ctx, r)
+			w.endRead(ctx, r)
 		case <-w.freshness.Outdated():
 		case c, ok := <-w.changes:
 			w.applyChange(c, ok)
@@ -173,13 +198,65 @@
 	}
 }
 
+// untilNextStep returns the time until step has something to do.
+func (w *watcher) untilNextStep() time.Duration {
+	switch {
+	case w.latest != nil:
+		return w.latest.startedAt.Add(slowReadTime).Sub(w.now())
+	case w.reads >= maxReads:
+		return slowReadTime
+	}
+	return w.untilRead()
+}
+
+// step begins a read that is due, or finds the latest one to be slow.
+func (w *watcher) step(ctx context.Context, results chan<- readResult) {
+	switch {
+	case w.latest != nil:
+		w.checkSlowRead()
+	case w.reads < maxReads && w.untilRead() <= 0 && !w.awaitsOtherWatcher() && !w.awaitsArrivingChanges():
+		w.startRead(ctx, results)
+	}
+}
+
+// checkSlowRead lets other reads begin beside the latest one if it has had no response for
+// slowReadTime. A response that has begun is awaited: beside it, another one would take
+// twice as long.
+func (w *watcher) checkSlowRead() {
+	slow := w.latest
+	if w.now().Sub(slow.startedAt) < slowReadTime {
+		return
+	}
+	if slow.begun.Load() {
+		slow.startedAt = w.now()
+		return
+	}
+	w.latest = nil
+	metric.Counter("metastore_slow_reads_total", "purpose", string(w.purpose)).Inc(1)
+	if w.now().Sub(w.answeredAt) > maxAnswerGap {
+		w.onError(&SlowReadError{After: slowReadTime})
+		w.outageWaitEnds = w.now().Add(maxOutageWait)
+	}
+	w.delayRead()
+}
+
 // startRead reads the whole range, or checks the revisions of a large copy, and sends the
 // result.
 //
 // Load pattern: a configuration of a megabyte, links on which it takes a second, and
 // confirmations every second.
 func (w *watcher) startRead(ctx context.Context, results chan<- readResult) {
-	r := readResult{sentAt: w.now()}
+	started := &read{startedAt: w.now()}
+	w.reads++
+	w.latest = started
+	ctx = metastore.WithResponseBegun(ctx, func() {
+		started.begun.Store(true)
+		select {
+		case w.begun <- struct{}{}:
+		default: // the watcher has yet to hear of another response
+		}
+	})
+	r := readResult{read: started, sentAt: started.startedAt}
 	if revisions := w.checkableRevisions(); revisions != nil {
 		r.isCheck, r.digest = true, w.mirror.Digest()
 		go func() {
@@ -194,6 +271,23 @@
 	}()
 }
 
+// endRead applies the result of a read. Of a slow read, the failure has been reported, and
+// an answer counts unless a later read has been applied.
+func (w *watcher) endRead(ctx context.Context, r readResult) {
+	w.reads--
+	wasSlow := w.latest != r.read
+	if !wasSlow {
+		w.latest = nil
+	}
+	if wasSlow && (r.err != nil || r.sentAt.Before(w.appliedSent)) {
+		return
+	}
+	if r.err == nil {
+		w.answeredAt, w.appliedSent = w.now(), r.sentAt
+	}
+	w.applyRead(ctx, r)
+}
+
 // checkableRevisions returns the revisions by which the copy can be confirmed, nil if the
 // range has to be read.
 func (w *watcher) checkableRevisions() map[string]int64 {
--- a/gateway/watcher_reads_test.go
+++ b/gateway/watcher_reads_test.go
@@ -68,6 +68,47 @@
 	}
 }
 
+// maxConfirmationAge is the age of the last confirmation at which gateways refuse all tokens
+// on the users' machines.
+const maxConfirmationAge = 4500 * time.Millisecond
+
+// TestSlowStoreConfirmsInTime has each read take up to 3 s. The copy must be confirmed
+// before the last confirmation is too old, and a store that answers now and then must not
+// count as unreachable all the time.
+func TestSlowStoreConfirmsInTime(t *testing.T) {
+	for _, readTime := range []time.Duration{200 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			var confirmedAt time.Time
+			reads, failures := 0, 0
+			w := &watcher{
+				kv: &slowReadKV{KV: metastoretest.New(time.Now), readTime: readTime}, purpose: purposeOperator, from: "a/", to: "a0",
+				maxAge: func() time.Duration { return time.Second }, now: time.Now, mirror: fleet.NewMirror(), freshness: fleet.NewFreshness(),
+				onChange: func(fleet.Delta) {}, onError: func(error) { failures++ },
+				onRead: func(sentAt time.Time) {
+					reads++
+					if !confirmedAt.IsZero() {
+						age := time.Since(confirmedAt)
+						assert.Check(t, age < maxConfirmationAge, "confirmed %s ago, reads take %s", age, readTime)
+					}
+					confirmedAt = sentAt
+				},
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				assert.Check(t, w.run(ctx))
+			}()
+			const duration = time.Minute
+			time.Sleep(duration)
+			cancel()
+			<-done
+			assert.Check(t, reads >= int(duration/maxConfirmationAge))
+			assert.Check(t, failures <= 3, "%d failures, reads take %s", failures, readTime)
+		})
+	}
+}
+
 // checkBed is a watcher of a store whose one key has a value large enough to be checked
 // instead of read.
 type checkBed struct {
