Soak: requests that crash endpoints, limits, endless responses, callers that retry

New steps: a request that crashes each endpoint that runs it, at any gateway; endpoints that name a limit, or a value that is none; responses that are a head or a body without end. Callers send a refused request again, on a new connection and under a new attempt identifier; a request is judged over all its attempts. New checks, each seen finding its violation (check_test.go): crash-sent-on, limit-exceeded, memory, and a request that ran in two attempts. The new kinds are drawn from a stream of their own, so that older seeds keep their steps. Logs of a failed TestSoak are kept.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 
 	"redwingknot/internal/standin/fleetwire"
 	"redwingknot/internal/standin/fleetworker"
+	"redwingknot/internal/timer"
 )
 
 // callKind is a kind of call. It is also the first segment of the call's path.
@@ -26,6 +28,7 @@
 	callMoved  callKind = "moved"  // may be repeated, on the route that ConfigMove moves
 	callStream callKind = "stream" // a stream that must run at most once
 	callResume callKind = "resume" // a stream that may be resumed by another run
+	callCrash  callKind = "crash"  // crashes each endpoint that runs it; always the same request
 )
 
 var callKinds = []callKind{callOpen, callOnce, callMoved, callStream, callResume}
@@ -46,9 +49,10 @@
 	gateway     *gateway
 	sentAt      time.Time
 	endedAt     time.Time
-	status      int    // HTTP status, 0 without an answer
-	err         error  // of sending the request or reading the answer
-	answerFault string // what is wrong with a successful answer, empty if nothing is
+	status      int           // HTTP status, 0 without an answer
+	err         error         // of sending the request or reading the answer
+	answerFault string        // what is wrong with a successful answer, empty if nothing is
+	retryAfter  time.Duration // when a refused call may be sent again
 }
 
 // complete reports whether the caller got a complete answer or refusal.
@@ -114,7 +118,7 @@
 			c.gateway = c.run.readyGateway(c.rng)
 		}
 		if c.gateway != nil {
-			c.call(callKinds[c.rng.IntN(len(callKinds))])
+			c.callAndRetry(ctx, callKinds[c.rng.IntN(len(callKinds))])
 		}
 		select {
 		case <-ctx.Done():
@@ -123,12 +127,39 @@
 	}
 }
 
-// call makes one call and records it.
+// Limits of the retries of a caller.
+const (
+	maxRetries    = 2
+	maxRetryDelay = 400 * time.Millisecond
+)
+
+// callAndRetry makes a call and, if the answer promises that it did not run, sends the same
+// request again, on a new connection and under a new attempt ID.
+func (c *caller) callAndRetry(ctx context.Context, kind callKind) {
+	cl := c.call(kind)
+	for range maxRetries {
+		if !cl.promisedNotRun() || !timer.Sleep(ctx, min(cl.retryAfter, maxRetryDelay)) {
+			return
+		}
+		c.client.CloseIdleConnections()
+		if c.gateway = c.run.readyGateway(c.rng); c.gateway == nil {
+			return
+		}
+		cl = c.send(kind, cl.path)
+	}
+}
+
+// call makes one call of a new request and records it.
 func (c *caller) call(kind callKind) *call {
-	cl := &call{
-		attemptID: fmt.Sprintf("a-%d-%d", c.id, c.sentCalls), kind: kind, gateway: c.gateway,
-		path: fmt.Sprintf("/%s/%d-%d", kind, c.id, c.sentCalls), token: token,
+	if kind == callCrash {
+		return c.send(kind, "/crash/the-same")
 	}
+	return c.send(kind, fmt.Sprintf("/%s/%d-%d", kind, c.id, c.sentCalls))
+}
+
+// send makes one call of the request with the given path and records it.
+func (c *caller) send(kind callKind, path string) *call {
+	cl := &call{attemptID: fmt.Sprintf("a-%d-%d", c.id, c.sentCalls), kind: kind, gateway: c.gateway, path: path, token: token}
 	if c.id%revocableTokenEvery == 0 {
 		cl.token = revocableToken
 	}
@@ -146,9 +177,12 @@
 
 // exchange sends the request of a call and records the outcome in it.
 func (c *caller) exchange(cl *call) {
-	method, body := http.MethodPost, "body of "+cl.attemptID
-	if cl.kind == callOpen || cl.kind == callMoved {
+	method, body := http.MethodPost, "body of "+cl.path
+	switch cl.kind {
+	case callOpen, callMoved:
 		method, body = http.MethodGet, ""
+	case callCrash:
+		body = fleetworker.CrashBody
 	}
 	request := fleetwire.Call{
 		Attempt: cl.attemptID, Method: method, Host: host, Path: cl.path, Body: body, Token: cl.token, Timeout: callTimeout,
@@ -175,6 +209,9 @@
 	defer res.Body.Close()
 	data, err := io.ReadAll(res.Body)
 	cl.status, cl.err = res.StatusCode, err
+	// Without a valid value, the call is sent again at once.
+	seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	cl.retryAfter = time.Duration(seconds * float64(time.Second))
 	if res.StatusCode/100 == 2 {
 		cl.answerFault = answerMismatch(cl, method, body, res.Header, string(data))
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -28,6 +28,9 @@
 	PauseIgnored         Invariant = "pause-ignored"    // an endpoint gets hardly any requests from a gateway that it has asked for a pause
 	LostAnswer           Invariant = "lost-answer"      // planned steps lose no answer, and neither do disruptions of the store alone
 	TooManyRepeats       Invariant = "too-many-repeats" // repeated runs stay within the retry budget
+	CrashingRequestSent  Invariant = "crash-sent-on"    // a request that crashes endpoints is not sent on and on
+	LimitExceeded        Invariant = "limit-exceeded"   // an endpoint gets hardly more requests than the limit that it names
+	MemoryExceeded       Invariant = "memory"           // a gateway stays within its machine's memory
 	NoRecovery           Invariant = "no-recovery"      // everything works again after the last step
 )
 
@@ -79,6 +82,8 @@
 func (r *run) check(checkTimeBounds bool) {
 	obs := r.observe()
 	r.checkRuns(obs)
+	r.checkRequests(obs)
+	r.checkMemory()
 	r.checkAnswers(obs)
 	r.checkOrders()
 	if checkTimeBounds {
@@ -88,6 +93,8 @@
 		r.checkNotices(obs)
 		r.checkLostAnswers(obs)
 		r.checkRepeats(obs)
+		r.checkCrashes(obs)
+		r.checkLimits(obs)
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,6 +50,11 @@
 	e.running().worker.ServeHTTP(httptest.NewRecorder(), r)
 }
 
+// addCrash has an endpoint record that a request crashed it at the given time.
+func (f *checkFixture) addCrash(e *endpoint, attempt string, at time.Time) {
+	e.running().worker.RecordRun(fleetworker.Run{Attempt: attempt, Path: "/crash/1", Team: team, Crashes: true, StartedAt: at})
+}
+
 // addOrder sends an order to the engine, which must accept it.
 func (f *checkFixture) addOrder(holder, body string) {
 	r := httptest.NewRequest(http.MethodPost, "/redwingknot/order", strings.NewReader(body))
@@ -70,6 +76,32 @@
 			f.addCall("a", callOnce, 0, 200, nil)
 			f.addRun(f.endpoints[1], "a", path, "theirs")
 		}},
+		"a request that ran in two attempts": {RunTwice, func(f *checkFixture) {
+			f.addCall("a", callOnce, 0, http.StatusBadGateway, nil)
+			f.addRun(f.endpoints[1], "a", path, team)
+			f.addCall("b", callOnce, 0, 200, nil)
+			f.addRun(f.endpoints[1], "b", path, team)
+		}},
+		"a crashing request that is sent on": {CrashingRequestSent, func(f *checkFixture) {
+			f.gateways[0].startedAt = time.Now().Add(-time.Hour)
+			for n := range crashesBeforeLimit + maxCrashRetries + 1 {
+				attempt := fmt.Sprint("c", n)
+				f.addCall(attempt, callCrash, 0, http.StatusBadGateway, nil)
+				f.addCrash(f.endpoints[1], attempt, time.Now().Add(time.Duration(n)*4*time.Second-time.Minute))
+			}
+		}},
+		"more requests than an endpoint's limit": {LimitExceeded, func(f *checkFixture) {
+			w := f.endpoints[1].running().worker
+			w.SetLimit(limitValues[EndpointLimit])
+			f.addCall("told", callOpen, 0, 200, nil).endedAt = time.Now()
+			f.addRun(f.endpoints[1], "told", "/open/1", "")
+			time.Sleep(limitNoticeTime + 100*time.Millisecond)
+			for n := range 40 {
+				attempt := fmt.Sprint("l", n)
+				f.addCall(attempt, callOpen, 0, 200, nil)
+				f.addRun(f.endpoints[1], attempt, "/open/1", "")
+			}
+		}},
 		"a second run": {RunTwice, func(f *checkFixture) {
 			f.addCall("a", callOnce, 0, 200, nil)
 			f.addRun(f.endpoints[1], "a", path, team)
--- /dev/null
+++ b/internal/soak/check_trouble.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// checkRequests checks that a request that must run once at most does so over all attempts
+// of its caller, which sends it again only if it was promised that it did not run.
+func (r *run) checkRequests(obs *observations) {
+	runs := map[string]int{}
+	for attempt, list := range obs.runs {
+		if c := obs.calls[attempt]; c != nil && !c.kind.repeatable() {
+			runs[c.path] += len(list)
+		}
+	}
+	for path, n := range runs {
+		if n > 1 {
+			r.recordViolation(RunTwice, "the request %s ran %d times over all attempts", path, n)
+		}
+	}
+}
+
+// checkMemory checks the largest amount of memory that each gateway's process has used.
+func (r *run) checkMemory() {
+	for _, g := range r.gateways {
+		if used, err := g.peakMemoryMiB(); err == nil && used > memoryMiB {
+			r.recordViolation(MemoryExceeded, "%s used more than %d MiB", g.name, memoryMiB)
+		}
+	}
+}
+
+// peakMemoryMiB returns the largest resident set of the gateway's process in MiB. The error
+// is that of reading it, which fails if no process runs.
+func (g *gateway) peakMemoryMiB() (int, error) {
+	g.mu.Lock()
+	process := g.process
+	g.mu.Unlock()
+	if process == nil {
+		return 0, os.ErrProcessDone
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	value, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	kib, err := strconv.Atoi(value)
+	return kib >> 10, err
+}
+
+// Bounds of the users for a request that crashes endpoints.
+const (
+	crashesBeforeLimit = 3               // after which it is limited
+	crashNoticeTime    = 3 * time.Second // from the last of these until the limit holds
+	maxCrashRetries    = 3               // how often it may crash endpoints then
+)
+
+// checkCrashes checks how often the crashing request has crashed endpoints. It may begin
+// anew when all gateways have been restarted, because what they know is in their memory.
+func (r *run) checkCrashes(obs *observations) {
+	var crashes []endpointRun
+	for _, runs := range obs.runs {
+		for _, ran := range runs {
+			if ran.Crashes {
+				crashes = append(crashes, ran)
+			}
+		}
+	}
+	if len(crashes) <= crashesBeforeLimit {
+		return
+	}
+	slices.SortFunc(crashes, func(a, b endpointRun) int { return a.StartedAt.Compare(b.StartedAt) })
+	limitedFrom := crashes[crashesBeforeLimit-1].StartedAt.Add(crashNoticeTime)
+	if !slices.ContainsFunc(r.gateways, func(g *gateway) bool { return g.lastStarted().Before(limitedFrom.Add(-crashNoticeTime)) }) {
+		return
+	}
+	n := 0
+	for _, ran := range crashes {
+		if ran.StartedAt.After(limitedFrom) && inTouch(obs.calls[ran.Attempt]) {
+			n++
+		}
+	}
+	if n > maxCrashRetries {
+		r.recordViolation(CrashingRequestSent, "the crashing request crashed %d endpoints later than %s after the third one", n, crashNoticeTime)
+	}
+}
+
+// inTouch reports whether a call's gateway has not been disturbed for settleTime before the
+// call.
+func inTouch(c *call) bool {
+	return c != nil && c.gateway != nil && c.sentAt.After(c.gateway.lastStarted().Add(settleTime)) && c.sentAt.After(c.gateway.lastResumed().Add(settleTime))
+}
+
+// Bounds of the users for the requests to an endpoint that names a limit.
+const (
+	limitNoticeTime = 3 * time.Second        // from the first response that names it until they hold
+	limitTellTime   = 500 * time.Millisecond // from the response by which a gateway was told
+	limitWindow     = 4 * time.Second
+	limitFactor     = 1.5
+	limitSlack      = 5
+)
+
+// checkLimits checks the requests that reached endpoints while their responses named a limit.
+func (r *run) checkLimits(obs *observations) {
+	maxArrivals := int(limitFactor*limitPerSecond*limitWindow.Seconds()) + limitSlack
+	for _, e := range r.endpoints {
+		for _, i := range e.incarnations() {
+			arrivals := r.limitedArrivals(obs, i)
+			for n := range arrivals {
+				if n+maxArrivals < len(arrivals) && arrivals[n+maxArrivals].Sub(arrivals[n]) < limitWindow {
+					r.recordViolation(LimitExceeded, "%s got more than %d requests in %s while it named a limit of %d a second", i, maxArrivals, limitWindow, limitPerSecond)
+					break
+				}
+			}
+		}
+	}
+}
+
+// limitedArrivals returns when requests reached an incarnation that count against its limit:
+// from limitNoticeTime after it first named it on, from gateways that it had told and that
+// have not been disturbed since.
+func (r *run) limitedArrivals(obs *observations, i *incarnation) []time.Time {
+	var namedAt time.Time
+	var counted []time.Time
+	toldAt := map[*gateway]time.Time{}
+	for _, a := range i.worker.Arrivals() {
+		c := obs.calls[a.Attempt]
+		if a.Limit != limitValues[EndpointLimit] {
+			namedAt = time.Time{}
+			clear(toldAt)
+			continue
+		}
+		if namedAt.IsZero() {
+			namedAt = a.At
+		}
+		if c == nil || c.gateway == nil || c.gateway.lastStarted().After(namedAt) || c.gateway.lastResumed().After(namedAt) {
+			continue
+		}
+		told := toldAt[c.gateway]
+		if a.At.After(namedAt.Add(limitNoticeTime)) && !told.IsZero() && a.At.After(told.Add(limitTellTime)) {
+			counted = append(counted, a.At)
+		}
+		if obs.pending[a.Attempt] {
+			continue
+		}
+		if ended := c.endedAt; c.complete() && !ended.IsZero() && (told.IsZero() || ended.Before(told)) {
+			toldAt[c.gateway] = ended
+		}
+	}
+	return counted
+}
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -58,7 +58,7 @@
 		return nil
 	}
 	i := &incarnation{id: e.operator.nextEndpointID()}
-	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime}
+	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime, Crash: func() { e.crash(i) }}
 	if e.model != "" {
 		o.Slots, o.Model, o.WeightsVersion = engineSlots, e.model, e.operator.newestWeights()
 		o.EventGap, o.StreamEvents, o.LoadTime, o.ReportLag = eventGap, streamEvents, weightsLoadTime, reportLag
@@ -94,6 +94,21 @@
 	return true
 }
 
+// crashRestartTime is how long an endpoint that a request has crashed is away.
+const crashRestartTime = 200 * time.Millisecond
+
+// crash ends incarnation i, and starts another one after crashRestartTime.
+func (e *endpoint) crash(i *incarnation) {
+	if !e.stop(i) {
+		return
+	}
+	time.AfterFunc(crashRestartTime, func() {
+		e.operator.deleteEntry(i)
+		// A failure to start shows as an endpoint that is missing in the end.
+		_ = e.start()
+	})
+}
+
 // running returns the running incarnation, or nil if there is none.
 func (e *endpoint) running() *incarnation {
 	e.mu.Lock()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -204,7 +204,7 @@
 		Version: o.configVersion, Team: team, Tokens: tokens,
 		Routes: []fleetwire.Route{
 			open, route(callOnce, fleetwire.NonIdempotent, appService), route(callMoved, fleetwire.Idempotent, target),
-			route(callStream, fleetwire.Stream, engineService), resume,
+			route(callStream, fleetwire.Stream, engineService), resume, route(callCrash, fleetwire.Idempotent, appService),
 		},
 		Services: []fleetwire.Service{
 			{Name: engineService, MaxConns: maxConns, Model: model, CacheTokens: 100_000, TokenBytes: 1000},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,6 +42,14 @@
 	EndpointPause    StepKind = "endpoint-pause"     // the endpoint refuses all requests and asks for a pause
 	EndpointBadPause StepKind = "endpoint-bad-pause" // the same, with a value that means nothing
 
+	EndpointLimit    StepKind = "endpoint-limit"     // its responses name a limit, limitTime longer than the step
+	EndpointBadLimit StepKind = "endpoint-bad-limit" // the same, with a value that means nothing
+	EndlessHead      StepKind = "endless-head"       // its responses are a head without end
+	EndlessBody      StepKind = "endless-body"       // its responses are a body without end
+
+	// RequestCrashes sends the run's crashing request, again and again, at any gateway.
+	RequestCrashes StepKind = "request-crashes"
+
 	ConfigMove    StepKind = "config-move"    // a route moves to another service
 	ConfigGrow    StepKind = "config-grow"    // many routes are added
 	ConfigRevoke  StepKind = "config-revoke"  // a token is revoked
@@ -64,6 +72,8 @@
 	addedPlannedKinds   = []StepKind{ConfigGrow}
 	addedStoreKinds     = []StepKind{StoreRestored}
 	addedUnplannedKinds = []StepKind{EndpointPause, EndpointBadPause}
+	// laterUnplannedKinds came after these, and are drawn apart from them.
+	laterUnplannedKinds = []StepKind{EndpointLimit, EndpointBadLimit, EndlessHead, EndlessBody, RequestCrashes}
 )
 
 // isPlanned reports whether an operator plans the steps of a kind.
@@ -113,6 +123,7 @@
 func NewPlan(seed uint64, duration time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	kinds, addedKinds := slices.Clone(plannedKinds), slices.Clone(addedPlannedKinds)
+	var laterKinds []StepKind
 	switch rng.IntN(3) {
 	case 1:
 		kinds = append(kinds, storeKinds...)
@@ -120,6 +131,7 @@
 	case 2:
 		kinds = append(append(kinds, storeKinds...), unplannedKinds...)
 		addedKinds = append(append(addedKinds, addedStoreKinds...), addedUnplannedKinds...)
+		laterKinds = laterUnplannedKinds
 	}
 	var steps []Step
 	for at := firstStep; at < duration; at += meanStepInterval/2 + randDuration(rng, meanStepInterval) {
@@ -134,14 +146,19 @@
 			steps = append(steps, s)
 		}
 	}
-	steps = append(steps, addedSteps(seed, duration, addedKinds)...)
+	steps = append(steps, stepsOfStream(seed, 1, duration, addedKinds)...)
+	steps = append(steps, stepsOfStream(seed, 2, duration, laterKinds)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
 
-// addedSteps returns the steps of the added kinds.
-func addedSteps(seed uint64, duration time.Duration, kinds []StepKind) []Step {
-	rng := rand.New(rand.NewPCG(seed, 1))
+// stepsOfStream returns steps of the given kinds, drawn from a stream of random numbers of
+// its own.
+func stepsOfStream(seed, stream uint64, duration time.Duration, kinds []StepKind) []Step {
+	if len(kinds) == 0 {
+		return nil
+	}
+	rng := rand.New(rand.NewPCG(seed, stream))
 	var steps []Step
 	for at := firstStep; at < duration; at += addedInterval/2 + randDuration(rng, addedInterval) {
 		steps = append(steps, Step{
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"redwingknot/internal/standin/fleetstore"
 	"redwingknot/internal/standin/fleetwire"
+	"redwingknot/internal/standin/fleetworker"
 	"redwingknot/internal/timer"
 )
 
@@ -325,11 +327,31 @@
 		r.operator.revokeToken()
 	case WeightsNamed:
 		r.operator.nameNewWeights()
+	case RequestCrashes:
+		r.sendCrashingRequest(ctx, s)
 	default:
 		r.disturbEndpoint(e, s.Kind, waitEnd)
 	}
 }
 
+// crashCallInterval is the time between two calls of the crashing request.
+const crashCallInterval = 150 * time.Millisecond
+
+// sendCrashingRequest sends the crashing request during a step, at any gateway.
+func (r *run) sendCrashingRequest(ctx context.Context, s Step) {
+	// The step's time makes the caller's ID unique.
+	c := newCaller(r, firstStepCaller+int(s.At/time.Millisecond)*revocableTokenEvery+1)
+	for end := time.Now().Add(s.Duration); time.Now().Before(end) && timer.Sleep(ctx, crashCallInterval); {
+		c.client.CloseIdleConnections()
+		if c.gateway = r.readyGateway(c.rng); c.gateway != nil {
+			c.call(callCrash)
+		}
+	}
+}
+
+// firstStepCaller is above the IDs of the callers of a run.
+const firstStepCaller = 1 << 20
+
 // restoreOutage is how long the store is away before it comes back from a copy.
 const restoreOutage = 200 * time.Millisecond
 
@@ -448,6 +470,19 @@
 // pauseValues holds the value of Retry-After for each kind of pause.
 var pauseValues = map[StepKind]string{EndpointPause: "2", EndpointBadPause: "soon"}
 
+// limitPerSecond is the limit that endpoints name, in requests a second.
+const limitPerSecond = 4
+
+// limitValues holds the value of the limit for each kind that names one.
+var limitValues = map[StepKind]string{EndpointLimit: strconv.Itoa(limitPerSecond), EndpointBadLimit: "a few"}
+
+// limitTime is how long a limit lasts beyond the step: long enough for the users' bound on
+// it to apply.
+const limitTime = 6 * time.Second
+
+// endlessBeginnings holds how responses without end begin for each kind.
+var endlessBeginnings = map[StepKind]string{EndlessHead: fleetworker.EndlessHead, EndlessBody: fleetworker.EndlessBody}
+
 // entryDeleteDelay is the time from the crash of an endpoint until its store entry is
 // deleted.
 const entryDeleteDelay = 3 * entryCheckInterval
@@ -478,6 +513,17 @@
 		waitEnd()
 		i.worker.SetPause("")
 		return
+	case EndpointLimit, EndpointBadLimit:
+		i.worker.SetLimit(limitValues[kind])
+		waitEnd()
+		time.Sleep(limitTime)
+		i.worker.SetLimit("")
+		return
+	case EndlessHead, EndlessBody:
+		i.worker.SetEndless(endlessBeginnings[kind])
+		waitEnd()
+		i.worker.SetEndless("")
+		return
 	case EndpointSlow:
 		i.worker.SetSlowFactor(slowFactor)
 		waitEnd()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,7 +51,7 @@
 		o.Gatewayd = gatewayd
 		t.Run(fmt.Sprint("seed ", o.Seed), func(t *testing.T) {
 			t.Parallel()
-			o.Dir = t.TempDir()
+			o.Dir = logDir(t)
 			report, err := Run(t.Context(), o)
 			assert.NilError(t, err)
 			t.Logf("%d steps, %d calls, by status %v", len(report.Steps), report.Calls, report.Statuses)
@@ -62,6 +62,20 @@
 	}
 }
 
+// logDir returns a directory for the logs of a run. It is kept if the test fails.
+func logDir(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "soak-logs-")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs: %s", dir)
+			return
+		}
+		os.RemoveAll(dir)
+	})
+	return dir
+}
+
 // shortRun is long enough for a few steps.
 const shortRun = 5 * time.Second
 
--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -54,6 +55,9 @@
 	}
 	w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
 	s.recordArrival(w, r)
+	if s.respondEndlessly(w) {
+		return
+	}
 	if s.refuseIfMisdirected(w, r) || s.refuseIfOtherWeights(w, r) {
 		return
 	}
@@ -89,12 +93,33 @@
 func (s *Server) recordArrival(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, Arrival{Attempt: r.Header.Get(headerAttempt), At: time.Now(), Limited: s.limitValue != ""})
+	s.arrivals = append(s.arrivals, Arrival{Attempt: r.Header.Get(headerAttempt), At: time.Now(), Limit: s.limitValue})
 	if s.limitValue != "" {
 		w.Header().Set(headerLimit, s.limitValue)
 	}
 }
 
+// respondEndlessly sends bytes until the connection is closed if the endpoint is to do so.
+// It reports whether it did.
+func (s *Server) respondEndlessly(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	beginning := s.endlessHead
+	s.mu.Unlock()
+	if beginning == "" {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, beginning)
+	for more := strings.Repeat("x", 4<<10); err == nil; {
+		_, err = io.WriteString(conn, more)
+	}
+	return true
+}
+
 // refuseNotExecuted answers with a status and promises that the request wasn't
 // executed.
 func refuseNotExecuted(w http.ResponseWriter, status int) {
@@ -187,15 +212,20 @@
 	if err != nil {
 		lastEvent = -1 // the request names no event
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs = append(s.runs, Run{
+	s.RecordRun(Run{
 		Attempt: r.Header.Get(headerAttempt), Method: r.Method, Path: r.URL.Path, Crashes: crashes, Team: r.Header.Get("Tenant"),
-		Authenticated: r.Header.Get("Authorization") != "", LastEvent: lastEvent, WeightsVersion: s.weightsVersion, StartedAt: time.Now(),
+		Authenticated: r.Header.Get("Authorization") != "", LastEvent: lastEvent, WeightsVersion: s.WeightsVersion(), StartedAt: time.Now(),
 	})
 	return lastEvent
 }
 
+// RecordRun records a run.
+func (s *Server) RecordRun(r Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, r)
+}
+
 // streamEvents sends the events after lastEvent.
 func (s *Server) streamEvents(w http.ResponseWriter, r *http.Request, lastEvent int) {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -70,7 +70,7 @@
 type Arrival struct {
 	Attempt string
 	At      time.Time
-	Limited bool // the response named a limit
+	Limit   string // the limit that the response named, empty for none
 }
 
 // Server is a fake endpoint. It implements http.Handler and is safe for
@@ -88,6 +88,7 @@
 	slowFactor     int       // multiplies the times that work takes
 	leaving        bool
 	limitValue     string // Server-Limit of the responses to requests, empty for none
+	endlessHead    string // beginning of responses that go on without end, empty for none
 	pauseValue     string // Retry-After of the refusals of all requests, empty to refuse none
 	notices        []Notice
 	arrivals       []Arrival
@@ -162,6 +163,20 @@
 	s.pauseValue = value
 }
 
+// Beginnings of responses that go on without end.
+const (
+	EndlessHead = "HTTP/1.1 200 OK\r\nX-More: " // in a header
+	EndlessBody = "HTTP/1.1 200 OK\r\n\r\n"     // in a body without a stamp
+)
+
+// SetEndless makes all responses to requests begin with the given bytes and go on without
+// end, until the caller closes the connection. An empty beginning ends that.
+func (s *Server) SetEndless(beginning string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endlessHead = beginning
+}
+
 // SetLimit sets the limit that the responses to requests name, which need not be valid. An
 // empty value ends that.
 func (s *Server) SetLimit(value string) {
--- a/processtest/limit_test.go
+++ b/processtest/limit_test.go
@@ -92,7 +92,7 @@
 	var firstNamed time.Time
 	var counted []time.Time
 	for _, a := range w.Arrivals() {
-		if a.Limited && firstNamed.IsZero() {
+		if a.Limit != "" && firstNamed.IsZero() {
 			firstNamed = a.At
 		}
 		told := d.toldAt[d.sentFrom[a.Attempt]]
