--- a/internal/soak/check_trouble.go
+++ b/internal/soak/check_trouble.go
@@ -90,10 +90,10 @@
 	}
 }
 
-// inTouch reports whether a call's gateway has not been disturbed for settleTime before the
-// call.
+// inTouch reports whether a call's gateway has not been disturbed for crashNoticeTime before
+// the call.
 func inTouch(c *call) bool {
-	return c != nil && c.gateway != nil && c.sentAt.After(c.gateway.lastStarted().Add(settleTime)) && c.sentAt.After(c.gateway.lastResumed().Add(settleTime))
+	return c != nil && c.gateway != nil && c.sentAt.After(c.gateway.lastStarted().Add(crashNoticeTime)) && c.sentAt.After(c.gateway.lastResumed().Add(crashNoticeTime))
 }
 
 // Bounds of the users for the requests to an endpoint that names a limit.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -334,14 +334,19 @@
 	}
 }
 
-// crashCallInterval is the time between two calls of the crashing request.
-const crashCallInterval = 150 * time.Millisecond
+const (
+	// crashCallInterval is the time between two calls of the crashing request.
+	crashCallInterval = 300 * time.Millisecond
+	// crashCallTime is how long the calls go on after the step: long enough for the users'
+	// bound on them to apply.
+	crashCallTime = 8 * time.Second
+)
 
-// sendCrashingRequest sends the crashing request during a step, at any gateway.
+// sendCrashingRequest sends the crashing request during and after a step, at any gateway.
 func (r *run) sendCrashingRequest(ctx context.Context, s Step) {
 	// The step's time makes the caller's ID unique.
 	c := newCaller(r, firstStepCaller+int(s.At/time.Millisecond)*revocableTokenEvery+1)
-	for end := time.Now().Add(s.Duration); time.Now().Before(end) && timer.Sleep(ctx, crashCallInterval); {
+	for end := time.Now().Add(s.Duration + crashCallTime); time.Now().Before(end) && timer.Sleep(ctx, crashCallInterval); {
 		c.client.CloseIdleConnections()
 		if c.gateway = r.readyGateway(c.rng); c.gateway != nil {
 			c.call(callCrash)
