Gateway: refusals of requests that crash endpoints outlive all instances

Change: the leader writes each refused request to the metadata store, under a lease that ends with the refusal; an instance reads them once at its start. One write for a refused request and one read for a start; unrefused suspects stay in memory. The message of a record is suspect's own now, and peers uses it.

Result: TestCrashingRequestStaysRefusedAfterAllGatewaysAreKilled, gateways as processes, 0 crashes after the restart; TestRefusedRequestsOutliveInstances with a store that is away while the request is refused.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -181,6 +181,7 @@
 	}
 	group.Go(func() error { return g.registration.run(workCtx) })
 	group.Go(func() error { return g.endSettling(workCtx) })
+	group.Go(func() error { return g.newSuspectStore().run(workCtx) })
 	group.Go(func() error { return g.relay.Run(workCtx) })
 	group.Go(func() error { return g.elector.Run(ctx) })
 	group.Go(func() error { return g.runOrders(ctx) })
@@ -190,6 +191,14 @@
 	group.Go(func() error { return g.runCacheStores(workCtx) })
 }
 
+func (g *Gateway) newSuspectStore() *suspectStore {
+	isLeader := func() bool {
+		_, leads := g.elector.FencingToken()
+		return leads
+	}
+	return &suspectStore{kv: g.kv, replica: g.opts.Relay.Suspects, now: g.opts.Relay.Now, isLeader: isLeader, saved: map[suspect.Fingerprint]bool{}}
+}
+
 // headerTimeout and idleTimeout are above all limits that configurations set, so
 // that a caller within its configured limits is never cut off.
 const (
--- /dev/null
+++ b/gateway/suspects_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/metastore/metastoretest"
+	"redwingknot/suspect"
+)
+
+// refuse records crashes at a replica until it refuses a request.
+func refuse(r *suspect.Replica, f suspect.Fingerprint) {
+	for _, endpoint := range []string{"e1", "e2", "e3"} {
+		r.RecordCrash(f, suspect.Crash{Endpoint: endpoint, Round: r.Lookup(f).Rounds + 1})
+	}
+}
+
+// TestRefusedRequestsOutliveInstances has a leader save a refused request while the
+// metadata store is away at first. An instance that starts later must refuse it, until the
+// refusal ends.
+func TestRefusedRequestsOutliveInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		content := metastoretest.NewStore(time.Now)
+		newStore := func(leads bool) *suspectStore {
+			return &suspectStore{
+				kv: content.Client("test"), replica: suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany}, time.Now),
+				now: time.Now, isLeader: func() bool { return leads }, saved: map[suspect.Fingerprint]bool{},
+			}
+		}
+		f, harmless := suspect.FingerprintOf(suspect.RequestIdentity{Target: "x"}), suspect.FingerprintOf(suspect.RequestIdentity{Target: "y"})
+		leader, follower := newStore(true), newStore(false)
+		for _, s := range []*suspectStore{leader, follower} {
+			go s.run(t.Context())
+			refuse(s.replica, f)
+			s.replica.RecordCrash(harmless, suspect.Crash{Endpoint: "e1", Round: 1})
+		}
+		content.SetDown(true)
+		time.Sleep(5 * suspectSaveInterval)
+		assert.Equal(t, len(content.Keys()), 0)
+		content.SetDown(false)
+		time.Sleep(2 * suspectSaveInterval)
+		assert.Equal(t, len(content.Keys()), 1)
+		later := newStore(false)
+		assert.NilError(t, later.load(t.Context()))
+		assert.Equal(t, later.replica.Lookup(f).Verdict, suspect.Refused)
+		assert.Equal(t, later.replica.Lookup(harmless).Verdict, suspect.Clear)
+		time.Sleep(suspect.CompanyRefusalTime + 5*suspectSaveInterval)
+		content.ExpireLeases()
+		assert.Equal(t, len(content.Keys()), 0)
+		assert.Equal(t, later.replica.Lookup(f).Verdict, suspect.RunAlone)
+	})
+}
--- a/peers/suspect.go
+++ b/peers/suspect.go
@@ -23,7 +23,7 @@
 	r.SuspectsThrough = through
 	builtAt := time.Unix(0, r.Built.Time)
 	for _, rec := range records {
-		r.Suspects = append(r.Suspects, encodeSuspect(rec, builtAt))
+		r.Suspects = append(r.Suspects, suspect.EncodeRecord(rec, builtAt))
 	}
 }
 
@@ -46,7 +46,7 @@
 	now := e.opts.Now()
 	var records []suspect.Record
 	for _, s := range r.Suspects {
-		rec, err := decodeSuspect(s, now)
+		rec, err := suspect.DecodeRecord(s, now)
 		if err != nil {
 			metric.Counter("peer_suspects_invalid_total").Inc(1)
 			continue
@@ -55,28 +55,3 @@
 	}
 	e.opts.Suspects.Merge(records)
 }
-
-// encodeSuspect converts a record to its message in a report that is built at now.
-func encodeSuspect(rec suspect.Record, now time.Time) *peerspb.Suspect {
-	s := &peerspb.Suspect{
-		Fingerprint: rec.Fingerprint[:], CleanRound: clampUint32(rec.CleanRound), Age: int64(max(now.Sub(rec.LastReported), 0)),
-	}
-	for _, c := range rec.Crashes {
-		s.Crashes = append(s.Crashes, &peerspb.Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: clampUint32(c.Round)})
-	}
-	return s
-}
-
-// decodeSuspect converts a message received at now to a record. The error is a
-// *suspect.MalformedFingerprintError.
-func decodeSuspect(s *peerspb.Suspect, now time.Time) (suspect.Record, error) {
-	f, err := suspect.ParseFingerprint(s.Fingerprint)
-	if err != nil {
-		return suspect.Record{}, err
-	}
-	rec := suspect.Record{Fingerprint: f, CleanRound: int(s.CleanRound), LastReported: now.Add(-time.Duration(max(s.Age, 0)))}
-	for _, c := range s.Crashes {
-		rec.Crashes = append(rec.Crashes, suspect.Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: int(c.Round)})
-	}
-	return rec, nil
-}
--- a/processtest/crash_test.go
+++ b/processtest/crash_test.go
@@ -181,3 +181,36 @@
 	}
 	assert.Check(t, d.crashes()-before <= maxCrashRetries, "crashed %d endpoints more", d.crashes()-before)
 }
+
+// TestCrashingRequestStaysRefusedAfterAllGatewaysAreKilled has a request crash endpoints
+// until it is refused, kills all gateways, and sends it to a new one: it must not be sent
+// on.
+func TestCrashingRequestStaysRefusedAfterAllGatewaysAreKilled(t *testing.T) {
+	d := newCrashDeployment(t)
+	first, second := d.startGateway("front-1"), d.startGateway("front-2")
+	gateways := []*gatewayProcess{first, second}
+	crashing := func(g *gatewayProcess) { d.call(g, "/x/1", fleetworker.CrashBody+" it") }
+	for n := 0; d.crashes() < crashesBeforeLimit; n++ {
+		crashing(gateways[n%2])
+		d.waitUntilServed(gateways[(n+1)%2])
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if entries, _, _ := d.storeContent.Range("redwingknot/suspects/", "redwingknot/suspects0", 0); len(entries) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the refusal is not saved")
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(50*time.Millisecond))
+	for _, g := range gateways {
+		assert.NilError(t, g.cmd.Process.Kill())
+		<-g.exited
+	}
+	third := d.startGateway("front-3")
+	d.waitUntilServed(third)
+	time.Sleep(crashNoticeTime)
+	before := d.crashes()
+	for range 5 {
+		crashing(third)
+		d.waitUntilServed(third)
+	}
+	assert.Equal(t, d.crashes(), before)
+}
--- /dev/null
+++ b/suspect/record.go
@@ -0,0 +1,40 @@
+package suspect
+
+import (
+	"time"
+
+	"redwingknot/suspect/suspectpb"
+)
+
+// Record is what instances tell each other about a fingerprint.
+type Record struct {
+	Fingerprint  Fingerprint
+	Crashes      []Crash
+	CleanRound   int       // crashes up to this round are disproved by a run without a crash
+	LastReported time.Time // when the last crash was reported
+}
+
+// EncodeRecord converts a record to its message, which is encoded at now.
+func EncodeRecord(rec Record, now time.Time) *suspectpb.Record {
+	m := &suspectpb.Record{
+		Fingerprint: rec.Fingerprint[:], CleanRound: uint32(rec.CleanRound), Age: int64(max(now.Sub(rec.LastReported), 0)),
+	}
+	for _, c := range rec.Crashes {
+		m.Crashes = append(m.Crashes, &suspectpb.Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: uint32(c.Round)})
+	}
+	return m
+}
+
+// DecodeRecord converts a message received at now to a record. The error is a
+// *MalformedFingerprintError.
+func DecodeRecord(m *suspectpb.Record, now time.Time) (Record, error) {
+	f, err := ParseFingerprint(m.Fingerprint)
+	if err != nil {
+		return Record{}, err
+	}
+	rec := Record{Fingerprint: f, CleanRound: int(m.CleanRound), LastReported: now.Add(-time.Duration(max(m.Age, 0)))}
+	for _, c := range m.Crashes {
+		rec.Crashes = append(rec.Crashes, Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: int(c.Round)})
+	}
+	return rec, nil
+}
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -16,9 +16,9 @@
 	defaultMaxEntries           = 4096
 )
 
-// companyRefusalTime is how long a request is refused after its last crash if it never ran
+// CompanyRefusalTime is how long a request is refused after its last crash if it never ran
 // alone. It may be innocent, so it gets another run after that.
-const companyRefusalTime = 10 * time.Minute
+const CompanyRefusalTime = 10 * time.Minute
 
 // minRefusalRounds is the number of rounds of crashes before a request that never ran alone
 // is refused. Copies of a request that run on several endpoints of a rack that fails are
@@ -92,7 +92,7 @@
 // A fingerprint has an entry only after a crash. It is refused permanently once crashes of
 // Config.CrashedEndpointLimit different endpoints are known and the request ran alone
 // in at least one crash. If it never ran alone, any of the requests in flight may be the
-// cause of a crash. It is then refused for companyRefusalTime, after
+// cause of a crash. It is then refused for CompanyRefusalTime, after
 // Config.CompanyCrashLimit crashes of at least minRefusalRounds rounds, unless a run that
 // began after the last of them was known has ended without a crash.
 //
@@ -126,7 +126,7 @@
 		return Answer{}
 	}
 	a := Answer{Crashed: e.crashedEndpoints(), Rounds: e.rounds()}
-	switch left := companyRefusalTime - now.Sub(e.lastReported); {
+	switch left := CompanyRefusalTime - now.Sub(e.lastReported); {
 	case e.refused:
 		a.Verdict, a.RefusedFor = Refused, r.ttl(e)-now.Sub(e.lastReported)
 	case len(a.Crashed) == 0:
--- a/suspect/replica.go
+++ b/suspect/replica.go
@@ -9,14 +9,6 @@
 	"time"
 )
 
-// Record is what instances tell each other about a fingerprint.
-type Record struct {
-	Fingerprint  Fingerprint
-	Crashes      []Crash
-	CleanRound   int       // crashes up to this round are disproved by a run without a crash
-	LastReported time.Time // when the last crash was reported
-}
-
 // Merge adds what another instance knows about a fingerprint. It reports whether that
 // changed anything.
 func (r *Registry) Merge(rec Record, now time.Time) bool {
@@ -58,12 +50,27 @@
 		through = r.entries[changed[limit-1]].changed
 	}
 	for _, f := range changed {
-		e := r.entries[f]
-		records = append(records, Record{Fingerprint: f, Crashes: slices.Clone(e.crashes), CleanRound: e.cleanRound, LastReported: e.lastReported})
+		records = append(records, r.entries[f].record(f))
 	}
 	return records, through
 }
 
+// Refused returns the records of the requests that are refused at now.
+func (r *Registry) Refused(now time.Time) []Record {
+	var records []Record
+	for f, e := range r.entries {
+		if r.Lookup(f, now).Verdict == Refused {
+			records = append(records, e.record(f))
+		}
+	}
+	return records
+}
+
+// record returns what the entry of f holds.
+func (e *entry) record(f Fingerprint) Record {
+	return Record{Fingerprint: f, Crashes: slices.Clone(e.crashes), CleanRound: e.cleanRound, LastReported: e.lastReported}
+}
+
 // Replica is a Registry of which every instance has a copy. Each records what it sees
 // itself, and merges the changes that the others tell it. It is safe for concurrent use.
 //
@@ -122,6 +129,17 @@
 	return r.registry.Changes(after, limit)
 }
 
+// Refused returns the records of the requests that are refused.
+func (r *Replica) Refused() []Record {
+	if r.Empty() {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.updateSize()
+	return r.registry.Refused(r.now())
+}
+
 // update calls change and logs an event if the verdict on f has changed by it.
 func (r *Replica) update(f Fingerprint, change func(now time.Time)) {
 	r.mu.Lock()
--- a/suspect/replica_test.go
+++ b/suspect/replica_test.go
@@ -43,13 +43,13 @@
 }
 
 // TestRefusalInCompanyEndsAndReturns checks that a refused request gets another run after
-// companyRefusalTime, and that one more crash is enough to refuse it again.
+// CompanyRefusalTime, and that one more crash is enough to refuse it again.
 func TestRefusalInCompanyEndsAndReturns(t *testing.T) {
 	now := time.Now()
 	r := companyRegistry()
 	f := testFingerprint(1)
-	assert.Equal(t, recordRounds(r, f, now, 1, 2, 3).RefusedFor, companyRefusalTime)
-	now = now.Add(companyRefusalTime)
+	assert.Equal(t, recordRounds(r, f, now, 1, 2, 3).RefusedFor, CompanyRefusalTime)
+	now = now.Add(CompanyRefusalTime)
 	a := r.Lookup(f, now)
 	assert.Equal(t, a.Verdict, RunAlone)
 	a = r.RecordCrash(f, Crash{Endpoint: "another", Round: a.Rounds + 1}, false, now)
