Peers: limits are reported when they change

A limit is now reported to a peer until its echo shows that it got the report, when it changes, and every 10 s.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -121,6 +121,7 @@
 	// counted by the process that echo names.
 	suspectsAcked    uint64
 	suspectsReceived uint64 // number of changes of the peer's suspects that this instance has
+	limitsSent       map[uint64]sentLimit
 }
 
 // New returns an Exchange without peers.
@@ -285,7 +286,7 @@
 	e.addStamps(r, p)
 	e.addConfirmations(r)
 	e.addSuspects(r, p)
-	e.addLimits(r)
+	e.addLimits(r, p)
 	loads := e.opts.Source.Loads()
 	if p != nil && p.inColumn {
 		e.mu.Lock()
