Test: a crash is found when all connections of an instance are in use

Tried and taken back: a check whether the process has ended on a connection beside the pool's limit. The request that loses its connection first gives it back before the check begins, so the pool has room; the test passes with and without.

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -1,10 +1,14 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"redwingknot/suspect"
 )
 
 // crash ends an endpoint as the end of its process does.
@@ -88,3 +92,32 @@
 	}
 	assert.Check(t, len(good.requests()) >= 6)
 }
+
+// TestCrashIsFoundWithAllConnectionsInUse has more requests in flight than connections are
+// allowed when an endpoint crashes: all of them must become suspects.
+func TestCrashIsFoundWithAllConnectionsInUse(t *testing.T) {
+	const requests, sent = 6, 5 // an instance uses 85 in 100 of the connections
+	b := newTestBed(t)
+	config := newConfig(2, 1)
+	config.Services["s"].MaxConns = requests
+	b.view.ApplyConfig(config)
+	b.view.SetInstances(1)
+	inFlight := make(chan struct{}, requests)
+	f := b.startEndpoint("i-1", func(*exchange) { inFlight <- struct{}{} })
+	var done sync.WaitGroup
+	for n := range requests {
+		done.Go(func() { b.send(fmt.Sprint("/once/", n), "Attempt-Id", fmt.Sprint("a", n)) })
+	}
+	for range sent {
+		<-inFlight
+	}
+	f.crash()
+	done.Wait()
+	assert.Equal(t, len(b.suspects()), sent)
+}
+
+// suspects returns what the relay knows of requests that may crash endpoints.
+func (b *testBed) suspects() []suspect.Record {
+	records, _ := b.suspectReplica.Changes(0, 100)
+	return records
+}
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -120,6 +120,8 @@
 	relay  *relay.Server
 	server *httptest.Server
 	now    func() time.Time
+
+	suspectReplica *suspect.Replica
 }
 
 var (
@@ -162,11 +164,12 @@
 // newUnconfiguredTestBed returns a test bed that has no configuration yet.
 func newUnconfiguredTestBed(t *testing.T) *testBed {
 	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable(), now: time.Now}
+	b.suspectReplica = suspect.NewReplica(suspect.Config{CompanyCrashLimit: 3}, time.Now)
 	o := relay.Options{
 		View: b.view, Dialect: platform.Dialect{}, Log: slog.New(slog.DiscardHandler), Cache: b.cache, OtherLoads: b.loads,
 		Now: func() time.Time { return b.now() }, RevokeTime: 5 * time.Second, OldWeightsTime: 6 * time.Second, DrainTime: testDrainTime,
 		RetryRatio: 10, RetryWindow: 10 * time.Second, MaxBodyBytes: 1 << 24,
-		Suspects: suspect.NewReplica(suspect.Config{CompanyCrashLimit: 3}, time.Now),
+		Suspects: b.suspectReplica,
 	}
 	b.relay = relay.NewServer(o)
 	b.server = httptest.NewServer(b.relay)
