Soak: gateways that a killed run left behind, and dials that outlive a call

Two faults of the harness behind TestSoak's no-recovery, found by running it on one processor (GOMAXPROCS=1) to starve its store and links: - A run that is killed leaves its gateways behind, which keep their addresses, while its claim on the block ends. The next run claimed the block and its gateways could not listen ('address already in use'): 'every gateway is ready: not true within 1m0s'. A block is now claimed only if nothing listens at its addresses. - net/http dials in goroutines of its own, which read the caller's gateway after a failed call had cleared it: SIGSEGV, which ended the whole test binary and left 20 gateways behind.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,7 +75,8 @@
 	rng       *rand.Rand
 	run       *run
 	client    *http.Client
-	gateway   *gateway
+	gateway   *gateway                // nil if the next call may go to any
+	dialed    atomic.Pointer[gateway] // of the latest call; net/http dials in goroutines of its own
 	sentCalls int
 }
 
@@ -83,10 +85,11 @@
 	dialer := net.Dialer{Timeout: time.Second}
 	c.client = &http.Client{Timeout: callTimeout + time.Second, Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			if !c.gateway.ready() {
-				return nil, &NotReadyError{c.gateway.name}
+			g := c.dialed.Load()
+			if !g.ready() {
+				return nil, &NotReadyError{g.name}
 			}
-			return dialer.DialContext(ctx, "tcp4", c.gateway.callerLink.Addr())
+			return dialer.DialContext(ctx, "tcp4", g.callerLink.Addr())
 		},
 		DisableCompression: true, MaxIdleConns: 1,
 	}}
@@ -164,6 +167,7 @@
 		cl.token = revocableToken
 	}
 	c.sentCalls++
+	c.dialed.Store(c.gateway)
 	c.run.callLog.begin(cl)
 	c.exchange(cl)
 	if cl.err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -109,7 +109,7 @@
 // start starts the store, the endpoints and the gateways.
 func (r *run) start() error {
 	var err error
-	if r.loopback, err = claimLoopback(); err != nil {
+	if r.loopback, err = claimLoopback(r.opts.Gateways); err != nil {
 		return err
 	}
 	r.storeServer = httptest.NewServer(r.operator.store)
