--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -131,8 +131,8 @@
 
 // read is a read of the whole range, or a check, that is under way.
 type read struct {
-	startedAt time.Time
-	begun     atomic.Bool // its response has begun to arrive
+	waitingSince time.Time   // its start or, once its response has begun, the last time that this was noticed
+	begun        atomic.Bool // its response has begun to arrive
 }
 
 // SlowReadError reports that a read has had no response for After. It is still under way.
@@ -202,7 +202,7 @@
 func (w *watcher) untilNextStep() time.Duration {
 	switch {
 	case w.latest != nil:
-		return w.latest.startedAt.Add(slowReadTime).Sub(w.now())
+		return w.latest.waitingSince.Add(slowReadTime).Sub(w.now())
 	case w.reads >= maxReads:
 		return slowReadTime
 	}
@@ -224,11 +224,11 @@
 // twice as long.
 func (w *watcher) checkSlowRead() {
 	slow := w.latest
-	if w.now().Sub(slow.startedAt) < slowReadTime {
+	if w.now().Sub(slow.waitingSince) < slowReadTime {
 		return
 	}
 	if slow.begun.Load() {
-		slow.startedAt = w.now()
+		slow.waitingSince = w.now()
 		return
 	}
 	w.latest = nil
@@ -246,7 +246,7 @@
 // Load pattern: a configuration of a megabyte, links on which it takes a second, and
 // confirmations every second.
 func (w *watcher) startRead(ctx context.Context, results chan<- readResult) {
-	started := &read{startedAt: w.now()}
+	started := &read{waitingSince: w.now()}
 	w.reads++
 	w.latest = started
 	ctx = metastore.WithResponseBegun(ctx, func() {
@@ -256,7 +256,7 @@
 		default: // the watcher has yet to hear of another response
 		}
 	})
-	r := readResult{read: started, sentAt: started.startedAt}
+	r := readResult{read: started, sentAt: started.waitingSince}
 	if revisions := w.checkableRevisions(); revisions != nil {
 		r.isCheck, r.digest = true, w.mirror.Digest()
 		go func() {
--- a/suspect/doc.go
+++ b/suspect/doc.go
@@ -3,4 +3,8 @@
 // next time, it runs alone on an endpoint. After crashes of two different endpoints
 // (or another number, Config.CrashedEndpointLimit), at least one of them while it ran
 // alone, it is refused permanently.
+//
+// Where requests of all instances share the endpoints, so that none can run alone, every
+// instance has a Replica, and a request is refused for a time after some crashes that came
+// one after the other (Config.CompanyCrashLimit).
 package suspect
