--- a/processtest/abandoned_test.go
+++ b/processtest/abandoned_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // abandonedCalls is the number of callers that give up on a gateway that stands still.
@@ -55,6 +56,12 @@
 	d.waitUntilServed(other)
 	path := func(n int) string { return fmt.Sprint("/x/abandoned-", n) }
 	assert.NilError(t, frozen.cmd.Process.Signal(syscall.SIGSTOP))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if allThreadsStopped(t, frozen.cmd.Process.Pid) {
+			return poll.Success()
+		}
+		return poll.Continue("the gateway has not stopped")
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(time.Millisecond))
 	for n := range abandonedCalls {
 		d.sendAndClose(frozen, path(n))
 	}
@@ -68,6 +75,7 @@
 	for n := range abandonedCalls {
 		if runs[path(n)] > 1 {
 			twice++
+			t.Logf("ran twice: request %d", n)
 		}
 	}
 	assert.Equal(t, twice, 0, "of %d requests that callers had given up at a gateway that stood still, and sent to another one, so many ran twice", abandonedCalls)
