Soak: the operator names weight versions in order

Traced by its logs: the plan names 11 versions, 2 to 12; every gateway has 11 in force, at revision 40, read together with a configuration at revision 42, and none ever sees 12, while configurations of revisions 45 to 58 arrive. The operator raised its version under its lock and wrote it after, so that on a starved machine two steps at once wrote 12 and then 11: the store ended with the older one. The fault is the harness's own.

TestWeightsAreNamedInOrder failed before (the store ended with 11 instead of 21).

--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -162,21 +162,19 @@
 // nameNewWeights writes a new weight version of the model to the store.
 func (o *operator) nameNewWeights() {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.weightsVersion++
-	v := o.weightsVersion
-	o.mu.Unlock()
-	o.put(fleetwire.WeightsEntry(model, v))
+	o.put(fleetwire.WeightsEntry(model, o.weightsVersion))
 }
 
 // writeAgain writes the newest configuration and weight version again, after the store has
 // come back from an older copy.
 func (o *operator) writeAgain() {
 	o.mu.Lock()
-	config, weights := o.config, o.weightsVersion
-	o.mu.Unlock()
-	o.put(fleetwire.ConfigKey, config)
-	if weights > firstWeights {
-		o.put(fleetwire.WeightsEntry(model, weights))
+	defer o.mu.Unlock()
+	o.put(fleetwire.ConfigKey, o.config)
+	if o.weightsVersion > firstWeights {
+		o.put(fleetwire.WeightsEntry(model, o.weightsVersion))
 	}
 }
 
