--- a/internal/soak/check_trouble.go
+++ b/internal/soak/check_trouble.go
@@ -61,7 +61,8 @@
 )
 
 // checkCrashes checks how often the crashing request has crashed endpoints. It may begin
-// anew when all gateways have been restarted, because what they know is in their memory.
+// anew when all gateways have been restarted: the refusal that they saved is lost with the
+// store's leases or in a restored store.
 func (r *run) checkCrashes(obs *observations) {
 	var crashes []endpointRun
 	for _, runs := range obs.runs {
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -140,8 +140,8 @@
 	}
 }
 
-// noShareDelay is the delay stated to a caller whose request only endpoints could run of
-// whose limits this instance holds no share. Another instance does.
+// noShareDelay is the delay stated to a caller if all endpoints that could run its request
+// name limits and this instance holds no share of any. Other instances hold the shares.
 const noShareDelay = time.Second
 
 // limitWait returns how long q has to wait until an endpoint whose limit is used up admits
--- a/relay/response.go
+++ b/relay/response.go
@@ -24,10 +24,12 @@
 
 // ResponseTooLargeError reports a response whose body is larger than its limit:
 // maxBufferedResponse for a failure, maxResponseBytes for others.
-type ResponseTooLargeError struct{}
+type ResponseTooLargeError struct{ Limit int }
 
 // Error implements error.
-func (*ResponseTooLargeError) Error() string { return "the body of the response is too large" }
+func (e *ResponseTooLargeError) Error() string {
+	return "the body of the response exceeds the limit of " + strconv.Itoa(e.Limit) + " bytes"
+}
 
 // countEndlessResponse counts an attempt that was given up because a part of the response
 // exceeded its limit.
@@ -71,7 +73,7 @@
 // relayResponse relays a response that is not an event stream.
 func (c *callerRequest) relayResponse(ctx context.Context, p *pick, res *upstream.Response, sent time.Time) outcome {
 	if res.Length > maxResponseBytes {
-		return c.handleLost(ctx, p, &ResponseTooLargeError{})
+		return c.handleLost(ctx, p, &ResponseTooLargeError{Limit: maxResponseBytes})
 	}
 	if !c.isEndpointsOwn(res) {
 		return c.handleUnusable(p, res)
@@ -85,7 +87,7 @@
 	buffered := &bufferedResponse{status: res.Status, header: res.Header, body: body}
 	if !c.returnable(res) {
 		if len(body) == maxBufferedResponse && !c.bodyEnded(res) {
-			return c.handleLost(ctx, p, &ResponseTooLargeError{})
+			return c.handleLost(ctx, p, &ResponseTooLargeError{Limit: maxBufferedResponse})
 		}
 		c.handleUnusable(p, res)
 		c.failureResponse = buffered
@@ -164,7 +166,7 @@
 	case err != nil:
 		return c.handleLost(ctx, p, err)
 	case n == maxResponseBytes && !c.bodyEnded(res):
-		return c.handleLost(ctx, p, &ResponseTooLargeError{})
+		return c.handleLost(ctx, p, &ResponseTooLargeError{Limit: maxResponseBytes})
 	}
 	return outcomeDelivered
 }
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -53,7 +53,7 @@
 // The verdicts on a fingerprint.
 const (
 	Clear    Verdict = iota // the request runs like any other
-	RunAlone                // the request needs the data centre's slot and an endpoint that runs nothing else
+	RunAlone                // a suspect: behind a Client it needs the data centre's slot and an endpoint that runs nothing else
 	Refused                 // the request is not run again
 )
 
--- a/suspect/replica.go
+++ b/suspect/replica.go
@@ -72,7 +72,8 @@
 }
 
 // Replica is a Registry of which every instance has a copy. Each records what it sees
-// itself, and merges the changes that the others tell it. It is safe for concurrent use.
+// itself, and merges the changes that the others tell it. Suspects that are not refused run
+// like other requests. It is safe for concurrent use.
 //
 // Load pattern: a request that crashes endpoints returns at any instance. Suspects are so
 // rare that every instance can know all of them, and no request waits for an answer from
--- a/suspect/replica_test.go
+++ b/suspect/replica_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -138,3 +139,22 @@
 	}
 	assert.Equal(t, other.Lookup(testFingerprint(4)).Verdict, RunAlone)
 }
+
+// BenchmarkFingerprint hashes a request with a body of 8 KB.
+func BenchmarkFingerprint(b *testing.B) {
+	id := RequestIdentity{Team: "t", Target: "POST h/x", Body: make([]byte, 8<<10)}
+	for b.Loop() {
+		FingerprintOf(id)
+	}
+}
+
+// BenchmarkEncodeRecord encodes a record with one crash and reports its size.
+func BenchmarkEncodeRecord(b *testing.B) {
+	now := time.Now()
+	rec := Record{Crashes: []Crash{{Endpoint: "i-924a4f018b", Epoch: "1764840000000", Round: 1}}, LastReported: now.Add(-time.Second)}
+	size := 0
+	for b.Loop() {
+		size = proto.Size(EncodeRecord(rec, now))
+	}
+	b.ReportMetric(float64(size), "B/record")
+}
