Gateway: what an endpoint has said of itself outlives its entry

Cause: the announcement was kept in the state of the listed endpoint. When the entry vanished from the metadata store and came back, after missed heartbeats or with an older copy of the store, the same incarnation counted as new. Pauses were lost alike. Change: notices are kept by incarnation, for ten minutes after its entry is gone. Ruled out: the header is not read (TestEndpointThatAnnouncesLeavingGetsNoRequests passes). Measured: TestNoticeOutlivesEntry failed on the parent in both cases (2 requests, want 1), passes now.

--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -26,18 +26,18 @@
 	slowness        place.SlownessTracker
 	seenVersions    map[string]int64     // by model: version of its weights as derived from responses
 	loadingUntil    map[string]time.Time // by model: time before which no request for it is sent
-	pause           place.Pause
-	leavingSince    time.Time // when this instance learned that it is leaving, zero if it is not
-	replaced        bool      // another endpoint or incarnation responds at its address
-	endCheck        *endCheck // latest check whether its process has ended, nil before the first
+	*noticeState
+	replaced bool      // another endpoint or incarnation responds at its address
+	endCheck *endCheck // latest check whether its process has ended, nil before the first
 }
 
-// newEndpoint returns the state of a newly known endpoint. limit is the maximum
-// number of connections to it, cacheTokens its memory in tokens.
-func newEndpoint(spec *fleet.Endpoint, limit, cacheTokens int) *endpoint {
+// newEndpoint returns the state of a newly listed endpoint. limit is the maximum
+// number of connections to it, cacheTokens its memory in tokens, notices what it has said
+// of itself before.
+func newEndpoint(spec *fleet.Endpoint, limit, cacheTokens int, notices *noticeState) *endpoint {
 	opened := metric.Counter("endpoint_connections_opened_total", "service", spec.Service)
 	return &endpoint{
-		spec: spec, idHash: place.Hash(spec.ID), incarnationHash: incarnationHash(spec.Key()), seenVersions: map[string]int64{}, loadingUntil: map[string]time.Time{},
+		spec: spec, noticeState: notices, idHash: place.Hash(spec.ID), incarnationHash: incarnationHash(spec.Key()), seenVersions: map[string]int64{}, loadingUntil: map[string]time.Time{},
 		residentParts: promptcache.NewResidentParts(int(promptCacheShare * float64(cacheTokens))),
 		pool:          upstream.NewPool(spec.Address, limit, func() { opened.Inc(1) }),
 	}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -34,10 +34,11 @@
 
 	mu             sync.Mutex
 	byKey          map[fleet.EndpointKey]*endpoint
-	syncedSnapshot *fleet.Snapshot           // snapshot that byKey was last updated from
-	instance       string                    // name of this instance, empty before it is known
-	instances      []string                  // names of the live instances
-	limits         map[uint64]*endpointLimit // by the hash of an endpoint's incarnation
+	notices        map[fleet.EndpointKey]*noticeState // also of endpoints that are not listed at present
+	syncedSnapshot *fleet.Snapshot                    // snapshot that byKey was last updated from
+	instance       string                             // name of this instance, empty before it is known
+	instances      []string                           // names of the live instances
+	limits         map[uint64]*endpointLimit          // by the hash of an endpoint's incarnation
 	services       map[string]*serviceState
 	sources        map[string]*source // sources of cache fetches, by address
 	changed        chan struct{}      // closed and replaced when byKey is updated
@@ -61,7 +62,7 @@
 		view: o.View, dataCentre: o.DataCentre, oldWeightsTime: o.OldWeightsTime, now: o.Now, startedAt: o.Now(),
 		drainTime: o.DrainTime, log: o.Log, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
-		byKey:       map[fleet.EndpointKey]*endpoint{}, limits: map[uint64]*endpointLimit{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
+		byKey:       map[fleet.EndpointKey]*endpoint{}, notices: map[fleet.EndpointKey]*noticeState{}, limits: map[uint64]*endpointLimit{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
 }
 
@@ -83,7 +84,7 @@
 			ep.pool.SetLimit(limit)
 			continue
 		}
-		e.byKey[key] = newEndpoint(spec, limit, cacheTokens(s, spec.Service))
+		e.byKey[key] = newEndpoint(spec, limit, cacheTokens(s, spec.Service), e.noticesOf(key))
 	}
 	for key, ep := range e.byKey {
 		if !live[key] {
@@ -91,6 +92,7 @@
 			delete(e.byKey, key)
 		}
 	}
+	e.forgetNotices()
 	close(e.changed)
 	e.changed = make(chan struct{})
 	return s
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -21,6 +21,50 @@
 	drainMargin = time.Second
 )
 
+// noticeState is what an incarnation of an endpoint has said of itself that holds for
+// further requests. It outlives the endpoint's entry in the metadata store, which may
+// vanish and come back while the endpoint runs. It is guarded by the mutex of Endpoints.
+type noticeState struct {
+	pause        place.Pause
+	leavingSince time.Time // when this instance learned that it is leaving, zero if it is not
+	listedAt     time.Time // when the incarnation was last known to be listed
+}
+
+const (
+	// noticeTime is how long the notices of an endpoint that is not listed are kept. It is
+	// well above the time for which an endpoint that leaves goes on serving.
+	noticeTime = 10 * time.Minute
+	// maxNotices bounds the memory for notices. Below it, none is forgotten before its time.
+	maxNotices = 8192
+)
+
+// noticesOf returns the notices of an incarnation, empty ones if it is new. The caller
+// holds mu.
+func (e *Endpoints) noticesOf(key fleet.EndpointKey) *noticeState {
+	n := e.notices[key]
+	if n == nil {
+		n = &noticeState{}
+		e.notices[key] = n
+	}
+	return n
+}
+
+// forgetNotices forgets the notices of incarnations that have not been listed for
+// noticeTime, and of those without any. The caller holds mu.
+func (e *Endpoints) forgetNotices() {
+	now := e.now()
+	for key, n := range e.notices {
+		if e.byKey[key] != nil {
+			n.listedAt = now
+			continue
+		}
+		said := !n.leavingSince.IsZero() || n.pause.Active(now)
+		if !said || now.Sub(n.listedAt) > noticeTime || len(e.notices) > maxNotices {
+			delete(e.notices, key)
+		}
+	}
+}
+
 // incarnationHash returns the hash that stands for an incarnation of an endpoint in
 // reports to other instances.
 func incarnationHash(k fleet.EndpointKey) uint64 {
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -222,3 +222,25 @@
 	}
 	assert.Equal(t, requestCount(f), 1)
 }
+
+// TestNoticeOutlivesEntry has the entry of an endpoint vanish after the endpoint has
+// announced that it leaves, or asked for a pause, and come back: what it said still holds.
+func TestNoticeOutlivesEntry(t *testing.T) {
+	for name, serve := range map[string]func(*exchange){
+		"leaving": func(x *exchange) { x.respond(http.StatusOK, "fine", leavingHeader) },
+		"pause":   func(x *exchange) { x.refuseUnexecuted(http.StatusServiceUnavailable, "Retry-After: 60") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBed(t)
+			f := b.startEndpoint("i-1", serve)
+			b.startEndpoint("i-2", respondOK)
+			b.sendUntilReached(f, "/plain/")
+			b.view.RemoveEndpoint(f.spec.ID, time.Now())
+			b.sendSome("/plain/")
+			again := *f.spec
+			b.view.PutEndpoint(&again)
+			b.sendSome("/plain/")
+			assert.Equal(t, requestCount(f), 1)
+		})
+	}
+}
