Requests that crash endpoints in waves: failing test with processes, listed

Cause, seen by the test: three crashes refuse a request only if one of the runs began after another crash was known. Copies at once are one round, so the next wave goes out whole. Change: the test, listed; crashes of the test's endpoints may take time.

--- a/processtest/abandoned_test.go
+++ b/processtest/abandoned_test.go
@@ -21,8 +21,8 @@
 	c, err := net.Dial("tcp4", g.frontAddr)
 	assert.NilError(d.t, err)
 	defer c.Close()
-	d.sent++
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: attempt-%d\r\nAuthorization: Bearer key\r\nDeadline-Ms: 3000\r\nContent-Length: 2\r\n\r\n{}", path, d.sent)
+	attempt := d.sent.Add(1)
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: attempt-%d\r\nAuthorization: Bearer key\r\nDeadline-Ms: 3000\r\nContent-Length: 2\r\n\r\n{}", path, attempt)
 	assert.NilError(d.t, err)
 }
 
@@ -45,7 +45,7 @@
 // that stands still. Their callers close their connections and turn to another gateway.
 // When the first one goes on, it must not send on what its callers have given up.
 func TestAbandonedRequestIsNotSentOn(t *testing.T) {
-	d := newCrashDeployment(t)
+	d := newCrashDeployment(t, quickCrash)
 	d.putKey("op/config", `{"version":9,"routes":[{"name":"r","host":"h","path_prefix":"/x/","kind":"non_idempotent","timeout_ms":3000,
 		"target_latency_ms":300,"priority":0,"service":"app","max_attempts":2}],
 		"services":[{"name":"app","health_path":"/health","max_conns":50}],
--- a/processtest/crash_test.go
+++ b/processtest/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,24 +16,33 @@
 	"redwingknot/internal/standin/fleetworker"
 )
 
-// crashRestart is how long an endpoint that has crashed is away.
-const crashRestart = 150 * time.Millisecond
+// crashTiming is how an endpoint crashes.
+type crashTiming struct {
+	delay   time.Duration // from the beginning of a run that crashes it to its end
+	restart time.Duration // how long it is away
+}
+
+// quickCrash ends an endpoint at once, and brings it back soon.
+var quickCrash = crashTiming{restart: 150 * time.Millisecond}
 
 // crashableEndpoint is an application's endpoint, which requests with
 // fleetworker.CrashBody crash. It comes back under a new ID.
 type crashableEndpoint struct {
 	deployment *gatewayDeployment
 	name       string
+	timing     crashTiming
 
 	mu     sync.Mutex
 	starts int
 	server *httptest.Server
 	all    []*fleetworker.Server
+	// endedID is the identifier of the latest incarnation that has crashed.
+	endedID string
 }
 
 // startCrashableEndpoint starts an endpoint of the service app.
-func (d *gatewayDeployment) startCrashableEndpoint(name string) *crashableEndpoint {
-	e := &crashableEndpoint{deployment: d, name: name}
+func (d *gatewayDeployment) startCrashableEndpoint(name string, timing crashTiming) *crashableEndpoint {
+	e := &crashableEndpoint{deployment: d, name: name, timing: timing}
 	e.start()
 	d.t.Cleanup(func() {
 		e.mu.Lock()
@@ -57,15 +67,20 @@
 	e.deployment.putKey("servers/"+id, string(worker.Entry(e.server.Listener.Addr().String(), "z", 1)))
 }
 
-// crash ends the endpoint and starts it again after crashRestart. The entry of the one
-// that has crashed stays, as it does until its lease ends.
+// crash ends the endpoint and starts it again. The entry of the one that has crashed stays,
+// as it does until its lease ends. Of several runs that crash it, the first ends it.
 func (e *crashableEndpoint) crash(id string) {
+	time.Sleep(e.timing.delay)
 	e.mu.Lock()
-	server := e.server
+	server, ended := e.server, e.endedID == id
+	e.endedID = id
 	e.mu.Unlock()
+	if ended {
+		return
+	}
 	server.Listener.Close()
 	server.CloseClientConnections()
-	time.AfterFunc(crashRestart, func() {
+	time.AfterFunc(e.timing.restart, func() {
 		e.deployment.deleteKey("servers/" + id)
 		e.start()
 	})
@@ -90,10 +105,10 @@
 type crashDeployment struct {
 	*gatewayDeployment
 	endpoints []*crashableEndpoint
-	sent      int
+	sent      atomic.Int64
 }
 
-func newCrashDeployment(t *testing.T) *crashDeployment {
+func newCrashDeployment(t *testing.T, timing crashTiming) *crashDeployment {
 	d := &crashDeployment{gatewayDeployment: newGatewayDeployment(t)}
 	d.putKey("op/config", `{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/x/","kind":"idempotent","timeout_ms":3000,
 		"target_latency_ms":300,"priority":0,"service":"app","max_attempts":2}],
@@ -101,7 +116,7 @@
 		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 		"tenants":[{"name":"t","api_keys":["key"]}]}`)
 	for _, name := range []string{"a", "b", "c"} {
-		d.endpoints = append(d.endpoints, d.startCrashableEndpoint(name))
+		d.endpoints = append(d.endpoints, d.startCrashableEndpoint(name, timing))
 	}
 	return d
 }
@@ -119,11 +134,11 @@
 // Retry-After, 0 and "" without an answer.
 func (d *crashDeployment) call(g *gatewayProcess, path, body string) (status int, retryAfter string) {
 	d.t.Helper()
-	d.sent++
+	attempt := d.sent.Add(1)
 	r, err := http.NewRequest(http.MethodPost, "http://"+g.frontAddr+path, strings.NewReader(body))
 	assert.NilError(d.t, err)
 	r.Host = "h"
-	r.Header.Set("Attempt-Id", fmt.Sprint("attempt-", d.sent))
+	r.Header.Set("Attempt-Id", fmt.Sprint("attempt-", attempt))
 	r.Header.Set("Authorization", "Bearer key")
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -158,7 +173,7 @@
 // maxCrashRetries times at most, also from a gateway that has started since. Other
 // requests are served.
 func TestCrashingRequestIsNotSentOn(t *testing.T) {
-	d := newCrashDeployment(t)
+	d := newCrashDeployment(t, quickCrash)
 	gateways := []*gatewayProcess{d.startGateway("front-1"), d.startGateway("front-2")}
 	for _, g := range gateways {
 		d.waitUntilServed(g)
@@ -186,7 +201,7 @@
 // until it is refused, kills all gateways, and sends it to a new one: it must not be sent
 // on.
 func TestCrashingRequestStaysRefusedAfterAllGatewaysAreKilled(t *testing.T) {
-	d := newCrashDeployment(t)
+	d := newCrashDeployment(t, quickCrash)
 	first, second := d.startGateway("front-1"), d.startGateway("front-2")
 	gateways := []*gatewayProcess{first, second}
 	crashing := func(g *gatewayProcess) { d.call(g, "/x/1", fleetworker.CrashBody+" it") }
@@ -214,3 +229,37 @@
 	}
 	assert.Equal(t, d.crashes(), before)
 }
+
+// callAtOnce sends copies of a request, each under an attempt identifier of its own, at the
+// same time, at one gateway after the other, and waits for the answers.
+func (d *crashDeployment) callAtOnce(gateways []*gatewayProcess, copies int, path, body string) {
+	var calls sync.WaitGroup
+	for n := range copies {
+		calls.Go(func() { d.call(gateways[n%len(gateways)], path, body) })
+	}
+	calls.Wait()
+}
+
+// TestCrashingRequestThatComesInWavesIsNotSentOn sends copies of a request that crashes
+// endpoints at the same time, so that all endpoints are gone at once and come back
+// together, later than crashNoticeTime after the third crash. The copies that come then may
+// reach endpoints maxCrashRetries times at most.
+func TestCrashingRequestThatComesInWavesIsNotSentOn(t *testing.T) {
+	const waves, copies = 3, 8
+	d := newCrashDeployment(t, crashTiming{delay: 100 * time.Millisecond, restart: crashNoticeTime + 500*time.Millisecond})
+	gateways := []*gatewayProcess{d.startGateway("front-1"), d.startGateway("front-2")}
+	for _, g := range gateways {
+		d.waitUntilServed(g)
+	}
+	d.callAtOnce(gateways, copies, "/x/1", fleetworker.CrashBody+" it")
+	first := d.crashes()
+	assert.Assert(t, first >= crashesBeforeLimit, "%d runs crashed endpoints", first)
+	for range waves {
+		for _, g := range gateways {
+			d.waitUntilServed(g)
+		}
+		d.callAtOnce(gateways, copies, "/x/1", fleetworker.CrashBody+" it")
+		t.Logf("%d runs crashed endpoints", d.crashes())
+	}
+	assert.Check(t, d.crashes()-first <= maxCrashRetries, "reached endpoints %d times more", d.crashes()-first)
+}
