Gateway: copies of a request that crash endpoints at once are followed by one at a time

Cause: crashes of one round refuse nothing, because a rack that fails under copies of an innocent request looks the same. The next wave of copies went out whole. Change: after three crashes of one round, and when a refusal ends, a request is on trial: it runs once at a time, at the instance with the highest rendezvous weight; if it does not come there, at more of them. A run that ends well clears it, a crash refuses it. A second of grace after the last crash lets runs under way clear it before. suspect.Run holds what an attempt knows; relay only says how the attempt ended. Tests: 'copies at once' was run-alone and is on trial now; what follows a refusal, too. Both are stricter for a request that crashes.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -66,7 +66,9 @@
 	g.rank.Store(int64(rank))
 	g.memberCount.Store(int64(max(m.Len(), 1)))
 	g.setInstances()
-	g.relay.Endpoints().SetInstances(g.opts.Instance, slices.Sorted(maps.Keys(addresses)))
+	names := slices.Sorted(maps.Keys(addresses))
+	g.relay.Endpoints().SetInstances(g.opts.Instance, names)
+	g.opts.Relay.Suspects.SetInstances(g.opts.Instance, names)
 	g.exchange.SetPeers(ctx, addresses)
 }
 
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -50,6 +50,6 @@
 		time.Sleep(suspect.CompanyRefusalTime + 5*suspectSaveInterval)
 		content.ExpireLeases()
 		assert.Equal(t, len(content.Keys()), 0)
-		assert.Equal(t, later.replica.Lookup(f).Verdict, suspect.RunAlone)
+		assert.Equal(t, later.replica.Lookup(f).Verdict, suspect.Trial)
 	})
 }
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -40,7 +40,7 @@
 	body       []byte
 
 	fingerprint        *suspect.Fingerprint // nil until it is needed
-	crashRounds        int                  // rounds of the request's crashes that were known before the latest attempt
+	run                *suspect.Run         // of the latest attempt, nil before the first
 	sends              int                  // attempts that may have reached an endpoint
 	possibleExecutions int                  // attempts that an endpoint may have executed
 	headerSent         bool                 // the response header was sent to the caller
@@ -78,6 +78,7 @@
 func (c *callerRequest) serve(parent context.Context) {
 	ctx, cancel := context.WithDeadlineCause(parent, c.deadline, errDeadline)
 	defer cancel()
+	defer c.endRun()
 	c.server.endpoints.countRequest(c.query.service)
 	for {
 		p, refusal := c.selectEndpoint(ctx)
@@ -91,8 +92,9 @@
 		}
 		o := c.attempt(ctx, p)
 		if o == outcomeDelivered || o == outcomeEndpointFailed {
-			c.recordCleanRun()
+			c.run.Completed()
 		}
+		c.endRun()
 		switch {
 		case o == outcomeDelivered:
 			c.logServed()
@@ -186,7 +188,7 @@
 	waitUntil := time.Now().Add(maxEndpointWait)
 	defer c.server.endpoints.endLimitWait(c.query)
 	for {
-		if r := c.checkSuspect(); r != nil {
+		if r := c.beginRun(); r != nil {
 			return nil, c.markPossibleExecution(r)
 		}
 		if r := c.checkAuthorization(); r != nil {
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"redwingknot/contract"
 	"redwingknot/event"
 	"redwingknot/metric"
@@ -64,35 +67,38 @@
 	return check
 }
 
-// checkSuspect returns a refusal if the request has crashed too many endpoints, at any
-// instance. It must be called before each attempt.
-func (c *callerRequest) checkSuspect() *contract.Refusal {
-	c.crashRounds = 0
-	if c.server.opts.Suspects.Empty() {
+// beginRun begins the run of the next attempt. It returns a refusal if the request has
+// crashed too many endpoints, at any instance.
+func (c *callerRequest) beginRun() *contract.Refusal {
+	c.endRun()
+	run, err := c.server.opts.Suspects.Begin(c.suspectFingerprint)
+	var held *suspect.HeldError
+	switch {
+	case !errors.As(err, &held):
+		c.run = run
 		return nil
+	case held.OnTrial:
+		return contract.Unavailable(contract.ReasonSuspectBusy, trialRetryAfter+rand.N(retryAfterSpread), held.Error())
 	}
-	known := c.server.opts.Suspects.Lookup(c.suspectFingerprint())
-	c.crashRounds = known.Rounds
-	if known.Verdict != suspect.Refused {
-		return nil
+	return contract.Unavailable(contract.ReasonSuspectRefused, held.For+rand.N(retryAfterSpread), held.Error())
+}
+
+// trialRetryAfter is when a caller may return whose request another one is on trial for. A
+// run of it takes about as long.
+const trialRetryAfter = time.Second
+
+// endRun ends the run of the latest attempt, if there is one.
+func (c *callerRequest) endRun() {
+	if c.run != nil {
+		c.run.End()
 	}
-	return contract.Unavailable(contract.ReasonSuspectRefused, known.RefusedFor, "endpoints have crashed each time this request ran")
 }
 
 // recordCrash records that the endpoint of p ended while it ran the request.
 func (c *callerRequest) recordCrash(p *pick) {
 	metric.Counter("endpoint_crashes_total", "service", c.query.service).Inc(1)
-	f := c.suspectFingerprint()
-	event.EndpointCrashed.Log(c.server.opts.Log, append(c.logAttrs(), slog.String("fingerprint", f.String()))...)
-	crash := suspect.Crash{Endpoint: p.spec.ID, Epoch: strconv.FormatInt(p.spec.StartMillis, 10), Round: c.crashRounds + 1}
-	c.server.opts.Suspects.RecordCrash(f, crash)
-}
-
-// recordCleanRun records that an endpoint ran the request to its end.
-func (c *callerRequest) recordCleanRun() {
-	if c.crashRounds > 0 {
-		c.server.opts.Suspects.RecordCleanRun(c.suspectFingerprint(), c.crashRounds)
-	}
+	event.EndpointCrashed.Log(c.server.opts.Log, append(c.logAttrs(), slog.String("fingerprint", c.suspectFingerprint().String()))...)
+	c.run.Crashed(p.spec.ID, strconv.FormatInt(p.spec.StartMillis, 10))
 }
 
 // suspectFingerprint returns the fingerprint of the request. A caller that sends the
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -17,9 +17,13 @@
 )
 
 // CompanyRefusalTime is how long a request is refused after its last crash if it never ran
-// alone. It may be innocent, so it gets another run after that.
+// alone. It may be innocent, so it gets a trial after that.
 const CompanyRefusalTime = 10 * time.Minute
 
+// trialDelay is the time from the last crash of one round until a request gets a trial.
+// Its runs that are still under way at other endpoints may clear it before.
+const trialDelay = time.Second
+
 // minRefusalRounds is the number of rounds of crashes before a request that never ran alone
 // is refused. Copies of a request that run on several endpoints of a rack that fails are
 // lost in one round.
@@ -55,9 +59,10 @@
 	Clear    Verdict = iota // the request runs like any other
 	RunAlone                // a suspect: behind a Client it needs the data centre's slot and an endpoint that runs nothing else
 	Refused                 // the request is not run again
+	Trial                   // in a Replica: the request runs once at a time, at few instances
 )
 
-var verdictNames = [...]string{"clear", "run-alone", "refused"}
+var verdictNames = [...]string{"clear", "run-alone", "refused", "trial"}
 
 // String implements fmt.Stringer.
 func (v Verdict) String() string { return verdictNames[v] }
@@ -83,6 +88,7 @@
 	Crashed    []string      // names of the endpoints
 	Rounds     int           // rounds of crashes that are known
 	RefusedFor time.Duration // how long the request is refused; valid if Verdict is Refused
+	TrialFor   time.Duration // how long it has been on trial; valid if Verdict is Trial
 }
 
 // Registry is the state of the fingerprints that this instance owns. It has no
@@ -94,7 +100,8 @@
 // in at least one crash. If it never ran alone, any of the requests in flight may be the
 // cause of a crash. It is then refused for CompanyRefusalTime, after
 // Config.CompanyCrashLimit crashes of at least minRefusalRounds rounds, unless a run that
-// began after the last of them was known has ended without a crash.
+// began after the last of them was known has ended without a crash. After that, and after
+// as many crashes of one round, it is on trial.
 //
 // The crashes of an entry and its clean round only grow, so that the registries of
 // several instances that exchange Records reach the same state in any order.
@@ -126,30 +133,50 @@
 		return Answer{}
 	}
 	a := Answer{Crashed: e.crashedEndpoints(), Rounds: e.rounds()}
-	switch left := CompanyRefusalTime - now.Sub(e.lastReported); {
+	switch {
 	case e.refused:
 		a.Verdict, a.RefusedFor = Refused, r.ttl(e)-now.Sub(e.lastReported)
 	case len(a.Crashed) == 0:
-	case r.reachedCompanyLimit(e) && left > 0:
-		a.Verdict, a.RefusedFor = Refused, left
+	case r.reachedCompanyLimit(e):
+		e.judgeInCompany(&a, now)
 	default:
 		a.Verdict = RunAlone
 	}
 	return a
 }
 
-// reachedCompanyLimit reports whether the crashes of a request that never ran alone are
-// enough to refuse it.
+// reachedCompanyLimit reports whether a request that never ran alone was in flight in so
+// many crashes that it does not run freely any more.
 func (r *Registry) reachedCompanyLimit(e *entry) bool {
-	crashes := e.standingCrashes()
-	if r.config.CompanyCrashLimit == 0 || len(crashes) < r.config.CompanyCrashLimit {
-		return false
+	return r.config.CompanyCrashLimit > 0 && len(e.standingCrashes()) >= r.config.CompanyCrashLimit
+}
+
+// judgeInCompany sets the verdict on a request that has reached the limit of crashes in
+// company. Crashes of one round may be those of a rack that failed under copies of an
+// innocent request. So do copies of a crashing request that come at once; the next wave of
+// these must not go out whole.
+func (e *entry) judgeInCompany(a *Answer, now time.Time) {
+	sinceLast := now.Sub(e.lastReported)
+	several := e.standingRounds() >= minRefusalRounds
+	switch {
+	case several && sinceLast < CompanyRefusalTime:
+		a.Verdict, a.RefusedFor = Refused, CompanyRefusalTime-sinceLast
+	case several:
+		a.Verdict, a.TrialFor = Trial, sinceLast-CompanyRefusalTime
+	case sinceLast < trialDelay:
+		a.Verdict = RunAlone
+	default:
+		a.Verdict, a.TrialFor = Trial, sinceLast-trialDelay
 	}
+}
+
+// standingRounds returns the number of different rounds of the standing crashes.
+func (e *entry) standingRounds() int {
 	rounds := map[int]bool{}
-	for _, c := range crashes {
+	for _, c := range e.standingCrashes() {
 		rounds[c.Round] = true
 	}
-	return len(rounds) >= minRefusalRounds
+	return len(rounds)
 }
 
 // RecordCrash records that f was in flight during a crash and whether it ran alone. It
--- a/suspect/replica.go
+++ b/suspect/replica.go
@@ -72,8 +72,8 @@
 }
 
 // Replica is a Registry of which every instance has a copy. Each records what it sees
-// itself, and merges the changes that the others tell it. Suspects that are not refused run
-// like other requests. It is safe for concurrent use.
+// itself, and merges the changes that the others tell it. Suspects that are neither refused
+// nor on trial run like other requests. It is safe for concurrent use.
 //
 // Load pattern: a request that crashes endpoints returns at any instance. Suspects are so
 // rare that every instance can know all of them, and no request waits for an answer from
@@ -85,12 +85,26 @@
 	size     atomic.Int64 // number of entries
 	mu       sync.Mutex
 	registry *Registry
+	self     string               // name of this instance, empty before it is known
+	members  []Member             // live instances
+	trials   map[Fingerprint]bool // requests on trial that this instance is running
 }
 
 // NewReplica returns a Replica without suspects.
 func NewReplica(c Config, now func() time.Time) *Replica {
 	r := NewRegistry(c)
-	return &Replica{now: now, log: r.config.Log, registry: r}
+	return &Replica{now: now, log: r.config.Log, registry: r, trials: map[Fingerprint]bool{}}
+}
+
+// SetInstances sets the names of the live instances, of which self is this one.
+func (r *Replica) SetInstances(self string, names []string) {
+	members := make([]Member, len(names))
+	for i, name := range names {
+		members[i].Instance = name
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self, r.members = self, members
 }
 
 // Empty reports whether there are no suspects. Then no request needs a fingerprint.
--- a/suspect/replica_test.go
+++ b/suspect/replica_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -35,15 +36,17 @@
 		{"one after the other", []int{1, 2, 3}, Refused},
 		{"two copies, then one", []int{1, 1, 2}, Refused},
 		{"below the limit", []int{1, 2}, RunAlone},
-		{"copies on a rack that fails", []int{1, 1, 1, 1}, RunAlone},
+		{"copies at once", []int{1, 1, 1, 1}, Trial},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, recordRounds(companyRegistry(), testFingerprint(1), time.Now(), c.rounds...).Verdict, c.want)
+			r, f, now := companyRegistry(), testFingerprint(1), time.Now()
+			recordRounds(r, f, now, c.rounds...)
+			assert.Equal(t, r.Lookup(f, now.Add(trialDelay)).Verdict, c.want)
 		})
 	}
 }
 
-// TestRefusalInCompanyEndsAndReturns checks that a refused request gets another run after
+// TestRefusalInCompanyEndsAndReturns checks that a refused request gets a trial after
 // CompanyRefusalTime, and that one more crash is enough to refuse it again.
 func TestRefusalInCompanyEndsAndReturns(t *testing.T) {
 	now := time.Now()
@@ -52,7 +55,7 @@
 	assert.Equal(t, recordRounds(r, f, now, 1, 2, 3).RefusedFor, CompanyRefusalTime)
 	now = now.Add(CompanyRefusalTime)
 	a := r.Lookup(f, now)
-	assert.Equal(t, a.Verdict, RunAlone)
+	assert.Equal(t, a.Verdict, Trial)
 	a = r.RecordCrash(f, Crash{Endpoint: "another", Round: a.Rounds + 1}, false, now)
 	assert.Equal(t, a.Verdict, Refused)
 }
@@ -158,3 +161,54 @@
 	}
 	b.ReportMetric(float64(size), "B/record")
 }
+
+// onTrial returns replicas at instances that know each other, at all of which a request is
+// on trial, and a function that begins a run of it at one of them.
+func onTrial(t *testing.T, instances int, now func() time.Time) (begin func(at int) (*Run, error)) {
+	var names []string
+	for n := range instances {
+		names = append(names, fmt.Sprint("front-", n))
+	}
+	replicas := make([]*Replica, instances)
+	for n := range replicas {
+		replicas[n] = NewReplica(Config{CompanyCrashLimit: testCompanyLimit}, now)
+		replicas[n].SetInstances(names[n], names)
+		for e := range testCompanyLimit {
+			replicas[n].RecordCrash(testFingerprint(1), Crash{Endpoint: fmt.Sprint("e", e), Round: 1})
+		}
+	}
+	return func(at int) (*Run, error) {
+		return replicas[at].Begin(func() Fingerprint { return testFingerprint(1) })
+	}
+}
+
+// TestRequestOnTrialRunsOnceAtATime begins runs of a request on trial at all instances:
+// one of them runs it, and again once that run has ended. If it does not come to that
+// instance, others run it in the end.
+func TestRequestOnTrialRunsOnceAtATime(t *testing.T) {
+	const instances = 7
+	now := time.Now()
+	begin := onTrial(t, instances, func() time.Time { return now })
+	now = now.Add(trialDelay)
+	begun := func() (runs []*Run) {
+		for n := range instances {
+			for range 2 {
+				run, err := begin(n)
+				var held *HeldError
+				if errors.As(err, &held) {
+					assert.Check(t, held.OnTrial)
+					continue
+				}
+				runs = append(runs, run)
+			}
+		}
+		return runs
+	}
+	first := begun()
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, len(begun()), 0)
+	first[0].End()
+	assert.Equal(t, len(begun()), 1)
+	now = now.Add(soleTrialTime + 3*trialSpreadTime)
+	assert.Equal(t, len(begun()), instances-1)
+}
--- a/suspect/server.go
+++ b/suspect/server.go
@@ -95,6 +95,7 @@
 	Clear:    event.SuspectCleared,
 	RunAlone: event.SuspectRaised,
 	Refused:  event.SuspectRefused,
+	Trial:    event.SuspectOnTrial,
 }
 
 // logVerdictChange logs an event if the verdict on f has changed.
