Gateway: a failure that an endpoint reports does not clear a suspect

A request that crashes endpoints could be sent on without end. Cause: a 500 or a 504 of an endpoint counted as a run without a crash. The endpoint may not have begun to run the request: its deadline passed in the queue, or the endpoint fails a part of its requests. Change: only a delivered response clears. Measured: TestFailureDoesNotClearSuspect failed on the parent (200 instead of 503), passes now.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -91,7 +91,7 @@
 			return
 		}
 		o := c.attempt(ctx, p)
-		if o == outcomeDelivered || o == outcomeEndpointFailed {
+		if o == outcomeDelivered {
 			c.run.Completed()
 		}
 		c.endRun()
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -121,3 +121,26 @@
 	records, _ := b.suspectReplica.Changes(0, 100)
 	return records
 }
+
+// TestFailureDoesNotClearSuspect has an endpoint report a failure between crashes of others
+// under the same request: it need not have begun to run it, and the request is refused
+// after the third crash.
+func TestFailureDoesNotClearSuspect(t *testing.T) {
+	b := newTestBed(t)
+	crashNext := func(id string) {
+		var f *fakeEndpoint
+		f = b.startEndpoint(id, func(*exchange) { f.crash() })
+		b.send("/once/poison")
+		assert.Equal(t, len(f.requests()), 1)
+		b.view.RemoveEndpoint(id, b.now())
+	}
+	crashNext("i-1")
+	crashNext("i-2")
+	failing := b.startEndpoint("i-3", func(x *exchange) { x.respond(http.StatusInternalServerError, "failed") })
+	assert.Equal(t, b.send("/once/poison").status, http.StatusInternalServerError)
+	b.view.RemoveEndpoint(failing.spec.ID, b.now())
+	crashNext("i-4")
+	good := b.startEndpoint("i-5", respondOK)
+	assert.Equal(t, b.send("/once/poison").status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(good.requests()), 0)
+}
