Gateway: the end of an endpoint's process is looked for more than once

A request that crashes endpoints could be sent on: its crashes were not seen. Cause: one look, at the moment when the first connection was lost, decided for a second. An endpoint that closes its connections before its listener, or whose successor listens at the same address within a moment, had not crashed by that look. Change: five looks within 3 s; a later incarnation that is listed at the address, or under the identifier, proves the end, too. The request waits for the first look alone.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -360,8 +360,8 @@
 	countEndlessResponse(err, c.query.service)
 	event.RelayLost.Log(c.server.opts.Log, c.logAttrs()...)
 	c.server.endpoints.recordFailure(p, true)
-	if upstream.ClosedByPeer(err) && c.server.endpoints.processEnded(ctx, p.endpoint) {
-		c.recordCrash(p)
+	if upstream.ClosedByPeer(err) {
+		c.checkCrash(p)
 	}
 	if c.headerSent {
 		return outcomeTruncated
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -5,45 +5,39 @@
 	"log/slog"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"redwingknot/contract"
 	"redwingknot/event"
+	"redwingknot/fleet"
 	"redwingknot/metric"
 	"redwingknot/suspect"
 	"redwingknot/upstream"
 )
 
 // endCheck is a check whether an endpoint's process has ended, shared by all requests
-// that lost their connections to it. Its results are valid once done is closed.
+// that lost their connections to it.
 type endCheck struct {
 	startedAt time.Time
-	done      chan struct{}
-	ended     bool
+	first     chan struct{} // closed after the first look
+	done      chan struct{} // closed after the last look, or once the process has ended
+	ended     atomic.Bool
 }
 
 // endCheckTime is how long the result of an endCheck is used. The requests that a process
 // ran when it ended lose their connections within a moment.
 const endCheckTime = time.Second
 
-// processEnded reports whether the process of an endpoint that has closed a connection
-// before its response was complete has ended unannounced: nothing listens at its address
-// any more. A lost connection alone does not show that, and the end of an endpoint that
-// leaves says nothing about the requests that it ran.
-func (e *Endpoints) processEnded(ctx context.Context, ep *endpoint) bool {
-	check := e.startEndCheck(ep)
-	if check == nil {
-		return false
-	}
-	select {
-	case <-check.done:
-		return check.ended
-	case <-ctx.Done():
-		return false
-	}
-}
+// endCheckLooks are the times from the start of an endCheck at which it looks for signs of
+// the end. A process may close its connections before its listener, and its supervisor may
+// start the next one within a moment; that one then takes a while to register.
+var endCheckLooks = []time.Duration{0, 30 * time.Millisecond, 150 * time.Millisecond, time.Second, 3 * time.Second}
+
+// lastConnectLook is the time from which an endCheck looks at the listing alone.
+const lastConnectLook = time.Second
 
 // startEndCheck returns the current check of an endpoint, which it starts if necessary. It
 // returns nil for an endpoint that leaves or is not listed.
@@ -58,13 +52,65 @@
 	if c := ep.endCheck; c != nil && now.Sub(c.startedAt) < endCheckTime {
 		return c
 	}
-	check := &endCheck{startedAt: now, done: make(chan struct{})}
+	check := &endCheck{startedAt: now, first: make(chan struct{}), done: make(chan struct{})}
 	ep.endCheck = check
+	go e.runEndCheck(check, ep.spec, ep.pool)
+	return check
+}
+
+// runEndCheck looks for signs that the process of an endpoint has ended unannounced: nothing
+// listens at its address any more, or another incarnation is listed there.
+func (e *Endpoints) runEndCheck(check *endCheck, spec *fleet.Endpoint, pool *upstream.Pool) {
+	defer close(check.done)
+	for i, at := range endCheckLooks {
+		time.Sleep(at - e.now().Sub(check.startedAt))
+		refused := at <= lastConnectLook && upstream.ConnRefused(pool.Connect(context.Background()))
+		ended := refused || isSucceeded(e.view.Snapshot(), spec)
+		check.ended.Store(ended)
+		if i == 0 {
+			close(check.first)
+		}
+		if ended {
+			return
+		}
+	}
+}
+
+// isSucceeded reports whether another incarnation is listed at the address of an endpoint,
+// or a later one under its identifier.
+func isSucceeded(s *fleet.Snapshot, spec *fleet.Endpoint) bool {
+	if same := s.Endpoints[spec.ID]; same != nil && same.StartMillis > spec.StartMillis {
+		return true
+	}
+	for _, other := range s.Endpoints {
+		if other.Address == spec.Address && other.ID != spec.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// checkCrash finds out whether the process of the endpoint of p has ended under the attempt
+// that has just lost its connection, and records a crash if it has. A lost connection alone
+// does not show that, and the end of an endpoint that leaves says nothing about the requests
+// that it ran. It returns after the first look; the others go on beside the request.
+func (c *callerRequest) checkCrash(p *pick) {
+	check := c.server.endpoints.startEndCheck(p.endpoint)
+	if check == nil {
+		return
+	}
+	crash := c.newCrashReport(p)
+	<-check.first
+	if check.ended.Load() {
+		crash.record()
+		return
+	}
 	go func() {
-		defer close(check.done)
-		check.ended = upstream.ConnRefused(ep.pool.Connect(context.Background()))
+		<-check.done
+		if check.ended.Load() {
+			crash.record()
+		}
 	}()
-	return check
 }
 
 // beginRun begins the run of the next attempt. It returns a refusal if the request has
@@ -94,11 +140,26 @@
 	}
 }
 
-// recordCrash records that the endpoint of p ended while it ran the request.
-func (c *callerRequest) recordCrash(p *pick) {
-	metric.Counter("endpoint_crashes_total", "service", c.query.service).Inc(1)
-	event.EndpointCrashed.Log(c.server.opts.Log, append(c.logAttrs(), slog.String("fingerprint", c.suspectFingerprint().String()))...)
-	c.run.Crashed(p.spec.ID, strconv.FormatInt(p.spec.StartMillis, 10))
+// crashReport is what is recorded if an endpoint's process has ended under an attempt. It
+// holds no state of the request, which may go on meanwhile.
+type crashReport struct {
+	run      *suspect.Run
+	endpoint fleet.EndpointKey
+	service  string
+	log      *slog.Logger
+	attrs    []slog.Attr
+}
+
+func (c *callerRequest) newCrashReport(p *pick) crashReport {
+	attrs := append(c.logAttrs(), slog.String("fingerprint", c.suspectFingerprint().String()))
+	return crashReport{run: c.run, endpoint: p.spec.Key(), service: c.query.service, log: c.server.opts.Log, attrs: attrs}
+}
+
+// record records that the endpoint's process ended while it ran the request.
+func (r crashReport) record() {
+	metric.Counter("endpoint_crashes_total", "service", r.service).Inc(1)
+	event.EndpointCrashed.Log(r.log, r.attrs...)
+	r.run.Crashed(r.endpoint.ID, strconv.FormatInt(r.endpoint.StartMillis, 10))
 }
 
 // suspectFingerprint returns the fingerprint of the request. A caller that sends the
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"redwingknot/suspect"
 )
@@ -144,3 +146,35 @@
 	assert.Equal(t, b.send("/once/poison").status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(good.requests()), 0)
 }
+
+// TestCrashIsFoundWhenListenerClosesLast has an endpoint lose its connections before
+// nothing listens at its address, or its successor listen there at once: the request must
+// become a suspect all the same.
+func TestCrashIsFoundWhenListenerClosesLast(t *testing.T) {
+	for name, end := range map[string]func(b *testBed, f *fakeEndpoint){
+		"listener closes last": func(_ *testBed, f *fakeEndpoint) { f.listener.Close() },
+		"successor": func(b *testBed, f *fakeEndpoint) {
+			successor := *f.spec
+			successor.ID, successor.StartMillis = "i-2", 1
+			b.view.PutEndpoint(&successor)
+		},
+		"restart": func(b *testBed, f *fakeEndpoint) {
+			restarted := *f.spec
+			restarted.StartMillis = 1
+			b.view.PutEndpoint(&restarted)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBed(t)
+			f := b.startEndpoint("i-1", func(x *exchange) { x.conn.Close() })
+			b.send("/once/poison")
+			end(b, f)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if len(b.suspects()) == 1 {
+					return poll.Success()
+				}
+				return poll.Continue("no suspect")
+			}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+		})
+	}
+}
