Gateway: an endpoint that leaves crashes if it ends before its time

A request that crashes endpoints could be sent on beside a release or a scale-in, or where the platform drops an entry quickly. Cause: the end of an endpoint that leaves or is not listed counted as planned, whenever it came. Such an endpoint goes on serving for the drain time. Change: its end is planned from half a second before the drain time is over on; before, it is looked for as any other. Each incarnation's notices say since when it leaves, by its announcement, its entry or the removal of that. Tests: the cases 'endpoint is leaving' and 'endpoint is not listed' ended the endpoint at once and wanted no suspect, which is the fault; they now end it after the drain time, and also check that no suspect is kept, not only that nothing is refused.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -39,16 +39,20 @@
 // lastConnectLook is the time from which an endCheck looks at the listing alone.
 const lastConnectLook = time.Second
 
+// endMargin is how much earlier than planned the process of an endpoint that leaves may end.
+const endMargin = 500 * time.Millisecond
+
 // startEndCheck returns the current check of an endpoint, which it starts if necessary. It
-// returns nil for an endpoint that leaves or is not listed.
+// returns nil for one that has been leaving for so long that its end is planned, and says
+// nothing of the requests that it ran. Before that it serves, and its end is a crash.
 func (e *Endpoints) startEndCheck(ep *endpoint) *endCheck {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	listed := e.view.Snapshot().Endpoints[ep.spec.ID]
-	if listed == nil || listed.Key() != ep.spec.Key() || listed.Leaving || !ep.leavingSince.IsZero() {
+	e.syncView()
+	now := e.now()
+	if since := ep.goingSince; !since.IsZero() && now.Sub(since) >= e.drainTime-endMargin {
 		return nil
 	}
-	now := e.now()
 	if c := ep.endCheck; c != nil && now.Sub(c.startedAt) < endCheckTime {
 		return c
 	}
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -42,8 +42,22 @@
 	assert.Check(t, headerSeconds(r.header) > 60, "Retry-After is %q", r.header.Get("Retry-After"))
 }
 
+// leave has the entry of an endpoint say that it leaves.
+func (b *testBed) leave(f *fakeEndpoint) {
+	leaving := *f.spec
+	leaving.Leaving = true
+	b.view.PutEndpoint(&leaving)
+	b.relay.Endpoints().RecordReportedLeaving()
+}
+
+// unlist removes the entry of an endpoint.
+func (b *testBed) unlist(f *fakeEndpoint) {
+	b.view.RemoveEndpoint(f.spec.ID, b.now())
+	b.relay.Endpoints().RecordReportedLeaving()
+}
+
 // TestRequestIsNoSuspectWithoutCrash sends a request again that loses its connection each
-// time, without an unannounced end of the endpoint's process: it is never refused.
+// time, without an unplanned end of the endpoint's process: it never becomes a suspect.
 func TestRequestIsNoSuspectWithoutCrash(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -51,14 +65,14 @@
 	}{
 		{"connection reset", func(_ *testBed, _ *fakeEndpoint, x *exchange) { x.reset() }},
 		{"response cut off", func(_ *testBed, _ *fakeEndpoint, x *exchange) { x.conn.Close() }},
-		{"endpoint is leaving", func(b *testBed, f *fakeEndpoint, _ *exchange) {
-			leaving := *f.spec
-			leaving.Leaving = true
-			b.view.PutEndpoint(&leaving)
+		{"endpoint has left", func(b *testBed, f *fakeEndpoint, _ *exchange) {
+			b.leave(f)
+			b.advance(testDrainTime)
 			f.crash()
 		}},
-		{"endpoint is not listed", func(b *testBed, f *fakeEndpoint, _ *exchange) {
-			b.view.RemoveEndpoint(f.spec.ID, b.now())
+		{"endpoint was removed long ago", func(b *testBed, f *fakeEndpoint, _ *exchange) {
+			b.unlist(f)
+			b.advance(testDrainTime)
 			f.crash()
 		}},
 	} {
@@ -71,9 +85,35 @@
 				endpoints = append(endpoints, f)
 			}
 			for range 5 {
+				b.view.Confirm(b.now())
 				b.send("/once/unlucky")
 			}
 			assert.Check(t, requestCount(endpoints...) >= 5)
+			assert.Equal(t, len(b.suspects()), 0)
+		})
+	}
+}
+
+// TestCrashWhileLeavingMakesSuspects crashes endpoints that have just said that they leave,
+// or whose entries have just vanished: they were to go on serving, so that the request is a
+// suspect.
+func TestCrashWhileLeavingMakesSuspects(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(b *testBed, f *fakeEndpoint)
+	}{
+		{"entry says that it leaves", func(b *testBed, f *fakeEndpoint) { b.leave(f) }},
+		{"entry vanishes", func(b *testBed, f *fakeEndpoint) { b.unlist(f) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t)
+			var f *fakeEndpoint
+			f = b.startEndpoint("i-1", func(*exchange) {
+				c.leave(b, f)
+				f.crash()
+			})
+			b.send("/once/poison")
+			assert.Equal(t, len(b.suspects()), 1)
 		})
 	}
 }
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -92,7 +92,7 @@
 			delete(e.byKey, key)
 		}
 	}
-	e.forgetNotices()
+	e.syncNotices()
 	close(e.changed)
 	e.changed = make(chan struct{})
 	return s
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -26,10 +26,18 @@
 // vanish and come back while the endpoint runs. It is guarded by the mutex of Endpoints.
 type noticeState struct {
 	pause        place.Pause
-	leavingSince time.Time // when this instance learned that it is leaving, zero if it is not
+	leavingSince time.Time // when this instance learned that it has announced to leave, zero if it has not
+	goingSince   time.Time // the same for its announcement, its entry or the removal of that, whichever came first
 	listedAt     time.Time // when the incarnation was last known to be listed
 }
 
+// recordGoing records that the endpoint leaves or is not listed.
+func (n *noticeState) recordGoing(now time.Time) {
+	if n.goingSince.IsZero() {
+		n.goingSince = now
+	}
+}
+
 const (
 	// noticeTime is how long the notices of an endpoint that is not listed are kept. It is
 	// well above the time for which an endpoint that leaves goes on serving.
@@ -49,12 +57,20 @@
 	return n
 }
 
-// forgetNotices forgets the notices of incarnations that have not been listed for
-// noticeTime, and of those without any. The caller holds mu.
-func (e *Endpoints) forgetNotices() {
+// syncNotices updates which endpoints leave by their entries, and forgets the notices of
+// incarnations that have not been listed for noticeTime, and of those without any. The
+// caller holds mu and has updated byKey.
+func (e *Endpoints) syncNotices() {
 	now := e.now()
 	for key, n := range e.notices {
-		if e.byKey[key] != nil {
+		ep := e.byKey[key]
+		switch {
+		case ep == nil || ep.spec.Leaving:
+			n.recordGoing(now)
+		case n.leavingSince.IsZero():
+			n.goingSince = time.Time{} // its entry has come back
+		}
+		if ep != nil {
 			n.listedAt = now
 			continue
 		}
@@ -135,15 +151,17 @@
 		return
 	}
 	ep.leavingSince = now
+	ep.recordGoing(now)
 	event.EndpointLeaving.Log(e.log, slog.String("endpoint", ep.spec.ID), slog.String("service", ep.spec.Service))
 	metric.Counter("endpoints_leaving_total", "service", ep.spec.Service).Inc(1)
 }
 
 // RecordReportedLeaving records which endpoints have told other instances that they
-// leave.
+// leave, and which leave by their entries.
 func (e *Endpoints) RecordReportedLeaving() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.syncView()
 	now := e.now()
 	for _, ep := range e.byKey {
 		if ep.leavingSince.IsZero() && e.otherLoads.Load(ep.incarnationHash).Leaving > 0 {
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,6 +121,7 @@
 	relay  *relay.Server
 	server *httptest.Server
 	now    func() time.Time
+	ahead  atomic.Int64 // how far the clock of the relay is ahead, in nanoseconds
 
 	suspectReplica *suspect.Replica
 }
@@ -163,7 +165,8 @@
 
 // newUnconfiguredTestBed returns a test bed that has no configuration yet.
 func newUnconfiguredTestBed(t *testing.T) *testBed {
-	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable(), now: time.Now}
+	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable()}
+	b.now = func() time.Time { return time.Now().Add(time.Duration(b.ahead.Load())) }
 	b.suspectReplica = suspect.NewReplica(suspect.Config{CompanyCrashLimit: 3}, time.Now)
 	o := relay.Options{
 		View: b.view, Dialect: platform.Dialect{}, Log: slog.New(slog.DiscardHandler), Cache: b.cache, OtherLoads: b.loads,
@@ -262,3 +265,6 @@
 	}
 	return n
 }
+
+// advance sets the clock of the relay forward.
+func (b *testBed) advance(d time.Duration) { b.ahead.Add(int64(d)) }
