Gateway: a crash counts also if the caller has left by then

A request that crashes endpoints could be sent on if its callers give up early. Cause: an attempt whose caller had gone, or whose deadline had passed, when its lost connection was looked at, ended before the look at the endpoint's process. Change: the process is looked at whoever waits for the response.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -353,17 +353,20 @@
 // handleLost ends an attempt that may have been executed and gave no complete
 // response.
 func (c *callerRequest) handleLost(ctx context.Context, p *pick, err error) outcome {
-	if ctx.Err() != nil {
-		return outcomeCallerGone
-	}
 	c.lastErr = err
-	countEndlessResponse(err, c.query.service)
-	event.RelayLost.Log(c.server.opts.Log, c.logAttrs()...)
-	c.server.endpoints.recordFailure(p, true)
+	callerGone := ctx.Err() != nil
+	if !callerGone {
+		countEndlessResponse(err, c.query.service)
+		event.RelayLost.Log(c.server.opts.Log, c.logAttrs()...)
+		c.server.endpoints.recordFailure(p, true)
+	}
 	if upstream.ClosedByPeer(err) {
 		c.checkCrash(p)
 	}
-	if c.headerSent {
+	switch {
+	case callerGone:
+		return outcomeCallerGone
+	case c.headerSent:
 		return outcomeTruncated
 	}
 	return outcomeUnknown
