Gateway: refusals reach instances through the metadata store, too

An instance that others do not reach, but that reaches the metadata store, could send on a request that crashes endpoints; so could all instances after a kill, if the one that knew of the crashes was not the leader. Cause: refusals were read from the store once, at the start, and only the leader saved them. Measured: TestRefusalIsSavedWithoutLeader is new with the method that it calls; before, a follower saved nothing by its code.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 	registration  *registration
 	wire          *wire.Server
 	exchange      *peers.Exchange
+	suspects      *suspectStore
 	era           int64 // of the metadata store at the last read of the operator's range; used only by its watcher
 	draining      atomic.Bool
 	started       time.Time
@@ -94,6 +95,7 @@
 	g.confirmations = newConfirmations(g.view, o.Relay.Now)
 	g.opts.Relay.OtherLoads = peers.NewTable()
 	g.opts.Relay.Suspects = suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany, Log: g.log}, o.Relay.Now)
+	g.suspects = newSuspectStore(g.kv, g.opts.Relay.Suspects, o.Relay.Now, g.leads)
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
 	g.relay = relay.NewServer(g.opts.Relay)
 	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease)}
@@ -181,7 +183,7 @@
 	}
 	group.Go(func() error { return g.registration.run(workCtx) })
 	group.Go(func() error { return g.endSettling(workCtx) })
-	group.Go(func() error { return g.newSuspectStore().run(workCtx) })
+	group.Go(func() error { return g.suspects.run(workCtx) })
 	group.Go(func() error { return g.relay.Run(workCtx) })
 	group.Go(func() error { return g.elector.Run(ctx) })
 	group.Go(func() error { return g.runOrders(ctx) })
@@ -191,12 +193,9 @@
 	group.Go(func() error { return g.runCacheStores(workCtx) })
 }
 
-func (g *Gateway) newSuspectStore() *suspectStore {
-	isLeader := func() bool {
-		_, leads := g.elector.FencingToken()
-		return leads
-	}
-	return &suspectStore{kv: g.kv, replica: g.opts.Relay.Suspects, now: g.opts.Relay.Now, isLeader: isLeader, saved: map[suspect.Fingerprint]bool{}}
+func (g *Gateway) leads() bool {
+	_, leads := g.elector.FencingToken()
+	return leads
 }
 
 // headerTimeout and idleTimeout are above all limits that configurations set, so
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"redwingknot/fleet"
 	"redwingknot/metastore/metastoretest"
 	"redwingknot/suspect"
 )
@@ -18,6 +19,15 @@
 	}
 }
 
+// savedSuspects returns all refused requests in the metadata store, as a watcher that has
+// just started does.
+func savedSuspects(t *testing.T, content *metastoretest.Store) fleet.Delta {
+	from, to := suspectRange()
+	entries, _, err := content.Client("test").Range(t.Context(), purposeSuspects, from, to, 0)
+	assert.NilError(t, err)
+	return fleet.Delta{Changed: entries}
+}
+
 // TestRefusedRequestsOutliveInstances has a leader save a refused request while the
 // metadata store is away at first. An instance that starts later must refuse it, until the
 // refusal ends.
@@ -25,10 +35,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		content := metastoretest.NewStore(time.Now)
 		newStore := func(leads bool) *suspectStore {
-			return &suspectStore{
-				kv: content.Client("test"), replica: suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany}, time.Now),
-				now: time.Now, isLeader: func() bool { return leads }, saved: map[suspect.Fingerprint]bool{},
-			}
+			replica := suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany}, time.Now)
+			return newSuspectStore(content.Client("test"), replica, time.Now, func() bool { return leads })
 		}
 		f, harmless := suspect.FingerprintOf(suspect.RequestIdentity{Target: "x"}), suspect.FingerprintOf(suspect.RequestIdentity{Target: "y"})
 		leader, follower := newStore(true), newStore(false)
@@ -44,7 +52,7 @@
 		time.Sleep(2 * suspectSaveInterval)
 		assert.Equal(t, len(content.Keys()), 1)
 		later := newStore(false)
-		assert.NilError(t, later.load(t.Context()))
+		later.apply(savedSuspects(t, content))
 		assert.Equal(t, later.replica.Lookup(f).Verdict, suspect.Refused)
 		assert.Equal(t, later.replica.Lookup(harmless).Verdict, suspect.Clear)
 		time.Sleep(suspect.CompanyRefusalTime + 5*suspectSaveInterval)
@@ -53,3 +61,23 @@
 		assert.Equal(t, later.replica.Lookup(f).Verdict, suspect.Trial)
 	})
 }
+
+// TestRefusalIsSavedWithoutLeader has an instance that is not the leader refuse a request
+// that the leader does not know of: it must save the refusal, also after the metadata store
+// has lost it.
+func TestRefusalIsSavedWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		content := metastoretest.NewStore(time.Now)
+		replica := suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany}, time.Now)
+		s := newSuspectStore(content.Client("test"), replica, time.Now, func() bool { return false })
+		go s.run(t.Context())
+		f := suspect.FingerprintOf(suspect.RequestIdentity{Target: "x"})
+		refuse(s.replica, f)
+		time.Sleep(followerSaveDelay + 2*suspectSaveInterval)
+		assert.Equal(t, len(content.Keys()), 1)
+		content.ExpireLeases()
+		s.apply(fleet.Delta{Removed: []string{suspectPrefix + f.String()}})
+		time.Sleep(2 * suspectSaveInterval)
+		assert.Equal(t, len(content.Keys()), 1)
+	})
+}
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -31,7 +31,11 @@
 	instances := g.newWatcher(purposeMembers, fullReadInterval, memberRange)
 	instances.onChange = func(fleet.Delta) { g.updateInstances(ctx, instances.mirror) }
 	instances.onRead = func(time.Time) { g.updateInstances(ctx, instances.mirror) }
-	return []*watcher{operator, endpoints, instances}
+	suspects := g.newWatcher(purposeSuspects, suspectReadInterval, suspectRange)
+	suspects.freshness = fleet.NewFreshness() // so rarely read that a report of it would cost more
+	suspects.onChange = g.suspects.apply
+	suspects.onRead = func(time.Time) {}
+	return []*watcher{operator, endpoints, instances, suspects}
 }
 
 func (g *Gateway) newWatcher(p metastore.Purpose, interval time.Duration, keys func() (from, to string)) *watcher {
--- a/suspect/fingerprint.go
+++ b/suspect/fingerprint.go
@@ -37,6 +37,16 @@
 	return Fingerprint(b), nil
 }
 
+// FingerprintFromString is the inverse of Fingerprint.String. The error is a
+// *MalformedFingerprintError.
+func FingerprintFromString(s string) (Fingerprint, error) {
+	b, err := hex.DecodeString(s)
+	if err != nil {
+		return Fingerprint{}, &MalformedFingerprintError{Length: len(s) / 2}
+	}
+	return ParseFingerprint(b)
+}
+
 // RequestIdentity is the input of a fingerprint: requests that are equal in all fields
 // have the same fingerprint and are taken for the same request. It includes the
 // weight version, since a request that crashes endpoints under one version may not
