A part of prompts that crashes engines: failing test with processes, listed

Cause, seen by the test: gateways remember whole requests alone, and no two with the part are alike. Change: the test, listed; engines of the stand-in crash after the first event of a response to a prompt with a given part.

--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -24,6 +24,7 @@
 	headerLeaving        = "Server-Leaving"
 	headerRetryAfter     = "Retry-After"
 	headerLimit          = "Server-Limit"
+	headerPrompt         = "Prompt-Prefix"
 )
 
 // ResponseStamp is the Response-Stamp of every answer to a request that was run. It
@@ -73,11 +74,11 @@
 		return
 	}
 	defer s.releaseSlot()
-	crashes := s.options.Crash != nil && bytes.HasPrefix(body, []byte(CrashBody))
-	lastEvent := s.recordRun(r, crashes)
-	if crashes {
-		s.options.Crash()
-		panic(http.ErrAbortHandler)
+	crashesAtOnce := s.options.Crash != nil && bytes.HasPrefix(body, []byte(CrashBody))
+	crashesLater := s.options.Crash != nil && s.options.Model != "" && hasCrashPart(r)
+	lastEvent := s.recordRun(r, crashesAtOnce || crashesLater)
+	if crashesAtOnce {
+		s.crash()
 	}
 	w.Header().Set(headerStamp, ResponseStamp)
 	if s.options.Model == "" {
@@ -86,7 +87,24 @@
 		}
 		return
 	}
-	s.streamEvents(w, r, lastEvent)
+	s.streamEvents(w, r, lastEvent, crashesLater)
+}
+
+// hasCrashPart reports whether CrashPart is one of the parts of a prompt but the last.
+func hasCrashPart(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get(headerPrompt), ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(strings.TrimSpace(part), ":"); id == CrashPart {
+			return true
+		}
+	}
+	return false
+}
+
+// crash ends the endpoint's process. It does not return.
+func (s *Server) crash() {
+	s.options.Crash()
+	panic(http.ErrAbortHandler)
 }
 
 // recordArrival records a request and sets the header that names the limit.
@@ -226,8 +244,8 @@
 	s.runs = append(s.runs, r)
 }
 
-// streamEvents sends the events after lastEvent.
-func (s *Server) streamEvents(w http.ResponseWriter, r *http.Request, lastEvent int) {
+// streamEvents sends the events after lastEvent, or crashes after the first one.
+func (s *Server) streamEvents(w http.ResponseWriter, r *http.Request, lastEvent int, crashes bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	if !s.sleepScaled(r, s.options.WorkTime) {
 		return
@@ -239,5 +257,8 @@
 		if http.NewResponseController(w).Flush() != nil || !s.sleepScaled(r, s.options.EventGap) {
 			return
 		}
+		if crashes {
+			s.crash()
+		}
 	}
 }
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -26,10 +26,15 @@
 	ReportLag    time.Duration // age at which an order shows in reports
 
 	// Crash ends the endpoint's process as a crash does. It is called when a request with
-	// CrashBody begins to run; nil if no request crashes the endpoint.
+	// CrashBody begins to run, and after the first event of a stream whose prompt has
+	// CrashPart among its parts but the last; nil if no request crashes the endpoint.
 	Crash func()
 }
 
+// CrashPart is the identifier of a prompt part that crashes each engine which begins to
+// write a response to a prompt with it.
+const CrashPart = "dead"
+
 // CrashBody is the beginning of the bodies of requests that crash each endpoint that begins
 // to run them.
 const CrashBody = "crash"
--- a/processtest/crash_test.go
+++ b/processtest/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,24 +26,28 @@
 // quickCrash ends an endpoint at once, and brings it back soon.
 var quickCrash = crashTiming{restart: 150 * time.Millisecond}
 
-// crashableEndpoint is an application's endpoint, which requests with
-// fleetworker.CrashBody crash. It comes back under a new ID.
+// crashableEndpoint is an endpoint that requests with fleetworker.CrashBody or
+// fleetworker.CrashPart crash. It comes back under a new ID.
 type crashableEndpoint struct {
 	deployment *gatewayDeployment
 	name       string
 	timing     crashTiming
+	options    fleetworker.Options // of each incarnation, apart from its ID
 
 	mu     sync.Mutex
 	starts int
 	server *httptest.Server
 	all    []*fleetworker.Server
 	// endedID is the identifier of the latest incarnation that has crashed.
-	endedID string
+	endedID   string
+	crashedAt []time.Time
 }
 
-// startCrashableEndpoint starts an endpoint of the service app.
-func (d *gatewayDeployment) startCrashableEndpoint(name string, timing crashTiming) *crashableEndpoint {
-	e := &crashableEndpoint{deployment: d, name: name, timing: timing}
+// crashableApp are the options of an endpoint of the service app.
+var crashableApp = fleetworker.Options{Service: "app", Slots: 8, MaxQueued: 16, WorkTime: 10 * time.Millisecond}
+
+func (d *gatewayDeployment) startCrashableEndpoint(name string, timing crashTiming, o fleetworker.Options) *crashableEndpoint {
+	e := &crashableEndpoint{deployment: d, name: name, timing: timing, options: o}
 	e.start()
 	d.t.Cleanup(func() {
 		e.mu.Lock()
@@ -58,10 +63,9 @@
 	defer e.mu.Unlock()
 	e.starts++
 	id := fmt.Sprintf("i-%s-%d", e.name, e.starts)
-	worker := fleetworker.New(fleetworker.Options{
-		ID: id, Service: "app", Slots: 8, MaxQueued: 16, WorkTime: 10 * time.Millisecond,
-		Crash: func() { e.crash(id) },
-	})
+	o := e.options
+	o.ID, o.Crash = id, func() { e.crash(id) }
+	worker := fleetworker.New(o)
 	e.all = append(e.all, worker)
 	e.server = httptest.NewServer(worker)
 	e.deployment.putKey("servers/"+id, string(worker.Entry(e.server.Listener.Addr().String(), "z", 1)))
@@ -73,7 +77,9 @@
 	time.Sleep(e.timing.delay)
 	e.mu.Lock()
 	server, ended := e.server, e.endedID == id
-	e.endedID = id
+	if !ended {
+		e.endedID, e.crashedAt = id, append(e.crashedAt, time.Now())
+	}
 	e.mu.Unlock()
 	if ended {
 		return
@@ -86,19 +92,27 @@
 	})
 }
 
-// crashes returns the number of requests that have crashed the endpoint.
-func (e *crashableEndpoint) crashes() int {
+// crashingRuns returns the runs that have crashed the endpoint, or came to one that another
+// run was about to crash.
+func (e *crashableEndpoint) crashingRuns() []fleetworker.Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	n := 0
+	var list []fleetworker.Run
 	for _, w := range e.all {
 		for _, r := range w.Runs() {
 			if r.Crashes {
-				n++
+				list = append(list, r)
 			}
 		}
 	}
-	return n
+	return list
+}
+
+// crashTimes returns when the endpoint has crashed.
+func (e *crashableEndpoint) crashTimes() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.crashedAt)
 }
 
 // crashDeployment is a deployment with three endpoints that a request can crash.
@@ -116,16 +130,16 @@
 		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 		"tenants":[{"name":"t","api_keys":["key"]}]}`)
 	for _, name := range []string{"a", "b", "c"} {
-		d.endpoints = append(d.endpoints, d.startCrashableEndpoint(name, timing))
+		d.endpoints = append(d.endpoints, d.startCrashableEndpoint(name, timing, crashableApp))
 	}
 	return d
 }
 
-// crashes returns the number of requests that have crashed an endpoint.
+// crashes returns the number of runs that have crashed endpoints.
 func (d *crashDeployment) crashes() int {
 	n := 0
 	for _, e := range d.endpoints {
-		n += e.crashes()
+		n += len(e.crashingRuns())
 	}
 	return n
 }
