Gateway: what a crashed endpoint was doing with a request is logged

Cause: endpoint-crashed told neither whether the response had begun nor which parts the prompt has, so that the hypotheses on parts could not be told apart from a run's logs. Change: 'first' (time to the first data, 0 before), 'lastEvent' and 'parts' in that event; no decision changed. Measured: go test ./relay passes.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -155,10 +156,27 @@
 }
 
 func (c *callerRequest) newCrashReport(p *pick) crashReport {
-	attrs := append(c.logAttrs(), slog.String("fingerprint", c.suspectFingerprint().String()))
+	attrs := append(c.logAttrs(), slog.String("fingerprint", c.suspectFingerprint().String()),
+		slog.Duration("first", c.timeToFirstData), slog.Int64("lastEvent", c.lastEvent), slog.String("parts", c.loggedParts()))
 	return crashReport{run: c.run, endpoint: p.spec.Key(), service: c.query.service, log: c.server.opts.Log, attrs: attrs}
 }
 
+// maxLoggedParts bounds the log line of a request with many parts.
+const maxLoggedParts = 8
+
+// loggedParts returns the identifiers of the first parts of the prompt but the last.
+func (c *callerRequest) loggedParts() string {
+	if c.call.Prompt == nil || len(c.call.Prompt.Parts) == 0 {
+		return ""
+	}
+	parts := c.call.Prompt.Parts
+	var ids []string
+	for _, p := range parts[:min(len(parts)-1, maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // record records that the endpoint's process ended while it ran the request.
 func (r crashReport) record() {
 	metric.Counter("endpoint_crashes_total", "service", r.service).Inc(1)
