Gateway: a part of prompts that crashes endpoints is refused, as a request is

Cause: gateways remembered whole requests alone, and no two prompts with the part are alike. The class: evidence is kept by a key that the cause does not share. Change: each part of a prompt but the last is a subject like the request itself, in the same registry, records and saved refusals. A crash makes suspects of the parts of those prompts whose response has not gone on for 0.1 s; a response that has clears them, from any instance, also if its run began before the crash. A crash has one cause: of the subjects with the same crashes, the one that was never cleared, with the most crashes and the deepest explains them for the others, so that the sound parts and requests beside it run on. Parts are refused for 15 s at first, as a mistake concerns many callers, and eight times as long after each trial that crashes an endpoint. Wire: records between instances lose clean_round (3); old and new gateways don't hear each other's clean runs during an upgrade.

--- a/contract/refusal.go
+++ b/contract/refusal.go
@@ -39,6 +39,7 @@
 	ReasonRetryBudget        Reason = "retry-budget-spent"
 	ReasonSuspectBusy        Reason = "suspect-running"
 	ReasonSuspectRefused     Reason = "crashes-endpoints"
+	ReasonSuspectPart        Reason = "part-crashes-endpoints"
 	ReasonStreamBroken       Reason = "stream-broken"
 	ReasonEndpointFailed     Reason = "endpoint-failed"
 	ReasonKeyMissing         Reason = "idempotency-key-missing"
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -39,17 +39,17 @@
 	bodyLimit  int64 // maximum body length in bytes, 0 for the server's limit
 	body       []byte
 
-	fingerprint        *suspect.Fingerprint // nil until it is needed
-	run                *suspect.Run         // of the latest attempt, nil before the first
-	sends              int                  // attempts that may have reached an endpoint
-	possibleExecutions int                  // attempts that an endpoint may have executed
-	headerSent         bool                 // the response header was sent to the caller
-	lastEvent          int64                // identifier of the last event sent to the caller, -1 before the first
-	timeToFirstData    time.Duration        // from the arrival of the request until response data was ready for the caller
-	cachePlan          string               // where the parts of the prompt come from, for the log; see pick.cachePlan
-	lastEndpoint       *fleet.Endpoint      // endpoint of the latest attempt
-	lastErr            error                // error of the latest failed attempt
-	failureResponse    *bufferedResponse    // failure reported by an endpoint, returned if no retry succeeds
+	subjects           []suspect.Subject // see suspectSubjects; nil until they are needed
+	run                *suspect.Run      // of the latest attempt, nil before the first
+	sends              int               // attempts that may have reached an endpoint
+	possibleExecutions int               // attempts that an endpoint may have executed
+	headerSent         bool              // the response header was sent to the caller
+	lastEvent          int64             // identifier of the last event sent to the caller, -1 before the first
+	timeToFirstData    time.Duration     // from the arrival of the request until response data was ready for the caller
+	cachePlan          string            // where the parts of the prompt come from, for the log; see pick.cachePlan
+	lastEndpoint       *fleet.Endpoint   // endpoint of the latest attempt
+	lastErr            error             // error of the latest failed attempt
+	failureResponse    *bufferedResponse // failure reported by an endpoint, returned if no retry succeeds
 }
 
 // outcome is how an attempt ended.
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -122,7 +122,7 @@
 // crashed too many endpoints, at any instance.
 func (c *callerRequest) beginRun() *contract.Refusal {
 	c.endRun()
-	run, err := c.server.opts.Suspects.Begin(c.suspectFingerprint)
+	run, err := c.server.opts.Suspects.Begin(c.suspectSubjects)
 	var held *suspect.HeldError
 	switch {
 	case !errors.As(err, &held):
@@ -131,7 +131,11 @@
 	case held.OnTrial:
 		return contract.Unavailable(contract.ReasonSuspectBusy, trialRetryAfter+rand.N(retryAfterSpread), held.Error())
 	}
-	return contract.Unavailable(contract.ReasonSuspectRefused, held.For+rand.N(retryAfterSpread), held.Error())
+	reason := contract.ReasonSuspectRefused
+	if held.Part {
+		reason = contract.ReasonSuspectPart
+	}
+	return contract.Unavailable(reason, held.For+rand.N(retryAfterSpread), held.Error())
 }
 
 // trialRetryAfter is when a caller may return whose request another one is on trial for. A
@@ -148,7 +152,7 @@
 // crashReport is what is recorded if an endpoint's process has ended under an attempt. It
 // holds no state of the request, which may go on meanwhile.
 type crashReport struct {
-	run      *suspect.Run
+	lost     suspect.Lost
 	endpoint fleet.EndpointKey
 	service  string
 	log      *slog.Logger
@@ -156,45 +160,65 @@
 }
 
 func (c *callerRequest) newCrashReport(p *pick) crashReport {
-	attrs := append(c.logAttrs(), slog.String("fingerprint", c.suspectFingerprint().String()),
+	attrs := append(c.logAttrs(), slog.String("fingerprint", c.suspectSubjects()[0].Fingerprint.String()),
 		slog.Duration("first", c.timeToFirstData), slog.Int64("lastEvent", c.lastEvent), slog.String("parts", c.loggedParts()))
-	return crashReport{run: c.run, endpoint: p.spec.Key(), service: c.query.service, log: c.server.opts.Log, attrs: attrs}
+	return crashReport{lost: c.run.Lost(), endpoint: p.spec.Key(), service: c.query.service, log: c.server.opts.Log, attrs: attrs}
 }
 
 // maxLoggedParts bounds the log line of a request with many parts.
 const maxLoggedParts = 8
 
-// loggedParts returns the identifiers of the first parts of the prompt but the last.
+// loggedParts returns the identifiers of the first parts of the prompt, each with the
+// fingerprint by which the events of package suspect name it.
 func (c *callerRequest) loggedParts() string {
-	if c.call.Prompt == nil || len(c.call.Prompt.Parts) == 0 {
-		return ""
-	}
-	parts := c.call.Prompt.Parts
-	var ids []string
-	for _, p := range parts[:min(len(parts)-1, maxLoggedParts)] {
-		ids = append(ids, p.ID)
+	var list []string
+	for i, s := range c.suspectSubjects()[1:] {
+		if i == maxLoggedParts {
+			break
+		}
+		list = append(list, c.call.Prompt.Parts[i].ID+":"+s.Fingerprint.String())
 	}
-	return strings.Join(ids, ",")
+	return strings.Join(list, ",")
 }
 
 // record records that the endpoint's process ended while it ran the request.
 func (r crashReport) record() {
 	metric.Counter("endpoint_crashes_total", "service", r.service).Inc(1)
 	event.EndpointCrashed.Log(r.log, r.attrs...)
-	r.run.Crashed(r.endpoint.ID, strconv.FormatInt(r.endpoint.StartMillis, 10))
+	r.lost.Crashed(r.endpoint.ID, strconv.FormatInt(r.endpoint.StartMillis, 10))
+}
+
+// maxSuspectParts bounds the parts of a prompt that are looked at. Prompts have a few.
+const maxSuspectParts = 64
+
+// suspectSubjects returns what may crash an endpoint that runs the request: the request
+// itself, which is the first one, and each part of its prompt but the last, which is a part
+// of the request alone.
+func (c *callerRequest) suspectSubjects() []suspect.Subject {
+	if c.subjects != nil {
+		return c.subjects
+	}
+	c.subjects = []suspect.Subject{{Fingerprint: c.suspectFingerprint(), Depth: suspect.WholeRequest}}
+	if c.call.Prompt == nil || len(c.call.Prompt.Parts) == 0 {
+		return c.subjects
+	}
+	team := ""
+	if c.team != nil && c.team.Isolated {
+		team = c.team.Name
+	}
+	parts := c.call.Prompt.Parts
+	for i, p := range parts[:min(len(parts)-1, maxSuspectParts)] {
+		c.subjects = append(c.subjects, suspect.Subject{Fingerprint: suspect.PartFingerprint(team, c.call.Prompt.Model, p.ID), Depth: i + 1})
+	}
+	return c.subjects
 }
 
 // suspectFingerprint returns the fingerprint of the request. A caller that sends the
 // request again, at any instance, sends the same method, path and body for the same team.
 func (c *callerRequest) suspectFingerprint() suspect.Fingerprint {
-	if c.fingerprint != nil {
-		return *c.fingerprint
-	}
 	id := suspect.RequestIdentity{Target: c.method + " " + c.host + c.requestURI, Body: c.body}
 	if c.team != nil {
 		id.Team = c.team.Name
 	}
-	f := suspect.FingerprintOf(id)
-	c.fingerprint = &f
-	return f
+	return suspect.FingerprintOf(id)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -18,6 +18,9 @@
 	// maxEventSize is the maximum size in bytes of an event, which is buffered in
 	// memory.
 	maxEventSize = 1 << 20
+	// answeringTime is how long a stream has gone on when no part of its prompt is taken to
+	// crash the endpoint: one that does ends the process as the response begins.
+	answeringTime = 100 * time.Millisecond
 )
 
 // relayStream relays the events of a stream in order, and only complete events.
@@ -28,6 +31,7 @@
 		return c.handleLost(ctx, p, &StatusError{Status: res.Status})
 	}
 	buf := make([]byte, 0, streamBufferSize)
+	var firstData time.Time
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEventSize {
@@ -46,6 +50,11 @@
 			if !c.writeEvents(buf[:complete], res) {
 				return outcomeCallerGone
 			}
+			if firstData.IsZero() {
+				firstData = time.Now()
+			} else if time.Since(firstData) >= answeringTime {
+				c.run.Answering()
+			}
 			buf = append(buf[:0], buf[complete:]...)
 		}
 		switch {
--- a/suspect/doc.go
+++ b/suspect/doc.go
@@ -5,6 +5,7 @@
 // alone, it is refused permanently.
 //
 // Where requests of all instances share the endpoints, so that none can run alone, every
-// instance has a Replica, and a request is refused for a time after some crashes that came
-// one after the other (Config.CompanyCrashLimit).
+// instance has a Replica. There a request, or a part that prompts have in common, is refused
+// for a time after some crashes that came one after the other (Config.CompanyCrashLimit) and
+// that no other subject explains.
 package suspect
--- a/suspect/fingerprint.go
+++ b/suspect/fingerprint.go
@@ -75,6 +75,16 @@
 	return Fingerprint(h.Sum(nil)[:fingerprintBytes])
 }
 
+// PartFingerprint returns the fingerprint of a part of prompts for a model. team is empty
+// unless the team shares no parts with others.
+func PartFingerprint(team, model, part string) Fingerprint {
+	h := sha256.New()
+	for _, field := range []string{team, "", model, "", "", "part", part} {
+		writeField(h, field)
+	}
+	return Fingerprint(h.Sum(nil)[:fingerprintBytes])
+}
+
 // writeField writes a field and its length, so that the end of one field can't be taken
 // for the beginning of the next.
 func writeField(h hash.Hash, field string) {
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -6,21 +6,21 @@
 	"redwingknot/suspect/suspectpb"
 )
 
-// Record is what instances tell each other about a fingerprint.
+// Record is what instances tell each other about a subject.
 type Record struct {
-	Fingerprint  Fingerprint
+	Subject
 	Crashes      []Crash
-	CleanRound   int       // crashes up to this round are disproved by a run without a crash
+	Rounds       int       // rounds of crashes that are known, of forgotten ones, too
 	LastReported time.Time // when the last crash was reported
 }
 
 // EncodeRecord converts a record to its message, which is encoded at now.
 func EncodeRecord(rec Record, now time.Time) *suspectpb.Record {
 	m := &suspectpb.Record{
-		Fingerprint: rec.Fingerprint[:], CleanRound: uint32(rec.CleanRound), Age: int64(max(now.Sub(rec.LastReported), 0)),
+		Fingerprint: rec.Fingerprint[:], Depth: uint32(rec.Depth), Rounds: uint32(rec.Rounds), Age: int64(max(now.Sub(rec.LastReported), 0)),
 	}
 	for _, c := range rec.Crashes {
-		m.Crashes = append(m.Crashes, &suspectpb.Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: uint32(c.Round)})
+		m.Crashes = append(m.Crashes, &suspectpb.Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: uint32(c.Round), Disproved: c.Disproved, OnTrial: c.OnTrial})
 	}
 	return m
 }
@@ -32,9 +32,9 @@
 	if err != nil {
 		return Record{}, err
 	}
-	rec := Record{Fingerprint: f, CleanRound: int(m.CleanRound), LastReported: now.Add(-time.Duration(max(m.Age, 0)))}
+	rec := Record{Subject: Subject{Fingerprint: f, Depth: int(m.Depth)}, Rounds: int(m.Rounds), LastReported: now.Add(-time.Duration(max(m.Age, 0)))}
 	for _, c := range m.Crashes {
-		rec.Crashes = append(rec.Crashes, Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: int(c.Round)})
+		rec.Crashes = append(rec.Crashes, Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: int(c.Round), Disproved: c.Disproved, OnTrial: c.OnTrial})
 	}
 	return rec, nil
 }
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -1,6 +1,8 @@
 package suspect
 
 import (
+	"bytes"
+	"cmp"
 	"log/slog"
 	"slices"
 	"time"
@@ -20,6 +22,15 @@
 // alone. It may be innocent, so it gets a trial after that.
 const CompanyRefusalTime = 10 * time.Minute
 
+const (
+	// partRefusalTime is how long a part of prompts is refused at first. A sound part that
+	// is refused by mistake concerns many callers, so its trial comes sooner.
+	partRefusalTime = 15 * time.Second
+	// partRefusalGrowth is the factor by which each trial that ends with a crash makes the
+	// refusal of a part longer, up to CompanyRefusalTime.
+	partRefusalGrowth = 8
+)
+
 // trialDelay is the time from the last crash of one round until a request gets a trial.
 // Its runs that are still under way at other endpoints may clear it before.
 const trialDelay = time.Second
@@ -29,8 +40,17 @@
 // lost in one round.
 const minRefusalRounds = 2
 
-// maxCrashesPerEntry bounds the memory of an entry.
-const maxCrashesPerEntry = 16
+const (
+	// maxCrashesPerEntry bounds the memory of an entry.
+	maxCrashesPerEntry = 16
+	// maxDisprovedPerEntry bounds the size of the records of parts that many requests
+	// share: these are in flight at most crashes, and cleared again and again. So many
+	// crashes are not disproved between two reports to another instance.
+	maxDisprovedPerEntry = 8
+	// evictedShare is the share of the entries that are deleted at once if the registry is
+	// full, as a divisor.
+	evictedShare = 16
+)
 
 // Config configures a Registry. Fields that are zero take their default values.
 type Config struct {
@@ -72,14 +92,19 @@
 type Crash struct {
 	Endpoint string
 	Epoch    string // epoch of the process that ended
-	// Round is the number of rounds of crashes of the request that were known when the run
+	// Round is the number of rounds of crashes of the subject that were known when the run
 	// began, plus one. Runs that began without knowing of each other's crashes are of one
 	// round; 0 counts as 1.
-	Round int
+	Round     int
+	Disproved bool // a run of the subject has ended well since the crash was known
+	OnTrial   bool // the run was a trial
 }
 
-// isOf reports whether other is the same end of a process.
-func (c Crash) isOf(other Crash) bool { return c.Endpoint == other.Endpoint && c.Epoch == other.Epoch }
+// key returns what is the same in all reports of a crash.
+func (c Crash) key() crashKey { return crashKey{c.Endpoint, c.Epoch} }
+
+// crashKey identifies the end of an endpoint's process.
+type crashKey struct{ endpoint, epoch string }
 
 // Answer says how a request may run and which endpoints have crashed while it was
 // in flight.
@@ -91,30 +116,41 @@
 	TrialFor   time.Duration // how long it has been on trial; valid if Verdict is Trial
 }
 
-// Registry is the state of the fingerprints that this instance owns. It has no
+// Registry is the state of the subjects that this instance owns. It has no
 // clock and does no I/O; the time is an argument of each call. It is not safe for
 // concurrent use.
 //
-// A fingerprint has an entry only after a crash. It is refused permanently once crashes of
-// Config.CrashedEndpointLimit different endpoints are known and the request ran alone
-// in at least one crash. If it never ran alone, any of the requests in flight may be the
-// cause of a crash. It is then refused for CompanyRefusalTime, after
-// Config.CompanyCrashLimit crashes of at least minRefusalRounds rounds, unless a run that
-// began after the last of them was known has ended without a crash. After that, and after
-// as many crashes of one round, it is on trial.
+// A subject has an entry only after a crash. It is refused permanently once crashes of
+// Config.CrashedEndpointLimit different endpoints are known and it ran alone in at least one
+// crash. If it never ran alone, any of the subjects in flight may be the cause of a crash.
+// Once Config.CompanyCrashLimit crashes are known that no later run has disproved and that
+// no other subject explains, it is charged with them: it is refused for a time if they are
+// of minRefusalRounds rounds or more, and after that, or if they are of one round, it is on
+// trial.
 //
-// The crashes of an entry and its clean round only grow, so that the registries of
-// several instances that exchange Records reach the same state in any order.
+// A crash has one cause. Of the subjects in flight at the same crashes, the one that is
+// charged first explains them for the others: one that no run has ever cleared before one
+// that was cleared, then the one with the most crashes, then the deepest. So a part that
+// crashes endpoints explains the crashes of the sound parts and requests that come with it.
+//
+// The crashes of an entry and what disproves them only grow, apart from old ones that are
+// forgotten, so that the registries of several instances that exchange Records reach the
+// same state in any order.
 type Registry struct {
 	config  Config
 	entries map[Fingerprint]*entry
 	changes uint64 // number of changes of entries so far
+
+	reached map[Fingerprint]*entry // entries with CompanyCrashLimit or more standing crashes
+	charged map[Fingerprint]bool   // those of them that are charged; nil if it has to be found out again
 }
 
-// entry is the state of one fingerprint.
+// entry is the state of one subject.
 type entry struct {
+	depth        int // see Subject
 	crashes      []Crash
-	cleanRound   int  // crashes up to this round are disproved by a run without a crash
+	rounds       int  // number of rounds of crashes that are known
+	cleared      bool // a run has disproved a crash
 	crashedAlone bool // the request ran alone in at least one of the crashes
 	refused      bool // permanently
 	lastReported time.Time
@@ -123,21 +159,21 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry(c Config) *Registry {
-	return &Registry{config: c.withDefaults(), entries: map[Fingerprint]*entry{}}
+	return &Registry{config: c.withDefaults(), entries: map[Fingerprint]*entry{}, reached: map[Fingerprint]*entry{}}
 }
 
-// Lookup returns how the request with fingerprint f may run at now.
+// Lookup returns how the subject with fingerprint f may run at now.
 func (r *Registry) Lookup(f Fingerprint, now time.Time) Answer {
 	e := r.liveEntry(f, now)
 	if e == nil {
 		return Answer{}
 	}
-	a := Answer{Crashed: e.crashedEndpoints(), Rounds: e.rounds()}
+	a := Answer{Crashed: e.crashedEndpoints(), Rounds: e.rounds}
 	switch {
 	case e.refused:
 		a.Verdict, a.RefusedFor = Refused, r.ttl(e)-now.Sub(e.lastReported)
 	case len(a.Crashed) == 0:
-	case r.reachedCompanyLimit(e):
+	case r.chargedSubjects()[f]:
 		e.judgeInCompany(&a, now)
 	default:
 		a.Verdict = RunAlone
@@ -145,24 +181,77 @@
 	return a
 }
 
-// reachedCompanyLimit reports whether a request that never ran alone was in flight in so
-// many crashes that it does not run freely any more.
+// reachedCompanyLimit reports whether a subject that never ran alone has enough standing
+// crashes to be charged with them.
 func (r *Registry) reachedCompanyLimit(e *entry) bool {
-	return r.config.CompanyCrashLimit > 0 && len(e.standingCrashes()) >= r.config.CompanyCrashLimit
+	return r.config.CompanyCrashLimit > 0 && e.standing() >= r.config.CompanyCrashLimit
 }
 
-// judgeInCompany sets the verdict on a request that has reached the limit of crashes in
-// company. Crashes of one round may be those of a rack that failed under copies of an
-// innocent request. So do copies of a crashing request that come at once; the next wave of
-// these must not go out whole.
+// chargedSubjects returns the subjects that are charged with crashes. The map is not
+// changed later.
+func (r *Registry) chargedSubjects() map[Fingerprint]bool {
+	if r.charged != nil {
+		return r.charged
+	}
+	var order []Fingerprint
+	for f := range r.reached {
+		order = append(order, f)
+	}
+	slices.SortFunc(order, func(a, b Fingerprint) int {
+		if c := r.reached[a].compareCharge(r.reached[b]); c != 0 {
+			return c
+		}
+		return bytes.Compare(a[:], b[:])
+	})
+	r.charged = map[Fingerprint]bool{}
+	explained := map[crashKey]bool{}
+	for _, f := range order {
+		e := r.reached[f]
+		if e.unexplained(explained) < r.config.CompanyCrashLimit {
+			continue
+		}
+		r.charged[f] = true
+		for _, c := range e.crashes {
+			explained[c.key()] = explained[c.key()] || !c.Disproved
+		}
+	}
+	return r.charged
+}
+
+// compareCharge returns a negative number if e is to be charged with crashes before other,
+// and a positive one if other is.
+func (e *entry) compareCharge(other *entry) int {
+	if e.cleared != other.cleared {
+		if e.cleared {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(other.standing(), e.standing()), cmp.Compare(other.depth, e.depth))
+}
+
+// unexplained returns the number of standing crashes that are not explained.
+func (e *entry) unexplained(explained map[crashKey]bool) int {
+	n := 0
+	for _, c := range e.crashes {
+		if !c.Disproved && !explained[c.key()] {
+			n++
+		}
+	}
+	return n
+}
+
+// judgeInCompany sets the verdict on a subject that is charged with crashes. Crashes of one
+// round may be those of a rack that failed under copies of an innocent request. So do copies
+// of a crashing request that come at once; the next wave of these must not go out whole.
 func (e *entry) judgeInCompany(a *Answer, now time.Time) {
-	sinceLast := now.Sub(e.lastReported)
+	sinceLast, refusal := now.Sub(e.lastReported), e.refusalTime()
 	several := e.standingRounds() >= minRefusalRounds
 	switch {
-	case several && sinceLast < CompanyRefusalTime:
-		a.Verdict, a.RefusedFor = Refused, CompanyRefusalTime-sinceLast
+	case several && sinceLast < refusal:
+		a.Verdict, a.RefusedFor = Refused, refusal-sinceLast
 	case several:
-		a.Verdict, a.TrialFor = Trial, sinceLast-CompanyRefusalTime
+		a.Verdict, a.TrialFor = Trial, sinceLast-refusal
 	case sinceLast < trialDelay:
 		a.Verdict = RunAlone
 	default:
@@ -170,57 +259,102 @@
 	}
 }
 
+// refusalTime returns how long a subject is refused after its last crash.
+func (e *entry) refusalTime() time.Duration {
+	if e.depth == WholeRequest {
+		return CompanyRefusalTime
+	}
+	refusal := partRefusalTime
+	for _, c := range e.crashes {
+		if c.OnTrial && !c.Disproved {
+			refusal = min(refusal*partRefusalGrowth, CompanyRefusalTime)
+		}
+	}
+	return refusal
+}
+
 // standingRounds returns the number of different rounds of the standing crashes.
 func (e *entry) standingRounds() int {
 	rounds := map[int]bool{}
-	for _, c := range e.standingCrashes() {
-		rounds[c.Round] = true
+	for _, c := range e.crashes {
+		if !c.Disproved {
+			rounds[c.Round] = true
+		}
 	}
 	return len(rounds)
 }
 
-// RecordCrash records that f was in flight during a crash and whether it ran alone. It
+// RecordCrash records that s was in flight during a crash and whether it ran alone. It
 // returns how the request may run from now on.
-func (r *Registry) RecordCrash(f Fingerprint, crash Crash, alone bool, now time.Time) Answer {
-	e := r.ensureEntry(f, now)
+func (r *Registry) RecordCrash(s Subject, crash Crash, alone bool, now time.Time) Answer {
+	e := r.ensureEntry(s, now)
 	e.addCrash(crash)
 	e.crashedAlone = e.crashedAlone || alone
 	e.refused = e.refused || e.crashedAlone && len(e.crashedEndpoints()) >= r.config.CrashedEndpointLimit
 	e.lastReported = now
-	r.markChanged(e)
-	return r.Lookup(f, now)
+	r.markChanged(s.Fingerprint, e)
+	return r.Lookup(s.Fingerprint, now)
 }
 
-// RecordCleanRun records that a run of f ended without a crash, or got well past its first
-// token, which began when the given number of rounds of crashes was known. A fingerprint
-// that is refused permanently stays refused.
-func (r *Registry) RecordCleanRun(f Fingerprint, rounds int, now time.Time) {
+// RecordCleanRun records that a run of the subject ended without a crash, or got well past
+// its first token. It disproves all crashes that are known. A subject that is refused
+// permanently stays refused.
+func (r *Registry) RecordCleanRun(f Fingerprint, now time.Time) {
 	e := r.liveEntry(f, now)
-	if e == nil || e.refused || rounds <= e.cleanRound {
+	if e == nil || e.refused || e.standing() == 0 {
 		return
 	}
-	e.cleanRound = rounds
-	e.crashedAlone = e.crashedAlone && len(e.standingCrashes()) > 0
-	r.markChanged(e)
+	for i := range e.crashes {
+		e.crashes[i].Disproved = true
+	}
+	e.cleared, e.crashedAlone = true, false
+	e.forgetDisproved()
+	r.markChanged(f, e)
 }
 
-// Len returns the number of fingerprints stored.
+// isPart reports whether f is known to be a part of prompts.
+func (r *Registry) isPart(f Fingerprint) bool {
+	e := r.entries[f]
+	return e != nil && e.depth != WholeRequest
+}
+
+// Len returns the number of subjects stored.
 func (r *Registry) Len() int { return len(r.entries) }
 
-// ensureEntry returns the entry of f, which it creates if there is none.
-func (r *Registry) ensureEntry(f Fingerprint, now time.Time) *entry {
-	if e := r.liveEntry(f, now); e != nil {
-		return e
+// ensureEntry returns the entry of s, which it creates if there is none.
+func (r *Registry) ensureEntry(s Subject, now time.Time) *entry {
+	e := r.liveEntry(s.Fingerprint, now)
+	if e == nil {
+		r.evictIfFull(now)
+		e = &entry{}
+		r.entries[s.Fingerprint] = e
 	}
-	r.evictIfFull(now)
-	e := &entry{}
-	r.entries[f] = e
+	e.depth = max(e.depth, s.Depth)
 	return e
 }
 
-func (r *Registry) markChanged(e *entry) {
+// markChanged must be called after each change of an entry.
+func (r *Registry) markChanged(f Fingerprint, e *entry) {
 	r.changes++
 	e.changed = r.changes
+	if r.reachedCompanyLimit(e) {
+		r.reached[f] = e
+		r.charged = nil
+		return
+	}
+	r.forgetReached(f)
+}
+
+func (r *Registry) forgetReached(f Fingerprint) {
+	if r.reached[f] != nil {
+		delete(r.reached, f)
+		r.charged = nil
+	}
+}
+
+func (r *Registry) delete(f Fingerprint) {
+	delete(r.entries, f)
+	r.forgetReached(f)
 }
 
 // liveEntry returns the entry of f, or nil if there is none. An expired entry is
@@ -231,7 +365,7 @@
 		return nil
 	}
 	if now.Sub(e.lastReported) > r.ttl(e) {
-		delete(r.entries, f)
+		r.delete(f)
 		return nil
 	}
 	return e
@@ -245,45 +379,58 @@
 	return r.config.SuspicionTTL
 }
 
-// evictIfFull makes room for another entry if the registry is full. It deletes the
-// expired entries and, if there are none, the entry whose last report of a crash is
-// the oldest. Suspects are deleted before refused fingerprints.
+// evictIfFull makes room for other entries if the registry is full. It deletes the expired
+// entries and, if there are none, a share of all: those without a standing crash before
+// suspects, those before subjects with many crashes and these before permanently refused
+// ones; in each group, those whose last report of a crash is the oldest.
 func (r *Registry) evictIfFull(now time.Time) {
 	if len(r.entries) < r.config.MaxEntries {
 		return
 	}
-	var victim Fingerprint
-	var victimEntry *entry
+	order := make([]Fingerprint, 0, len(r.entries))
 	for f, e := range r.entries {
 		if now.Sub(e.lastReported) > r.ttl(e) {
-			delete(r.entries, f)
+			r.delete(f)
 			continue
 		}
-		if victimEntry == nil || e.evictBefore(victimEntry) {
-			victim, victimEntry = f, e
-		}
+		order = append(order, f)
 	}
-	if len(r.entries) >= r.config.MaxEntries {
-		delete(r.entries, victim)
+	if len(order) < r.config.MaxEntries {
+		return
+	}
+	slices.SortFunc(order, func(a, b Fingerprint) int {
+		ea, eb := r.entries[a], r.entries[b]
+		return cmp.Or(cmp.Compare(r.evictionRank(ea), r.evictionRank(eb)), ea.lastReported.Compare(eb.lastReported))
+	})
+	for _, f := range order[:max(len(order)/evictedShare, 1)] {
+		r.delete(f)
 	}
 }
 
-// evictBefore reports whether e is to be evicted before other.
-func (e *entry) evictBefore(other *entry) bool {
-	if e.refused != other.refused {
-		return other.refused
+// evictionRank returns the group of an entry for evictIfFull, the first one to be evicted
+// being 0.
+func (r *Registry) evictionRank(e *entry) int {
+	switch {
+	case e.refused:
+		return 3
+	case r.reachedCompanyLimit(e):
+		return 2
+	case e.standing() > 0:
+		return 1
 	}
-	return e.lastReported.Before(other.lastReported)
+	return 0
 }
 
-// addCrash adds a crash and reports whether the entry has changed. Of two reports of the
-// same crash the one with the later round counts.
+// addCrash adds what a report says of a crash, and reports whether the entry has changed. Of
+// two reports of the same crash the one with the later round counts.
 func (e *entry) addCrash(crash Crash) bool {
 	crash.Round = max(crash.Round, 1)
+	e.rounds = max(e.rounds, crash.Round)
+	e.cleared = e.cleared || crash.Disproved
 	for i, known := range e.crashes {
-		if known.isOf(crash) {
-			e.crashes[i].Round = max(known.Round, crash.Round)
-			return crash.Round > known.Round
+		if known.key() == crash.key() {
+			e.crashes[i].merge(crash)
+			return e.crashes[i] != known
 		}
 	}
 	if len(e.crashes) >= maxCrashesPerEntry {
@@ -293,31 +440,41 @@
 	return true
 }
 
-// standingCrashes returns the crashes that no clean run has disproved.
-func (e *entry) standingCrashes() []Crash {
-	var standing []Crash
-	for _, c := range e.crashes {
-		if c.Round > e.cleanRound {
-			standing = append(standing, c)
+// merge adds what another report of the same crash says.
+func (c *Crash) merge(other Crash) {
+	c.Round = max(c.Round, other.Round)
+	c.Disproved = c.Disproved || other.Disproved
+	c.OnTrial = c.OnTrial || other.OnTrial
+}
+
+// forgetDisproved forgets the oldest disproved crashes if there are many.
+func (e *entry) forgetDisproved() {
+	excess := len(e.crashes) - e.standing() - maxDisprovedPerEntry
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool {
+		if !c.Disproved || excess <= 0 {
+			return false
 		}
-	}
-	return standing
+		excess--
+		return true
+	})
 }
 
-// rounds returns the number of rounds of crashes that are known.
-func (e *entry) rounds() int {
-	rounds := e.cleanRound
+// standing returns the number of crashes that no clean run has disproved.
+func (e *entry) standing() int {
+	n := 0
 	for _, c := range e.crashes {
-		rounds = max(rounds, c.Round)
+		if !c.Disproved {
+			n++
+		}
 	}
-	return rounds
+	return n
 }
 
 // crashedEndpoints returns the names of the endpoints of standing crashes, each once.
 func (e *entry) crashedEndpoints() []string {
 	var names []string
-	for _, c := range e.standingCrashes() {
-		if !slices.Contains(names, c.Endpoint) {
+	for _, c := range e.crashes {
+		if !c.Disproved && !slices.Contains(names, c.Endpoint) {
 			names = append(names, c.Endpoint)
 		}
 	}
--- a/suspect/replica.go
+++ b/suspect/replica.go
@@ -9,23 +9,24 @@
 	"time"
 )
 
-// Merge adds what another instance knows about a fingerprint. It reports whether that
-// changed anything.
+// Merge adds what another instance knows about a subject. It reports whether that changed
+// anything.
 func (r *Registry) Merge(rec Record, now time.Time) bool {
 	if now.Sub(rec.LastReported) > r.config.RefusalTTL || len(rec.Crashes) == 0 {
 		return false
 	}
-	e := r.ensureEntry(rec.Fingerprint, now)
-	changed := rec.CleanRound > e.cleanRound
-	e.cleanRound = max(e.cleanRound, rec.CleanRound)
+	e := r.ensureEntry(rec.Subject, now)
+	changed := rec.Rounds > e.rounds
+	e.rounds = max(e.rounds, rec.Rounds)
 	for _, c := range rec.Crashes {
 		changed = e.addCrash(c) || changed
 	}
+	e.forgetDisproved()
 	if rec.LastReported.After(e.lastReported) {
 		e.lastReported = rec.LastReported
 	}
 	if changed {
-		r.markChanged(e)
+		r.markChanged(rec.Fingerprint, e)
 	}
 	return changed
 }
@@ -55,12 +56,12 @@
 	return records, through
 }
 
-// Refused returns the records of the requests that are refused at now.
+// Refused returns the records of the subjects that are refused at now.
 func (r *Registry) Refused(now time.Time) []Record {
 	var records []Record
-	for f, e := range r.entries {
+	for f := range r.chargedSubjects() {
 		if r.Lookup(f, now).Verdict == Refused {
-			records = append(records, e.record(f))
+			records = append(records, r.entries[f].record(f))
 		}
 	}
 	return records
@@ -68,7 +69,7 @@
 
 // record returns what the entry of f holds.
 func (e *entry) record(f Fingerprint) Record {
-	return Record{Fingerprint: f, Crashes: slices.Clone(e.crashes), CleanRound: e.cleanRound, LastReported: e.lastReported}
+	return Record{Subject: Subject{Fingerprint: f, Depth: e.depth}, Crashes: slices.Clone(e.crashes), Rounds: e.rounds, LastReported: e.lastReported}
 }
 
 // Replica is a Registry of which every instance has a copy. Each records what it sees
@@ -87,7 +88,7 @@
 	registry *Registry
 	self     string               // name of this instance, empty before it is known
 	members  []Member             // live instances
-	trials   map[Fingerprint]bool // requests on trial that this instance is running
+	trials   map[Fingerprint]bool // subjects on trial that this instance is running
 }
 
 // NewReplica returns a Replica without suspects.
@@ -110,7 +111,7 @@
 // Empty reports whether there are no suspects. Then no request needs a fingerprint.
 func (r *Replica) Empty() bool { return r.size.Load() == 0 }
 
-// Lookup returns how the request with fingerprint f may run.
+// Lookup returns how the subject with fingerprint f may run.
 func (r *Replica) Lookup(f Fingerprint) Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,15 +119,15 @@
 	return r.registry.Lookup(f, r.now())
 }
 
-// RecordCrash records that f was in flight during a crash, among other requests.
-func (r *Replica) RecordCrash(f Fingerprint, crash Crash) {
-	r.update(f, func(now time.Time) { r.registry.RecordCrash(f, crash, false, now) })
+// RecordCrash records that s was in flight during a crash, among others.
+func (r *Replica) RecordCrash(s Subject, crash Crash) {
+	r.update(s.Fingerprint, func(now time.Time) { r.registry.RecordCrash(s, crash, false, now) })
 }
 
-// RecordCleanRun records that a run of f ended without a crash, which began when the given
-// number of rounds of crashes was known.
-func (r *Replica) RecordCleanRun(f Fingerprint, rounds int) {
-	r.update(f, func(now time.Time) { r.registry.RecordCleanRun(f, rounds, now) })
+// RecordCleanRun records that a run of the subject with fingerprint f ended without a crash,
+// or got well past its first token.
+func (r *Replica) RecordCleanRun(f Fingerprint) {
+	r.update(f, func(now time.Time) { r.registry.RecordCleanRun(f, now) })
 }
 
 // Merge adds what other instances know.
@@ -155,15 +156,33 @@
 	return r.registry.Refused(r.now())
 }
 
-// update calls change and logs an event if the verdict on f has changed by it.
+// update calls change and logs an event if the verdict on f, or on a subject whose crashes f
+// explains, has changed by it.
 func (r *Replica) update(f Fingerprint, change func(now time.Time)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.updateSize()
 	now := r.now()
-	before := r.registry.Lookup(f, now).Verdict
+	before, chargedBefore := r.registry.Lookup(f, now).Verdict, r.registry.chargedSubjects()
 	change(now)
-	logVerdictChange(r.log, f, before, r.registry.Lookup(f, now).Verdict)
+	r.logVerdictChange(f, before, now)
+	for other := range r.registry.chargedSubjects() {
+		if other != f && !chargedBefore[other] {
+			r.logVerdictChange(other, RunAlone, now)
+		}
+	}
+	for other := range chargedBefore {
+		if other != f && !r.registry.chargedSubjects()[other] {
+			r.logVerdictChange(other, Refused, now)
+		}
+	}
+}
+
+// logVerdictChange logs an event if the verdict on f at now is another one than before, and
+// whether f is a part of prompts. The caller holds mu.
+func (r *Replica) logVerdictChange(f Fingerprint, before Verdict, now time.Time) {
+	part := slog.Bool("part", r.registry.isPart(f))
+	logVerdictChange(r.log, f, before, r.registry.Lookup(f, now).Verdict, part)
 }
 
 func (r *Replica) updateSize() { r.size.Store(int64(r.registry.Len())) }
--- a/suspect/server.go
+++ b/suspect/server.go
@@ -72,7 +72,7 @@
 	defer s.mu.Unlock()
 	before := s.registry.Lookup(f, s.now())
 	crash := Crash{Endpoint: req.Endpoint, Epoch: req.Epoch, Round: before.Rounds + 1}
-	after := s.registry.RecordCrash(f, crash, req.Alone, s.now())
+	after := s.registry.RecordCrash(Subject{Fingerprint: f, Depth: WholeRequest}, crash, req.Alone, s.now())
 	logVerdictChange(s.log, f, before.Verdict, after.Verdict)
 	return &suspectpb.ReportResponse{}, nil
 }
@@ -85,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.registry.Lookup(f, s.now())
-	s.registry.RecordCleanRun(f, before.Rounds, s.now())
+	s.registry.RecordCleanRun(f, s.now())
 	logVerdictChange(s.log, f, before.Verdict, s.registry.Lookup(f, s.now()).Verdict)
 	return &suspectpb.CleanResponse{}, nil
 }
@@ -99,9 +99,9 @@
 }
 
 // logVerdictChange logs an event if the verdict on f has changed.
-func logVerdictChange(log *slog.Logger, f Fingerprint, before, after Verdict) {
+func logVerdictChange(log *slog.Logger, f Fingerprint, before, after Verdict, attrs ...slog.Attr) {
 	if before != after {
-		verdictEvents[after].Log(log, slog.String("fingerprint", f.String()))
+		verdictEvents[after].Log(log, append(attrs, slog.String("fingerprint", f.String()))...)
 	}
 }
 
