Gateway: a response without length or chunks is whole only if its endpoint lives on

A caller could take a response for whole that had ended with its endpoint's process: the users' pages say that a response, a stream too, may end with its connection. Cause: the kernel closes the connections of a process that ends in good order, so that the end of such a response looks the same whether it is whole or broken off. A stream without any event counted as whole, too. Change: when a response without length or chunks has ended, a connection to the endpoint is opened, which later requests use; if nothing listens there and the end was not planned, the response has broken off, and the endpoint has crashed. A stream that was not resumed and has no event has broken off. Measured: TestUnframedResponses, four of its eleven cases failed on the parent (crashes after a part, after a long part, after an event; no event). Whole ones, resets, ends inside an event and resuming worked before.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -49,11 +49,10 @@
 func (e *Endpoints) startEndCheck(ep *endpoint) *endCheck {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.syncView()
-	now := e.now()
-	if since := ep.goingSince; !since.IsZero() && now.Sub(since) >= e.drainTime-endMargin {
+	if e.endIsPlanned(ep) {
 		return nil
 	}
+	now := e.now()
 	if c := ep.endCheck; c != nil && now.Sub(c.startedAt) < endCheckTime {
 		return c
 	}
@@ -63,6 +62,23 @@
 	return check
 }
 
+// endIsPlanned reports whether an endpoint has been leaving for so long that its process may
+// end. The caller holds mu.
+func (e *Endpoints) endIsPlanned(ep *endpoint) bool {
+	e.syncView()
+	since := ep.goingSince
+	return !since.IsZero() && e.now().Sub(since) >= e.drainTime-endMargin
+}
+
+// hasCrashed reports whether nothing listens at the address of an endpoint whose end is not
+// planned. It opens a connection, which is kept for requests.
+func (e *Endpoints) hasCrashed(ctx context.Context, ep *endpoint) bool {
+	e.mu.Lock()
+	planned := e.endIsPlanned(ep)
+	e.mu.Unlock()
+	return !planned && upstream.ConnRefused(ep.pool.Connect(ctx))
+}
+
 // runEndCheck looks for signs that the process of an endpoint has ended unannounced: nothing
 // listens at its address any more, or another incarnation is listed there.
 func (e *Endpoints) runEndCheck(check *endCheck, spec *fleet.Endpoint, pool *upstream.Pool) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -94,7 +94,7 @@
 		return outcomeEndpointFailed
 	}
 	if len(body) < maxBufferedResponse {
-		if c.method != http.MethodHead && !c.bodyEnded(res) {
+		if c.method != http.MethodHead && !c.bodyEnded(res) || c.brokeOff(ctx, p, res) {
 			return c.handleLost(ctx, p, io.ErrUnexpectedEOF)
 		}
 		buffered.writeTo(c)
@@ -167,10 +167,18 @@
 		return c.handleLost(ctx, p, err)
 	case n == maxResponseBytes && !c.bodyEnded(res):
 		return c.handleLost(ctx, p, &ResponseTooLargeError{Limit: maxResponseBytes})
+	case c.brokeOff(ctx, p, res):
+		return c.handleLost(ctx, p, io.ErrUnexpectedEOF)
 	}
 	return outcomeDelivered
 }
 
+// brokeOff reports whether a response that has ended with its connection ended because the
+// endpoint's process did: the kernel closes the connections of a process in good order.
+func (c *callerRequest) brokeOff(ctx context.Context, p *pick, res *upstream.Response) bool {
+	return res.Unframed && c.server.endpoints.hasCrashed(ctx, p.endpoint)
+}
+
 // StatusError reports a response that may not be returned to the caller because
 // of its status, its content encoding or a missing stamp. Status is its HTTP
 // status.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -58,17 +58,23 @@
 			buf = append(buf[:0], buf[complete:]...)
 		}
 		switch {
-		case err == io.EOF && len(buf) == 0:
+		case err == io.EOF && (len(buf) > 0 || c.isEmptyUnframed(res) || c.brokeOff(ctx, p, res)):
+			return c.handleLost(ctx, p, io.ErrUnexpectedEOF)
+		case err == io.EOF:
 			c.sendHeader(res)
 			return outcomeDelivered
-		case err == io.EOF:
-			return c.handleLost(ctx, p, io.ErrUnexpectedEOF)
 		case err != nil:
 			return c.handleLost(ctx, p, err)
 		}
 	}
 }
 
+// isEmptyUnframed reports whether a stream that has ended with its connection had no event,
+// although it was not resumed: then none may be left.
+func (c *callerRequest) isEmptyUnframed(res *upstream.Response) bool {
+	return res.Unframed && !c.headerSent && c.call.LastEventID < 0
+}
+
 // sendHeader sends the response header to the caller unless an earlier attempt
 // has done so.
 func (c *callerRequest) sendHeader(res *upstream.Response) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -23,7 +23,10 @@
 	Header http.Header
 	Length int64 // body length in bytes, -1 if unknown
 	Reused bool  // an earlier request was sent on the connection
-	Body   io.Reader
+	// Unframed says that the body has neither a length nor chunks: it ends with the
+	// connection, so that its end does not show that it is whole.
+	Unframed bool
+	Body     io.Reader
 
 	conn           *conn
 	detachContext  func() bool // keeps the end of the context from closing the connection; returns false if the context has already ended
@@ -59,6 +62,7 @@
 		return nil, &LostError{Address: p.address, Stage: "reading the response header", Err: err}
 	}
 	res.Status, res.Header, res.Length = res.raw.StatusCode, res.raw.Header, res.raw.ContentLength
+	res.Unframed = res.Length < 0 && len(res.raw.TransferEncoding) == 0 && r.Method != http.MethodHead
 	res.Body = bodyReader{res}
 	return res, nil
 }
