Soak: parts that crash engines, waves, failures, responses without length, entries that vanish

Change: five kinds of steps, drawn apart so that older seeds keep their steps; two checks, part-sent-on and sound-lost, each seen finding a violation; crashes are counted by incarnation, as several copies may come to one that is about to end.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -30,6 +30,7 @@
 	callStream callKind = "stream" // a stream that must run at most once
 	callResume callKind = "resume" // a stream that may be resumed by another run
 	callCrash  callKind = "crash"  // crashes each endpoint that runs it; always the same request
+	callPart   callKind = "part"   // a stream that may be resumed, of a prompt with a part that crashes engines
 )
 
 var callKinds = []callKind{callOpen, callOnce, callMoved, callStream, callResume}
@@ -37,6 +38,9 @@
 // repeatable reports whether a call may run more than once.
 func (k callKind) repeatable() bool { return k != callOnce && k != callStream }
 
+// isStream reports whether the answer to a call is a stream.
+func (k callKind) isStream() bool { return k == callStream || k == callResume || k == callPart }
+
 // callTimeout is the time budget that callers give a request. It is also the timeout
 // of the routes.
 const callTimeout = 4 * time.Second
@@ -154,8 +158,11 @@
 
 // call makes one call of a new request and records it.
 func (c *caller) call(kind callKind) *call {
-	if kind == callCrash {
+	switch kind {
+	case callCrash:
 		return c.send(kind, "/crash/the-same")
+	case callPart:
+		return c.send(kind, fmt.Sprintf("/%s/part-%d-%d", callResume, c.id, c.sentCalls))
 	}
 	return c.send(kind, fmt.Sprintf("/%s/%d-%d", kind, c.id, c.sentCalls))
 }
@@ -194,11 +201,13 @@
 	if cl.kind == callOpen {
 		request.Token = ""
 	}
-	if cl.kind == callStream || cl.kind == callResume {
-		sharedPart, ownPart := c.id%sharedPromptParts, c.id*1000+c.sentCalls
-		request.Prompt = &fleetwire.Prompt{
-			Model: model, Input: 300, Output: 20, Parts: []string{fmt.Sprintf("%x:200", sharedPart), fmt.Sprintf("%x:100", ownPart)},
+	if cl.kind.isStream() {
+		parts := []string{fmt.Sprintf("%x:200", c.id%sharedPromptParts)}
+		if cl.kind == callPart {
+			parts = append(parts, fleetworker.CrashPart+":100")
 		}
+		parts = append(parts, fmt.Sprintf("%x:100", c.id*1000+c.sentCalls))
+		request.Prompt = &fleetwire.Prompt{Model: model, Input: 400, Output: 20, Parts: parts}
 	}
 	req, err := request.Request()
 	if err != nil {
@@ -229,8 +238,8 @@
 		return "the successful answer is not marked by an endpoint, or answers another request"
 	}
 	want := ""
-	switch c.kind {
-	case callStream, callResume:
+	switch {
+	case c.kind.isStream():
 		for id := range streamEvents {
 			want += fleetworker.StreamEvent(c.path, id)
 		}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -29,6 +29,8 @@
 	LostAnswer           Invariant = "lost-answer"      // planned steps lose no answer, and neither do disruptions of the store alone
 	TooManyRepeats       Invariant = "too-many-repeats" // repeated runs stay within the retry budget
 	CrashingRequestSent  Invariant = "crash-sent-on"    // a request that crashes endpoints is not sent on and on
+	CrashingPartSent     Invariant = "part-sent-on"     // prompts with a part that crashes engines are not sent on and on
+	SoundPromptsLost     Invariant = "sound-lost"       // sound prompts are served beside prompts with such a part
 	LimitExceeded        Invariant = "limit-exceeded"   // an endpoint gets hardly more requests than the limit that it names
 	MemoryExceeded       Invariant = "memory"           // a gateway stays within its machine's memory
 	NoRecovery           Invariant = "no-recovery"      // everything works again after the last step
@@ -94,6 +96,7 @@
 		r.checkLostAnswers(obs)
 		r.checkRepeats(obs)
 		r.checkCrashes(obs)
+		r.checkCrashingPart(obs)
 		r.checkLimits(obs)
 	}
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -50,9 +50,14 @@
 	e.running().worker.ServeHTTP(httptest.NewRecorder(), r)
 }
 
-// addCrash has an endpoint record that a request crashed it at the given time.
-func (f *checkFixture) addCrash(e *endpoint, attempt string, at time.Time) {
-	e.running().worker.RecordRun(fleetworker.Run{Attempt: attempt, Path: "/crash/1", Team: team, Crashes: true, StartedAt: at})
+// addCrashOfNext has an endpoint record that a call crashed it at the given time, and start
+// again.
+func (f *checkFixture) addCrashOfNext(e *endpoint, attempt string, at time.Time) {
+	crashed := e.running()
+	path := f.callLog.calls[attempt].path
+	crashed.worker.RecordRun(fleetworker.Run{Attempt: attempt, Path: path, Team: team, Crashes: true, StartedAt: at})
+	e.stop(crashed)
+	assert.NilError(f.t, e.start())
 }
 
 // addOrder sends an order to the engine, which must accept it.
@@ -87,7 +92,26 @@
 			for n := range crashesBeforeLimit + maxCrashRetries + 1 {
 				attempt := fmt.Sprint("c", n)
 				f.addCall(attempt, callCrash, 0, http.StatusBadGateway, nil)
-				f.addCrash(f.endpoints[1], attempt, time.Now().Add(time.Duration(n)*4*time.Second-time.Minute))
+				f.addCrashOfNext(f.endpoints[1], attempt, time.Now().Add(time.Duration(n)*4*time.Second-time.Minute))
+			}
+		}},
+		"prompts with a crashing part that are sent on": {CrashingPartSent, func(f *checkFixture) {
+			f.gateways[0].startedAt = time.Now().Add(-time.Hour)
+			for n := range partCrashesBeforeLimit + maxCrashRetries + 1 {
+				attempt := fmt.Sprint("p", n)
+				f.addCall(attempt, callPart, 0, http.StatusBadGateway, nil)
+				f.addCrashOfNext(f.endpoints[0], attempt, time.Now().Add(time.Duration(n)*4*time.Second-time.Minute))
+			}
+		}},
+		"sound prompts that fail beside a crashing part": {SoundPromptsLost, func(f *checkFixture) {
+			f.gateways[0].startedAt = time.Now().Add(-time.Hour)
+			for n := range partCrashesBeforeLimit {
+				attempt := fmt.Sprint("p", n)
+				f.addCall(attempt, callPart, time.Minute, http.StatusBadGateway, nil)
+				f.addCrashOfNext(f.endpoints[0], attempt, time.Now().Add(-time.Minute))
+			}
+			for n := range minSoundCalls {
+				f.addCall(fmt.Sprint("s", n), callResume, 0, http.StatusServiceUnavailable, nil)
 			}
 		}},
 		"more requests than an endpoint's limit": {LimitExceeded, func(f *checkFixture) {
--- a/internal/soak/check_trouble.go
+++ b/internal/soak/check_trouble.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -53,42 +55,85 @@
 	return kib >> 10, err
 }
 
-// Bounds of the users for a request that crashes endpoints.
+// Bounds of the users for a request, and for a part of prompts, that crashes endpoints.
 const (
-	crashesBeforeLimit = 3               // after which it is limited
-	crashNoticeTime    = 3 * time.Second // from the last of these until the limit holds
-	maxCrashRetries    = 3               // how often it may crash endpoints then
+	crashesBeforeLimit     = 3               // after which a request is limited
+	partCrashesBeforeLimit = 5               // after which a part is limited
+	crashNoticeTime        = 3 * time.Second // from the last of these until the limit holds
+	maxCrashRetries        = 3               // how often it may crash endpoints then
+	minSoundCalls          = 20              // calls beside such a part from which their share is checked
 )
 
 // checkCrashes checks how often the crashing request has crashed endpoints. It may begin
 // anew when all gateways have been restarted: the refusal that they saved is lost with the
 // store's leases or in a restored store.
 func (r *run) checkCrashes(obs *observations) {
-	var crashes []endpointRun
-	for _, runs := range obs.runs {
+	n, _ := r.lateCrashingRuns(obs, crashesBeforeLimit, func(c *call) bool { return c.kind == callCrash })
+	if n > maxCrashRetries {
+		r.recordViolation(CrashingRequestSent, "the crashing request reached endpoints %d times later than %s after the third crash", n, crashNoticeTime)
+	}
+}
+
+// checkCrashingPart checks how often prompts with the crashing part have reached engines, and
+// whether sound prompts are served beside them.
+func (r *run) checkCrashingPart(obs *observations) {
+	n, limitedFrom := r.lateCrashingRuns(obs, partCrashesBeforeLimit, func(c *call) bool { return c.kind == callPart })
+	if n > maxCrashRetries {
+		r.recordViolation(CrashingPartSent, "prompts with the crashing part reached engines %d times later than %s after the fifth crash", n, crashNoticeTime)
+	}
+	if limitedFrom.IsZero() {
+		return
+	}
+	sent, served := 0, 0
+	for attempt, c := range obs.calls {
+		sound := c.kind == callStream || c.kind == callResume
+		undisturbed := r.disruptions.noneBetween(c.sentAt.Add(-settleTime), c.endedAt, []StepKind{PartCrashes})
+		if obs.pending[attempt] || !sound || c.token != token || !c.sentAt.After(limitedFrom.Add(crashNoticeTime)) || !inTouch(c) || !undisturbed {
+			continue
+		}
+		sent++
+		if c.complete() && c.status == http.StatusOK {
+			served++
+		}
+	}
+	if sent >= minSoundCalls && 2*served < sent {
+		r.recordViolation(SoundPromptsLost, "%d of %d sound prompts were served beside the crashing part", served, sent)
+	}
+}
+
+// lateCrashingRuns returns how often the calls of a kind have reached endpoints later than
+// crashNoticeTime after they had crashed the given number of them, sent by gateways in touch,
+// and from when on that counts; the time is zero if they have crashed fewer, or if no gateway
+// has run all the while.
+func (r *run) lateCrashingRuns(obs *observations, limit int, ofKind func(*call) bool) (late int, limitedFrom time.Time) {
+	var list []endpointRun
+	firstOf := map[*incarnation]time.Time{} // of several that come at once, one crashes the endpoint
+	for attempt, runs := range obs.runs {
+		c := obs.calls[attempt]
+		if c == nil || !ofKind(c) {
+			continue
+		}
 		for _, ran := range runs {
-			if ran.Crashes {
-				crashes = append(crashes, ran)
+			list = append(list, ran)
+			if first, ok := firstOf[ran.incarnation]; !ok || ran.StartedAt.Before(first) {
+				firstOf[ran.incarnation] = ran.StartedAt
 			}
 		}
 	}
-	if len(crashes) <= crashesBeforeLimit {
-		return
+	if len(firstOf) < limit {
+		return 0, time.Time{}
 	}
-	slices.SortFunc(crashes, func(a, b endpointRun) int { return a.StartedAt.Compare(b.StartedAt) })
-	limitedFrom := crashes[crashesBeforeLimit-1].StartedAt.Add(crashNoticeTime)
-	if !slices.ContainsFunc(r.gateways, func(g *gateway) bool { return g.lastStarted().Before(limitedFrom.Add(-crashNoticeTime)) }) {
-		return
+	crashes := slices.SortedFunc(maps.Values(firstOf), time.Time.Compare)
+	limitedFrom = crashes[limit-1].Add(crashNoticeTime)
+	if !slices.ContainsFunc(r.gateways, func(g *gateway) bool { return g.lastStarted().Before(crashes[limit-1]) }) {
+		return 0, time.Time{}
 	}
-	n := 0
-	for _, ran := range crashes {
+	for _, ran := range list {
 		if ran.StartedAt.After(limitedFrom) && inTouch(obs.calls[ran.Attempt]) {
-			n++
+			late++
 		}
 	}
-	if n > maxCrashRetries {
-		r.recordViolation(CrashingRequestSent, "the crashing request crashed %d endpoints later than %s after the third one", n, crashNoticeTime)
-	}
+	return late, limitedFrom
 }
 
 // inTouch reports whether a call's gateway has not been disturbed for crashNoticeTime before
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,15 @@
 	// RequestCrashes sends the run's crashing request, again and again, at any gateway.
 	RequestCrashes StepKind = "request-crashes"
 
+	// RequestCrashWaves sends copies of it at the same time, and again when all endpoints are
+	// back.
+	RequestCrashWaves StepKind = "request-crash-waves"
+	// PartCrashes sends prompts with a part that crashes engines, no two alike.
+	PartCrashes      StepKind = "part-crashes"
+	EndpointFails    StepKind = "endpoint-fails"    // it reports a failure for each request, and runs none
+	EndpointUnframed StepKind = "endpoint-unframed" // its responses have neither a length nor chunks
+	EntryFlaps       StepKind = "entry-flaps"       // its entry vanishes, and comes back at the end of the step
+
 	ConfigMove    StepKind = "config-move"    // a route moves to another service
 	ConfigGrow    StepKind = "config-grow"    // many routes are added
 	ConfigRevoke  StepKind = "config-revoke"  // a token is revoked
@@ -74,6 +83,8 @@
 	addedUnplannedKinds = []StepKind{EndpointPause, EndpointBadPause}
 	// laterUnplannedKinds came after these, and are drawn apart from them.
 	laterUnplannedKinds = []StepKind{EndpointLimit, EndpointBadLimit, EndlessHead, EndlessBody, RequestCrashes}
+	// latestUnplannedKinds came after these, in the same way.
+	latestUnplannedKinds = []StepKind{RequestCrashWaves, PartCrashes, EndpointFails, EndpointUnframed, EntryFlaps}
 )
 
 // isPlanned reports whether an operator plans the steps of a kind.
@@ -123,7 +134,7 @@
 func NewPlan(seed uint64, duration time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	kinds, addedKinds := slices.Clone(plannedKinds), slices.Clone(addedPlannedKinds)
-	var laterKinds []StepKind
+	var laterKinds, latestKinds []StepKind
 	switch rng.IntN(3) {
 	case 1:
 		kinds = append(kinds, storeKinds...)
@@ -131,7 +142,7 @@
 	case 2:
 		kinds = append(append(kinds, storeKinds...), unplannedKinds...)
 		addedKinds = append(append(addedKinds, addedStoreKinds...), addedUnplannedKinds...)
-		laterKinds = laterUnplannedKinds
+		laterKinds, latestKinds = laterUnplannedKinds, latestUnplannedKinds
 	}
 	var steps []Step
 	for at := firstStep; at < duration; at += meanStepInterval/2 + randDuration(rng, meanStepInterval) {
@@ -148,6 +159,7 @@
 	}
 	steps = append(steps, stepsOfStream(seed, 1, duration, addedKinds)...)
 	steps = append(steps, stepsOfStream(seed, 2, duration, laterKinds)...)
+	steps = append(steps, stepsOfStream(seed, 3, duration, latestKinds)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -328,7 +328,11 @@
 	case WeightsNamed:
 		r.operator.nameNewWeights()
 	case RequestCrashes:
-		r.sendCrashingRequest(ctx, s)
+		r.sendAgainAndAgain(ctx, s, callCrash, 1)
+	case RequestCrashWaves:
+		r.sendAgainAndAgain(ctx, s, callCrash, copiesPerWave)
+	case PartCrashes:
+		r.sendAgainAndAgain(ctx, s, callPart, 1)
 	default:
 		r.disturbEndpoint(e, s.Kind, waitEnd)
 	}
@@ -342,15 +346,26 @@
 	crashCallTime = 8 * time.Second
 )
 
-// sendCrashingRequest sends the crashing request during and after a step, at any gateway.
-func (r *run) sendCrashingRequest(ctx context.Context, s Step) {
-	// The step's time makes the caller's ID unique.
-	c := newCaller(r, firstStepCaller+int(s.At/time.Millisecond)*revocableTokenEvery+1)
-	for end := time.Now().Add(s.Duration + crashCallTime); time.Now().Before(end) && timer.Sleep(ctx, crashCallInterval); {
-		c.client.CloseIdleConnections()
-		if c.gateway = r.readyGateway(c.rng); c.gateway != nil {
-			c.call(callCrash)
-		}
+// copiesPerWave is the number of copies of the crashing request that are sent at once. There
+// are as many for each endpoint of its service.
+const copiesPerWave = 6
+
+// sendAgainAndAgain makes calls of a kind during and after a step, each at any gateway and a
+// number of them at once.
+func (r *run) sendAgainAndAgain(ctx context.Context, s Step, kind callKind, atOnce int) {
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for n := range atOnce {
+		// The step's time makes the callers' IDs unique.
+		c := newCaller(r, firstStepCaller+(int(s.At/time.Millisecond)*copiesPerWave+n)*revocableTokenEvery+1)
+		callers.Go(func() {
+			for end := time.Now().Add(s.Duration + crashCallTime); time.Now().Before(end) && timer.Sleep(ctx, crashCallInterval); {
+				c.client.CloseIdleConnections()
+				if c.gateway = r.readyGateway(c.rng); c.gateway != nil {
+					c.call(kind)
+				}
+			}
+		})
 	}
 }
 
@@ -529,6 +544,23 @@
 		waitEnd()
 		i.worker.SetEndless("")
 		return
+	case EndpointFails:
+		i.worker.SetFailing(true)
+		waitEnd()
+		i.worker.SetFailing(false)
+		return
+	case EndpointUnframed:
+		i.worker.SetUnframed(true)
+		waitEnd()
+		i.worker.SetUnframed(false)
+		return
+	case EntryFlaps:
+		r.operator.deleteEntry(i)
+		waitEnd()
+		if e.running() == i {
+			r.operator.writeEntry(e, i)
+		}
+		return
 	case EndpointSlow:
 		i.worker.SetSlowFactor(slowFactor)
 		waitEnd()
--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -74,6 +74,13 @@
 		return
 	}
 	defer s.releaseSlot()
+	if s.fail(w) {
+		return
+	}
+	if unframed, err := s.unframe(w); err == nil && unframed != nil {
+		defer unframed.conn.Close()
+		w = unframed
+	}
 	crashesAtOnce := s.options.Crash != nil && bytes.HasPrefix(body, []byte(CrashBody))
 	crashesLater := s.options.Crash != nil && s.options.Model != "" && hasCrashPart(r)
 	lastEvent := s.recordRun(r, crashesAtOnce || crashesLater)
@@ -90,6 +97,18 @@
 	s.streamEvents(w, r, lastEvent, crashesLater)
 }
 
+// fail reports a failure if the endpoint is to do so. It reports whether it did.
+func (s *Server) fail(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	failing := s.failing
+	s.mu.Unlock()
+	if failing {
+		w.Header().Set(headerStamp, ResponseStamp)
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	return failing
+}
+
 // hasCrashPart reports whether CrashPart is one of the parts of a prompt but the last.
 func hasCrashPart(r *http.Request) bool {
 	parts := strings.Split(r.Header.Get(headerPrompt), ",")
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -94,6 +94,8 @@
 	leaving        bool
 	limitValue     string // Server-Limit of the responses to requests, empty for none
 	endlessHead    string // beginning of responses that go on without end, empty for none
+	failing        bool   // requests get a failure and are not run
+	unframed       bool   // responses have neither a length nor chunks, and end with their connection
 	pauseValue     string // Retry-After of the refusals of all requests, empty to refuse none
 	notices        []Notice
 	arrivals       []Arrival
@@ -182,6 +184,22 @@
 	s.endlessHead = beginning
 }
 
+// SetFailing sets whether the endpoint reports a failure for each request, which it does
+// not run.
+func (s *Server) SetFailing(failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = failing
+}
+
+// SetUnframed sets whether responses have neither a length nor chunks, and end with their
+// connection.
+func (s *Server) SetUnframed(unframed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unframed = unframed
+}
+
 // SetLimit sets the limit that the responses to requests name, which need not be valid. An
 // empty value ends that.
 func (s *Server) SetLimit(value string) {
