Suspects: trials that crash endpoints count after many crashes; records of earlier versions

Cause: found by reading. An entry holds 16 crashes; after a storm the crash of a trial found no room, so that the refusal of a part stayed at 15 s and a fourth trial came within a minute. A record without a depth, of a gateway of an earlier version or saved by one, counted as that of a part. Change: the crash of a trial replaces another one; depth 0 stands for a request. Measured: TestRefusalOfPartGrowsWithTrials fails on the parent after 32 crashes (15 s instead of 120 s), passes now.

--- a/suspect/record.go
+++ b/suspect/record.go
@@ -32,7 +32,11 @@
 	if err != nil {
 		return Record{}, err
 	}
-	rec := Record{Subject: Subject{Fingerprint: f, Depth: int(m.Depth)}, Rounds: int(m.Rounds), LastReported: now.Add(-time.Duration(max(m.Age, 0)))}
+	depth := int(m.Depth)
+	if depth == 0 {
+		depth = WholeRequest // of an earlier version, which knows no parts
+	}
+	rec := Record{Subject: Subject{Fingerprint: f, Depth: depth}, Rounds: int(m.Rounds), LastReported: now.Add(-time.Duration(max(m.Age, 0)))}
 	for _, c := range m.Crashes {
 		rec.Crashes = append(rec.Crashes, Crash{Endpoint: c.Endpoint, Epoch: c.Epoch, Round: int(c.Round), Disproved: c.Disproved, OnTrial: c.OnTrial})
 	}
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -433,10 +433,16 @@
 			return e.crashes[i] != known
 		}
 	}
-	if len(e.crashes) >= maxCrashesPerEntry {
+	if len(e.crashes) < maxCrashesPerEntry {
+		e.crashes = append(e.crashes, crash)
+		return true
+	}
+	// The length of a refusal depends on the trials, so that these are kept.
+	other := slices.IndexFunc(e.crashes, func(c Crash) bool { return !c.OnTrial })
+	if !crash.OnTrial || other < 0 {
 		return false
 	}
-	e.crashes = append(e.crashes, crash)
+	e.crashes[other] = crash
 	return true
 }
 
--- a/suspect/replica_test.go
+++ b/suspect/replica_test.go
@@ -288,17 +288,24 @@
 	assert.Equal(t, r.Lookup(sound.Fingerprint, now).Verdict, RunAlone)
 }
 
-// TestRefusalOfPartGrowsWithTrials has each trial of a part crash an endpoint.
+// TestRefusalOfPartGrowsWithTrials has each trial of a part crash an endpoint, after a few
+// crashes and after more than an entry holds.
 func TestRefusalOfPartGrowsWithTrials(t *testing.T) {
+	for _, crashes := range []int{testCompanyLimit, 2 * maxCrashesPerEntry} {
+		testRefusalOfPartGrows(t, crashes)
+	}
+}
+
+func testRefusalOfPartGrows(t *testing.T, crashes int) {
 	now := time.Now()
 	r := companyRegistry()
 	part := Subject{testFingerprint(1), 1}
-	for range 3 {
+	for range crashes {
 		crashOf(r, now, part)
 	}
 	for _, want := range []time.Duration{partRefusalTime, partRefusalTime * partRefusalGrowth, CompanyRefusalTime, CompanyRefusalTime} {
 		a := r.Lookup(part.Fingerprint, now)
-		assert.Equal(t, a.RefusedFor, want)
+		assert.Equal(t, a.RefusedFor, want, "after %d crashes", crashes)
 		now = now.Add(a.RefusedFor)
 		a = r.Lookup(part.Fingerprint, now)
 		assert.Equal(t, a.Verdict, Trial)
@@ -393,3 +400,21 @@
 		})
 	})
 }
+
+// TestRecordSurvivesEncoding encodes and decodes a record, and one of an earlier version,
+// which names requests alone.
+func TestRecordSurvivesEncoding(t *testing.T) {
+	now := time.Now()
+	rec := Record{
+		Subject: Subject{testFingerprint(1), 2}, Rounds: 4, LastReported: now.Add(-time.Minute),
+		Crashes: []Crash{{Endpoint: "e1", Epoch: "1", Round: 1, Disproved: true}, {Endpoint: "e2", Epoch: "2", Round: 4, OnTrial: true}},
+	}
+	decoded, err := DecodeRecord(EncodeRecord(rec, now), now)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, rec)
+	earlier := EncodeRecord(rec, now)
+	earlier.Depth, earlier.Rounds = 0, 0
+	decoded, err = DecodeRecord(earlier, now)
+	assert.NilError(t, err)
+	assert.Check(t, !decoded.IsPart())
+}
