--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 	g.confirmations = newConfirmations(g.view, o.Relay.Now)
 	g.opts.Relay.OtherLoads = peers.NewTable()
 	g.opts.Relay.Suspects = suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany, Log: g.log}, o.Relay.Now)
-	g.suspects = newSuspectStore(g.kv, g.opts.Relay.Suspects, o.Relay.Now, g.leads)
+	g.suspects = newSuspectStore(g.kv, g.opts.Relay.Suspects, o.Relay.Now, g.leads, g.log)
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
 	g.relay = relay.NewServer(g.opts.Relay)
 	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease)}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"strings"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"redwingknot/event"
 	"redwingknot/fleet"
 	"redwingknot/internal/timer"
 	"redwingknot/metastore"
@@ -46,6 +48,7 @@
 	replica  *suspect.Replica
 	now      func() time.Time
 	isLeader func() bool
+	log      *slog.Logger
 
 	mu    sync.Mutex
 	saved map[suspect.Fingerprint]bool      // known to be in the metadata store
@@ -53,9 +56,9 @@
 }
 
 // newSuspectStore returns a suspectStore that saves what replica refuses.
-func newSuspectStore(kv metastore.KV, replica *suspect.Replica, now func() time.Time, isLeader func() bool) *suspectStore {
+func newSuspectStore(kv metastore.KV, replica *suspect.Replica, now func() time.Time, isLeader func() bool, log *slog.Logger) *suspectStore {
 	return &suspectStore{
-		kv: kv, replica: replica, now: now, isLeader: isLeader,
+		kv: kv, replica: replica, now: now, isLeader: isLeader, log: log,
 		saved: map[suspect.Fingerprint]bool{}, known: map[suspect.Fingerprint]time.Time{},
 	}
 }
@@ -74,12 +77,14 @@
 		rec, err := decodeSuspect(e.Value, s.now())
 		if err != nil {
 			metric.Counter("suspect_store_invalid_total").Inc(1)
+			event.StoreEntryInvalid.Log(s.log, slog.String("key", e.Key), slog.String("error", err.Error()))
 			continue
 		}
 		s.saved[rec.Fingerprint] = true
 		records = append(records, rec)
 	}
 	for _, key := range d.Removed {
+		// A key of another form was not written by this program.
 		if f, err := suspect.FingerprintFromString(strings.TrimPrefix(key, suspectPrefix)); err == nil {
 			delete(s.saved, f)
 		}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 		content := metastoretest.NewStore(time.Now)
 		newStore := func(leads bool) *suspectStore {
 			replica := suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany}, time.Now)
-			return newSuspectStore(content.Client("test"), replica, time.Now, func() bool { return leads })
+			return newSuspectStore(content.Client("test"), replica, time.Now, func() bool { return leads }, slog.New(slog.DiscardHandler))
 		}
 		f, harmless := suspect.FingerprintOf(suspect.RequestIdentity{Target: "x"}), suspect.FingerprintOf(suspect.RequestIdentity{Target: "y"})
 		leader, follower := newStore(true), newStore(false)
@@ -69,7 +70,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		content := metastoretest.NewStore(time.Now)
 		replica := suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany}, time.Now)
-		s := newSuspectStore(content.Client("test"), replica, time.Now, func() bool { return false })
+		s := newSuspectStore(content.Client("test"), replica, time.Now, func() bool { return false }, slog.New(slog.DiscardHandler))
 		go s.run(t.Context())
 		f := suspect.FingerprintOf(suspect.RequestIdentity{Target: "x"})
 		refuse(s.replica, f)
