Suspects: the cause of many crashes is reported before what was in flight with it

Cause: found by working out the bytes of a fleet of 380: in a storm of crashes a report has room for a part of the changes, the oldest first, and the entry of the cause changes with each crash, so that it would have come last, all the time; reports of 256 records could have filled a link of 10 Mbit/s. Change: changes of subjects with many crashes go with each report; 64 records at most beside them.

--- a/peers/suspect.go
+++ b/peers/suspect.go
@@ -8,9 +8,9 @@
 	"redwingknot/suspect"
 )
 
-// maxSuspectsPerReport bounds the size of a report. The crash of an endpoint makes
-// suspects of some tens of requests.
-const maxSuspectsPerReport = 256
+// maxSuspectsPerReport bounds the size of a report, so that a storm of crashes leaves room on
+// a link of 10 Mbit/s. The crash of an endpoint makes some tens of suspects.
+const maxSuspectsPerReport = 64
 
 // addSuspects adds the changes of suspects that p is not known to have to a report that
 // has its stamps: all if p has not yet told which report of this process it has got.
--- a/suspect/replica.go
+++ b/suspect/replica.go
@@ -33,7 +33,9 @@
 
 // Changes returns the entries that have changed after the given number of changes, the
 // least recent first and at most limit of them, and the number of changes that is
-// complete with them.
+// complete with them. Behind these come the later changes of subjects with many crashes, at
+// most limit of them, too: in a storm of crashes the entry of their cause changes with each
+// of them, and must not wait behind those of all that was in flight.
 func (r *Registry) Changes(after uint64, limit int) (records []Record, through uint64) {
 	if r.changes == after {
 		return nil, after
@@ -46,13 +48,19 @@
 	}
 	slices.SortFunc(changed, func(a, b Fingerprint) int { return cmp.Compare(r.entries[a].changed, r.entries[b].changed) })
 	through = r.changes
+	var later []Fingerprint
 	if len(changed) > limit {
-		changed = changed[:limit]
+		changed, later = changed[:limit], changed[limit:]
 		through = r.entries[changed[limit-1]].changed
 	}
 	for _, f := range changed {
 		records = append(records, r.entries[f].record(f))
 	}
+	for _, f := range later {
+		if r.reached[f] != nil && len(records) < 2*limit {
+			records = append(records, r.entries[f].record(f))
+		}
+	}
 	return records, through
 }
 
--- a/suspect/replica_test.go
+++ b/suspect/replica_test.go
@@ -147,6 +147,24 @@
 	assert.Equal(t, other.Lookup(testFingerprint(4)).Verdict, RunAlone)
 }
 
+// TestCauseOfCrashesIsReportedFirst has a part crash endpoints that run many others: a report
+// with room for a few changes has that of the part.
+func TestCauseOfCrashesIsReportedFirst(t *testing.T) {
+	now := time.Now()
+	r := companyRegistry()
+	part := Subject{testFingerprint(1000), 1}
+	for n := range 30 {
+		crashOf(r, now, asRequest(testFingerprint(n)), part)
+	}
+	other := companyRegistry()
+	records, through := r.Changes(0, 2)
+	for _, rec := range records {
+		other.Merge(rec, now)
+	}
+	assert.Equal(t, other.Lookup(part.Fingerprint, now).Verdict, Refused)
+	assert.Check(t, through < r.changes)
+}
+
 // BenchmarkFingerprint hashes a request with a body of 8 KB.
 func BenchmarkFingerprint(b *testing.B) {
 	id := RequestIdentity{Team: "t", Target: "POST h/x", Body: make([]byte, 8<<10)}
