--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -193,6 +193,7 @@
 	group.Go(func() error { return g.runCacheStores(workCtx) })
 }
 
+// leads reports whether this instance holds the leader lease.
 func (g *Gateway) leads() bool {
 	_, leads := g.elector.FencingToken()
 	return leads
