Tests: the deepest subject is charged, a response that goes on clears parts

Cause: two guards taken out in a scratch copy were not noticed by a test: the order by depth and the clean runs of responses that go on.

--- a/suspect/replica_test.go
+++ b/suspect/replica_test.go
@@ -291,6 +291,36 @@
 	}
 }
 
+// TestDeepestOfThoseWithTheSameCrashesIsCharged has two parts come with the same crashes, with
+// fingerprints in either order.
+func TestDeepestOfThoseWithTheSameCrashesIsCharged(t *testing.T) {
+	now := time.Now()
+	for _, fingerprints := range [][2]Fingerprint{{testFingerprint(1), testFingerprint(2)}, {testFingerprint(2), testFingerprint(1)}} {
+		r := companyRegistry()
+		first, second := Subject{fingerprints[0], 1}, Subject{fingerprints[1], 2}
+		for range 3 {
+			crashOf(r, now, first, second)
+		}
+		assert.Equal(t, r.Lookup(first.Fingerprint, now).Verdict, RunAlone)
+		assert.Equal(t, r.Lookup(second.Fingerprint, now).Verdict, Refused)
+	}
+}
+
+// TestResponseThatGoesOnClearsParts has a response go on that began before the crashes of
+// its request and of a part of its prompt were known: it clears the part.
+func TestResponseThatGoesOnClearsParts(t *testing.T) {
+	replica := NewReplica(Config{CompanyCrashLimit: testCompanyLimit}, time.Now)
+	request, part := asRequest(testFingerprint(1)), Subject{testFingerprint(2), 1}
+	run, err := replica.Begin(func() []Subject { return []Subject{request, part} })
+	assert.NilError(t, err)
+	replica.recordCrashes([]Subject{request, part}, []Crash{{Endpoint: "e"}, {Endpoint: "e"}})
+	run.Answering()
+	assert.Equal(t, replica.Lookup(part.Fingerprint).Verdict, Clear)
+	assert.Equal(t, replica.Lookup(request.Fingerprint).Verdict, RunAlone)
+	run.Completed()
+	assert.Equal(t, replica.Lookup(request.Fingerprint).Verdict, Clear)
+}
+
 // TestSoundSubjectIsFreedByTheCauseOfItsCrashes refuses a part that came with each crash so
 // far, until another part turns out to come with more crashes.
 func TestSoundSubjectIsFreedByTheCauseOfItsCrashes(t *testing.T) {
