Soak: calls that have not ended are left out before their end is read

Cause: found by reading: sound-lost read the end of a pending call, which its caller may be writing. Change: the order of the conditions; a comment. Measured: go test -race ./internal/soak -run Checks passes; the race was not seen in a run.

--- a/internal/soak/check_trouble.go
+++ b/internal/soak/check_trouble.go
@@ -86,9 +86,11 @@
 	}
 	sent, served := 0, 0
 	for attempt, c := range obs.calls {
-		sound := c.kind == callStream || c.kind == callResume
+		if obs.pending[attempt] || c.kind != callStream && c.kind != callResume || c.token != token {
+			continue
+		}
 		undisturbed := r.disruptions.noneBetween(c.sentAt.Add(-settleTime), c.endedAt, []StepKind{PartCrashes})
-		if obs.pending[attempt] || !sound || c.token != token || !c.sentAt.After(limitedFrom.Add(crashNoticeTime)) || !inTouch(c) || !undisturbed {
+		if !undisturbed || !inTouch(c) || !c.sentAt.After(limitedFrom.Add(crashNoticeTime)) {
 			continue
 		}
 		sent++
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -346,8 +346,8 @@
 	crashCallTime = 8 * time.Second
 )
 
-// copiesPerWave is the number of copies of the crashing request that are sent at once. There
-// are as many for each endpoint of its service.
+// copiesPerWave is the number of copies of the crashing request that are sent at once, enough
+// for some to come to each endpoint of its service.
 const copiesPerWave = 6
 
 // sendAgainAndAgain makes calls of a kind during and after a step, each at any gateway and a
