--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -328,11 +328,11 @@
 	case WeightsNamed:
 		r.operator.nameNewWeights()
 	case RequestCrashes:
-		r.sendAgainAndAgain(ctx, s, callCrash, 1)
+		r.sendRepeatedly(ctx, s, callCrash, 1)
 	case RequestCrashWaves:
-		r.sendAgainAndAgain(ctx, s, callCrash, copiesPerWave)
+		r.sendRepeatedly(ctx, s, callCrash, copiesPerWave)
 	case PartCrashes:
-		r.sendAgainAndAgain(ctx, s, callPart, 1)
+		r.sendRepeatedly(ctx, s, callPart, 1)
 	default:
 		r.disturbEndpoint(e, s.Kind, waitEnd)
 	}
@@ -350,9 +350,9 @@
 // for some to come to each endpoint of its service.
 const copiesPerWave = 6
 
-// sendAgainAndAgain makes calls of a kind during and after a step, each at any gateway and a
+// sendRepeatedly makes calls of a kind during and after a step, each at any gateway and a
 // number of them at once.
-func (r *run) sendAgainAndAgain(ctx context.Context, s Step, kind callKind, atOnce int) {
+func (r *run) sendRepeatedly(ctx context.Context, s Step, kind callKind, atOnce int) {
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	for n := range atOnce {
--- a/relay/end_check.go
+++ b/relay/end_check.go
@@ -57,7 +57,7 @@
 // end. The caller holds mu.
 func (e *Endpoints) endIsPlanned(ep *endpoint) bool {
 	e.syncView()
-	since := ep.goingSince
+	since := ep.endPlannedSince
 	return !since.IsZero() && e.now().Sub(since) >= e.drainTime-endMargin
 }
 
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -25,16 +25,17 @@
 // further requests. It outlives the endpoint's entry in the metadata store, which may
 // vanish and come back while the endpoint runs. It is guarded by the mutex of Endpoints.
 type noticeState struct {
-	pause        place.Pause
-	leavingSince time.Time // when this instance learned that it has announced to leave, zero if it has not
-	goingSince   time.Time // the same for its announcement, its entry or the removal of that, whichever came first
-	listedAt     time.Time // when the incarnation was last known to be listed
+	pause           place.Pause
+	leavingSince    time.Time // when this instance learned that it has announced to leave, zero if it has not
+	endPlannedSince time.Time // when this instance first learned, by its announcement, its entry or the removal of that, that it leaves
+	listedAt        time.Time // when the incarnation was last known to be listed
 }
 
-// recordGoing records that the endpoint leaves or is not listed.
-func (n *noticeState) recordGoing(now time.Time) {
-	if n.goingSince.IsZero() {
-		n.goingSince = now
+// recordEndPlanned records that the endpoint leaves or is not listed, so that its process
+// will end.
+func (n *noticeState) recordEndPlanned(now time.Time) {
+	if n.endPlannedSince.IsZero() {
+		n.endPlannedSince = now
 	}
 }
 
@@ -66,9 +67,9 @@
 		ep := e.byKey[key]
 		switch {
 		case ep == nil || ep.spec.Leaving:
-			n.recordGoing(now)
+			n.recordEndPlanned(now)
 		case n.leavingSince.IsZero():
-			n.goingSince = time.Time{} // its entry has come back
+			n.endPlannedSince = time.Time{} // its entry has come back
 		}
 		if ep != nil {
 			n.listedAt = now
@@ -151,7 +152,7 @@
 		return
 	}
 	ep.leavingSince = now
-	ep.recordGoing(now)
+	ep.recordEndPlanned(now)
 	event.EndpointLeaving.Log(e.log, slog.String("endpoint", ep.spec.ID), slog.String("service", ep.spec.Service))
 	metric.Counter("endpoints_leaving_total", "service", ep.spec.Service).Inc(1)
 }
