--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -247,9 +247,9 @@
 	return n
 }
 
-// judgeInCompany sets the verdict on a subject that is charged with crashes. Crashes of one
-// round may be those of a rack that failed under copies of an innocent request. So do copies
-// of a crashing request that come at once; the next wave of these must not go out whole.
+// judgeInCompany sets the verdict on a subject that is charged with crashes. Those of one
+// round don't tell a rack that failed under copies of an innocent request from copies of a
+// crashing one that came at once; the next wave of the latter must not go out whole.
 func (e *entry) judgeInCompany(a *Answer, now time.Time) {
 	sinceLast, refusal := now.Sub(e.lastReported), e.refusalTime()
 	several := e.standingRounds() >= minRefusalRounds
