Gateway: what tells the hypotheses on resumed streams apart is logged

Cause: endpoint-listed had no software version, and no line said that a stream goes on, by whom and from which version to which. Change: fleet.Endpoint.SoftwareVersion, Call.ResumedAttempt, event stream-resumed. No decision uses them yet. Measured: go test ./event ./relay ./platform ./gateway passes.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -2,14 +2,17 @@
 
 // Endpoint is one incarnation of a server of a service. It is immutable.
 type Endpoint struct {
-	ID             string
-	StartMillis    int64 // start of the incarnation as Unix time in ms; 0 if not reported
-	Service        string
-	Address        string // IP:port
-	DataCentre     string
-	Slots          int              // requests that it runs at the same time
-	Leaving        bool             // takes no new requests
-	WeightVersions map[string]int64 // version of the weights that it has loaded, by model
+	ID          string
+	StartMillis int64 // start of the incarnation as Unix time in ms; 0 if not reported
+	Service     string
+	Address     string // IP:port
+	DataCentre  string
+	// SoftwareVersion is the version of its software, not of the weights. What endpoints of
+	// different versions respond does not fit together.
+	SoftwareVersion string
+	Slots           int              // requests that it runs at the same time
+	Leaving         bool             // takes no new requests
+	WeightVersions  map[string]int64 // version of the weights that it has loaded, by model
 }
 
 // EndpointKey identifies an incarnation of an endpoint: an identifier can return with
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -134,6 +134,6 @@
 func (g *Gateway) logListedEndpoint(id string) {
 	if e := g.view.Snapshot().Endpoints[id]; e != nil {
 		event.EndpointListed.Log(g.log, slog.String("endpoint", id), slog.String("service", e.Service),
-			slog.String("address", e.Address), slog.Bool("leaving", e.Leaving), slog.Any("weights", e.WeightVersions))
+			slog.String("address", e.Address), slog.String("software", e.SoftwareVersion), slog.Bool("leaving", e.Leaving), slog.Any("weights", e.WeightVersions))
 	}
 }
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -45,6 +45,7 @@
 	possibleExecutions int               // attempts that an endpoint may have executed
 	headerSent         bool              // the response header was sent to the caller
 	lastEvent          int64             // identifier of the last event sent to the caller, -1 before the first
+	softwareVersion    string            // software version of the endpoint that began the stream, empty if it is not known
 	timeToFirstData    time.Duration     // from the arrival of the request until response data was ready for the caller
 	cachePlan          string            // where the parts of the prompt come from, for the log; see pick.cachePlan
 	lastEndpoint       *fleet.Endpoint   // endpoint of the latest attempt
@@ -272,6 +273,7 @@
 		return outcomeCallerGone
 	}
 	c.lastEndpoint = p.spec
+	c.logResumption(p)
 	sent, sentAt := time.Now(), c.server.endpoints.now()
 	res, err := p.endpoint.pool.Send(ctx, c.buildRequest(p))
 	var notSent *upstream.NotSentError
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -39,8 +39,14 @@
 	Token       string        // the caller's team token, empty without one
 	Prompt      *Prompt       // nil for plain requests
 	LastEventID int64         // identifier of the last event that the caller has received, -1 without one
+	// ResumedAttempt is the identifier of the attempt that brought the caller the first event
+	// of the stream that it takes up, empty if it takes up none.
+	ResumedAttempt string
 }
 
+// Resumes reports whether the caller takes up a stream of which it has got events.
+func (c *Call) Resumes() bool { return c.LastEventID >= 0 || c.ResumedAttempt != "" }
+
 // Dispatch holds the data that the relay sends to an endpoint with an attempt.
 type Dispatch struct {
 	EndpointID     string        // identifier of the only endpoint that may execute the request
