Stand-ins and soak: endpoints of several software versions, callers that take streams up

Cause: no stand-in had another software version than v1, the events of all versions were alike, and no caller of the soak took a stream up. Change: the software version is an option of endpoints and decides what their events say; the step endpoint-upgrade replaces an endpoint by one of a new version; callers take up streams that break off, naming the attempt that brought the first event. The invariants mixed-versions and resumptions-lost, with tests that each is found.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -58,8 +58,17 @@
 	err         error         // of sending the request or reading the answer
 	answerFault string        // what is wrong with a successful answer, empty if nothing is
 	retryAfter  time.Duration // when a refused call may be sent again
+
+	resumes         *call  // the call that began the stream that this one takes up, nil if it takes up none
+	resumedAfter    int    // ID of the last event that the caller had then
+	lastEvent       int    // ID of the last whole event that the caller has, -1 without one
+	softwareVersion string // of the endpoint that wrote the first event of the response, empty without one
+	mixedVersions   bool   // endpoints of other software versions wrote events of the stream, too
 }
 
+// brokeOff reports whether the response is a stream that broke off after an event.
+func (c *call) brokeOff() bool { return c.err != nil && c.status == http.StatusOK && c.lastEvent >= 0 }
+
 // complete reports whether the caller got a complete answer or refusal.
 func (c *call) complete() bool { return c.status != 0 && c.err == nil }
 
@@ -144,6 +153,10 @@
 // request again, on a new connection and under a new attempt ID.
 func (c *caller) callAndRetry(ctx context.Context, kind callKind) {
 	cl := c.call(kind)
+	if kind == callResume && cl.brokeOff() {
+		c.takeUp(ctx, cl)
+		return
+	}
 	for range maxRetries {
 		if !cl.promisedNotRun() || !timer.Sleep(ctx, min(cl.retryAfter, maxRetryDelay)) {
 			return
@@ -152,7 +165,29 @@
 		if c.gateway = c.run.readyGateway(c.rng); c.gateway == nil {
 			return
 		}
-		cl = c.send(kind, cl.path)
+		cl = c.send(c.newCall(kind, cl.path))
+	}
+}
+
+// takeUp sends calls that take up a stream that has broken off, each at any gateway, until it
+// is whole.
+func (c *caller) takeUp(ctx context.Context, first *call) {
+	last := first
+	for range maxRetries {
+		if !timer.Sleep(ctx, min(last.retryAfter, maxRetryDelay)) {
+			return
+		}
+		c.client.CloseIdleConnections()
+		if c.gateway = c.run.readyGateway(c.rng); c.gateway == nil {
+			return
+		}
+		next := c.newCall(first.kind, first.path)
+		next.resumes, next.resumedAfter, next.lastEvent = first, last.lastEvent, last.lastEvent
+		c.send(next)
+		if next.complete() && next.status == http.StatusOK {
+			return
+		}
+		last = next
 	}
 }
 
@@ -160,20 +195,25 @@
 func (c *caller) call(kind callKind) *call {
 	switch kind {
 	case callCrash:
-		return c.send(kind, "/crash/the-same")
+		return c.send(c.newCall(kind, "/crash/the-same"))
 	case callPart:
-		return c.send(kind, fmt.Sprintf("/%s/part-%d-%d", callResume, c.id, c.sentCalls))
+		return c.send(c.newCall(kind, fmt.Sprintf("/%s/part-%d-%d", callResume, c.id, c.sentCalls)))
 	}
-	return c.send(kind, fmt.Sprintf("/%s/%d-%d", kind, c.id, c.sentCalls))
+	return c.send(c.newCall(kind, fmt.Sprintf("/%s/%d-%d", kind, c.id, c.sentCalls)))
 }
 
-// send makes one call of the request with the given path and records it.
-func (c *caller) send(kind callKind, path string) *call {
-	cl := &call{attemptID: fmt.Sprintf("a-%d-%d", c.id, c.sentCalls), kind: kind, gateway: c.gateway, path: path, token: token}
+// newCall returns a call of the request with the given path, under a new attempt ID.
+func (c *caller) newCall(kind callKind, path string) *call {
+	cl := &call{attemptID: fmt.Sprintf("a-%d-%d", c.id, c.sentCalls), kind: kind, gateway: c.gateway, path: path, token: token, lastEvent: -1}
 	if c.id%revocableTokenEvery == 0 {
 		cl.token = revocableToken
 	}
 	c.sentCalls++
+	return cl
+}
+
+// send sends a call, records it and returns it.
+func (c *caller) send(cl *call) *call {
 	c.dialed.Store(c.gateway)
 	c.run.callLog.begin(cl)
 	c.exchange(cl)
@@ -209,6 +249,9 @@
 		parts = append(parts, fmt.Sprintf("%x:100", c.id*1000+c.sentCalls))
 		request.Prompt = &fleetwire.Prompt{Model: model, Input: 400, Output: 20, Parts: parts}
 	}
+	if cl.resumes != nil {
+		request.Resume = &fleetwire.Resumption{Attempt: cl.resumes.attemptID, LastEvent: cl.resumedAfter}
+	}
 	req, err := request.Request()
 	if err != nil {
 		cl.err = err
@@ -225,6 +268,9 @@
 	// Without a valid value, the call is sent again at once.
 	seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
 	cl.retryAfter = time.Duration(seconds * float64(time.Second))
+	if res.StatusCode == http.StatusOK && cl.kind.isStream() {
+		cl.recordEvents(string(data))
+	}
 	if res.StatusCode/100 == 2 {
 		cl.answerFault = answerMismatch(cl, method, body, res.Header, string(data))
 	}
@@ -237,14 +283,12 @@
 	if !fleetwire.IsResponseTo(h, c.attemptID) {
 		return "the successful answer is not marked by an endpoint, or answers another request"
 	}
-	want := ""
-	switch {
-	case c.kind.isStream():
-		for id := range streamEvents {
-			want += fleetworker.StreamEvent(c.path, id)
-		}
-	default:
-		want = fleetworker.AnswerBody(method, c.path, []byte(body))
+	want := fleetworker.AnswerBody(method, c.path, []byte(body))
+	if c.kind.isStream() {
+		want = c.expectedEvents()
+	}
+	if c.mixedVersions {
+		return "" // reported as such
 	}
 	if c.err == nil && got != want {
 		return fmt.Sprintf("the answer is %q, want %q", got, want)
@@ -255,6 +299,39 @@
 	return ""
 }
 
+// expectedEvents returns the events that are due to a call: those of one software version,
+// which for a stream that is taken up is the one that began it.
+func (c *call) expectedEvents() string {
+	version, first := c.softwareVersion, 0
+	if c.resumes != nil {
+		version, first = c.resumes.softwareVersion, c.resumedAfter+1
+	}
+	events := ""
+	for id := first; id < streamEvents; id++ {
+		events += fleetworker.StreamEvent(c.path, version, id)
+	}
+	return events
+}
+
+// recordEvents records which events of a stream the caller has got.
+func (c *call) recordEvents(got string) {
+	got = got[:completeEventsLen(got)]
+	if n := strings.Count(got+"\n", "\n\n"); n > 0 {
+		c.softwareVersion = fleetworker.EventSoftwareVersion(got)
+		c.lastEvent += n
+	}
+	began := c.softwareVersion
+	if c.resumes != nil {
+		began = c.resumes.softwareVersion
+	}
+	for len(got) > 1 {
+		if version := fleetworker.EventSoftwareVersion(got); version != began {
+			c.mixedVersions = true
+		}
+		_, got, _ = strings.Cut(got, "\n\n")
+	}
+}
+
 // completeEventsLen returns the length in bytes of the complete events at the start
 // of a stream, without the newline that ends the last one.
 func completeEventsLen(s string) int { return strings.LastIndex(s, "\n\n") + 1 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,6 +31,8 @@
 	CrashingRequestSent  Invariant = "crash-sent-on"    // a request that crashes endpoints is not sent on and on
 	CrashingPartSent     Invariant = "part-sent-on"     // prompts with a part that crashes engines are not sent on and on
 	SoundPromptsLost     Invariant = "sound-lost"       // sound prompts are served beside prompts with such a part
+	MixedVersions        Invariant = "mixed-versions"   // a stream holds events of one software version
+	ResumptionsLost      Invariant = "resumptions-lost" // streams that callers take up go on
 	LimitExceeded        Invariant = "limit-exceeded"   // an endpoint gets hardly more requests than the limit that it names
 	MemoryExceeded       Invariant = "memory"           // a gateway stays within its machine's memory
 	NoRecovery           Invariant = "no-recovery"      // everything works again after the last step
@@ -87,6 +89,7 @@
 	r.checkRequests(obs)
 	r.checkMemory()
 	r.checkAnswers(obs)
+	r.checkSoftwareVersions(obs)
 	r.checkOrders()
 	if checkTimeBounds {
 		r.checkRevokedToken(obs)
@@ -98,6 +101,7 @@
 		r.checkCrashes(obs)
 		r.checkCrashingPart(obs)
 		r.checkLimits(obs)
+		r.checkResumptions(obs)
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -126,6 +126,27 @@
 				f.addRun(f.endpoints[1], attempt, "/open/1", "")
 			}
 		}},
+		"a stream of two software versions": {MixedVersions, func(f *checkFixture) {
+			first := f.addCall("a", callResume, 0, 200, http.ErrAbortHandler)
+			first.recordEvents(fleetworker.StreamEvent(first.path, "v1", 0))
+			f.addCall("b", callResume, 0, 200, nil).resumes = first
+			f.callLog.calls["b"].recordEvents(fleetworker.StreamEvent(first.path, "v1", 1) + fleetworker.StreamEvent(first.path, "v2", 2))
+		}},
+		"streams that do not go on": {ResumptionsLost, func(f *checkFixture) {
+			f.gateways[0].startedAt = time.Now().Add(-time.Hour)
+			second := &endpoint{service: engineService, model: model, operator: f.operator}
+			f.endpoints = append(f.endpoints, second)
+			assert.NilError(f.t, second.start())
+			f.t.Cleanup(func() { second.stop(second.running()) })
+			for _, e := range []*endpoint{f.endpoints[0], second} {
+				e.running().startedAt = time.Now().Add(-time.Minute)
+			}
+			for n := range minResumptions {
+				first := f.addCall(fmt.Sprint("f", n), callResume, 0, 200, nil)
+				first.softwareVersion = fleetworker.DefaultSoftwareVersion
+				f.addCall(fmt.Sprint("r", n), callResume, 0, http.StatusServiceUnavailable, nil).resumes = first
+			}
+		}},
 		"a second run": {RunTwice, func(f *checkFixture) {
 			f.addCall("a", callOnce, 0, 200, nil)
 			f.addRun(f.endpoints[1], "a", path, team)
@@ -211,14 +232,14 @@
 // TestAnswerMismatchIsDetected checks that missing, repeated, reordered and foreign
 // parts of an answer are detected.
 func TestAnswerMismatchIsDetected(t *testing.T) {
-	c := &call{attemptID: "a", kind: callStream, path: "/stream/1"}
+	c := &call{attemptID: "a", kind: callStream, path: "/stream/1", softwareVersion: fleetworker.DefaultSoftwareVersion}
 	h := http.Header{"Response-Stamp": {fleetworker.ResponseStamp}, "Attempt-Id": {"a"}}
 	var whole string
 	for id := range streamEvents {
-		whole += fleetworker.StreamEvent(c.path, id)
+		whole += fleetworker.StreamEvent(c.path, c.softwareVersion, id)
 	}
 	assert.Equal(t, answerMismatch(c, http.MethodPost, "", h, whole), "")
-	first, second := fleetworker.StreamEvent(c.path, 0), fleetworker.StreamEvent(c.path, 1)
+	first, second := fleetworker.StreamEvent(c.path, c.softwareVersion, 0), fleetworker.StreamEvent(c.path, c.softwareVersion, 1)
 	for _, got := range []string{first, whole + first, strings.Replace(whole, first, "", 1), strings.Replace(whole, first+second, second+first, 1)} {
 		assert.Check(t, answerMismatch(c, http.MethodPost, "", h, got) != "", "%q", got)
 	}
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -18,9 +18,11 @@
 	model    string
 	operator *operator
 
-	mu      sync.Mutex
-	current *incarnation   // nil while none is running
-	all     []*incarnation // in the order of their start
+	mu sync.Mutex
+	// software is the version of the software of the next incarnation, the default if empty.
+	software string
+	current  *incarnation   // nil while none is running
+	all      []*incarnation // in the order of their start
 }
 
 // incarnation is an endpoint from one start to its stop.
@@ -30,7 +32,9 @@
 	server *http.Server
 	link   *Link
 
+	startedAt    time.Time
 	mu           sync.Mutex
+	stoppedAt    time.Time // zero while it runs
 	leavingAt    time.Time // when it announced that it leaves, zero if it has not
 	entryWeights int64     // weight version in its last store entry
 }
@@ -57,8 +61,8 @@
 	if e.current != nil {
 		return nil
 	}
-	i := &incarnation{id: e.operator.nextEndpointID()}
-	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime, Crash: func() { e.crash(i) }}
+	i := &incarnation{id: e.operator.nextEndpointID(), startedAt: time.Now()}
+	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime, SoftwareVersion: e.software, Crash: func() { e.crash(i) }}
 	if e.model != "" {
 		o.Slots, o.Model, o.WeightsVersion = engineSlots, e.model, e.operator.newestWeights()
 		o.EventGap, o.StreamEvents, o.LoadTime, o.ReportLag = eventGap, streamEvents, weightsLoadTime, reportLag
@@ -89,11 +93,28 @@
 	if !running {
 		return false
 	}
+	i.mu.Lock()
+	i.stoppedAt = time.Now()
+	i.mu.Unlock()
 	i.link.Close()
 	i.server.Close()
 	return true
 }
 
+// stopTime returns when the incarnation was stopped, or the zero time while it runs.
+func (i *incarnation) stopTime() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.stoppedAt
+}
+
+// upgrade sets the software version of the next incarnation.
+func (e *endpoint) upgrade(software string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.software = software
+}
+
 // crashRestartTime is how long an endpoint that a request has crashed is away.
 const crashRestartTime = 200 * time.Millisecond
 
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -44,6 +44,7 @@
 	weightsVersion    int64 // newest weight version that was named
 	routeMovedAt      time.Time
 	tokenRevokedAt    time.Time
+	softwareReleases  int // number of software versions after the first
 	lastEntrySequence int // sequence number of the last entry written by writeEntry
 }
 
@@ -60,6 +61,14 @@
 	return fmt.Sprintf("i-%d", o.lastEndpointID)
 }
 
+// releaseSoftware returns a new version of the endpoints' software.
+func (o *operator) releaseSoftware() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.softwareReleases++
+	return fmt.Sprintf("v1.%d", o.softwareReleases)
+}
+
 // newestWeights returns the newest weight version that was named.
 func (o *operator) newestWeights() int64 {
 	o.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,6 +34,7 @@
 	EndpointCrash    StepKind = "endpoint-crash"     // the endpoint stops, and restarts under a new ID at the end of the step
 	EndpointSlow     StepKind = "endpoint-slow"      // its work takes slowFactor times as long
 	EndpointLeave    StepKind = "endpoint-leave"     // the endpoint announces that it leaves, stops and restarts under a new ID
+	EndpointUpgrade  StepKind = "endpoint-upgrade"   // the same, and restarts with another software version
 	EndpointReset    StepKind = "endpoint-reset"     // its open connections are reset
 	EndpointCut      StepKind = "endpoint-cut"       // bytes to and from the endpoint are held
 	EndpointHoldBack StepKind = "endpoint-back"      // bytes from the endpoint are held
@@ -85,11 +86,13 @@
 	laterUnplannedKinds = []StepKind{EndpointLimit, EndpointBadLimit, EndlessHead, EndlessBody, RequestCrashes}
 	// latestUnplannedKinds came after these, in the same way.
 	latestUnplannedKinds = []StepKind{RequestCrashWaves, PartCrashes, EndpointFails, EndpointUnframed, EntryFlaps}
+	// newestPlannedKinds came after these, in the same way.
+	newestPlannedKinds = []StepKind{EndpointUpgrade}
 )
 
 // isPlanned reports whether an operator plans the steps of a kind.
 func isPlanned(k StepKind) bool {
-	return slices.Contains(plannedKinds, k) || slices.Contains(addedPlannedKinds, k)
+	return slices.Contains(plannedKinds, k) || slices.Contains(addedPlannedKinds, k) || slices.Contains(newestPlannedKinds, k)
 }
 
 // pauseKinds are the steps in which endpoints ask for pauses.
@@ -160,6 +163,7 @@
 	steps = append(steps, stepsOfStream(seed, 1, duration, addedKinds)...)
 	steps = append(steps, stepsOfStream(seed, 2, duration, laterKinds)...)
 	steps = append(steps, stepsOfStream(seed, 3, duration, latestKinds)...)
+	steps = append(steps, stepsOfStream(seed, 4, duration, newestPlannedKinds)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -521,10 +521,13 @@
 		time.Sleep(entryDeleteDelay)
 		r.operator.deleteEntry(i)
 		waitEnd()
-	case EndpointLeave:
+	case EndpointLeave, EndpointUpgrade:
 		if !r.tryLeave(e, i) {
 			return
 		}
+		if kind == EndpointUpgrade {
+			e.upgrade(r.operator.releaseSoftware())
+		}
 		time.Sleep(drainTime + graceTime/2)
 		r.operator.deleteEntry(i)
 		e.stop(i)
--- a/internal/standin/fleetwire/call.go
+++ b/internal/standin/fleetwire/call.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,6 +20,13 @@
 	Token   string        // bearer token, empty for none
 	Timeout time.Duration // time within which the caller wants the answer
 	Prompt  *Prompt       // nil for calls to applications
+	Resume  *Resumption   // nil for calls that take up no stream
+}
+
+// Resumption describes the stream that a call takes up.
+type Resumption struct {
+	Attempt   string // attempt that brought its first event
+	LastEvent int    // ID of the last event that the caller has received
 }
 
 // Prompt describes the prompt of a call to an engine.
@@ -41,6 +49,10 @@
 	if c.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.Token)
 	}
+	if c.Resume != nil {
+		req.Header.Set("Resumes", c.Resume.Attempt)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(c.Resume.LastEvent))
+	}
 	if p := c.Prompt; p != nil {
 		req.Header.Set("Model", p.Model)
 		req.Header.Set("Token-Count", fmt.Sprintf("%d,%d", p.Input, p.Output))
--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -21,6 +21,7 @@
 	headerNotExecuted    = "Not-Executed"
 	headerStamp          = "Response-Stamp"
 	headerLastEvent      = "Last-Event-Id"
+	headerResumes        = "Resumes"
 	headerLeaving        = "Server-Leaving"
 	headerRetryAfter     = "Retry-After"
 	headerLimit          = "Server-Limit"
@@ -39,12 +40,23 @@
 	return fmt.Sprintf("%s %s %x\n", method, path, h.Sum64())
 }
 
-// StreamEvent returns the server-sent event with the given ID of the stream at a path.
-// It is the same in every run.
-func StreamEvent(path string, id int) string {
+// StreamEvent returns the server-sent event with the given ID of the stream at a path. It
+// is the same in every run by endpoints of one software version.
+func StreamEvent(path, softwareVersion string, id int) string {
 	h := fnv.New64a()
-	fmt.Fprintf(h, "%s %d", path, id)
-	return fmt.Sprintf("id: %d\ndata: %x\n\n", id, h.Sum64())
+	fmt.Fprintf(h, "%s %s %d", path, softwareVersion, id)
+	return fmt.Sprintf("id: %d\ndata: %s %x\n\n", id, softwareVersion, h.Sum64())
+}
+
+// EventSoftwareVersion returns the software version of the endpoint that wrote the first of
+// the given events, empty if there is none.
+func EventSoftwareVersion(events string) string {
+	_, data, _ := strings.Cut(events, "\ndata: ")
+	version, _, ok := strings.Cut(data, " ")
+	if !ok {
+		return ""
+	}
+	return version
 }
 
 // serveRequest refuses a request with Not-Executed set, or records it and answers
@@ -251,7 +263,7 @@
 	}
 	s.RecordRun(Run{
 		Attempt: r.Header.Get(headerAttempt), Method: r.Method, Path: r.URL.Path, Crashes: crashes, Team: r.Header.Get("Tenant"),
-		Authenticated: r.Header.Get("Authorization") != "", LastEvent: lastEvent, WeightsVersion: s.WeightsVersion(), StartedAt: time.Now(),
+		Authenticated: r.Header.Get("Authorization") != "", LastEvent: lastEvent, Resumes: r.Header.Get(headerResumes), WeightsVersion: s.WeightsVersion(), StartedAt: time.Now(),
 	})
 	return lastEvent
 }
@@ -270,7 +282,7 @@
 		return
 	}
 	for id := lastEvent + 1; id < s.options.StreamEvents; id++ {
-		if _, err := io.WriteString(w, StreamEvent(r.URL.Path, id)); err != nil {
+		if _, err := io.WriteString(w, StreamEvent(r.URL.Path, s.options.SoftwareVersion, id)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil || !s.sleepScaled(r, s.options.EventGap) {
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -12,12 +12,15 @@
 // Options configures an endpoint. Without a Model it is an application, else an
 // engine.
 type Options struct {
-	ID             string
-	Service        string
-	Slots          int // number of requests that run concurrently
-	MaxQueued      int // maximum number of requests that wait for a slot
-	Model          string
-	WeightsVersion int64 // weight version loaded at the start
+	ID        string
+	Service   string
+	Slots     int // number of requests that run concurrently
+	MaxQueued int // maximum number of requests that wait for a slot
+	// SoftwareVersion is the version of its software, DefaultSoftwareVersion if empty. It
+	// decides what the events of streams say.
+	SoftwareVersion string
+	Model           string
+	WeightsVersion  int64 // weight version loaded at the start
 
 	WorkTime     time.Duration // time to an application's answer or an engine's first event
 	EventGap     time.Duration // time after each event of a stream
@@ -31,6 +34,9 @@
 	Crash func()
 }
 
+// DefaultSoftwareVersion is the software version of an endpoint whose options name none.
+const DefaultSoftwareVersion = "v1"
+
 // CrashPart is the identifier of a prompt part that crashes each engine which begins to
 // write a response to a prompt with it.
 const CrashPart = "dead"
@@ -46,9 +52,10 @@
 	Path           string
 	Crashes        bool // the request crashes the endpoint
 	Team           string
-	Authenticated  bool  // the request has an Authorization header
-	LastEvent      int   // ID of the last event that the caller has received, -1 for none
-	WeightsVersion int64 // weight version that ran the request
+	Authenticated  bool   // the request has an Authorization header
+	LastEvent      int    // ID of the last event that the caller has received, -1 for none
+	Resumes        string // attempt that brought the caller the first event, as the caller names it
+	WeightsVersion int64  // weight version that ran the request
 	StartedAt      time.Time
 }
 
@@ -105,6 +112,9 @@
 
 // New returns an endpoint that has just started.
 func New(o Options) *Server {
+	if o.SoftwareVersion == "" {
+		o.SoftwareVersion = DefaultSoftwareVersion
+	}
 	s := &Server{
 		options: o, mux: http.NewServeMux(), weightsVersion: o.WeightsVersion, startTime: time.Now(), slowFactor: 1,
 		slots: make(chan struct{}, o.Slots), admitted: make(chan struct{}, o.Slots+o.MaxQueued),
@@ -127,6 +137,9 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// SoftwareVersion returns the version of the endpoint's software.
+func (s *Server) SoftwareVersion() string { return s.options.SoftwareVersion }
+
 // Runs returns the requests that the endpoint started to execute, in order.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -232,7 +245,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": s.options.Service, "address": address, "zone": zone, "version": "v1", "slots": s.options.Slots,
+		"service": s.options.Service, "address": address, "zone": zone, "version": s.options.SoftwareVersion, "slots": s.options.Slots,
 		"state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": s.startTime.UnixMilli(),
 	}
 	if s.options.Model != "" {
