Stand-ins and soak: gateways that reach no endpoints, brittle endpoints, endpoints that stall

Cause: links belonged to endpoints, so that no single gateway could be cut off; no stand-in said that it is brittle, or fell over. Change: each gateway has a link of its own to each endpoint, which it finds by its own view of the store. Three kinds of partitions (connections hang, are reset, or live on, while new ones get no answer or are refused), endpoints that are brittle beside more callers than they have room for, endpoints that stall for 1.2 s as planned steps. The invariants partitioned-fail and brittle-fell, with tests that each is found.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -59,6 +59,7 @@
 	answerFault string        // what is wrong with a successful answer, empty if nothing is
 	retryAfter  time.Duration // when a refused call may be sent again
 
+	retry           bool   // an earlier call made the same request
 	resumes         *call  // the call that began the stream that this one takes up, nil if it takes up none
 	resumedAfter    int    // ID of the last event that the caller had then
 	lastEvent       int    // ID of the last whole event that the caller has, -1 without one
@@ -165,7 +166,9 @@
 		if c.gateway = c.run.readyGateway(c.rng); c.gateway == nil {
 			return
 		}
-		cl = c.send(c.newCall(kind, cl.path))
+		next := c.newCall(kind, cl.path)
+		next.retry = true
+		cl = c.send(next)
 	}
 }
 
@@ -182,7 +185,7 @@
 			return
 		}
 		next := c.newCall(first.kind, first.path)
-		next.resumes, next.resumedAfter, next.lastEvent = first, last.lastEvent, last.lastEvent
+		next.retry, next.resumes, next.resumedAfter, next.lastEvent = true, first, last.lastEvent, last.lastEvent
 		c.send(next)
 		if next.complete() && next.status == http.StatusOK {
 			return
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,6 +33,8 @@
 	SoundPromptsLost     Invariant = "sound-lost"       // sound prompts are served beside prompts with such a part
 	MixedVersions        Invariant = "mixed-versions"   // a stream holds events of one software version
 	ResumptionsLost      Invariant = "resumptions-lost" // streams that callers take up go on
+	PartitionedFail      Invariant = "partitioned-fail" // callers of gateways that reach no endpoints are served like others
+	BrittleFell          Invariant = "brittle-fell"     // brittle endpoints hardly fall over
 	LimitExceeded        Invariant = "limit-exceeded"   // an endpoint gets hardly more requests than the limit that it names
 	MemoryExceeded       Invariant = "memory"           // a gateway stays within its machine's memory
 	NoRecovery           Invariant = "no-recovery"      // everything works again after the last step
@@ -102,6 +104,7 @@
 		r.checkCrashingPart(obs)
 		r.checkLimits(obs)
 		r.checkResumptions(obs)
+		r.checkPartitions(obs)
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -25,7 +25,7 @@
 		started: time.Now(), operator: o, callLog: newCallLog(), disruptions: &disruptionLog{}, violations: map[string]Violation{},
 		gateways: []*gateway{{name: "front-1"}, {name: "front-2"}},
 	}}
-	f.endpoints = []*endpoint{{service: engineService, model: model, operator: o}, {service: appService, operator: o}}
+	f.endpoints = []*endpoint{{service: engineService, model: model, operator: o, network: newNetwork(1)}, {service: appService, operator: o, network: newNetwork(1)}}
 	for _, e := range f.endpoints {
 		assert.NilError(t, e.start())
 		t.Cleanup(func() { e.stop(e.running()) })
@@ -134,7 +134,7 @@
 		}},
 		"streams that do not go on": {ResumptionsLost, func(f *checkFixture) {
 			f.gateways[0].startedAt = time.Now().Add(-time.Hour)
-			second := &endpoint{service: engineService, model: model, operator: f.operator}
+			second := &endpoint{service: engineService, model: model, operator: f.operator, network: newNetwork(1)}
 			f.endpoints = append(f.endpoints, second)
 			assert.NilError(f.t, second.start())
 			f.t.Cleanup(func() { second.stop(second.running()) })
@@ -147,6 +147,25 @@
 				f.addCall(fmt.Sprint("r", n), callResume, 0, http.StatusServiceUnavailable, nil).resumes = first
 			}
 		}},
+		"callers of a partitioned gateway that fail": {PartitionedFail, func(f *checkFixture) {
+			for _, g := range f.gateways {
+				g.startedAt = time.Now().Add(-time.Hour)
+			}
+			f.gateways[0].beginPartition()
+			f.gateways[0].partitions[0].began = time.Now().Add(-time.Minute)
+			for n := range 2 * partitionSlack {
+				f.addCall(fmt.Sprint("t", n), callOpen, 0, http.StatusServiceUnavailable, nil)
+				f.addCall(fmt.Sprint("e", n), callOpen, 0, 200, nil).gateway = f.gateways[1]
+			}
+		}},
+		"brittle endpoints that fall over": {BrittleFell, func(f *checkFixture) {
+			before := f.fallCount(engineService)
+			for range maxFalls + 1 {
+				f.endpoints[0].fallOver(f.endpoints[0].running())
+				assert.NilError(f.t, f.endpoints[0].start())
+			}
+			f.checkFalls(engineService, before)
+		}},
 		"a second run": {RunTwice, func(f *checkFixture) {
 			f.addCall("a", callOnce, 0, 200, nil)
 			f.addRun(f.endpoints[1], "a", path, team)
@@ -273,12 +292,20 @@
 	blocked := func() bool { return !requestWithin(300 * time.Millisecond) }
 	assert.Check(t, passes())
 	for _, f := range []LinkFault{{HoldToTarget: true}, {HoldToDialer: true}, {Delay: time.Second}} {
-		l.SetFault(f)
+		assert.NilError(t, l.SetFault(f))
 		assert.Check(t, blocked(), "%v", f)
-		l.SetFault(LinkFault{})
+		assert.NilError(t, l.SetFault(LinkFault{}))
 		transport.CloseIdleConnections()
 		assert.Check(t, passes(), "%v", f)
 	}
+	for _, f := range []LinkFault{{NewConns: ConnsRefused}, {NewConns: ConnsHang}} {
+		assert.NilError(t, l.SetFault(f))
+		assert.Check(t, passes(), "open connections live on: %v", f)
+		transport.CloseIdleConnections()
+		assert.Check(t, blocked(), "%v", f)
+		assert.NilError(t, l.SetFault(LinkFault{}))
+		assert.Check(t, passes(), "%v", f)
+	}
 	l.Silence()
 	assert.Check(t, blocked())
 	transport.CloseIdleConnections()
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -17,21 +17,23 @@
 	zone     string
 	model    string
 	operator *operator
+	network  *network
 
 	mu sync.Mutex
 	// software is the version of the software of the next incarnation, the default if empty.
 	software string
 	current  *incarnation   // nil while none is running
 	all      []*incarnation // in the order of their start
+	brittle  int            // requests that it may turn away in a second, 0 if it is not brittle
+	falls    int            // times that it fell over because it was brittle
 }
 
 // incarnation is an endpoint from one start to its stop.
 type incarnation struct {
-	id     string
-	worker *fleetworker.Server
-	server *http.Server
-	link   *Link
-
+	id           string
+	worker       *fleetworker.Server
+	server       *http.Server
+	links        []*Link // from each gateway
 	startedAt    time.Time
 	mu           sync.Mutex
 	stoppedAt    time.Time // zero while it runs
@@ -62,19 +64,20 @@
 		return nil
 	}
 	i := &incarnation{id: e.operator.nextEndpointID(), startedAt: time.Now()}
-	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime, SoftwareVersion: e.software, Crash: func() { e.crash(i) }}
+	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime, SoftwareVersion: e.software, Crash: func() { e.crash(i) }, FallOver: func() { e.fallOver(i) }}
 	if e.model != "" {
 		o.Slots, o.Model, o.WeightsVersion = engineSlots, e.model, e.operator.newestWeights()
 		o.EventGap, o.StreamEvents, o.LoadTime, o.ReportLag = eventGap, streamEvents, weightsLoadTime, reportLag
 	}
 	i.worker = fleetworker.New(o)
+	i.worker.SetBrittle(e.brittle)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	i.server = &http.Server{Handler: i.worker, ReadHeaderTimeout: time.Minute}
 	go i.server.Serve(l)
-	if i.link, err = NewLink(l.Addr().String()); err != nil {
+	if i.links, err = e.network.newLinks(l.Addr().String()); err != nil {
 		return err
 	}
 	e.current, e.all = i, append(e.all, i)
@@ -96,7 +99,9 @@
 	i.mu.Lock()
 	i.stoppedAt = time.Now()
 	i.mu.Unlock()
-	i.link.Close()
+	for _, l := range i.links {
+		l.Close()
+	}
 	i.server.Close()
 	return true
 }
@@ -130,6 +135,23 @@
 	})
 }
 
+// fallOver crashes incarnation i because it is brittle.
+func (e *endpoint) fallOver(i *incarnation) {
+	e.mu.Lock()
+	if e.current == i {
+		e.falls++
+	}
+	e.mu.Unlock()
+	e.crash(i)
+}
+
+// fallCount returns how often the endpoint has fallen over.
+func (e *endpoint) fallCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.falls
+}
+
 // running returns the running incarnation, or nil if there is none.
 func (e *endpoint) running() *incarnation {
 	e.mu.Lock()
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -51,6 +51,8 @@
 	exited    chan struct{} // closed when the last process has exited
 	resumedAt time.Time     // end of the last pause or store link fault
 	startedAt time.Time     // start of the last process
+
+	partitions []*partitionPeriod
 }
 
 // newGateway writes the settings of gateway n, counted from 0, and returns it. store
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -15,13 +15,30 @@
 	Delay        time.Duration // before each chunk is passed on, in each direction
 	HoldToTarget bool          // bytes from the dialer are held
 	HoldToDialer bool          // bytes to the dialer are held
+	NewConns     ConnFault     // what happens to connections that are opened
 }
 
+// ConnFault is what happens to the connections that are opened through a Link.
+type ConnFault uint8
+
+const (
+	ConnsPass    ConnFault = iota // they are accepted
+	ConnsRefused                  // nothing listens at the link's address
+	ConnsHang                     // attempts to connect get no answer
+)
+
 // Link is a TCP proxy on the loopback interface that forwards connections to one
 // address. It is safe for concurrent use.
 type Link struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
+	port    *reservedPort
+
+	listenMu  sync.Mutex
+	listener  net.Listener // nil while connections are not accepted
+	hanging   *fullBacklog // nil unless connections hang
+	connFault ConnFault
+	closed    bool
 
 	mu      sync.Mutex
 	fault   LinkFault
@@ -47,31 +64,86 @@
 // NewLink returns a link that listens at a free loopback port and forwards to
 // target.
 func NewLink(target string) (*Link, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	port, err := reservePort()
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: target, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
-	go l.accept()
+	l := &Link{address: port.address(), port: port, target: target, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
+	if err := l.listen(); err != nil {
+		port.release()
+		return nil, err
+	}
 	return l, nil
 }
 
+// listen starts to accept connections. The caller holds listenMu, or has the link to itself.
+func (l *Link) listen() error {
+	listener, err := listenReused(l.address)
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
 // Addr returns the address at which the link listens.
-func (l *Link) Addr() string { return l.listener.Addr().String() }
+func (l *Link) Addr() string { return l.address }
 
 // Close stops listening and resets all open connections.
 func (l *Link) Close() {
-	l.listener.Close()
+	l.listenMu.Lock()
+	if !l.closed {
+		l.closed = true
+		l.stopListening()
+		l.port.release()
+	}
+	l.listenMu.Unlock()
 	l.Reset()
 }
 
-// SetFault sets the fault of all open and future connections.
-func (l *Link) SetFault(f LinkFault) {
+// stopListening ends whatever happens to new connections; they are refused then. The caller
+// holds listenMu.
+func (l *Link) stopListening() {
+	if l.listener != nil {
+		l.listener.Close()
+		l.listener = nil
+	}
+	if l.hanging != nil {
+		l.hanging.close()
+		l.hanging = nil
+	}
+}
+
+// SetFault sets the fault of all open and future connections. The error is that of listening
+// again.
+func (l *Link) SetFault(f LinkFault) error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.fault = f
 	close(l.changed)
 	l.changed = make(chan struct{})
+	l.mu.Unlock()
+	return l.setConnFault(f.NewConns)
+}
+
+// setConnFault sets what happens to new connections.
+func (l *Link) setConnFault(f ConnFault) error {
+	l.listenMu.Lock()
+	defer l.listenMu.Unlock()
+	if l.closed || f == l.connFault {
+		return nil
+	}
+	l.connFault = f
+	l.stopListening()
+	switch f {
+	case ConnsHang:
+		var err error
+		l.hanging, err = newFullBacklog(l.address)
+		return err
+	case ConnsPass:
+		return l.listen()
+	}
+	return nil
 }
 
 // SetBandwidth limits the bytes to the dialer that pass in a second, over all connections.
@@ -110,9 +182,9 @@
 }
 
 // accept serves incoming connections until the listener is closed.
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return // the listener is closed
 		}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -89,7 +89,7 @@
 	o.lastEntrySequence++
 	n := o.lastEntrySequence
 	o.mu.Unlock()
-	o.put(fleetwire.EndpointKey(i.id), i.worker.Entry(i.link.Addr(), e.zone, n))
+	o.put(fleetwire.EndpointKey(i.id), i.worker.Entry(i.links[0].Addr(), e.zone, n))
 }
 
 // deleteEntry deletes the entry of an endpoint from the store.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,11 @@
 	EndpointSlow     StepKind = "endpoint-slow"      // its work takes slowFactor times as long
 	EndpointLeave    StepKind = "endpoint-leave"     // the endpoint announces that it leaves, stops and restarts under a new ID
 	EndpointUpgrade  StepKind = "endpoint-upgrade"   // the same, and restarts with another software version
+	EndpointStalls   StepKind = "endpoint-stalls"    // bytes to and from the endpoint are held for stallTime
+	EndpointsBrittle StepKind = "endpoints-brittle"  // the endpoints of a service are brittle and overloaded
+	PartitionHangs   StepKind = "partition-hangs"    // a gateway's connections to all endpoints hang, new ones too
+	PartitionResets  StepKind = "partition-resets"   // they are reset, new ones refused
+	PartitionRefuses StepKind = "partition-refuses"  // they live on, new ones are refused
 	EndpointReset    StepKind = "endpoint-reset"     // its open connections are reset
 	EndpointCut      StepKind = "endpoint-cut"       // bytes to and from the endpoint are held
 	EndpointHoldBack StepKind = "endpoint-back"      // bytes from the endpoint are held
@@ -87,7 +92,9 @@
 	// latestUnplannedKinds came after these, in the same way.
 	latestUnplannedKinds = []StepKind{RequestCrashWaves, PartCrashes, EndpointFails, EndpointUnframed, EntryFlaps}
 	// newestPlannedKinds came after these, in the same way.
-	newestPlannedKinds = []StepKind{EndpointUpgrade}
+	newestPlannedKinds = []StepKind{EndpointUpgrade, EndpointStalls}
+	// newestUnplannedKinds came after these, in the same way.
+	newestUnplannedKinds = []StepKind{PartitionHangs, PartitionResets, PartitionRefuses, EndpointsBrittle}
 )
 
 // isPlanned reports whether an operator plans the steps of a kind.
@@ -137,7 +144,7 @@
 func NewPlan(seed uint64, duration time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	kinds, addedKinds := slices.Clone(plannedKinds), slices.Clone(addedPlannedKinds)
-	var laterKinds, latestKinds []StepKind
+	var laterKinds, latestKinds, newestKinds []StepKind
 	switch rng.IntN(3) {
 	case 1:
 		kinds = append(kinds, storeKinds...)
@@ -145,7 +152,7 @@
 	case 2:
 		kinds = append(append(kinds, storeKinds...), unplannedKinds...)
 		addedKinds = append(append(addedKinds, addedStoreKinds...), addedUnplannedKinds...)
-		laterKinds, latestKinds = laterUnplannedKinds, latestUnplannedKinds
+		laterKinds, latestKinds, newestKinds = laterUnplannedKinds, latestUnplannedKinds, newestUnplannedKinds
 	}
 	var steps []Step
 	for at := firstStep; at < duration; at += meanStepInterval/2 + randDuration(rng, meanStepInterval) {
@@ -164,6 +171,7 @@
 	steps = append(steps, stepsOfStream(seed, 2, duration, laterKinds)...)
 	steps = append(steps, stepsOfStream(seed, 3, duration, latestKinds)...)
 	steps = append(steps, stepsOfStream(seed, 4, duration, newestPlannedKinds)...)
+	steps = append(steps, stepsOfStream(seed, 5, duration, newestKinds)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,15 +59,17 @@
 
 // run is the state of a run.
 type run struct {
-	opts        Options
-	loopback    *loopback
-	started     time.Time
-	operator    *operator
-	storeServer *httptest.Server // serves the metadata store
-	gateways    []*gateway
-	endpoints   []*endpoint
-	callLog     *callLog
-	disruptions *disruptionLog
+	opts     Options
+	loopback *loopback
+	started  time.Time
+	operator *operator
+	network  *network
+	// storeServers serve the metadata store, one to each gateway.
+	storeServers []*httptest.Server
+	gateways     []*gateway
+	endpoints    []*endpoint
+	callLog      *callLog
+	disruptions  *disruptionLog
 
 	leaveMu sync.Mutex // held while tryLeave decides
 
@@ -82,6 +84,7 @@
 		opts: o.withDefaults(), started: time.Now(), operator: newOperator(), callLog: newCallLog(),
 		disruptions: &disruptionLog{}, violations: map[string]Violation{},
 	}
+	r.network = newNetwork(r.opts.Gateways)
 	defer r.stop()
 	if err := r.start(); err != nil {
 		return Report{}, err
@@ -112,12 +115,11 @@
 	if r.loopback, err = claimLoopback(r.opts.Gateways); err != nil {
 		return err
 	}
-	r.storeServer = httptest.NewServer(r.operator.store)
 	r.operator.publishConfig()
 	r.operator.put(fleetwire.WeightsEntry(model, 1))
 	add := func(service, ofModel string, count int) {
 		for range count {
-			r.endpoints = append(r.endpoints, &endpoint{service: service, model: ofModel, zone: zoneOf(len(r.endpoints)), operator: r.operator})
+			r.endpoints = append(r.endpoints, &endpoint{service: service, model: ofModel, zone: zoneOf(len(r.endpoints)), operator: r.operator, network: r.network})
 		}
 	}
 	add(engineService, model, r.opts.Engines)
@@ -129,7 +131,9 @@
 		}
 	}
 	for n := range r.opts.Gateways {
-		g, err := newGateway(&r.opts, r.loopback.addr(n), n, r.storeServer.Listener.Addr().String())
+		store := httptest.NewServer(r.operator.store.Handler(r.addressesFor(n)))
+		r.storeServers = append(r.storeServers, store)
+		g, err := newGateway(&r.opts, r.loopback.addr(n), n, store.Listener.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -152,9 +156,9 @@
 	if r.loopback != nil {
 		r.loopback.release()
 	}
-	if r.storeServer != nil {
-		r.storeServer.CloseClientConnections()
-		r.storeServer.Close()
+	for _, s := range r.storeServers {
+		s.CloseClientConnections()
+		s.Close()
 	}
 }
 
@@ -315,10 +319,17 @@
 		waitEnd()
 		r.operator.store.SetFault(fleetstore.Fault{})
 	case StoreLinkCut, StoreLinkHoldOut, StoreLinkHoldBack, StoreLinkSilent:
-		disturbLink(g.storeLink, s.Kind, waitEnd)
+		r.disturbLinks([]*Link{g.storeLink}, s.Kind, waitEnd)
 		g.recordResume()
 	case CallersReset, CallersSilent:
-		disturbLink(g.callerLink, s.Kind, waitEnd)
+		r.disturbLinks([]*Link{g.callerLink}, s.Kind, waitEnd)
+	case PartitionHangs, PartitionResets, PartitionRefuses:
+		r.partition(s.Target%len(r.gateways), s.Kind, func() {
+			waitEnd()
+			timer.Sleep(ctx, partitionTime)
+		})
+	case EndpointsBrittle:
+		r.makeBrittle(ctx, s, e, waitEnd)
 	case ConfigMove:
 		r.operator.moveRoute()
 	case ConfigGrow:
@@ -464,27 +475,45 @@
 // linkDelay is several times as long as a usual answer takes.
 const linkDelay = 120 * time.Millisecond
 
-// disturbLink carries out a step on a link. Faults other than resets and silence last
+// linkFaults holds the fault of links for each kind that sets one.
+var linkFaults = map[StepKind]LinkFault{
+	StoreLinkCut:      {HoldToTarget: true, HoldToDialer: true},
+	EndpointCut:       {HoldToTarget: true, HoldToDialer: true},
+	EndpointStalls:    {HoldToTarget: true, HoldToDialer: true},
+	StoreLinkHoldOut:  {HoldToTarget: true},
+	StoreLinkHoldBack: {HoldToDialer: true},
+	EndpointHoldBack:  {HoldToDialer: true},
+	EndpointDelay:     {Delay: linkDelay},
+}
+
+// disturbLinks carries out a step on links. Faults other than resets and silence last
 // until waitEnd returns.
-func disturbLink(l *Link, kind StepKind, waitEnd func()) {
+func (r *run) disturbLinks(links []*Link, kind StepKind, waitEnd func()) {
+	setFaults := func(f LinkFault) {
+		for n, l := range links {
+			if len(links) > 1 && r.network.partitioned(n) {
+				continue // a partition decides
+			}
+			if err := l.SetFault(f); err != nil {
+				r.recordViolation(NoRecovery, "a link could not be set up: %v", err)
+			}
+		}
+	}
 	switch kind {
 	case StoreLinkSilent, EndpointSilent, CallersSilent:
-		l.Silence()
+		for _, l := range links {
+			l.Silence()
+		}
 		return
 	case EndpointReset, CallersReset:
-		l.Reset()
+		for _, l := range links {
+			l.Reset()
+		}
 		return
-	case StoreLinkCut, EndpointCut:
-		l.SetFault(LinkFault{HoldToTarget: true, HoldToDialer: true})
-	case StoreLinkHoldOut:
-		l.SetFault(LinkFault{HoldToTarget: true})
-	case StoreLinkHoldBack, EndpointHoldBack:
-		l.SetFault(LinkFault{HoldToDialer: true})
-	case EndpointDelay:
-		l.SetFault(LinkFault{Delay: linkDelay})
 	}
+	setFaults(linkFaults[kind])
 	waitEnd()
-	l.SetFault(LinkFault{})
+	setFaults(LinkFault{})
 }
 
 // pauseValues holds the value of Retry-After for each kind of pause.
@@ -503,6 +532,13 @@
 // endlessBeginnings holds how responses without end begin for each kind.
 var endlessBeginnings = map[StepKind]string{EndlessHead: fleetworker.EndlessHead, EndlessBody: fleetworker.EndlessBody}
 
+// stallTime is how long a sound endpoint falls silent.
+const stallTime = 1200 * time.Millisecond
+
+// partitionTime is how long a partition lasts beyond the step: long enough for the users'
+// bound on it to apply.
+const partitionTime = 6 * time.Second
+
 // entryDeleteDelay is the time from the crash of an endpoint until its store entry is
 // deleted.
 const entryDeleteDelay = 3 * entryCheckInterval
@@ -569,8 +605,11 @@
 		waitEnd()
 		i.worker.SetSlowFactor(1)
 		return
+	case EndpointStalls:
+		r.disturbLinks(i.links, kind, func() { time.Sleep(stallTime) })
+		return
 	default:
-		disturbLink(i.link, kind, waitEnd)
+		r.disturbLinks(i.links, kind, waitEnd)
 		return
 	}
 	if err := e.start(); err != nil {
--- a/internal/standin/fleetstore/server.go
+++ b/internal/standin/fleetstore/server.go
@@ -133,6 +133,20 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// Rewrite returns the value of an entry as a client sees it.
+type Rewrite func(key string, value []byte) []byte
+
+// rewriteKey is the key of a Rewrite in the context of a call.
+type rewriteKey struct{}
+
+// Handler returns a handler that serves the same content as s, with the values of entries
+// rewritten.
+func (s *Server) Handler(rewrite Rewrite) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), rewriteKey{}, rewrite)))
+	})
+}
+
 // discardWriter is the http.ResponseWriter of an answer that is lost.
 type discardWriter struct{ header http.Header }
 
@@ -151,8 +165,13 @@
 	StoreRevision  int64  `json:"store_revision,omitempty"`
 }
 
-func newWireEntry(e metastore.Entry) wireEntry {
-	return wireEntry{Key: e.Key, Value: e.Value, Revision: e.ModRevision, CreateRevision: e.CreateRevision, Lease: int64(e.Lease)}
+// newWireEntry returns an entry as the client of r sees it.
+func newWireEntry(r *http.Request, e metastore.Entry) wireEntry {
+	value := e.Value
+	if rewrite, ok := r.Context().Value(rewriteKey{}).(Rewrite); ok && len(value) > 0 {
+		value = rewrite(e.Key, value)
+	}
+	return wireEntry{Key: e.Key, Value: value, Revision: e.ModRevision, CreateRevision: e.CreateRevision, Lease: int64(e.Lease)}
 }
 
 func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
@@ -161,7 +180,7 @@
 		writeJSON(w, http.StatusNotFound, wireEntry{StoreRevision: s.store.Revision()})
 		return
 	}
-	item := newWireEntry(e)
+	item := newWireEntry(r, e)
 	item.StoreRevision = s.store.Revision()
 	writeJSON(w, http.StatusOK, item)
 }
@@ -176,7 +195,7 @@
 	entries, total, revision := s.store.Range(from, prefix+"\xff", pageSize)
 	items := []wireEntry{}
 	for _, e := range entries {
-		items = append(items, newWireEntry(e))
+		items = append(items, newWireEntry(r, e))
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "truncated": total > len(items), "store_revision": revision})
 }
@@ -208,7 +227,7 @@
 	}
 	revision := after
 	if ok {
-		item := newWireEntry(change.Entry)
+		item := newWireEntry(r, change.Entry)
 		item.Removed = change.Deleted
 		events = append(events, item)
 		revision = item.Revision
--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -26,6 +26,7 @@
 	headerRetryAfter     = "Retry-After"
 	headerLimit          = "Server-Limit"
 	headerPrompt         = "Prompt-Prefix"
+	headerBrittle        = "Server-Brittle"
 )
 
 // ResponseStamp is the Response-Stamp of every answer to a request that was run. It
@@ -82,6 +83,7 @@
 		return
 	}
 	if !s.acquireSlot(r) {
+		s.recordTurnedAway()
 		refuseNotExecuted(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -146,6 +148,7 @@
 	if s.limitValue != "" {
 		w.Header().Set(headerLimit, s.limitValue)
 	}
+	s.announceBrittle(w)
 }
 
 // respondEndlessly sends bytes until the connection is closed if the endpoint is to do so.
@@ -235,6 +238,9 @@
 	if loading {
 		return false
 	}
+	if !s.hasRoom() {
+		return false
+	}
 	select {
 	case s.admitted <- struct{}{}:
 	default:
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -32,6 +32,10 @@
 	// CrashBody begins to run, and after the first event of a stream whose prompt has
 	// CrashPart among its parts but the last; nil if no request crashes the endpoint.
 	Crash func()
+
+	// FallOver ends the process as a crash does. It is called when a brittle endpoint has
+	// turned away too many requests in a second; nil if it never falls over.
+	FallOver func()
 }
 
 // DefaultSoftwareVersion is the software version of an endpoint whose options name none.
@@ -99,11 +103,14 @@
 	loadingUntil   time.Time // when the latest load of weights is complete
 	slowFactor     int       // multiplies the times that work takes
 	leaving        bool
-	limitValue     string // Server-Limit of the responses to requests, empty for none
-	endlessHead    string // beginning of responses that go on without end, empty for none
-	failing        bool   // requests get a failure and are not run
-	unframed       bool   // responses have neither a length nor chunks, and end with their connection
-	pauseValue     string // Retry-After of the refusals of all requests, empty to refuse none
+	limitValue     string      // Server-Limit of the responses to requests, empty for none
+	endlessHead    string      // beginning of responses that go on without end, empty for none
+	failing        bool        // requests get a failure and are not run
+	unframed       bool        // responses have neither a length nor chunks, and end with their connection
+	pauseValue     string      // Retry-After of the refusals of all requests, empty to refuse none
+	brittle        int         // requests that it may turn away in a second, 0 if it is not brittle
+	brittleSince   time.Time   // when brittle was last set
+	turnedAway     []time.Time // refusals of the last second for want of room
 	notices        []Notice
 	arrivals       []Arrival
 	runs           []Run
