Gateway: a stream goes on only at the software version that began it, at every instance

What callers saw: streams that broke off went on with what another software version wrote. Cause: gateways knew no software versions. One that resumed a stream chose among all endpoints, and one that a caller came to knew nothing of where its stream had begun. Change: package origin. An instance records the version of the endpoint that begins a stream before it passes on the first event, under the attempt that brings it, and reports it to the instances of its row with the exchange, until they have it; one that has just started gets all that its peers know. With several rows, three instances of the row hear of it and others ask them. A request that takes a stream up goes to the service that began it, and only to endpoints of that version; further attempts for one response likewise. Without a record, the version is known if the service has had only one for two route timeouts, as far as this instance and the others together know; else, and without an endpoint of the version, the request is refused at once. The loss of the exchanges of one interval refuses streams and mixes none.

--- a/contract/refusal.go
+++ b/contract/refusal.go
@@ -41,6 +41,7 @@
 	ReasonSuspectRefused     Reason = "crashes-endpoints"
 	ReasonSuspectPart        Reason = "part-crashes-endpoints"
 	ReasonStreamBroken       Reason = "stream-broken"
+	ReasonUnknownOrigin      Reason = "stream-origin-unknown"
 	ReasonEndpointFailed     Reason = "endpoint-failed"
 	ReasonKeyMissing         Reason = "idempotency-key-missing"
 	ReasonKeyInvalid         Reason = "idempotency-key-invalid"
--- a/event/relay.go
+++ b/event/relay.go
@@ -10,7 +10,7 @@
 	RelayLost        = define(rangeRelay+3, "relay-lost", slog.LevelWarn, "An attempt was sent and no complete response arrived.", "If this lasts, check the endpoint.")
 	RelayUnreachable = define(rangeRelay+4, "relay-unreachable", slog.LevelWarn, "No connection to an endpoint could be established.", "If this lasts, check the endpoint.")
 	RelayBroken      = define(rangeRelay+5, "relay-broken", slog.LevelWarn, "A response was aborted after a part of it had been sent to the caller.", "See the attribute cause.")
-	StreamResumed    = define(rangeRelay+31, "stream-resumed", slog.LevelInfo, "A stream of which the caller has got events is about to go on at an endpoint. The attributes are the attempt that brought the first event, if the caller names one, the last event, the software version that began the stream, if it is known, and that of the endpoint.", "")
+	StreamResumed    = define(rangeRelay+31, "stream-resumed", slog.LevelInfo, "A stream of which the caller has got events is about to go on at an endpoint. The attributes are the attempt that brought the first event, if the caller names one, the last event and the software version of the endpoint, which is the one that began the stream.", "")
 	RelayCallerGone  = define(rangeRelay+6, "relay-caller-gone", slog.LevelInfo, "A caller closed its connection before its response was complete.", "")
 
 	ConfigInForce         = define(rangeRelay+11, "config-in-force", slog.LevelInfo, "A configuration came into force in this instance.", "")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"redwingknot/internal/timer"
 	"redwingknot/metastore"
 	"redwingknot/metric"
+	"redwingknot/origin"
 	"redwingknot/peers"
 	"redwingknot/relay"
 	"redwingknot/suspect"
@@ -82,6 +83,7 @@
 	wire          *wire.Server
 	exchange      *peers.Exchange
 	suspects      *suspectStore
+	origins       *origins
 	era           int64 // of the metadata store at the last read of the operator's range; used only by its watcher
 	draining      atomic.Bool
 	started       time.Time
@@ -97,6 +99,8 @@
 	g.opts.Relay.Suspects = suspect.NewReplica(suspect.Config{CompanyCrashLimit: maxCrashesInCompany, Log: g.log}, o.Relay.Now)
 	g.suspects = newSuspectStore(g.kv, g.opts.Relay.Suspects, o.Relay.Now, g.leads, g.log)
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
+	g.origins = &origins{Local: origin.NewLocal(o.Relay.Now), gateway: g}
+	g.opts.Relay.Origins = g.origins
 	g.relay = relay.NewServer(g.opts.Relay)
 	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease)}
 	g.setUpPeerExchange()
--- /dev/null
+++ b/gateway/origins.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"redwingknot/origin"
+)
+
+// origins is what all instances together know about the software versions that began
+// streams. It implements relay.Origins.
+type origins struct {
+	origin.Local
+	gateway *Gateway
+}
+
+// LookUp implements relay.Origins.
+func (o *origins) LookUp(ctx context.Context, s origin.Stream) (origin.Version, bool) {
+	return o.gateway.exchange.LookUpOrigin(ctx, s)
+}
+
+// Only implements relay.Origins. While neither the metadata store nor all other instances are
+// in reach, endpoints of further versions may serve.
+func (o *origins) Only(service string, since time.Time) (origin.Version, bool) {
+	if o.gateway.view.StoreUnreachable() && !o.gateway.exchange.HearsFromAll() {
+		return 0, false
+	}
+	return o.Local.Only(service, since)
+}
--- a/peers/confirmation.go
+++ b/peers/confirmation.go
@@ -10,7 +10,7 @@
 // from p, which is nil for an instance that is not a peer.
 func (e *Exchange) addStamps(r *peerspb.Report, p *peer) {
 	r.Built = &peerspb.Stamp{Process: e.process, Time: e.opts.Now().UnixNano()}
-	r.Echo, r.SuspectsAcked = p.received()
+	r.Echo, r.SuspectsAcked, r.OriginsAcked = p.received()
 }
 
 // addConfirmations adds this instance's confirmations to a report that has its stamps.
@@ -44,27 +44,32 @@
 }
 
 // recordReport records what the latest report from the peer says about reports.
-func (p *peer) recordReport(r *peerspb.Report) {
+func (p *peer) recordReport(r *peerspb.Report, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.reportedAt = now
 	if p.stamp.GetProcess() != r.Built.GetProcess() {
-		p.suspectsReceived = 0
+		p.suspectsReceived, p.originsReceived = 0, 0
+	}
+	p.stamp, p.echo, p.suspectsAcked, p.originsAcked = r.Built, r.Echo, r.SuspectsAcked, r.OriginsAcked
+	if r.OriginsAfter <= p.originsReceived {
+		p.originsReceived = max(p.originsReceived, r.OriginsThrough)
 	}
-	p.stamp, p.echo, p.suspectsAcked = r.Built, r.Echo, r.SuspectsAcked
 	if r.SuspectsAfter <= p.suspectsReceived {
 		p.suspectsReceived = max(p.suspectsReceived, r.SuspectsThrough)
 	}
 }
 
 // received returns the stamp of the latest report from the peer, nil before the first, and
-// the number of changes of its suspects that this instance has. The peer may be nil.
-func (p *peer) received() (stamp *peerspb.Stamp, suspects uint64) {
+// the numbers of changes of its suspects and of streams that began there which this instance
+// has heard of. The peer may be nil.
+func (p *peer) received() (stamp *peerspb.Stamp, suspects, origins uint64) {
 	if p == nil {
-		return nil, 0
+		return nil, 0, 0
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stamp, p.suspectsReceived
+	return p.stamp, p.suspectsReceived, p.originsReceived
 }
 
 // Rank returns this instance's position in its row of the grid, from 0 on.
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -4,16 +4,15 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"redwingknot/internal/timer"
 	"redwingknot/metric"
+	"redwingknot/origin"
 	"redwingknot/peers/peerspb"
 	"redwingknot/suspect"
-	"redwingknot/upstream"
 	"redwingknot/wire"
 )
 
@@ -88,6 +87,8 @@
 	Confirmations ConfirmationSource // nil to exchange no confirmations
 	Suspects      *suspect.Replica   // nil to exchange no suspects
 	Limits        LimitSource        // nil to exchange no limits
+	Origins       *origin.Registry   // nil to exchange no origins of streams
+	Software      *origin.History    // nil to exchange no software versions
 	Table         *Table             // receives the reports of other instances
 	// Now returns the current time. It must go on while the machine is suspended, or
 	// confirmations seem younger than they are.
@@ -104,6 +105,10 @@
 	mu    sync.Mutex
 	grid  grid
 	peers map[string]*peer
+	// clients holds the clients for calls outside of the exchange, by instance.
+	clients map[string]*wire.Client
+	// addresses holds those of all other instances, by name.
+	addresses map[string]string
 }
 
 // peer is another instance with which this one exchanges reports.
@@ -122,11 +127,18 @@
 	suspectsAcked    uint64
 	suspectsReceived uint64 // number of changes of the peer's suspects that this instance has
 	limitsSent       map[uint64]sentLimit
+	// originsAcked is the number of streams that began at this instance of which the peer has
+	// heard, counted by the process that echo names.
+	originsAcked    uint64
+	originsReceived uint64    // number of streams that began at the peer of which this instance has heard
+	allSentTo       uint64    // process of the peer to which reports have all origins until it has got one
+	allSentAt       int64     // time in the stamp of the first of these reports
+	reportedAt      time.Time // when the latest report from the peer arrived
 }
 
 // New returns an Exchange without peers.
 func New(o Options) *Exchange {
-	return &Exchange{opts: o, process: rand.Uint64(), peers: map[string]*peer{}}
+	return &Exchange{opts: o, process: rand.Uint64(), peers: map[string]*peer{}, clients: map[string]*wire.Client{}}
 }
 
 // Register adds the handler for calls of other instances to a server.
@@ -136,6 +148,7 @@
 		e.applyReport(in, p)
 		return e.buildReport(p), nil
 	})
+	e.registerOrigins(s)
 }
 
 // SetPeers sets the other instances, given as addresses by name, and starts or
@@ -145,6 +158,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.grid = newGrid(e.opts.Self, slices.Collect(maps.Keys(addresses)))
+	e.setAddresses(addresses)
 	wanted := map[string]bool{}
 	for _, name := range e.grid.row {
 		wanted[name] = true
@@ -205,10 +219,7 @@
 
 // exchangeLoop exchanges reports with a peer at its interval until ctx ends.
 func (e *Exchange) exchangeLoop(ctx context.Context, p *peer) {
-	dialer := net.Dialer{Timeout: exchangeTimeout, Control: upstream.SetSocketOptions, KeepAliveConfig: upstream.KeepAliveConfig}
-	client := wire.NewClient(p.address, e.opts.Key, func(ctx context.Context, addr string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp4", addr)
-	})
+	client := e.newClient(p.address)
 	defer client.Close()
 	for ctx.Err() == nil {
 		if err := e.exchangeOnce(ctx, client, p); err != nil {
@@ -251,8 +262,9 @@
 	e.applyConfirmations(r)
 	e.applySuspects(r)
 	e.applyLimits(r)
+	e.applyOrigins(r)
 	if p != nil {
-		p.recordReport(r)
+		p.recordReport(r, e.opts.Now())
 	}
 	sender := r.Instance
 	if r.Row != "" {
@@ -287,6 +299,7 @@
 	e.addConfirmations(r)
 	e.addSuspects(r, p)
 	e.addLimits(r, p)
+	e.addOrigins(r, p)
 	loads := e.opts.Source.Loads()
 	if p != nil && p.inColumn {
 		e.mu.Lock()
--- a/place/place.go
+++ b/place/place.go
@@ -20,9 +20,9 @@
 // Hash returns the 64-bit xxHash of an identifier.
 func Hash(id string) uint64 { return xxhash.Sum64String(id) }
 
-// rendezvousWeight returns the rendezvous hashing weight of an endpoint for a
+// RendezvousWeight returns the rendezvous hashing weight of an endpoint for a
 // key, which is the hash of a session or of a request.
-func rendezvousWeight(key, endpoint uint64) uint64 {
+func RendezvousWeight(key, endpoint uint64) uint64 {
 	x := key ^ endpoint
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
@@ -47,7 +47,7 @@
 			load += remotePenalty
 		}
 		load = (load + 1) * max(c.Slowness, 1) / float64(max(c.Slots, 1))
-		tie := rendezvousWeight(requestHash, c.Hash)
+		tie := RendezvousWeight(requestHash, c.Hash)
 		if best < 0 || load < bestLoad || load == bestLoad && tie > bestTie {
 			best, bestLoad, bestTie = i, load, tie
 		}
--- a/place/prompt.go
+++ b/place/prompt.go
@@ -74,7 +74,7 @@
 		if !mayChoose(&engines[i]) || engines[i].Cost() > lowest+costTolerance {
 			continue
 		}
-		if w := rendezvousWeight(sessionHash, engines[i].Hash); best < 0 || w > bestWeight {
+		if w := RendezvousWeight(sessionHash, engines[i].Hash); best < 0 || w > bestWeight {
 			best, bestWeight = i, w
 		}
 	}
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -45,7 +45,6 @@
 	possibleExecutions int               // attempts that an endpoint may have executed
 	headerSent         bool              // the response header was sent to the caller
 	lastEvent          int64             // identifier of the last event sent to the caller, -1 before the first
-	softwareVersion    string            // software version of the endpoint that began the stream, empty if it is not known
 	timeToFirstData    time.Duration     // from the arrival of the request until response data was ready for the caller
 	cachePlan          string            // where the parts of the prompt come from, for the log; see pick.cachePlan
 	lastEndpoint       *fleet.Endpoint   // endpoint of the latest attempt
@@ -81,6 +80,10 @@
 	defer cancel()
 	defer c.endRun()
 	c.server.endpoints.countRequest(c.query.service)
+	if refusal := c.requireOrigin(ctx); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
 	for {
 		p, refusal := c.selectEndpoint(ctx)
 		if refusal != nil {
@@ -199,6 +202,9 @@
 		if p != nil {
 			return p, nil
 		}
+		if r := c.refuseWithoutSoftware(); r != nil {
+			return nil, c.markPossibleExecution(r)
+		}
 		// A prompt that can't be admitted within the wait is refused without waiting.
 		if time.Now().Add(c.query.admissionDelay).After(waitUntil) {
 			reason := contract.ReasonNoEndpoint
@@ -235,7 +241,7 @@
 		}
 		reason = retry.Crash
 	case outcomeTruncated:
-		if !c.route.Resumable {
+		if !c.route.Resumable || c.query.unresumable {
 			return false
 		}
 		reason = retry.Resume
--- a/relay/choose_bench_test.go
+++ b/relay/choose_bench_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/fleet"
+	"redwingknot/origin"
 	"redwingknot/peers"
 	"redwingknot/promptcache"
 )
@@ -30,7 +31,7 @@
 		stores = append(stores, &fleet.CacheStore{Address: fmt.Sprintf("10.0.1.%d:1", i), Tokens: 2 << 20, LinkMbps: 1.1e6, FirstByte: 6 * time.Millisecond})
 	}
 	cache.SetStores(stores)
-	e := newEndpoints(Options{View: view, Cache: cache, OtherLoads: peers.NewTable(), Now: func() time.Time { return now }, RetryWindow: time.Second})
+	e := newEndpoints(Options{View: view, Cache: cache, OtherLoads: peers.NewTable(), Origins: origin.NewLocal(time.Now), Now: func() time.Time { return now }, RetryWindow: time.Second})
 	var queries []*placementQuery
 	for i := range partCount {
 		p := &Prompt{Model: "m", InputTokens: 12_000, Parts: []Part{{ID: fmt.Sprint("c", i%3), Tokens: 500}, {ID: fmt.Sprint("s", i), Tokens: 8600}, {ID: "own", Tokens: 2900}}}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -31,6 +31,7 @@
 	cache          *promptcache.Directory
 	otherLoads     *peers.Table
 	sendPlacements func([]peers.Placement)
+	origins        Origins
 
 	mu             sync.Mutex
 	byKey          map[fleet.EndpointKey]*endpoint
@@ -60,7 +61,7 @@
 func newEndpoints(o Options) *Endpoints {
 	return &Endpoints{
 		view: o.View, dataCentre: o.DataCentre, oldWeightsTime: o.OldWeightsTime, now: o.Now, startedAt: o.Now(),
-		drainTime: o.DrainTime, log: o.Log, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, sources: map[string]*source{},
+		drainTime: o.DrainTime, log: o.Log, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, origins: o.Origins, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		byKey:       map[fleet.EndpointKey]*endpoint{}, notices: map[fleet.EndpointKey]*noticeState{}, limits: map[uint64]*endpointLimit{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
@@ -73,6 +74,10 @@
 	if s == e.syncedSnapshot {
 		return s
 	}
+	if e.syncedSnapshot != nil {
+		e.observeSoftware(e.syncedSnapshot, e.now())
+	}
+	e.observeSoftware(s, e.now())
 	e.syncedSnapshot = s
 	live := make(map[fleet.EndpointKey]bool, len(s.Endpoints))
 	for _, spec := range s.Endpoints {
@@ -223,7 +228,7 @@
 	var untried, tried, leaving, unhealthy []*endpoint
 	for _, spec := range s.ByService[q.service] {
 		ep := e.byKey[spec.Key()]
-		if ep == nil || ep.replaced || spec.Leaving || !q.mayTry(spec.Key()) {
+		if ep == nil || ep.replaced || spec.Leaving || !q.mayTry(spec) {
 			continue
 		}
 		if q.prompt != nil && !e.canServeModel(s, ep, q.prompt.Model, now) {
@@ -277,7 +282,7 @@
 	var shortest time.Duration
 	for _, spec := range s.ByService[q.service] {
 		ep := e.byKey[spec.Key()]
-		if ep == nil || ep.replaced || spec.Leaving || !ep.leavingSince.IsZero() || !q.mayTry(spec.Key()) {
+		if ep == nil || ep.replaced || spec.Leaving || !ep.leavingSince.IsZero() || !q.mayTry(spec) {
 			continue
 		}
 		if left := ep.pause.Left(now); left > 0 && (shortest == 0 || left < shortest) {
--- a/relay/engines_test.go
+++ b/relay/engines_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingknot/fleet"
+	"redwingknot/origin"
 	"redwingknot/peers"
 )
 
@@ -17,7 +18,7 @@
 	c := fleet.NewConfig(1, nil)
 	c.Services["s"] = &fleet.Service{Name: "s", Engine: &fleet.Engine{CacheTokens: 100_000}}
 	view.ApplyConfig(c)
-	return newEndpoints(Options{View: view, OtherLoads: peers.NewTable(), Now: func() time.Time { return *now }, RetryWindow: time.Second})
+	return newEndpoints(Options{View: view, OtherLoads: peers.NewTable(), Origins: origin.NewLocal(time.Now), Now: func() time.Time { return *now }, RetryWindow: time.Second})
 }
 
 // heavyPrompt returns a prompt of a session that no engine holds.
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -152,7 +152,7 @@
 	perSecond, limited := 0.0, false
 	for _, spec := range s.ByService[q.service] {
 		ep := e.byKey[spec.Key()]
-		if ep == nil || ep.replaced || spec.Leaving || !q.mayTry(spec.Key()) || e.admitsByLimit(ep, now) {
+		if ep == nil || ep.replaced || spec.Leaving || !q.mayTry(spec) || e.admitsByLimit(ep, now) {
 			continue
 		}
 		limited = true
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/fleet"
+	"redwingknot/origin"
 	"redwingknot/peers"
 	"redwingknot/place"
 	"redwingknot/promptcache"
@@ -31,7 +32,7 @@
 	cache.SetStores([]*fleet.CacheStore{{Address: storeAddress, Tokens: 1 << 20, FirstByte: 6 * time.Millisecond}})
 	part := promptcache.Part{Partition: partitionName("m", 1, nil), ID: "large"}
 	cache.ApplyUpdate(storeAddress, promptcache.Update{Epoch: 1, Complete: true, Changes: []promptcache.Change{{Part: part, Tokens: 9000}}}, now)
-	e := newEndpoints(Options{View: view, Cache: cache, OtherLoads: peers.NewTable(), Now: func() time.Time { return now }, RetryWindow: time.Second})
+	e := newEndpoints(Options{View: view, Cache: cache, OtherLoads: peers.NewTable(), Origins: origin.NewLocal(time.Now), Now: func() time.Time { return now }, RetryWindow: time.Second})
 	e.syncView()
 	var list []*endpoint
 	for _, id := range []string{"a", "b"} {
--- a/relay/query.go
+++ b/relay/query.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingknot/fleet"
+	"redwingknot/origin"
 	"redwingknot/place"
 )
 
@@ -21,6 +22,8 @@
 	admissionDelay  time.Duration // how long that takes at least; valid if awaitsAdmission is
 	waitsForLimit   bool          // the request is counted in waitingForLimit of its service
 	maxAttempts     int
+	software        origin.Version      // software version that must run the request, 0 for any
+	unresumable     bool                // the stream began at an endpoint that does not name its software version
 	tried           []fleet.EndpointKey // endpoints that the request was sent to
 	excluded        []fleet.EndpointKey // endpoints that no further attempt may use
 }
@@ -49,10 +52,11 @@
 	}
 }
 
-// mayTry reports whether an attempt may be sent to an endpoint: it is not
-// excluded, and once maxAttempts endpoints were tried, it is one of these.
-func (q *placementQuery) mayTry(k fleet.EndpointKey) bool {
-	if slices.Contains(q.excluded, k) {
+// mayTry reports whether an attempt may be sent to an endpoint: it has the required software
+// version, is not excluded, and once maxAttempts endpoints were tried, it is one of these.
+func (q *placementQuery) mayTry(spec *fleet.Endpoint) bool {
+	k := spec.Key()
+	if slices.Contains(q.excluded, k) || q.software != 0 && softwareOf(spec) != q.software {
 		return false
 	}
 	if len(q.tried) < q.maxAttempts {
--- a/relay/server.go
+++ b/relay/server.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -33,6 +34,7 @@
 	OtherLoads     *peers.Table            // load of the other instances' requests
 	SendPlacements func([]peers.Placement) // reports prompt placements to the other instances; may be nil
 	Suspects       *suspect.Replica        // requests that may crash endpoints
+	Origins        Origins                 // software versions that began streams
 
 	// Now returns the time of a clock that also advances while the machine is
 	// suspended.
@@ -84,6 +86,7 @@
 	})
 	return timer.Every(ctx, maintenanceInterval, func() {
 		s.endpoints.pruneConnections()
+		s.endpoints.ObserveSoftware()
 		s.updateGauges()
 	})
 }
@@ -167,7 +170,8 @@
 		return contract.Refuse(http.StatusRequestEntityTooLarge, contract.ReasonTooLarge, "the body is too large")
 	}
 	c.setDeadline()
-	service := chooseService(c.route, c.call.AttemptID)
+	// A stream that is taken up goes on at the service that began it.
+	service := chooseService(c.route, cmp.Or(c.call.ResumedAttempt, c.call.AttemptID))
 	if s := cfg.Services[service]; s == nil || s.Engine == nil {
 		c.call.Prompt = nil // only engines have weights and a prompt cache
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -4,12 +4,10 @@
 	"bytes"
 	"context"
 	"io"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
 
-	"redwingknot/event"
 	"redwingknot/upstream"
 )
 
@@ -49,6 +47,7 @@
 				c.timeToFirstData = time.Since(c.arrivedAt)
 				c.server.endpoints.recordFirstData(p, c.query, time.Since(sent))
 			}
+			c.recordOrigin(p)
 			if !c.writeEvents(buf[:complete], res) {
 				return outcomeCallerGone
 			}
@@ -84,24 +83,10 @@
 		return
 	}
 	c.headerSent = true
-	if c.softwareVersion == "" && c.lastEndpoint != nil {
-		c.softwareVersion = c.lastEndpoint.SoftwareVersion
-	}
 	c.server.opts.Dialect.CopyReplyHeaders(c.w.Header(), res.Header)
 	c.w.WriteHeader(res.Status)
 }
 
-// logResumption logs that a stream of which the caller has got events is about to go on at
-// the endpoint of p.
-func (c *callerRequest) logResumption(p *pick) {
-	after := max(c.call.LastEventID, c.lastEvent)
-	if after < 0 && !c.call.Resumes() {
-		return
-	}
-	event.StreamResumed.Log(c.server.opts.Log, slog.String("request", c.call.AttemptID), slog.String("resumes", c.call.ResumedAttempt),
-		slog.Int64("lastEvent", after), slog.String("endpoint", p.spec.ID), slog.String("began", c.softwareVersion), slog.String("software", p.spec.SoftwareVersion))
-}
-
 // writeEvents sends complete events to the caller and flushes them. It reports
 // whether that succeeded.
 func (c *callerRequest) writeEvents(events []byte, res *upstream.Response) bool {
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/fleet"
+	"redwingknot/origin"
 	"redwingknot/peers"
 	"redwingknot/platform"
 	"redwingknot/promptcache"
@@ -173,6 +174,7 @@
 		Now: func() time.Time { return b.now() }, RevokeTime: 5 * time.Second, OldWeightsTime: 6 * time.Second, DrainTime: testDrainTime,
 		RetryRatio: 10, RetryWindow: 10 * time.Second, MaxBodyBytes: 1 << 24,
 		Suspects: b.suspectReplica,
+		Origins:  origin.NewLocal(func() time.Time { return b.now() }),
 	}
 	b.relay = relay.NewServer(o)
 	b.server = httptest.NewServer(b.relay)
@@ -187,7 +189,7 @@
 	assert.NilError(b.t, err)
 	b.t.Cleanup(func() { l.Close() })
 	f := &fakeEndpoint{serve: serve, listener: l, spec: &fleet.Endpoint{
-		ID: id, Service: "s", Address: l.Addr().String(), Slots: 8, WeightVersions: map[string]int64{"m": 1},
+		ID: id, Service: "s", Address: l.Addr().String(), SoftwareVersion: "v1", Slots: 8, WeightVersions: map[string]int64{"m": 1},
 	}}
 	go func() {
 		for {
