--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -102,6 +102,13 @@
 // startGateway starts a gateway as a process and waits until it reports that it is
 // ready.
 func (d *gatewayDeployment) startGateway(name string) *gatewayProcess {
+	d.t.Helper()
+	return d.startGatewayAt(name, d.storeAddr)
+}
+
+// startGatewayAt starts a gateway as a process that uses the metadata store at an address,
+// and waits until it reports that it is ready.
+func (d *gatewayDeployment) startGatewayAt(name, storeAddr string) *gatewayProcess {
 	d.t.Helper()
 	g := &gatewayProcess{frontAddr: freeAddr(d.t), readyAddr: freeAddr(d.t), exited: make(chan error, 1)}
 	_, internalPort, err := net.SplitHostPort(freeAddr(d.t))
@@ -126,7 +133,7 @@
 bounds.version_ms=6000
 platform.address=%s
 platform.ttl_min_ms=1000
-`, name, g.frontAddr, g.readyAddr, internalPort, internalPort, d.storeAddr)
+`, name, g.frontAddr, g.readyAddr, internalPort, internalPort, storeAddr)
 	assert.NilError(d.t, os.WriteFile(settingsPath, []byte(settings), 0o600))
 	g.cmd = exec.Command(filepath.Join(binaryDir, "gatewayd"))
 	g.cmd.Env = append(os.Environ(), "REDWINGKNOT_BOOT="+settingsPath)
