Gateway: relay-unreachable says whether other instances reach the endpoint

Cause: the record of RECOVER can't tell an endpoint that is away from a gateway that is cut off. Change: two fields of the log line. No decision uses them. Measured: go test ./relay passes.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -352,7 +352,8 @@
 		c.query.excluded = append(c.query.excluded, p.spec.Key())
 		return outcomeNotExecuted
 	}
-	event.RelayUnreachable.Log(c.server.opts.Log, c.logAttrs()...)
+	others := c.server.opts.OtherLoads.Load(p.endpoint.idHash)
+	event.RelayUnreachable.Log(c.server.opts.Log, append(c.logAttrs(), slog.Int("othersReach", others.Reached), slog.Int("othersFail", others.Unreachable))...)
 	c.server.endpoints.recordFailure(p, true)
 	c.query.excluded = append(c.query.excluded, p.spec.Key())
 	return outcomeNotExecuted
