Gateway: endpoints that only other instances reach are reached through them

What callers saw: at gateways that were partitioned from all endpoints, hardly any first attempt was served; each waited for dials that hung or were refused, and got 503. Cause: a gateway had no other way to an endpoint than its own connections. Change: an endpoint's pool opens its connections through another instance while the own path fails and others reach the endpoint (place.Path, relay/detour.go). Package tunnel carries the bytes over a stream of the exchange's protocol; one hop; what is sent, to which endpoint and how often stays with the gateway that has the request, so that shares, retry budgets, suspects and the deadline are counted once and callers that leave close the endpoint's connection. The end of the endpoint's connection is told from the loss of the tunnel: a reset does not look complete, and a lost tunnel is no sign of a crash. The own path is tried once a second without a request. What an instance reaches through others it does not report as reached or unreachable. With the first detour, idle connections to endpoints that have not answered of late are closed. A draining instance takes on no connections and waits for those it carries.

--- a/event/relay.go
+++ b/event/relay.go
@@ -11,6 +11,8 @@
 	RelayUnreachable = define(rangeRelay+4, "relay-unreachable", slog.LevelWarn, "No connection to an endpoint could be established.", "If this lasts, check the endpoint.")
 	RelayBroken      = define(rangeRelay+5, "relay-broken", slog.LevelWarn, "A response was aborted after a part of it had been sent to the caller.", "See the attribute cause.")
 	StreamResumed    = define(rangeRelay+31, "stream-resumed", slog.LevelInfo, "A stream of which the caller has got events is about to go on at an endpoint. The attributes are the attempt that brought the first event, if the caller names one, the last event and the software version of the endpoint, which is the one that began the stream.", "")
+	DetourBegun      = define(rangeRelay+32, "detour-begun", slog.LevelWarn, "This instance can't reach an endpoint that others reach; its connections go through them.", "If this lasts, check the network path from this instance to the endpoint.")
+	DetourEnded      = define(rangeRelay+33, "detour-ended", slog.LevelInfo, "This instance reaches an endpoint by its own path again.", "")
 	RelayCallerGone  = define(rangeRelay+6, "relay-caller-gone", slog.LevelInfo, "A caller closed its connection before its response was complete.", "")
 
 	ConfigInForce         = define(rangeRelay+11, "config-in-force", slog.LevelInfo, "A configuration came into force in this instance.", "")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"redwingknot/peers"
 	"redwingknot/relay"
 	"redwingknot/suspect"
+	"redwingknot/tunnel"
 	"redwingknot/wire"
 )
 
@@ -84,6 +85,7 @@
 	exchange      *peers.Exchange
 	suspects      *suspectStore
 	origins       *origins
+	tunnels       *tunnel.Server
 	era           int64 // of the metadata store at the last read of the operator's range; used only by its watcher
 	draining      atomic.Bool
 	started       time.Time
@@ -101,9 +103,14 @@
 	g.opts.Relay.SendPlacements = func(list []peers.Placement) { g.exchange.QueuePlacements(list) }
 	g.origins = &origins{Local: origin.NewLocal(o.Relay.Now), gateway: g}
 	g.opts.Relay.Origins = g.origins
+	detours := &detours{}
+	g.opts.Relay.Detours = detours
 	g.relay = relay.NewServer(g.opts.Relay)
 	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease)}
 	g.setUpPeerExchange()
+	detours.exchange = g.exchange
+	g.tunnels = tunnel.NewServer(g.relay.Endpoints().DialDirect)
+	g.tunnels.Register(g.wire)
 	g.elector = datacentre.NewLeaderElector(datacentre.LeaderElectorConfig{
 		KV: g.kv, DataCentre: electionScope, InstanceID: o.Instance, TTL: max(leaderLeaseTTL, o.MinLease), Now: o.Relay.Now, Logger: g.log,
 		IsCandidate:  func() bool { return !g.draining.Load() && g.view.Snapshot().Config != nil },
@@ -277,6 +284,7 @@
 	event.ProcessDraining.Log(g.log)
 	g.draining.Store(true)
 	g.relay.Drain()
+	g.tunnels.Drain()
 	drainTime := time.Duration(drainGraceFraction * float64(g.opts.Grace))
 	time.Sleep(min(balancerNoticeTime, drainTime/2))
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime-time.Since(started))
@@ -285,6 +293,9 @@
 		event.ProcessFailed.Log(g.log, slog.String("error", "pending requests were cut off near the end of the grace period: "+err.Error()))
 		server.Close()
 	}
+	if !g.tunnels.Wait(ctx) {
+		event.ProcessFailed.Log(g.log, slog.String("error", "connections of other instances were cut off near the end of the grace period"))
+	}
 }
 
 // endpointExpiryInterval is the interval of checks for endpoints whose entries
--- a/peers/clients.go
+++ b/peers/clients.go
@@ -1,9 +1,12 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 
+	"redwingknot/place"
 	"redwingknot/upstream"
 	"redwingknot/wire"
 )
@@ -28,9 +31,9 @@
 	}
 }
 
-// client returns the client for calls of another instance outside of the exchange, nil if
+// Client returns the client for calls of another instance outside of the exchange, nil if
 // there is no instance of that name.
-func (e *Exchange) client(name string) *wire.Client {
+func (e *Exchange) Client(name string) *wire.Client {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	address, known := e.addresses[name]
@@ -42,3 +45,39 @@
 	}
 	return e.clients[name]
 }
+
+// PeersReaching returns the peers that may reach an endpoint, given by the hash of its
+// identifier: first those of the own row that say that they have lately reached it, then those
+// of the row that have reached any, then those in other rows, of which only sums are known,
+// and then the others of the row. Among equals, instances and endpoints are spread by
+// rendezvous.
+func (e *Exchange) PeersReaching(target uint64) []string {
+	e.mu.Lock()
+	row, column := slices.Clone(e.grid.row), slices.Clone(e.grid.column)
+	e.mu.Unlock()
+	rank := map[string]int{}
+	var names []string
+	for _, name := range row {
+		reached, reachesAny := e.opts.Table.Reaches(name, target)
+		switch {
+		case reached:
+			rank[name] = 0
+		case reachesAny:
+			rank[name] = 1
+		default:
+			rank[name] = 3
+		}
+		names = append(names, name)
+	}
+	for _, name := range column {
+		rank[name] = 2
+		names = append(names, name)
+	}
+	weight := func(name string) uint64 {
+		return place.RendezvousWeight(target^place.Hash(e.opts.Self), place.Hash(name))
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank[a], rank[b]), cmp.Compare(weight(b), weight(a)))
+	})
+	return names
+}
--- a/peers/origin.go
+++ b/peers/origin.go
@@ -224,7 +224,7 @@
 // askForOrigin asks another instance for the origin of a stream. The record has no version if
 // it is not known there.
 func (e *Exchange) askForOrigin(ctx context.Context, name string, s origin.Stream) origin.Record {
-	client := e.client(name)
+	client := e.Client(name)
 	if client == nil {
 		return origin.Record{}
 	}
--- a/peers/table.go
+++ b/peers/table.go
@@ -108,6 +108,21 @@
 	return t.sums[target]
 }
 
+// Reaches reports whether an instance has reported that it has lately reached a target, and
+// whether it has reached any.
+func (t *Table) Reaches(instance string, target uint64) (reached, reachesAny bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := t.reports[instance].loads
+	for _, l := range loads {
+		if l.Reached > 0 {
+			reachesAny = true
+			break
+		}
+	}
+	return loads[target].Reached > 0, reachesAny
+}
+
 // Sum returns the total load by target that the given instances have reported.
 // Instances without a report are ignored.
 func (t *Table) Sum(instances []string) map[uint64]Load {
--- /dev/null
+++ b/relay/detour.go
@@ -0,0 +1,218 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"redwingknot/event"
+	"redwingknot/fleet"
+	"redwingknot/metric"
+	"redwingknot/tunnel"
+	"redwingknot/upstream"
+)
+
+// Detours opens connections to endpoints through other instances. It is safe for concurrent
+// use.
+type Detours interface {
+	// Peers returns the instances that may reach the endpoint with the given hash, the most
+	// suitable first.
+	Peers(target uint64) []string
+	// Dial opens a connection to an endpoint through another instance.
+	Dial(ctx context.Context, peer string, key fleet.EndpointKey) (net.Conn, error)
+}
+
+const (
+	// maxDetourPeers is the number of instances that are asked for one connection.
+	maxDetourPeers = 3
+	// detourTimeout is how long one of them may take: its own attempt to connect, and the way
+	// to another data centre.
+	detourTimeout = 250 * time.Millisecond
+)
+
+// dialEndpoint opens a connection to an endpoint: by this instance's own path, or through
+// another instance while that has failed and others reach the endpoint.
+func (e *Endpoints) dialEndpoint(ctx context.Context, ep *endpoint, key fleet.EndpointKey, address string) (net.Conn, error) {
+	if e.isOnDetour(ep) {
+		if c, err := e.dialThroughPeers(ctx, ep, key); err == nil {
+			return c, nil
+		}
+	}
+	c, err := upstream.Dial(ctx, address)
+	if err == nil {
+		e.recordDirect(ep)
+		return c, nil
+	}
+	if e.detours == nil || ctx.Err() != nil {
+		return nil, err
+	}
+	if !e.othersMayReach(ep) {
+		return nil, err
+	}
+	c, detourErr := e.dialThroughPeers(ctx, ep, key)
+	if detourErr != nil {
+		return nil, err
+	}
+	e.recordDetour(ep)
+	return c, nil
+}
+
+// dialThroughPeers opens a connection to an endpoint through one of the instances that may
+// reach it. It ends with the first that finds that the endpoint refuses connections.
+func (e *Endpoints) dialThroughPeers(ctx context.Context, ep *endpoint, key fleet.EndpointKey) (net.Conn, error) {
+	var err error = &tunnel.RefusedError{}
+	for _, peer := range e.detourPeers(ep) {
+		var c net.Conn
+		if c, err = e.dialThrough(ctx, peer, key); err == nil {
+			return c, nil
+		}
+		metric.Counter("detour_failures_total").Inc(1)
+		if upstream.ConnRefused(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+// dialThrough opens a connection to an endpoint through one instance.
+func (e *Endpoints) dialThrough(ctx context.Context, peer string, key fleet.EndpointKey) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
+	defer cancel()
+	return e.detours.Dial(ctx, peer, key)
+}
+
+// detourPeers returns the instances to ask for a connection to an endpoint.
+func (e *Endpoints) detourPeers(ep *endpoint) []string {
+	peers := e.detours.Peers(ep.idHash)
+	return peers[:min(len(peers), maxDetourPeers)]
+}
+
+func (e *Endpoints) isOnDetour(ep *endpoint) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return ep.path.Detour()
+}
+
+// othersMayReach reports whether a connection that this instance could not open may succeed
+// through another one: others reach the endpoint, another endpoint of its service has turned
+// out to be reached by them alone, or this instance reaches none of the service. An endpoint
+// that is dark to all is otherwise not tried twice.
+func (e *Endpoints) othersMayReach(ep *endpoint) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.otherLoads.Load(ep.idHash).Reached > 0 {
+		return true
+	}
+	now := e.now()
+	anyReachable := false
+	for _, other := range e.byKey {
+		if other.spec.Service != ep.spec.Service {
+			continue
+		}
+		if other.path.Detour() {
+			return true
+		}
+		anyReachable = anyReachable || other != ep && !other.health.Unreachable(now)
+	}
+	return !anyReachable
+}
+
+// recordDetour records that another instance has opened a connection to an endpoint after
+// this one had failed to.
+func (e *Endpoints) recordDetour(ep *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	metric.Counter("detour_connections_total", "service", ep.spec.Service).Inc(1)
+	ep.health.RecordConnected(now)
+	if !ep.path.RecordDetour(now) {
+		return
+	}
+	event.DetourBegun.Log(e.log, slog.String("endpoint", ep.spec.ID))
+	if e.detourCount() == 1 {
+		e.closeUnprovenConns(now)
+	}
+}
+
+// detourCount returns the number of endpoints that this instance reaches through others. The
+// caller holds mu.
+func (e *Endpoints) detourCount() int {
+	n := 0
+	for _, ep := range e.byKey {
+		if ep.path.Detour() {
+			n++
+		}
+	}
+	return n
+}
+
+// closeUnprovenConns closes the idle connections to endpoints that have not answered of late,
+// because what cut this instance off from one may have cut it off from them, and requests on
+// these connections would be lost. The caller holds mu.
+func (e *Endpoints) closeUnprovenConns(now time.Time) {
+	for _, ep := range e.byKey {
+		if !ep.health.Reached(now) {
+			ep.pool.CloseIdle()
+		}
+	}
+}
+
+// recordDirect records that this instance has opened a connection to an endpoint by its own
+// path. It then tries its paths to the others at once.
+func (e *Endpoints) recordDirect(ep *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !ep.path.RecordDirect() {
+		return
+	}
+	event.DetourEnded.Log(e.log, slog.String("endpoint", ep.spec.ID))
+	ep.pool.CloseIdleIf(isDetour)
+	for _, other := range e.byKey {
+		other.path.HastenTrial(e.now())
+	}
+}
+
+// isDetour reports whether a connection leads through another instance.
+func isDetour(c net.Conn) bool {
+	_, ok := c.(*tunnel.Conn)
+	return ok
+}
+
+// tryDirectPaths tries this instance's own path to each endpoint that it reaches through
+// others and whose trial is due. No request is at stake. The caller holds mu.
+func (e *Endpoints) tryDirectPaths(ctx context.Context, now time.Time) {
+	for _, ep := range e.byKey {
+		if !ep.path.TrialDue(now) {
+			continue
+		}
+		go func() {
+			err := ep.pool.ConnectBy(ctx, func(ctx context.Context) (net.Conn, error) { return upstream.Dial(ctx, ep.address) })
+			if err == nil {
+				e.recordDirect(ep)
+			}
+		}()
+	}
+}
+
+// IsCutOff reports whether this instance reaches most endpoints only through others.
+func (e *Endpoints) IsCutOff() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return 2*e.detourCount() > len(e.byKey)
+}
+
+// DialDirect opens a connection to an endpoint for another instance, by this instance's own
+// path alone. The error is a *tunnel.UnknownEndpointError if the endpoint is not known, or if
+// this instance itself reaches it through others.
+func (e *Endpoints) DialDirect(ctx context.Context, key fleet.EndpointKey) (net.Conn, error) {
+	e.mu.Lock()
+	e.syncView()
+	ep := e.byKey[key]
+	unable := ep == nil || ep.path.Detour()
+	e.mu.Unlock()
+	if unable {
+		return nil, &tunnel.UnknownEndpointError{ID: key.ID}
+	}
+	return upstream.Dial(ctx, ep.address)
+}
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"redwingknot/fleet"
@@ -22,6 +24,8 @@
 	ownLoad         peers.Load                 // load from this instance's requests
 	residentParts   *promptcache.ResidentParts // estimate of the prompt parts in its memory
 	health          place.Health
+	path            place.Path
+	address         string    // of spec; it never changes
 	nextProbe       time.Time // of an unreachable endpoint, zero otherwise
 	slowness        place.SlownessTracker
 	seenVersions    map[string]int64     // by model: version of its weights as derived from responses
@@ -34,13 +38,16 @@
 // newEndpoint returns the state of a newly listed endpoint. limit is the maximum
 // number of connections to it, cacheTokens its memory in tokens, notices what it has said
 // of itself before.
-func newEndpoint(spec *fleet.Endpoint, limit, cacheTokens int, notices *noticeState) *endpoint {
+func (e *Endpoints) newEndpoint(spec *fleet.Endpoint, limit, cacheTokens int, notices *noticeState) *endpoint {
 	opened := metric.Counter("endpoint_connections_opened_total", "service", spec.Service)
-	return &endpoint{
-		spec: spec, noticeState: notices, idHash: place.Hash(spec.ID), incarnationHash: incarnationHash(spec.Key()), seenVersions: map[string]int64{}, loadingUntil: map[string]time.Time{},
+	ep := &endpoint{
+		spec: spec, address: spec.Address, noticeState: notices, idHash: place.Hash(spec.ID), incarnationHash: incarnationHash(spec.Key()), seenVersions: map[string]int64{}, loadingUntil: map[string]time.Time{},
 		residentParts: promptcache.NewResidentParts(int(promptCacheShare * float64(cacheTokens))),
-		pool:          upstream.NewPool(spec.Address, limit, func() { opened.Inc(1) }),
 	}
+	ep.pool = upstream.NewPool(spec.Address, limit, func() { opened.Inc(1) }, func(ctx context.Context) (net.Conn, error) {
+		return e.dialEndpoint(ctx, ep, spec.Key(), spec.Address)
+	})
+	return ep
 }
 
 // weightsVersion returns the newest version of a model's weights that the
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -32,6 +32,7 @@
 	otherLoads     *peers.Table
 	sendPlacements func([]peers.Placement)
 	origins        Origins
+	detours        Detours // nil without
 
 	mu             sync.Mutex
 	byKey          map[fleet.EndpointKey]*endpoint
@@ -61,7 +62,7 @@
 func newEndpoints(o Options) *Endpoints {
 	return &Endpoints{
 		view: o.View, dataCentre: o.DataCentre, oldWeightsTime: o.OldWeightsTime, now: o.Now, startedAt: o.Now(),
-		drainTime: o.DrainTime, log: o.Log, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, origins: o.Origins, sources: map[string]*source{},
+		drainTime: o.DrainTime, log: o.Log, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, origins: o.Origins, detours: o.Detours, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		byKey:       map[fleet.EndpointKey]*endpoint{}, notices: map[fleet.EndpointKey]*noticeState{}, limits: map[uint64]*endpointLimit{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
 	}
@@ -89,7 +90,7 @@
 			ep.pool.SetLimit(limit)
 			continue
 		}
-		e.byKey[key] = newEndpoint(spec, limit, cacheTokens(s, spec.Service), e.noticesOf(key))
+		e.byKey[key] = e.newEndpoint(spec, limit, cacheTokens(s, spec.Service), e.noticesOf(key))
 	}
 	for key, ep := range e.byKey {
 		if !live[key] {
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -30,6 +30,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
+	e.tryDirectPaths(ctx, now)
 	for _, ep := range e.byKey {
 		if !ep.health.Unreachable(now) || ep.replaced {
 			ep.nextProbe = time.Time{}
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -235,10 +235,11 @@
 	loads := make(map[uint64]peers.Load, len(e.byKey))
 	for _, ep := range e.byKey {
 		l := ep.ownLoad
-		if ep.health.Reached(now) {
+		// What this instance reaches only through others says nothing to them.
+		if ep.health.Reached(now) && !ep.path.Detour() {
 			l.Reached = 1
 		}
-		if ep.health.Unreachable(now) {
+		if ep.health.Unreachable(now) && !ep.path.Detour() {
 			l.Unreachable = 1
 		}
 		if l != (peers.Load{}) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -35,6 +35,7 @@
 	SendPlacements func([]peers.Placement) // reports prompt placements to the other instances; may be nil
 	Suspects       *suspect.Replica        // requests that may crash endpoints
 	Origins        Origins                 // software versions that began streams
+	Detours        Detours                 // connections to endpoints through other instances; nil without
 
 	// Now returns the time of a clock that also advances while the machine is
 	// suspended.
--- /dev/null
+++ b/tunnel/server.go
@@ -0,0 +1,145 @@
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingknot/fleet"
+	"redwingknot/metric"
+	"redwingknot/tunnel/tunnelpb"
+	"redwingknot/upstream"
+	"redwingknot/wire"
+)
+
+const methodOpen = "tunnel.open"
+
+// chunkSize is the most bytes that a chunk from an endpoint carries. It holds most events.
+const chunkSize = 4 << 10
+
+// maxTunnels bounds the memory and descriptors for connections of other instances.
+const maxTunnels = 512
+
+// DialFunc opens a connection to an incarnation of an endpoint by this instance's own path.
+// The error is an *UnknownEndpointError if this instance does not know the endpoint.
+type DialFunc func(ctx context.Context, key fleet.EndpointKey) (net.Conn, error)
+
+// UnknownEndpointError reports that an instance does not know an endpoint.
+type UnknownEndpointError struct{ ID string }
+
+// Error implements error.
+func (e *UnknownEndpointError) Error() string { return "unknown endpoint " + e.ID }
+
+// Server opens connections to endpoints for other instances. It is safe for concurrent use.
+type Server struct {
+	dial     DialFunc
+	open     atomic.Int64
+	draining atomic.Bool
+	active   sync.WaitGroup
+}
+
+// NewServer returns a Server that opens connections by dial.
+func NewServer(dial DialFunc) *Server { return &Server{dial: dial} }
+
+// Register adds the handler for other instances to a wire server.
+func (s *Server) Register(w *wire.Server) { wire.HandleStream(w, methodOpen, s.handleOpen) }
+
+// Drain makes the server take on no further connections.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Wait waits until all connections have ended, or until ctx ends, and reports whether they
+// have. It is called after Drain.
+func (s *Server) Wait(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// handleOpen opens a connection and returns the function that serves it.
+func (s *Server) handleOpen(ctx context.Context, in *tunnelpb.OpenRequest) (*tunnelpb.OpenResponse, func(*wire.Stream), error) {
+	conn, result := s.connect(ctx, fleet.EndpointKey{ID: in.EndpointId, StartMillis: in.StartMillis})
+	metric.Counter("tunnel_requests_total", "result", result.String()).Inc(1)
+	response := &tunnelpb.OpenResponse{Result: result}
+	if conn == nil {
+		return response, nil, nil
+	}
+	return response, func(stream *wire.Stream) { s.serve(conn, stream) }, nil
+}
+
+// connect opens a connection, which is counted as open and active until serve ends. It is nil
+// unless the result is RESULT_OPEN.
+func (s *Server) connect(ctx context.Context, key fleet.EndpointKey) (net.Conn, tunnelpb.Result) {
+	if s.draining.Load() {
+		return nil, tunnelpb.Result_RESULT_DECLINED
+	}
+	if s.open.Add(1) > maxTunnels {
+		s.open.Add(-1)
+		return nil, tunnelpb.Result_RESULT_DECLINED
+	}
+	conn, err := s.dial(ctx, key)
+	var unknown *UnknownEndpointError
+	switch {
+	case err == nil:
+		s.active.Add(1)
+		return conn, tunnelpb.Result_RESULT_OPEN
+	case errors.As(err, &unknown):
+		s.open.Add(-1)
+		return nil, tunnelpb.Result_RESULT_DECLINED
+	case upstream.ConnRefused(err):
+		s.open.Add(-1)
+		return nil, tunnelpb.Result_RESULT_REFUSED
+	}
+	s.open.Add(-1)
+	return nil, tunnelpb.Result_RESULT_UNREACHABLE
+}
+
+// serve passes bytes on in both directions until one side has ended.
+func (s *Server) serve(conn net.Conn, stream *wire.Stream) {
+	defer s.active.Done()
+	defer s.open.Add(-1)
+	defer conn.Close()
+	go func() {
+		defer conn.Close() // also ends the other direction
+		var chunk tunnelpb.Chunk
+		for stream.Receive(&chunk) == nil {
+			if _, err := conn.Write(chunk.Data); err != nil {
+				return
+			}
+		}
+	}()
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := conn.Read(buf)
+		chunk := &tunnelpb.Chunk{Data: buf[:n]}
+		if err != nil {
+			chunk.End = endOf(err)
+		}
+		if stream.Send(chunk) != nil || err != nil {
+			return
+		}
+	}
+}
+
+// endOf returns how a connection ended that returned err from a read.
+func endOf(err error) tunnelpb.End {
+	switch {
+	case errors.Is(err, io.EOF):
+		return tunnelpb.End_END_CLOSED
+	case errors.Is(err, syscall.ECONNRESET):
+		return tunnelpb.End_END_RESET
+	}
+	return tunnelpb.End_END_LOST
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -34,16 +34,26 @@
 // concurrent use.
 type Pool struct {
 	address string
-	dialer  net.Dialer
+	dial    DialFunc
 	onOpen  func() // called for each new connection; may be nil
 
 	mu     sync.Mutex
 	idle   []*conn // in the order of last use, most recent last
-	open   int     // connections that are open or being opened
+	opened int     // connections that are open or being opened
 	limit  int
 	closed bool
 }
 
+// DialFunc opens a connection to the endpoint of a Pool.
+type DialFunc func(ctx context.Context) (net.Conn, error)
+
+// Dial opens a connection to an address by this process's own path. The host and port are
+// reached over IPv4.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: SetSocketOptions, KeepAliveConfig: KeepAliveConfig}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // conn is a connection of a Pool.
 type conn struct {
 	net.Conn
@@ -55,13 +65,13 @@
 }
 
 // NewPool returns a pool of at most limit connections to address, a host and
-// port reached over IPv4; a limit below 1 counts as 1. If onOpen is not nil, it
-// is called for each new connection.
-func NewPool(address string, limit int, onOpen func()) *Pool {
-	return &Pool{
-		address: address, limit: max(limit, 1), onOpen: onOpen,
-		dialer: net.Dialer{Timeout: dialTimeout, Control: SetSocketOptions, KeepAliveConfig: KeepAliveConfig},
+// port, which dial opens; a limit below 1 counts as 1. If dial is nil, they are opened by
+// Dial. If onOpen is not nil, it is called for each new connection.
+func NewPool(address string, limit int, onOpen func(), dial DialFunc) *Pool {
+	if dial == nil {
+		dial = func(ctx context.Context) (net.Conn, error) { return Dial(ctx, address) }
 	}
+	return &Pool{address: address, limit: max(limit, 1), onOpen: onOpen, dial: dial}
 }
 
 // SetLimit changes the maximum number of connections; a limit below 1 counts as
@@ -83,12 +93,28 @@
 }
 
 // CloseIdle closes all idle connections.
-func (p *Pool) CloseIdle() {
+func (p *Pool) CloseIdle() { p.CloseIdleIf(func(net.Conn) bool { return true }) }
+
+// CloseIdleIf closes the idle connections that match.
+func (p *Pool) CloseIdleIf(matches func(net.Conn) bool) {
+	p.closeIdle(func(c *conn) bool { return matches(c.Conn) })
+}
+
+// closeIdle closes the idle connections that match.
+func (p *Pool) closeIdle(matches func(*conn) bool) {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
+	var closing []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if matches(c) {
+			closing = append(closing, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	p.idle = kept
 	p.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range closing {
 		c.discard()
 	}
 }
@@ -98,7 +124,7 @@
 func (p *Pool) ConnCounts() (idle, open int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle), p.open
+	return len(p.idle), p.opened
 }
 
 // get returns an idle connection that is still usable, the most recently used
@@ -114,12 +140,15 @@
 		}
 		c.discard()
 	}
-	return p.dial(ctx)
+	return p.open(ctx, p.dial)
 }
 
 // Connect opens a connection and keeps it idle. The error is a *NotSentError.
-func (p *Pool) Connect(ctx context.Context) error {
-	c, err := p.dial(ctx)
+func (p *Pool) Connect(ctx context.Context) error { return p.ConnectBy(ctx, p.dial) }
+
+// ConnectBy is like Connect, with another way to open the connection.
+func (p *Pool) ConnectBy(ctx context.Context, dial DialFunc) error {
+	c, err := p.open(ctx, dial)
 	if err != nil {
 		return err
 	}
@@ -139,11 +168,12 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context) (*conn, error) {
+// open opens a connection by dial.
+func (p *Pool) open(ctx context.Context, dial DialFunc) (*conn, error) {
 	if err := p.reserveConn(); err != nil {
 		return nil, &NotSentError{Address: p.address, Err: err}
 	}
-	c, err := p.dialer.DialContext(ctx, "tcp4", p.address)
+	c, err := dial(ctx)
 	if err != nil {
 		p.releaseConn()
 		return nil, &NotSentError{Address: p.address, Err: err}
@@ -160,8 +190,8 @@
 // is none, it returns a *ConnLimitError.
 func (p *Pool) reserveConn() error {
 	p.mu.Lock()
-	if p.open < p.limit {
-		p.open++
+	if p.opened < p.limit {
+		p.opened++
 		p.mu.Unlock()
 		return nil
 	}
@@ -172,7 +202,7 @@
 	oldest := p.idle[0]
 	p.idle = append(p.idle[:0], p.idle[1:]...)
 	p.mu.Unlock()
-	// The new connection takes over the closed one's place in the count, so open
+	// The new connection takes over the closed one's place in the count, so opened
 	// does not change.
 	oldest.Conn.Close()
 	return nil
@@ -181,7 +211,7 @@
 func (p *Pool) releaseConn() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
+	p.opened--
 }
 
 // putIdle adds a connection whose response was read completely to the idle
@@ -190,7 +220,7 @@
 func (p *Pool) putIdle(c *conn, timeout time.Duration) {
 	c.expiry = time.Now().Add(timeout)
 	p.mu.Lock()
-	keep := !p.closed && p.open <= p.limit
+	keep := !p.closed && p.opened <= p.limit
 	if keep {
 		p.idle = append(p.idle, c)
 	}
@@ -202,21 +232,7 @@
 
 // Prune closes the idle connections that have expired at now.
 func (p *Pool) Prune(now time.Time) {
-	p.mu.Lock()
-	var expired []*conn
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if now.Before(c.expiry) {
-			kept = append(kept, c)
-		} else {
-			expired = append(expired, c)
-		}
-	}
-	p.idle = kept
-	p.mu.Unlock()
-	for _, c := range expired {
-		c.discard()
-	}
+	p.closeIdle(func(c *conn) bool { return !now.Before(c.expiry) })
 }
 
 func (c *conn) discard() {
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -32,8 +32,12 @@
 }
 
 // connUsable reports whether an idle connection is open and has no unread data.
-// It returns true for a connection that gives no access to its socket.
+// It returns true for a connection that gives no access to its socket and does not say so
+// itself.
 func connUsable(c net.Conn) bool {
+	if u, ok := c.(interface{ Usable() bool }); ok {
+		return u.Usable()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -71,7 +71,7 @@
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		}
 	})
-	p := upstream.NewPool(address, 4, func() { opened++ })
+	p := upstream.NewPool(address, 4, func() { opened++ }, nil)
 	for range 3 {
 		body, err := send(t, p, newRequest("hello"))
 		assert.NilError(t, err)
@@ -90,7 +90,7 @@
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	l.Close()
-	_, err = send(t, upstream.NewPool(address, 4, nil), newRequest("x"))
+	_, err = send(t, upstream.NewPool(address, 4, nil, nil), newRequest("x"))
 	var unsent *upstream.NotSentError
 	assert.Check(t, errors.As(err, &unsent), "%v", err)
 }
@@ -100,7 +100,7 @@
 		readRequest(c)
 		c.Close()
 	})
-	_, err := send(t, upstream.NewPool(address, 4, nil), newRequest("x"))
+	_, err := send(t, upstream.NewPool(address, 4, nil, nil), newRequest("x"))
 	var lost *upstream.LostError
 	assert.Check(t, errors.As(err, &lost), "%v", err)
 }
@@ -118,7 +118,7 @@
 		}
 		c.Close()
 	})
-	p := upstream.NewPool(address, 4, nil)
+	p := upstream.NewPool(address, 4, nil, nil)
 	_, err := send(t, p, newRequest("x"))
 	assert.Check(t, err != nil)
 	body, err := send(t, p, newRequest("x"))
@@ -136,7 +136,7 @@
 			time.Sleep(pause)
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
 		})
-		p := upstream.NewPool(address, 4, nil)
+		p := upstream.NewPool(address, 4, nil, nil)
 		for want := range 3 {
 			body, err := send(t, p, newRequest("x"))
 			assert.NilError(t, err)
@@ -157,7 +157,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 1\r\n\r\n%d", n)
 		time.Sleep(time.Second)
 	})
-	p := upstream.NewPool(address, 4, nil)
+	p := upstream.NewPool(address, 4, nil, nil)
 	for want := range 2 {
 		body, err := send(t, p, newRequest(strings.Repeat("x", 16<<20)))
 		assert.NilError(t, err)
@@ -174,7 +174,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err := upstream.NewPool(address, 4, nil).Send(ctx, newRequest("x"))
+	_, err := upstream.NewPool(address, 4, nil, nil).Send(ctx, newRequest("x"))
 	assert.Check(t, err != nil)
 	<-closed
 }
@@ -184,7 +184,7 @@
 		readRequest(c)
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
 	})
-	p := upstream.NewPool(address, 1, nil)
+	p := upstream.NewPool(address, 1, nil, nil)
 	res, err := p.Send(context.Background(), newRequest("x"))
 	assert.NilError(t, err)
 	_, err = p.Send(context.Background(), newRequest("x"))
--- a/wire/client.go
+++ b/wire/client.go
@@ -8,8 +8,6 @@
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
-
-	"redwingknot/wire/wirepb"
 )
 
 // DialFunc opens a connection to an address. Tests pass functions that
@@ -63,25 +61,7 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { stream.Close(); stream.SetDeadline(time.Now()) })
 	defer stop()
-	payload, err := proto.Marshal(req)
-	if err != nil {
-		return &TransportError{Addr: c.addr, Err: err}
-	}
-	callRequest := &wirepb.Request{Method: method, Payload: payload, BudgetMs: remainingMillis(ctx)}
-	if err := writeFrame(stream, callRequest); err != nil {
-		return &TransportError{Addr: c.addr, Sent: true, Err: preferContextErr(ctx, err)}
-	}
-	var answer wirepb.Response
-	if err := readFrame(stream, &answer); err != nil {
-		return &TransportError{Addr: c.addr, Sent: true, Err: preferContextErr(ctx, err)}
-	}
-	if answer.Failure != "" {
-		return &CallError{Method: method, Failure: Failure(answer.Failure), Detail: answer.Detail}
-	}
-	if err := proto.Unmarshal(answer.Payload, resp); err != nil {
-		return &TransportError{Addr: c.addr, Sent: true, Err: err}
-	}
-	return nil
+	return c.exchange(ctx, stream, method, req, resp)
 }
 
 // openStream opens a stream on the current connection. If that fails, it drops
--- a/wire/server.go
+++ b/wire/server.go
@@ -24,6 +24,8 @@
 type Server struct {
 	key      []byte
 	handlers map[string]handler
+	// streamHandlers are those of methods that open streams.
+	streamHandlers map[string]streamHandler
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
@@ -32,7 +34,7 @@
 // NewServer returns a server that accepts connections from processes that hold
 // key.
 func NewServer(key []byte) *Server {
-	return &Server{key: key, handlers: map[string]handler{}, sessions: map[*yamux.Session]struct{}{}}
+	return &Server{key: key, handlers: map[string]handler{}, streamHandlers: map[string]streamHandler{}, sessions: map[*yamux.Session]struct{}{}}
 }
 
 // Handle registers h as the handler of method. It must be called before s.Serve.
@@ -107,6 +109,10 @@
 		return
 	}
 	stream.SetReadDeadline(time.Time{})
+	if h, ok := s.streamHandlers[req.Method]; ok {
+		s.serveStream(ctx, stream, &req, h)
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if req.BudgetMs > 0 {
@@ -123,8 +129,7 @@
 	cancel()
 }
 
-// dispatch runs the handler of req's method. An error that is no *CallError
-// becomes FailureInternal.
+// dispatch runs the handler of req's method.
 func (s *Server) dispatch(ctx context.Context, req *wirepb.Request) *wirepb.Response {
 	h, ok := s.handlers[req.Method]
 	if !ok {
@@ -132,14 +137,7 @@
 	}
 	metric.Counter("wire_calls_total", "method", req.Method).Inc(1)
 	payload, err := h(ctx, req.Payload)
-	if err == nil {
-		return &wirepb.Response{Payload: payload}
-	}
-	var call *CallError
-	if errors.As(err, &call) {
-		return &wirepb.Response{Failure: string(call.Failure), Detail: call.Detail}
-	}
-	return &wirepb.Response{Failure: string(FailureInternal), Detail: err.Error()}
+	return responseTo(payload, err)
 }
 
 // Call runs a method of s in this process, without a connection. Failures are
