Gateway: a refused connection is no sign of a crash unless another instance finds the same

What callers would have seen: where a partition refuses connections, every lost connection at a cut gateway looked like the end of the endpoint's process. All requests and parts of prompts in flight became suspects, at all instances, and sound ones were refused. Cause: one instance's refused connection was taken for proof. The class: believing the word of an instance that may itself be the one that is cut off. Change: up to three instances are asked at the same time. The endpoint has refused if one of them is refused, too, and none connects; an instance that seems cut off itself, because it fails to reach two or more endpoints that others reach, does not say that it was refused. Without other instances the own connection decides, as before.

--- a/relay/detour.go
+++ b/relay/detour.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"redwingknot/event"
 	"redwingknot/fleet"
 	"redwingknot/metric"
@@ -24,13 +26,21 @@
 }
 
 const (
-	// maxDetourPeers is the number of instances that are asked for one connection.
+	// maxDetourPeers is the number of instances that are asked for one connection, or to
+	// confirm that an endpoint refuses connections.
 	maxDetourPeers = 3
 	// detourTimeout is how long one of them may take: its own attempt to connect, and the way
 	// to another data centre.
 	detourTimeout = 250 * time.Millisecond
 )
 
+// UnconfirmedError reports that an endpoint refused a connection, which no other instance has
+// confirmed: the network may have refused it, so that it says nothing of the endpoint's process.
+type UnconfirmedError struct{ Detail string }
+
+// Error implements error.
+func (e *UnconfirmedError) Error() string { return "refused, but not confirmed: " + e.Detail }
+
 // dialEndpoint opens a connection to an endpoint: by this instance's own path, or through
 // another instance while that has failed and others reach the endpoint.
 func (e *Endpoints) dialEndpoint(ctx context.Context, ep *endpoint, key fleet.EndpointKey, address string) (net.Conn, error) {
@@ -47,6 +57,9 @@
 	if e.detours == nil || ctx.Err() != nil {
 		return nil, err
 	}
+	if upstream.ConnRefused(err) {
+		return e.dialAfterRefusal(ctx, ep, key, err)
+	}
 	if !e.othersMayReach(ep) {
 		return nil, err
 	}
@@ -58,6 +71,50 @@
 	return c, nil
 }
 
+// dialAfterRefusal opens a connection to an endpoint through another instance after this
+// one's own was refused with err. If the others find that the endpoint refuses theirs, too, it
+// returns err, and an *UnconfirmedError if none of them can tell.
+func (e *Endpoints) dialAfterRefusal(ctx context.Context, ep *endpoint, key fleet.EndpointKey, err error) (net.Conn, error) {
+	peers := e.detourPeers(ep)
+	if len(peers) == 0 {
+		return nil, err
+	}
+	type answer struct {
+		conn net.Conn
+		err  error
+	}
+	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
+	defer cancel()
+	answers := make(chan answer, len(peers))
+	for _, peer := range peers {
+		go func() {
+			c, err := e.detours.Dial(ctx, peer, key)
+			answers <- answer{c, err}
+		}()
+	}
+	var conn net.Conn
+	confirmed := false
+	for range peers {
+		a := <-answers
+		switch {
+		case a.err == nil && conn == nil:
+			conn = a.conn
+		case a.err == nil:
+			a.conn.Close()
+		case upstream.ConnRefused(a.err):
+			confirmed = true
+		}
+	}
+	switch {
+	case conn != nil:
+		e.recordDetour(ep)
+		return conn, nil
+	case confirmed:
+		return nil, err
+	}
+	return nil, &UnconfirmedError{Detail: err.Error()}
+}
+
 // dialThroughPeers opens a connection to an endpoint through one of the instances that may
 // reach it. It ends with the first that finds that the endpoint refuses connections.
 func (e *Endpoints) dialThroughPeers(ctx context.Context, ep *endpoint, key fleet.EndpointKey) (net.Conn, error) {
@@ -195,6 +252,22 @@
 	}
 }
 
+// minCutEndpoints is the number of endpoints that must be out of reach for this instance
+// alone for it to take itself for the one that is cut off.
+const minCutEndpoints = 2
+
+// seemsCutOff reports whether this instance fails to reach endpoints that others reach. The
+// caller holds mu.
+func (e *Endpoints) seemsCutOff(now time.Time) bool {
+	n := 0
+	for _, ep := range e.byKey {
+		if ep.path.Detour() || ep.health.Unreachable(now) && e.otherLoads.Load(ep.idHash).Reached > 0 {
+			n++
+		}
+	}
+	return n >= minCutEndpoints
+}
+
 // IsCutOff reports whether this instance reaches most endpoints only through others.
 func (e *Endpoints) IsCutOff() bool {
 	e.mu.Lock()
@@ -203,8 +276,9 @@
 }
 
 // DialDirect opens a connection to an endpoint for another instance, by this instance's own
-// path alone. The error is a *tunnel.UnknownEndpointError if the endpoint is not known, or if
-// this instance itself reaches it through others.
+// path alone. The error is a *tunnel.UnknownEndpointError if the endpoint is not known. An
+// endpoint that refuses the connection is said to do so only if this instance does not seem
+// to be cut off itself.
 func (e *Endpoints) DialDirect(ctx context.Context, key fleet.EndpointKey) (net.Conn, error) {
 	e.mu.Lock()
 	e.syncView()
@@ -214,5 +288,14 @@
 	if unable {
 		return nil, &tunnel.UnknownEndpointError{ID: key.ID}
 	}
-	return upstream.Dial(ctx, ep.address)
+	c, err := upstream.Dial(ctx, ep.address)
+	if err == nil || !upstream.ConnRefused(err) {
+		return c, errors.Wrap(err, "dial for another instance")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.seemsCutOff(e.now()) {
+		return nil, &UnconfirmedError{Detail: err.Error()}
+	}
+	return nil, err
 }
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -157,15 +157,21 @@
 
 // newTestBed returns a test bed with a confirmed configuration that allows two
 // attempts.
-func newTestBed(t *testing.T) *testBed {
-	b := newUnconfiguredTestBed(t)
+func newTestBed(t *testing.T) *testBed { return newTestBedWithDetours(t, nil) }
+
+// newTestBedWithDetours returns a test bed with other instances.
+func newTestBedWithDetours(t *testing.T, detours *testDetours) *testBed {
+	b := newTestBedOf(t, detours)
 	b.view.ApplyConfig(newConfig(1, 2))
 	b.view.Confirm(time.Now())
 	return b
 }
 
 // newUnconfiguredTestBed returns a test bed that has no configuration yet.
-func newUnconfiguredTestBed(t *testing.T) *testBed {
+func newUnconfiguredTestBed(t *testing.T) *testBed { return newTestBedOf(t, nil) }
+
+// newTestBedOf returns a test bed that has no configuration yet, with other instances.
+func newTestBedOf(t *testing.T, detours *testDetours) *testBed {
 	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable()}
 	b.now = func() time.Time { return time.Now().Add(time.Duration(b.ahead.Load())) }
 	b.suspectReplica = suspect.NewReplica(suspect.Config{CompanyCrashLimit: 3}, time.Now)
@@ -176,6 +182,9 @@
 		Suspects: b.suspectReplica,
 		Origins:  origin.NewLocal(func() time.Time { return b.now() }),
 	}
+	if detours != nil {
+		o.Detours = detours
+	}
 	b.relay = relay.NewServer(o)
 	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
