Gateway: brittle endpoints get no more requests than they have slots

What callers would have seen: endpoints that fall over one after the other under load, because each one's load goes to the next. Cause: nothing read Server-Brittle, and nothing bounded how many requests of all gateways together an endpoint turns away: each looks for room as it knows it, a moment late. Change: fleet.Brittleness in each response's notice. While a service's endpoints say that they are brittle, and 5 s after, a gateway has at most its part of an endpoint's slots (place.PlaceShare; the parts add up to the slots), so that nothing has to wait there. As many requests wait at the gateway as it has places, for 0.7 s at most; others are refused at once. An endpoint that turns one away all the same is left alone for as long as keeps all gateways together within what it bears.

--- a/event/relay.go
+++ b/event/relay.go
@@ -13,6 +13,7 @@
 	StreamResumed    = define(rangeRelay+31, "stream-resumed", slog.LevelInfo, "A stream of which the caller has got events is about to go on at an endpoint. The attributes are the attempt that brought the first event, if the caller names one, the last event and the software version of the endpoint, which is the one that began the stream.", "")
 	DetourBegun      = define(rangeRelay+32, "detour-begun", slog.LevelWarn, "This instance can't reach an endpoint that others reach; its connections go through them.", "If this lasts, check the network path from this instance to the endpoint.")
 	DetourEnded      = define(rangeRelay+33, "detour-ended", slog.LevelInfo, "This instance reaches an endpoint by its own path again.", "")
+	ServiceBrittle   = define(rangeRelay+34, "service-brittle", slog.LevelWarn, "An endpoint said that it is brittle: it falls over if it turns away too many requests. This instance now has only its part of the slots of all endpoints of the service.", "If this lasts, add endpoints or find out why they are brittle.")
 	RelayCallerGone  = define(rangeRelay+6, "relay-caller-gone", slog.LevelInfo, "A caller closed its connection before its response was complete.", "")
 
 	ConfigInForce         = define(rangeRelay+11, "config-in-force", slog.LevelInfo, "A configuration came into force in this instance.", "")
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -190,7 +190,7 @@
 // It returns neither a pick nor a refusal if ctx ends first.
 func (c *callerRequest) selectEndpoint(ctx context.Context) (*pick, *contract.Refusal) {
 	waitUntil := time.Now().Add(maxEndpointWait)
-	defer c.server.endpoints.endLimitWait(c.query)
+	defer c.server.endpoints.endWaits(c.query)
 	for {
 		if r := c.beginRun(); r != nil {
 			return nil, c.markPossibleExecution(r)
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -50,8 +50,11 @@
 type serviceState struct {
 	retryWindow           *retry.Window
 	prefillRate           place.PrefillRate
-	waitingForLimit       int     // requests that wait for a share of an endpoint's limit
-	averageSecondsPerCost float64 // moving average of the time to the first data, in seconds per unit of pick.cost
+	waitingForPlace       int       // requests that wait for a place at a brittle endpoint
+	brittleUntil          time.Time // until when its endpoints count as brittle
+	brittleRefusals       float64   // how many requests one of them can turn away in a second
+	waitingForLimit       int       // requests that wait for a share of an endpoint's limit
+	averageSecondsPerCost float64   // moving average of the time to the first data, in seconds per unit of pick.cost
 }
 
 // averageSampleWeight is the weight of a new sample in averageSecondsPerCost,
@@ -224,7 +227,8 @@
 // eligible returns the endpoints that may execute q, by preference: the healthy
 // ones that were not tried yet; if there are none, the healthy ones that were
 // tried; if there are none either, healthy ones that are leaving, and then the unhealthy
-// ones. Those that asked for a pause, or whose limit is used up, get nothing.
+// ones. Those that asked for a pause, whose limit is used up, or that are brittle and have no
+// place left for this instance, get nothing.
 func (e *Endpoints) eligible(s *fleet.Snapshot, q *placementQuery, now time.Time) []*endpoint {
 	var untried, tried, leaving, unhealthy []*endpoint
 	for _, spec := range s.ByService[q.service] {
@@ -235,7 +239,7 @@
 		if q.prompt != nil && !e.canServeModel(s, ep, q.prompt.Model, now) {
 			continue
 		}
-		if !ep.pause.Admits(now, ep.ownLoad.Running) || !e.admitsByLimit(ep, now) {
+		if !ep.pause.Admits(now, ep.ownLoad.Running) || !e.admitsByLimit(ep, now) || !e.hasPlace(ep, now) {
 			continue
 		}
 		isLeaving := !ep.leavingSince.IsZero()
@@ -264,17 +268,23 @@
 }
 
 // blockedFor returns how long it takes at least until an endpoint admits q that has asked
-// for a pause or whose limit is used up, 0 if there is none. The caller holds mu.
+// for a pause, whose limit is used up or that is brittle and full, 0 if there is none. The
+// caller holds mu.
 func (e *Endpoints) blockedFor(s *fleet.Snapshot, q *placementQuery, now time.Time) time.Duration {
-	pause := e.pauseLeft(s, q, now)
-	wait, limited := e.limitWait(s, q, now)
-	switch {
-	case !limited:
-		return pause
-	case pause == 0:
-		return wait
+	var waits []time.Duration
+	if pause := e.pauseLeft(s, q, now); pause > 0 {
+		waits = append(waits, pause)
+	}
+	if wait, limited := e.limitWait(s, q, now); limited {
+		waits = append(waits, wait)
 	}
-	return min(pause, wait)
+	if wait, full := e.placeWait(s, q, now); full {
+		waits = append(waits, wait)
+	}
+	if len(waits) == 0 {
+		return 0
+	}
+	return slices.Min(waits)
 }
 
 // pauseLeft returns how long the shortest pause of an endpoint that could execute q
@@ -391,15 +401,29 @@
 	case r.Misdirected && r.EndpointID != "" && r.EndpointID != p.spec.ID:
 		p.endpoint.replaced = true
 		p.endpoint.pool.Close()
-	case q.prompt == nil:
-	case r.Misdirected:
+	case r.Misdirected && q.prompt != nil:
 		p.endpoint.recordVersionMismatch(q.prompt.Model, p.weights, r.WeightsVersion, e.view.Snapshot().WantedWeights[q.prompt.Model], now)
-	case p.weights < e.view.Snapshot().WantedWeights[q.prompt.Model]:
-		// The endpoint is loading weights. When it accepts requests again, it has
-		// the new version.
-		p.endpoint.recordVersion(q.prompt.Model, e.view.Snapshot().WantedWeights[q.prompt.Model])
-		p.endpoint.loadingUntil[q.prompt.Model] = now.Add(loadingPause)
+	case r.Misdirected:
+	case e.recordLoading(p, q, now):
+	case r.Notice.Pause == 0:
+		e.recordTurnedAway(p.endpoint, now)
+	}
+}
+
+// recordLoading records that an endpoint is loading weights if it refused a request for
+// older ones than wanted, and reports whether it did. When it accepts requests again, it has
+// the new version. The caller holds mu.
+func (e *Endpoints) recordLoading(p *pick, q *placementQuery, now time.Time) bool {
+	if q.prompt == nil {
+		return false
+	}
+	wanted := e.view.Snapshot().WantedWeights[q.prompt.Model]
+	if p.weights >= wanted {
+		return false
 	}
+	p.endpoint.recordVersion(q.prompt.Model, wanted)
+	p.endpoint.loadingUntil[q.prompt.Model] = now.Add(loadingPause)
+	return true
 }
 
 // recordWeightsVersion records the version of the weights that a response names.
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -178,13 +178,19 @@
 	return shortest + time.Duration(float64(ahead)/perSecond*float64(time.Second)), true
 }
 
-// endLimitWait ends the wait of q that limitWait has begun.
-func (e *Endpoints) endLimitWait(q *placementQuery) {
-	if !q.waitsForLimit {
+// endWaits ends the waits of q that limitWait and placeWait have begun.
+func (e *Endpoints) endWaits(q *placementQuery) {
+	if !q.waitsForLimit && !q.waitsForPlace {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	q.waitsForLimit = false
-	e.service(q.service).waitingForLimit--
+	service := e.service(q.service)
+	if q.waitsForLimit {
+		service.waitingForLimit--
+	}
+	if q.waitsForPlace {
+		service.waitingForPlace--
+	}
+	q.waitsForLimit, q.waitsForPlace = false, false
 }
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -133,6 +133,7 @@
 // recordNotice records a notice of ep. The caller holds mu.
 func (e *Endpoints) recordNotice(ep *endpoint, n fleet.Notice) {
 	now := e.now()
+	e.recordBrittle(ep, n.Brittle, now)
 	if n.Leaving {
 		e.recordLeaving(ep, now)
 	}
--- a/relay/query.go
+++ b/relay/query.go
@@ -20,6 +20,7 @@
 	target          time.Duration // time within which a response has its full value
 	awaitsAdmission bool          // the request waits until an endpoint can admit it or a pause ends; valid if none was chosen
 	admissionDelay  time.Duration // how long that takes at least; valid if awaitsAdmission is
+	waitsForPlace   bool          // the request is counted in waitingForPlace of its service
 	waitsForLimit   bool          // the request is counted in waitingForLimit of its service
 	maxAttempts     int
 	software        origin.Version      // software version that must run the request, 0 for any
