Gateway: an endpoint that is silent for a second loses nothing that was sent to it

What callers would have seen: requests to a sound endpoint that falls silent for a second or so were lost, those that may run once for good. Cause: TCP_USER_TIMEOUT of 0.6 s closed connections with unacknowledged data, and made keep-alive give up at the second probe, 2 s after the last sign of the endpoint, although a silence of 1 s is over by then. Change: 3.5 s for endpoints, unchanged for other instances and the platform. What the longer time would cost is taken over by the gateway itself: TCP_INFO tells that an endpoint has acknowledged nothing of a request for 0.3 s; it gets no new ones then, and after 0.6 s a request that may be repeated is given up, as before. Idle connections with an unanswered probe are not used.

--- a/processtest/brittle_test.go
+++ b/processtest/brittle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
@@ -57,7 +56,7 @@
 		})
 	}
 	callers.Wait()
-	t.Log(fmt.Sprintf("%d falls; %d of %d requests served", falls.Load(), served.Load(), sent.Load()))
+	t.Logf("%d falls; %d of %d requests served", falls.Load(), served.Load(), sent.Load())
 	assert.Check(t, falls.Load() <= maxBrittleFalls, "%d falls", falls.Load())
 	assert.Check(t, served.Load() >= 12*10*int64(brittleNoticeTime/time.Second), "%d requests served, 12 slots serve 120 a second", served.Load())
 }
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -439,7 +439,7 @@
 		head = appendContentLength(head, len(c.body))
 	}
 	head = append(head, "\r\n"...)
-	return &upstream.Request{Method: c.method, Head: head, Body: c.body, NewConn: c.needsNewConn(p)}
+	return &upstream.Request{Method: c.method, Head: head, Body: c.body, NewConn: c.needsNewConn(p), Repeatable: c.route.Repeatable()}
 }
 
 // needsNewConn reports whether the request must not be sent on a kept connection: because
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -47,6 +47,7 @@
 	ep.pool = upstream.NewPool(spec.Address, limit, func() { opened.Inc(1) }, func(ctx context.Context) (net.Conn, error) {
 		return e.dialEndpoint(ctx, ep, spec.Key(), spec.Address)
 	})
+	ep.pool.OnSilent(func() { e.recordSilent(ep) })
 	return ep
 }
 
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwingknot/fleet"
+	"redwingknot/metric"
 	"redwingknot/peers"
 	"redwingknot/place"
 	"redwingknot/promptcache"
@@ -383,6 +384,16 @@
 	}
 }
 
+// recordSilent records that an endpoint acknowledges nothing of a request that was sent to
+// it. Others get the new ones; the request itself may yet be answered.
+func (e *Endpoints) recordSilent(ep *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	metric.Counter("endpoint_silences_total", "service", ep.spec.Service).Inc(1)
+	ep.health.RecordUnreachable(e.now())
+	ep.pool.CloseIdle()
+}
+
 const (
 	// loadingPause is how long an endpoint that refused a request because it is
 	// loading weights gets no requests for the model. A load takes about 300 ms.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -14,6 +14,9 @@
 	Head    []byte // request line and headers, including the final empty line
 	Body    []byte
 	NewConn bool // must be sent on a newly opened connection
+	// Repeatable says that the request may be sent again, so that it is given up early if the
+	// endpoint acknowledges nothing.
+	Repeatable bool
 }
 
 // Response is an endpoint's HTTP response. The caller must call Close exactly
@@ -54,9 +57,13 @@
 		res.Close()
 		return nil, &LostError{Address: p.address, Stage: "sending the request", Err: err}
 	}
+	watch := watchSilence(c, r.Repeatable)
 	c.head.left = MaxHeadBytes
 	res.raw, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 	c.head.left = unlimited
+	if watch.end() {
+		err = &SilentError{}
+	}
 	if err != nil {
 		res.Close()
 		return nil, &LostError{Address: p.address, Stage: "reading the response header", Err: err}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -36,6 +36,9 @@
 	address string
 	dial    DialFunc
 	onOpen  func() // called for each new connection; may be nil
+	// onSilent is called when the endpoint has acknowledged nothing of a request for a while;
+	// may be nil.
+	onSilent func()
 
 	mu     sync.Mutex
 	idle   []*conn // in the order of last use, most recent last
@@ -50,7 +53,7 @@
 // Dial opens a connection to an address by this process's own path. The host and port are
 // reached over IPv4.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: SetSocketOptions, KeepAliveConfig: KeepAliveConfig}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: setEndpointSocketOptions, KeepAliveConfig: KeepAliveConfig}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
@@ -74,6 +77,10 @@
 	return &Pool{address: address, limit: max(limit, 1), onOpen: onOpen, dial: dial}
 }
 
+// OnSilent sets a function that is called when the endpoint has acknowledged nothing of a
+// request for a while. It must be called before the pool is used.
+func (p *Pool) OnSilent(f func()) { p.onSilent = f }
+
 // SetLimit changes the maximum number of connections; a limit below 1 counts as
 // 1. Connections above the limit are closed instead of becoming idle when their
 // response is closed.
@@ -135,7 +142,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expiry) && c.reader.Buffered() == 0 && connUsable(c.Conn) {
+		if time.Now().Before(c.expiry) && c.reader.Buffered() == 0 && connUsable(c.Conn) && !awaitsProbe(c.Conn) {
 			return c, nil
 		}
 		c.discard()
