Gateway: a leader that reaches endpoints only through others hands over

What callers would have seen: new weights that are not loaded for as long as the leader is cut off from the endpoints, because it keeps its lease in the metadata store and its orders fail. Cause: candidacy looked at the configuration and at draining alone, and a leader stayed whatever came. The class: a duty that is held by lease alone, by one who can't carry it out. Change: LeaderElectorConfig.MustResign; a gateway that reaches most endpoints through others is no candidate and hands over. Evidence: TestLeaderThatCannotActHandsOver failed before. Measured: go test ./datacentre ./gateway ./entry passes.

--- a/datacentre/leader_elector.go
+++ b/datacentre/leader_elector.go
@@ -57,6 +57,9 @@
 	// Few instances of a data centre should, so that the number of calls to the
 	// key-value service doesn't grow with the number of instances.
 	IsCandidate func() bool
+	// MustResign reports whether this instance, which leads, can't act as the leader and should
+	// hand over; nil if that never happens.
+	MustResign func() bool
 	// StandbyDelay returns how long this instance leaves a free leader key to other
 	// candidates before it creates the key itself. If it is nil, or returns 0, the
 	// instance campaigns at once.
@@ -323,7 +326,7 @@
 	e.beginTerm(t)
 	for e.canRenew(ctx, t) {
 		e.sleep(ctx, e.cfg.TTL/renewalsPerTTL)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || e.cfg.MustResign != nil && e.cfg.MustResign() {
 			break
 		}
 		if !e.renewLease(ctx, t) {
--- a/datacentre/leader_elector_test.go
+++ b/datacentre/leader_elector_test.go
@@ -27,6 +27,7 @@
 	stop     context.CancelFunc
 	done     chan struct{}
 	crashed  atomic.Bool
+	unable   atomic.Bool  // it can't act as the leader
 	linkMode atomic.Value // of a faulty candidate: "up", "down" (no call is sent) or "lossy" (random faults)
 }
 
@@ -86,7 +87,8 @@
 		KV:          c,
 		DataCentre:  dataCentre,
 		InstanceID:  instanceID,
-		IsCandidate: func() bool { return !c.crashed.Load() },
+		IsCandidate: func() bool { return !c.crashed.Load() && !c.unable.Load() },
+		MustResign:  c.unable.Load,
 		Rand:        rand.New(rand.NewPCG(seed, 1)),
 	})
 	go func() {
@@ -441,3 +443,27 @@
 		assert.Equal(t, kv.Calls("grant"), grants)
 	})
 }
+
+// TestLeaderThatCannotActHandsOver has the leader find that it can't act as one: another
+// candidate must lead before the lease would have expired.
+func TestLeaderThatCannotActHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := datacentretest.NewKV(time.Now)
+		first := startCandidate(t.Context(), kv, "cut off", 1)
+		time.Sleep(5 * time.Second)
+		second := startCandidate(t.Context(), kv, "other", 2)
+		time.Sleep(5 * time.Second)
+		firstToken, ok := first.FencingToken()
+		assert.Assert(t, ok)
+		first.unable.Store(true)
+		time.Sleep(first.cfg.TTL / 2)
+		_, ok = first.FencingToken()
+		assert.Check(t, !ok, "it still leads")
+		secondToken, ok := second.FencingToken()
+		assert.Check(t, ok && secondToken > firstToken)
+		first.unable.Store(false)
+		time.Sleep(time.Minute)
+		_, ok = second.FencingToken()
+		assert.Check(t, ok, "a sound leader stays")
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,11 @@
 	g.tunnels.Register(g.wire)
 	g.elector = datacentre.NewLeaderElector(datacentre.LeaderElectorConfig{
 		KV: g.kv, DataCentre: electionScope, InstanceID: o.Instance, TTL: max(leaderLeaseTTL, o.MinLease), Now: o.Relay.Now, Logger: g.log,
-		IsCandidate:  func() bool { return !g.draining.Load() && g.view.Snapshot().Config != nil },
+		IsCandidate: func() bool {
+			return !g.draining.Load() && g.view.Snapshot().Config != nil && !g.relay.Endpoints().IsCutOff()
+		},
+		// A leader that reaches endpoints only through others gives no orders.
+		MustResign:   g.relay.Endpoints().IsCutOff,
 		StandbyDelay: g.standbyDelay,
 	})
 	return g
