--- a/peers/origin_test.go
+++ b/peers/origin_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"redwingknot/origin"
@@ -116,3 +117,19 @@
 	got, known := f.known[f.names[2]].Only("s", now.Add(-time.Minute))
 	assert.Check(t, known && got == v)
 }
+
+// BenchmarkOriginsOfReport encodes the origins of as many streams as begin at an instance in
+// two intervals of the exchange at the target's size.
+func BenchmarkOriginsOfReport(b *testing.B) {
+	const streams = 24
+	now := time.Now()
+	var records []origin.Record
+	for n := range streams {
+		records = append(records, origin.Record{Stream: origin.NewStream("team", string(rune('a'+n))), Version: origin.Version(n%2 + 1), Expires: now.Add(13 * time.Second)})
+	}
+	size := 0
+	for b.Loop() {
+		size = proto.Size(encodeOrigins(records, now))
+	}
+	b.ReportMetric(float64(size)/streams, "B/stream")
+}
--- a/place/path.go
+++ b/place/path.go
@@ -38,9 +38,6 @@
 	return began
 }
 
-// HastenTrial makes a trial of the own path due at now.
-func (p *Path) HastenTrial(now time.Time) { p.nextTrial = now }
-
 // TrialDue reports whether the own path should be tried at now, and puts off the next trial
 // if so.
 func (p *Path) TrialDue(now time.Time) bool {
--- a/place/path_test.go
+++ b/place/path_test.go
@@ -17,9 +17,6 @@
 	now = now.Add(directTrialInterval)
 	assert.Check(t, p.TrialDue(now))
 	assert.Check(t, !p.TrialDue(now), "one trial an interval")
-	p.HastenTrial(now)
-	assert.Check(t, p.TrialDue(now))
 	assert.Check(t, p.RecordDirect() && !p.Detour())
-	p.HastenTrial(now)
-	assert.Check(t, !p.TrialDue(now), "no trial without a detour")
+	assert.Check(t, !p.TrialDue(now.Add(time.Hour)), "no trial without a detour")
 }
--- a/relay/detour.go
+++ b/relay/detour.go
@@ -216,7 +216,8 @@
 }
 
 // recordDirect records that this instance has opened a connection to an endpoint by its own
-// path. It then tries its paths to the others at once.
+// path. If a detour ends, the next connections to all endpoints are first tried by the own
+// paths.
 func (e *Endpoints) recordDirect(ep *endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -224,9 +225,9 @@
 		return
 	}
 	event.DetourEnded.Log(e.log, slog.String("endpoint", ep.spec.ID))
-	ep.pool.CloseIdleIf(isDetour)
 	for _, other := range e.byKey {
-		other.path.HastenTrial(e.now())
+		other.path.RecordDirect()
+		other.pool.CloseIdleIf(isDetour)
 	}
 }
 
@@ -236,13 +237,22 @@
 	return ok
 }
 
-// tryDirectPaths tries this instance's own path to each endpoint that it reaches through
-// others and whose trial is due. No request is at stake. The caller holds mu.
+// maxDirectTrials is the number of own paths that are tried at one check for endpoints to
+// probe. The first that works stands for the others.
+const maxDirectTrials = 4
+
+// tryDirectPaths tries this instance's own path to some of the endpoints that it reaches
+// through others and whose trial is due. No request is at stake. The caller holds mu.
 func (e *Endpoints) tryDirectPaths(ctx context.Context, now time.Time) {
+	trials := 0
 	for _, ep := range e.byKey {
+		if trials == maxDirectTrials {
+			return
+		}
 		if !ep.path.TrialDue(now) {
 			continue
 		}
+		trials++
 		go func() {
 			err := ep.pool.ConnectBy(ctx, func(ctx context.Context) (net.Conn, error) { return upstream.Dial(ctx, ep.address) })
 			if err == nil {
