Gateway: the load of a full endpoint does not go to one that fails

What callers saw: while a sound endpoint was at its limit, in a pause or without a place, each request went to another one that lost it: 502 in place of 503 with a promise. Cause: endpoints that admit nothing now were left out before the unhealthy ones, which are the last resort, were considered. Change: unhealthy endpoints are not used while a healthy one is only full.

--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -227,11 +227,12 @@
 
 // eligible returns the endpoints that may execute q, by preference: the healthy
 // ones that were not tried yet; if there are none, the healthy ones that were
-// tried; if there are none either, healthy ones that are leaving, and then the unhealthy
-// ones. Those that asked for a pause, whose limit is used up, or that are brittle and have no
+// tried; if there are none either, healthy ones that are leaving, and then, unless a healthy
+// one may take q soon, the unhealthy ones. Those that asked for a pause, whose limit is used up, or that are brittle and have no
 // place left for this instance, get nothing.
 func (e *Endpoints) eligible(s *fleet.Snapshot, q *placementQuery, now time.Time) []*endpoint {
 	var untried, tried, leaving, unhealthy []*endpoint
+	healthyIsFull := false
 	for _, spec := range s.ByService[q.service] {
 		ep := e.byKey[spec.Key()]
 		if ep == nil || ep.replaced || spec.Leaving || !q.mayTry(spec) {
@@ -240,13 +241,15 @@
 		if q.prompt != nil && !e.canServeModel(s, ep, q.prompt.Model, now) {
 			continue
 		}
+		isLeaving := !ep.leavingSince.IsZero()
+		healthy := ep.health.Usable(now) && !e.isDark(ep, now)
 		if !ep.pause.Admits(now, ep.ownLoad.Running) || !e.admitsByLimit(ep, now) || !e.hasPlace(ep, now) {
+			healthyIsFull = healthyIsFull || healthy && !isLeaving
 			continue
 		}
-		isLeaving := !ep.leavingSince.IsZero()
 		switch {
 		case isLeaving && !e.mayServeWhileLeaving(ep, now):
-		case !ep.health.Usable(now) || e.isDark(ep, now):
+		case !healthy:
 			unhealthy = append(unhealthy, ep)
 		case isLeaving:
 			leaving = append(leaving, ep)
@@ -265,6 +268,9 @@
 	if len(leaving) > 0 {
 		return leaving
 	}
+	if healthyIsFull {
+		return nil
+	}
 	return unhealthy
 }
 
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -121,3 +122,25 @@
 		b.sendMany("a", 20)
 	}
 }
+
+// TestFullEndpointsLoadDoesNotGoToFailingOne sends more requests than a sound endpoint's limit
+// while another one loses each request. What the sound one does not take is refused, and not
+// lost at the other.
+func TestFullEndpointsLoadDoesNotGoToFailingOne(t *testing.T) {
+	b := newTestBed(t)
+	b.relay.Endpoints().SetInstances("self", []string{"self"})
+	limited := b.startEndpoint("i-1", limitedTo("2"))
+	failing := b.startEndpoint("i-2", func(x *exchange) { x.reset() })
+	b.sendUntilReached(limited, "/plain/")
+	b.sendUntilReached(failing, "/plain/")
+	reached, began := requestCount(failing), time.Now()
+	const requests = 100
+	var callers sync.WaitGroup
+	for n := range requests {
+		callers.Go(func() { b.send("/once/", "Attempt-Id", fmt.Sprint("n", n)) })
+	}
+	callers.Wait()
+	// Twice a second one request may find out whether the failing one is back.
+	allowed := 2 + int(2*time.Since(began).Seconds())
+	assert.Check(t, requestCount(failing)-reached <= allowed, "%d of %d requests were lost at the failing endpoint, %d are allowed", requestCount(failing)-reached, requests, allowed)
+}
