Origins: only streams that may be taken up are recorded

Cause: streams of routes that are not resumable never go on, and are most at one deployment. Change: they are not recorded. Measured: go test ./relay, ./processtest -run SoftwareVersion pass.

--- a/relay/origin.go
+++ b/relay/origin.go
@@ -96,7 +96,7 @@
 // recordOrigin records that the endpoint of p is about to begin the stream that the caller
 // gets, if it is the first to do so. Further attempts must go on at its software version.
 func (c *callerRequest) recordOrigin(p *pick) {
-	if c.query.software != 0 {
+	if c.query.software != 0 || !c.route.Resumable {
 		return
 	}
 	version := softwareOf(p.spec)
