Gateway: an instance that is suspended holds up no detour

Cause: a suspended instance accepts connections and does not answer the handshake for 3 s, in which no other dial through it proceeds; the timeout of a dial did not end the wait. Not tested by itself.

--- a/relay/detour.go
+++ b/relay/detour.go
@@ -79,17 +79,11 @@
 	if len(peers) == 0 {
 		return nil, err
 	}
-	type answer struct {
-		conn net.Conn
-		err  error
-	}
-	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
-	defer cancel()
-	answers := make(chan answer, len(peers))
+	answers := make(chan dialResult, len(peers))
 	for _, peer := range peers {
 		go func() {
-			c, err := e.detours.Dial(ctx, peer, key)
-			answers <- answer{c, err}
+			c, err := e.dialThrough(ctx, peer, key)
+			answers <- dialResult{c, err}
 		}()
 	}
 	var conn net.Conn
@@ -132,11 +126,34 @@
 	return nil, err
 }
 
-// dialThrough opens a connection to an endpoint through one instance.
+// dialThrough opens a connection to an endpoint through one instance, which is left alone if
+// it takes longer than detourTimeout: one that is suspended accepts connections and says
+// nothing.
 func (e *Endpoints) dialThrough(ctx context.Context, peer string, key fleet.EndpointKey) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
 	defer cancel()
-	return e.detours.Dial(ctx, peer, key)
+	dialed := make(chan dialResult, 1)
+	go func() {
+		c, err := e.detours.Dial(ctx, peer, key)
+		dialed <- dialResult{c, err}
+	}()
+	select {
+	case d := <-dialed:
+		return d.conn, d.err
+	case <-ctx.Done():
+	}
+	go func() {
+		if d := <-dialed; d.err == nil {
+			d.conn.Close()
+		}
+	}()
+	return nil, ctx.Err()
+}
+
+// dialResult is the outcome of an attempt to open a connection.
+type dialResult struct {
+	conn net.Conn
+	err  error
 }
 
 // detourPeers returns the instances to ask for a connection to an endpoint.
