--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -161,7 +161,11 @@
 
 // newTestBedWithDetours returns a test bed with other instances.
 func newTestBedWithDetours(t *testing.T, detours *testDetours) *testBed {
-	b := newTestBedOf(t, detours)
+	var others relay.Detours
+	if detours != nil {
+		others = detours
+	}
+	b := newTestBedOf(t, others)
 	b.view.ApplyConfig(newConfig(1, 2))
 	b.view.Confirm(time.Now())
 	return b
@@ -171,7 +175,7 @@
 func newUnconfiguredTestBed(t *testing.T) *testBed { return newTestBedOf(t, nil) }
 
 // newTestBedOf returns a test bed that has no configuration yet, with other instances.
-func newTestBedOf(t *testing.T, detours *testDetours) *testBed {
+func newTestBedOf(t *testing.T, detours relay.Detours) *testBed {
 	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable()}
 	b.now = func() time.Time { return time.Now().Add(time.Duration(b.ahead.Load())) }
 	b.suspectReplica = suspect.NewReplica(suspect.Config{CompanyCrashLimit: 3}, time.Now)
@@ -182,9 +186,7 @@
 		Suspects: b.suspectReplica,
 		Origins:  origin.NewLocal(func() time.Time { return b.now() }),
 	}
-	if detours != nil {
-		o.Detours = detours
-	}
+	o.Detours = detours
 	b.relay = relay.NewServer(o)
 	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
