--- a/relay/detour.go
+++ b/relay/detour.go
@@ -303,9 +303,9 @@
 }
 
 // DialDirect opens a connection to an endpoint for another instance, by this instance's own
-// path alone. The error is a *tunnel.UnknownEndpointError if the endpoint is not known. An
-// endpoint that refuses the connection is said to do so only if this instance does not seem
-// to be cut off itself.
+// path alone. The error is a *tunnel.UnknownEndpointError if the endpoint is not known, or if
+// this instance itself reaches it through others. An endpoint that refuses the connection is
+// said to do so only if this instance does not seem to be cut off.
 func (e *Endpoints) DialDirect(ctx context.Context, key fleet.EndpointKey) (net.Conn, error) {
 	e.mu.Lock()
 	e.syncView()
