Relay: what arrives during a stop is logged and counted

The logs didn't tell why callers still send to an instance that stops, nor how long after the stop began. Log lines of such requests have afterStop, connAge and connection, and requests_during_stop_total counts them. No decision has changed.

--- a/relay/caller_conn.go
+++ b/relay/caller_conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -11,10 +14,58 @@
 // callerConnKey is the key of the caller's connection in the context of a request.
 type callerConnKey struct{}
 
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	accepted   time.Time
+	requests   atomic.Int64 // received on it so far
+	askedToEnd atomic.Bool  // a response has asked the caller to close it
+}
+
 // WithCallerConn adds the caller's connection to the context of its requests. It is meant
 // as ConnContext of the http.Server of a Server.
 func WithCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
+	return context.WithValue(ctx, callerConnKey{}, &callerConn{Conn: c, accepted: time.Now()})
+}
+
+// callerConnOf returns the connection of the caller of a request, nil if it is not known.
+func callerConnOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return c
+}
+
+// lateArrival describes a request that has arrived after the instance began to stop.
+type lateArrival struct {
+	afterStop  time.Duration // since the stop began
+	connAge    time.Duration // since the connection was accepted
+	connection string        // why the caller still uses it: a label of the metric that counts these requests
+}
+
+// Values of lateArrival.connection.
+const (
+	connFirst = "first" // it is the first request on the connection
+	connKept  = "kept"  // no response on the connection has asked to close it
+	connAsked = "asked" // one has
+)
+
+// newLateArrival describes a request on c, which may be nil.
+func newLateArrival(c *callerConn, stopBegan, now time.Time) *lateArrival {
+	l := &lateArrival{afterStop: now.Sub(stopBegan), connection: connKept}
+	if c == nil {
+		return l
+	}
+	l.connAge = now.Sub(c.accepted)
+	switch {
+	case c.requests.Load() <= 1:
+		l.connection = connFirst
+	case c.askedToEnd.Load():
+		l.connection = connAsked
+	}
+	return l
+}
+
+func (l *lateArrival) logAttrs() []slog.Attr {
+	return []slog.Attr{slog.Duration("afterStop", l.afterStop), slog.Duration("connAge", l.connAge), slog.String("connection", l.connection)}
 }
 
 // callerConnected reports whether the caller of a request has not closed its connection. It
@@ -25,7 +76,11 @@
 // Load pattern: a process stands still, and its callers give up. When it goes on, it reads
 // all of their requests from the sockets' buffers at once.
 func callerConnected(ctx context.Context) bool {
-	sc, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
+	c := callerConnOf(ctx)
+	if c == nil {
+		return true
+	}
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -47,7 +102,11 @@
 // closed. A response without length or chunks, as HTTP/1.0 has it, ends with the connection: if
 // it breaks off, an orderly end would make it look complete.
 func resetCallerConn(ctx context.Context) {
-	if c, ok := ctx.Value(callerConnKey{}).(interface{ SetLinger(int) error }); ok {
-		_ = c.SetLinger(0) // fails only if the connection is closed
+	c := callerConnOf(ctx)
+	if c == nil {
+		return
+	}
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(0) // fails only if the connection is closed
 	}
 }
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -27,6 +27,7 @@
 	server     *Server
 	w          http.ResponseWriter
 	arrivedAt  time.Time
+	late       *lateArrival // nil if the request arrived before the instance began to stop
 	deadline   time.Time
 	call       Call
 	route      *fleet.Route
--- a/relay/server.go
+++ b/relay/server.go
@@ -83,8 +83,8 @@
 	endpoints      *Endpoints
 	bodyBytes      atomic.Int64 // bytes of request bodies in memory
 	activeRequests sync.WaitGroup
-	attempts       attemptSet // requests in progress that may move
-	draining       atomic.Bool
+	attempts       attemptSet                // requests in progress that may move
+	stopBegan      atomic.Pointer[time.Time] // nil before Drain
 	stopping       *stopSignal
 }
 
@@ -137,7 +137,10 @@
 }
 
 // Drain makes every response from now on ask the caller to close its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() {
+	now := time.Now()
+	s.stopBegan.Store(&now)
+}
 
 // Stop ends the requests in progress: those that wait or run are answered with a refusal, and
 // responses of which a part was sent are aborted.
@@ -159,10 +162,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Done()
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c := &callerRequest{server: s, w: w, arrivedAt: time.Now(), sequence: newEventSequence(-1)}
+	c.recordArrival(callerConnOf(r.Context()))
 	if !r.ProtoAtLeast(1, 1) {
 		c.beforeAbort = func() { resetCallerConn(r.Context()) }
 	}
@@ -180,6 +181,24 @@
 	c.serve(r.Context())
 }
 
+// recordArrival records that the request has arrived on conn, which is nil if it is not known.
+// After the stop has begun, the response asks the caller to close the connection.
+func (c *callerRequest) recordArrival(conn *callerConn) {
+	if conn != nil {
+		conn.requests.Add(1)
+	}
+	stopBegan := c.server.stopBegan.Load()
+	if stopBegan == nil {
+		return
+	}
+	c.late = newLateArrival(conn, *stopBegan, c.arrivedAt)
+	metric.Counter("requests_during_stop_total", "connection", c.late.connection).Inc(1)
+	c.w.Header().Set("Connection", "close")
+	if conn != nil {
+		conn.askedToEnd.Store(true)
+	}
+}
+
 // accept determines the route, team, deadline and service of a request. It
 // returns a refusal if the request may not be relayed.
 func (c *callerRequest) accept(r *http.Request) *contract.Refusal {
@@ -391,5 +410,8 @@
 	if c.lastErr != nil {
 		attrs = append(attrs, slog.String("cause", c.lastErr.Error()))
 	}
+	if c.late != nil {
+		attrs = append(attrs, c.late.logAttrs()...)
+	}
 	return attrs
 }
