Relay: a response whose header is sent in a stop asks to close the connection

Callers kept sending on connections of an instance that stops: a request that arrived before the stop got a response without Connection: close, although its header was sent seconds after the stop had begun. The header is now set when it is sent, not when the request arrives.

--- a/relay/caller_conn.go
+++ b/relay/caller_conn.go
@@ -17,9 +17,9 @@
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
-	accepted   time.Time
-	requests   atomic.Int64 // received on it so far
-	askedToEnd atomic.Bool  // a response has asked the caller to close it
+	accepted     time.Time
+	requests     atomic.Int64 // received on it so far
+	askedToClose atomic.Bool  // a response has asked the caller to close it
 }
 
 // WithCallerConn adds the caller's connection to the context of its requests. It is meant
@@ -58,7 +58,7 @@
 	switch {
 	case c.requests.Load() <= 1:
 		l.connection = connFirst
-	case c.askedToEnd.Load():
+	case c.askedToClose.Load():
 		l.connection = connAsked
 	}
 	return l
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -26,6 +26,7 @@
 type callerRequest struct {
 	server     *Server
 	w          http.ResponseWriter
+	conn       *callerConn // of the caller; nil if it is not known
 	arrivedAt  time.Time
 	late       *lateArrival // nil if the request arrived before the instance began to stop
 	deadline   time.Time
--- a/relay/response.go
+++ b/relay/response.go
@@ -71,7 +71,7 @@
 	c.server.opts.Dialect.CopyReplyHeaders(h, r.header)
 	h.Set("Content-Length", strconv.Itoa(len(r.body)))
 	c.headerSent = true
-	c.w.WriteHeader(r.status)
+	c.writeHeader(r.status)
 	// A write error means that the caller is gone; there is nobody to report it to.
 	_, _ = c.w.Write(r.body)
 }
@@ -166,7 +166,7 @@
 		h.Set("Content-Length", strconv.FormatInt(res.Length, 10))
 	}
 	c.headerSent = true
-	c.w.WriteHeader(buffered.status)
+	c.writeHeader(buffered.status)
 	if _, err := c.w.Write(buffered.body); err != nil {
 		return outcomeCallerGone
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -162,8 +162,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Done()
-	c := &callerRequest{server: s, w: w, arrivedAt: time.Now(), sequence: newEventSequence(-1)}
-	c.recordArrival(callerConnOf(r.Context()))
+	c := &callerRequest{server: s, w: w, conn: callerConnOf(r.Context()), arrivedAt: time.Now(), sequence: newEventSequence(-1)}
+	c.recordArrival()
 	if !r.ProtoAtLeast(1, 1) {
 		c.beforeAbort = func() { resetCallerConn(r.Context()) }
 	}
@@ -181,21 +181,14 @@
 	c.serve(r.Context())
 }
 
-// recordArrival records that the request has arrived on conn, which is nil if it is not known.
-// After the stop has begun, the response asks the caller to close the connection.
-func (c *callerRequest) recordArrival(conn *callerConn) {
-	if conn != nil {
-		conn.requests.Add(1)
+// recordArrival records that the request has arrived on its connection.
+func (c *callerRequest) recordArrival() {
+	if c.conn != nil {
+		c.conn.requests.Add(1)
 	}
-	stopBegan := c.server.stopBegan.Load()
-	if stopBegan == nil {
-		return
-	}
-	c.late = newLateArrival(conn, *stopBegan, c.arrivedAt)
-	metric.Counter("requests_during_stop_total", "connection", c.late.connection).Inc(1)
-	c.w.Header().Set("Connection", "close")
-	if conn != nil {
-		conn.askedToEnd.Store(true)
+	if stopBegan := c.server.stopBegan.Load(); stopBegan != nil {
+		c.late = newLateArrival(c.conn, *stopBegan, c.arrivedAt)
+		metric.Counter("requests_during_stop_total", "connection", c.late.connection).Inc(1)
 	}
 }
 
@@ -382,7 +375,7 @@
 		c.server.opts.Dialect.SetRetryAfter(h, r.RetryAfter)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	c.w.WriteHeader(r.Status)
+	c.writeHeader(r.Status)
 	// A write error means that the caller is gone; there is nobody to report it to.
 	_, _ = io.WriteString(c.w, string(r.Reason)+": "+r.Detail+"\n")
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -2,6 +2,23 @@
 
 import "context"
 
+// writeHeader sends the response header to the caller. In a stop it asks the caller to close
+// its connection, also if the request arrived before.
+func (c *callerRequest) writeHeader(status int) {
+	if c.server.stopBegan.Load() != nil {
+		c.askToClose()
+	}
+	c.w.WriteHeader(status)
+}
+
+// askToClose makes the response ask the caller to close its connection.
+func (c *callerRequest) askToClose() {
+	c.w.Header().Set("Connection", "close")
+	if c.conn != nil {
+		c.conn.askedToClose.Store(true)
+	}
+}
+
 // errStopped is the context's cause of requests that were in progress when the server stopped.
 var errStopped = &stoppedError{}
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -108,7 +108,7 @@
 	}
 	c.headerSent = true
 	c.server.opts.Dialect.CopyReplyHeaders(c.w.Header(), res.Header)
-	c.w.WriteHeader(res.Status)
+	c.writeHeader(res.Status)
 }
 
 // writeEvents sends complete events to the caller and flushes them. It reports
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -293,6 +293,7 @@
 	header http.Header
 	body   string
 	err    error // from reading the body
+	closes bool  // the response asks to close the connection
 }
 
 // send sends a request with the body "hello" and reads the response.
@@ -302,7 +303,7 @@
 	assert.NilError(b.t, err)
 	defer res.Body.Close()
 	data, err := io.ReadAll(res.Body)
-	return reply{res.StatusCode, res.Header, string(data), err}
+	return reply{res.StatusCode, res.Header, string(data), err, res.Close}
 }
 
 // requestCount returns the number of requests that endpoints have received.
