Relay: a stopping instance refuses what it can't be known to finish

What callers saw: streams that broke off and calls that may not be repeated that ended with 502, 7.2 s after the instance had been told to stop, although they had been sent up to 4.9 s after that, when other instances were ready.

Cause: the relay took each request that arrived on an open connection with the whole time of its route, up to 12 s, until shortly before the stop ended all of them at nine tenths of the grace period. Nothing that admits a request, lets it wait or sends it once more asked how much of the stop was left.

Change: the relay gets the times of the stop, and each attempt begins only if the request's deadline lies before its end. Otherwise the caller is refused at once, as not run where that is true, and may come back 10 ms later. While the platform still sends new connections here, and for a stream that has begun, the latest answers of the route decide instead: a refusal would cost more there.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -309,18 +309,23 @@
 // its end are answered. It takes some milliseconds, on a busy machine some tens.
 const lastAnswerFraction = 0.04
 
+// stopTimes returns the times of a stop that begins now.
+func (g *Gateway) stopTimes(now time.Time) relay.StopTimes {
+	drainTime := time.Duration(drainGraceFraction * float64(g.opts.Grace))
+	return relay.StopTimes{Began: now, Unrouted: now.Add(min(balancerNoticeTime, drainTime/2)), End: now.Add(drainTime)}
+}
+
 // drain reports the instance as not ready, waits until the balancer has noticed,
 // closes the listener and waits until the pending requests are answered.
 func (g *Gateway) drain(server *http.Server, front *frontListener) {
-	started := time.Now()
+	times := g.stopTimes(time.Now())
 	event.ProcessDraining.Log(g.log)
 	g.draining.Store(true)
-	g.relay.Drain()
+	g.relay.Drain(times)
 	g.tunnels.Drain()
 	g.slots.Drain()
-	drainTime := time.Duration(drainGraceFraction * float64(g.opts.Grace))
-	time.Sleep(min(balancerNoticeTime, drainTime/2))
-	ctx, cancel := context.WithTimeout(context.Background(), drainTime-time.Since(started))
+	time.Sleep(time.Until(times.Unrouted))
+	ctx, cancel := context.WithDeadline(context.Background(), times.End)
 	defer cancel()
 	front.stop()
 	if pending := front.retire(ctx); pending > 0 {
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -220,6 +220,9 @@
 		if r := c.checkAuthorization(); r != nil {
 			return nil, c.markPossibleExecution(r)
 		}
+		if r := c.refuseStopping(); r != nil {
+			return nil, r
+		}
 		if p := c.server.endpoints.decide(c, cause); p != nil {
 			return p, nil
 		}
@@ -251,7 +254,7 @@
 	switch o {
 	case outcomeNotExecuted:
 	case outcomeUnknown, outcomeEndpointFailed:
-		if !c.route.Repeatable() {
+		if !c.route.Repeatable() || c.wouldBeCutOff(time.Now()) {
 			return false
 		}
 		reason = retry.Crash
@@ -527,5 +530,6 @@
 		attrs = append(attrs, c.sequence.logAttrs()...)
 	}
 	event.RelayServed.Log(c.server.opts.Log, attrs...)
+	c.server.answerTimes.record(c.route.Name, time.Since(c.arrivedAt))
 	metric.Histogram("answer_ms", "route", c.route.Kind.String(), "service", c.query.service).Update(time.Since(c.arrivedAt).Milliseconds())
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -83,14 +83,15 @@
 	endpoints      *Endpoints
 	bodyBytes      atomic.Int64 // bytes of request bodies in memory
 	activeRequests sync.WaitGroup
-	attempts       attemptSet                // requests in progress that may move
-	stopBegan      atomic.Pointer[time.Time] // nil before Drain
+	attempts       attemptSet // requests in progress that may move
+	answerTimes    *answerTimes
+	stop           atomic.Pointer[StopTimes] // nil before Drain
 	stopping       *stopSignal
 }
 
 // NewServer returns a Server that relays to the endpoints of o.View.
 func NewServer(o Options) *Server {
-	return &Server{opts: o, endpoints: newEndpoints(o), stopping: newStopSignal()}
+	return &Server{opts: o, endpoints: newEndpoints(o), answerTimes: newAnswerTimes(), stopping: newStopSignal()}
 }
 
 // Endpoints returns the Endpoints from which the server chooses.
@@ -136,16 +137,6 @@
 	}
 }
 
-// Drain makes every response from now on ask the caller to close its connection.
-func (s *Server) Drain() {
-	now := time.Now()
-	s.stopBegan.Store(&now)
-}
-
-// Stop ends the requests in progress: those that wait or run are answered with a refusal, and
-// responses of which a part was sent are aborted.
-func (s *Server) Stop() { s.stopping.stop() }
-
 // maxConfirmationAge is the maximum age of the last confirmation of the
 // configuration at which a request is refused permanently because its route or
 // token is not in the configuration. With an older confirmation, the refusal is
@@ -186,8 +177,8 @@
 	if c.conn != nil {
 		c.conn.requests.Add(1)
 	}
-	if stopBegan := c.server.stopBegan.Load(); stopBegan != nil {
-		c.late = newLateArrival(c.conn, *stopBegan, c.arrivedAt)
+	if stop := c.server.stop.Load(); stop != nil {
+		c.late = newLateArrival(c.conn, stop.Began, c.arrivedAt)
 		metric.Counter("requests_during_stop_total", "connection", c.late.connection).Inc(1)
 	}
 }
@@ -213,7 +204,7 @@
 	}
 	c.prepareQuery(cfg)
 	c.sequence = newEventSequence(c.call.LastEventID)
-	return nil
+	return c.refuseStopping()
 }
 
 // findRoute determines the route and the team of a request whose call is known. It returns a
--- a/relay/slots.go
+++ b/relay/slots.go
@@ -93,7 +93,7 @@
 		r = c.checkAuthorization()
 	}
 	if r == nil {
-		return nil
+		return c.refuseStopping()
 	}
 	return c.markPossibleExecution(r)
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -1,11 +1,62 @@
 package relay
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"redwingknot/contract"
+	"redwingknot/metric"
+)
+
+// StopTimes says when the phases of a planned stop begin, see docs/design/stopping.md.
+type StopTimes struct {
+	Began    time.Time
+	Unrouted time.Time // callers' new connections go to other instances from then on
+	End      time.Time // pending requests are ended
+}
+
+// Drain begins a planned stop: every response from now on asks the caller to close its
+// connection, and requests that the stop would cut off are refused.
+func (s *Server) Drain(t StopTimes) { s.stop.Store(&t) }
+
+// Stop ends the requests in progress: those that wait or run are answered with a refusal, and
+// responses of which a part was sent are aborted.
+func (s *Server) Stop() { s.stopping.stop() }
+
+// stopRetryAfter is when a caller may come back whose request was refused because the instance
+// stops: other instances are ready.
+const stopRetryAfter = 10 * time.Millisecond
+
+// refuseStopping returns a refusal if the instance stops and the next attempt can't be known to
+// end before that.
+func (c *callerRequest) refuseStopping() *contract.Refusal {
+	if !c.wouldBeCutOff(time.Now()) {
+		return nil
+	}
+	metric.Counter("requests_refused_in_stop_total", "service", c.query.service).Inc(1)
+	return c.markPossibleExecution(contract.Unavailable(contract.ReasonDraining, stopRetryAfter, "the instance stops before the time of the request is over"))
+}
+
+// wouldBeCutOff reports whether the stop may cut off an attempt that begins now. Its deadline
+// bounds how long it takes. That isn't asked of attempts that would be no better off elsewhere:
+// while the platform still sends new connections here, a caller that is refused may come back to this instance,
+// and a stream that has begun would be broken off. For these the latest answers on the route
+// tell whether the time is enough.
+func (c *callerRequest) wouldBeCutOff(now time.Time) bool {
+	stop := c.server.stop.Load()
+	if stop == nil || !c.deadline.After(stop.End) {
+		return false
+	}
+	if now.Before(stop.Unrouted) || c.headerSent {
+		return now.Add(c.server.answerTimes.longest(c.route.Name)).After(stop.End)
+	}
+	return true
+}
 
 // writeHeader sends the response header to the caller. In a stop it asks the caller to close
 // its connection, also if the request arrived before.
 func (c *callerRequest) writeHeader(status int) {
-	if c.server.stopBegan.Load() != nil {
+	if c.server.stop.Load() != nil {
 		c.askToClose()
 	}
 	c.w.WriteHeader(status)
