--- a/relay/answer_times.go
+++ b/relay/answer_times.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// answersKept is the number of answers of a route whose times are kept. Fewer than one in
-	// so many takes longer than the longest of them.
+	// answersKept is the number of answers of a route whose times are kept.
 	answersKept = 64
+	// slowAnswerShare is the share of these that take longer than a usual one.
+	slowAnswerShare = 0.05
 	// maxTimedRoutes bounds the memory: names of routes come and go with configurations.
 	maxTimedRoutes = 8192
 )
@@ -21,10 +22,10 @@
 	byRoute map[string]*routeTimes // guarded by mu
 }
 
-// routeTimes holds the times of the latest answers of a route, in ms.
+// routeTimes holds the times of the latest answers of a route.
 type routeTimes struct {
-	latest [answersKept]uint32
-	next   int
+	latest []time.Duration // at most answersKept
+	next   int             // the one to be replaced next
 }
 
 func newAnswerTimes() *answerTimes { return &answerTimes{byRoute: map[string]*routeTimes{}} }
@@ -40,17 +41,23 @@
 		r = &routeTimes{}
 		t.byRoute[route] = r
 	}
-	r.latest[r.next] = uint32(took.Milliseconds()) + 1 // rounded up
+	if len(r.latest) < answersKept {
+		r.latest = append(r.latest, took)
+		return
+	}
+	r.latest[r.next] = took
 	r.next = (r.next + 1) % answersKept
 }
 
-// longest returns the longest of the latest answers of a route, 0 if there was none.
-func (t *answerTimes) longest(route string) time.Duration {
+// longestUsual returns the time that all but slowAnswerShare of the latest answers of a route
+// took at most, 0 if there was none.
+func (t *answerTimes) longestUsual(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.byRoute[route]
 	if r == nil {
 		return 0
 	}
-	return time.Duration(slices.Max(r.latest[:])) * time.Millisecond
+	sorted := slices.Sorted(slices.Values(r.latest))
+	return sorted[len(sorted)-1-int(slowAnswerShare*float64(len(sorted)))]
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	if now.Before(stop.Unrouted) || c.headerSent {
-		return now.Add(c.server.answerTimes.longest(c.route.Name)).After(stop.End)
+		return now.Add(c.server.answerTimes.longestUsual(c.route.Name)).After(stop.End)
 	}
 	return true
 }
