Tunnel: an ended stop reports only connections that are open

When the context of Wait had ended, its select took either case, or the end of the context before the goroutine that waits had begun. The count of open connections is now kept under the server's mutex, with a channel that is closed when a draining server has none left; Wait looks at it first. Connections that are being opened count as well: before, one could be added after Wait had returned.

TestEndedStopReportsNoCutConnection passes, 100 calls of Wait.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -37,37 +36,70 @@
 
 // Server opens connections to endpoints for other instances. It is safe for concurrent use.
 type Server struct {
-	dial     DialFunc
-	open     atomic.Int64
-	draining atomic.Bool
-	active   sync.WaitGroup
+	dial DialFunc
+
+	mu       sync.Mutex
+	open     int // connections that are open or being opened
+	draining bool
+	ended    chan struct{} // closed once draining is set and open is 0
 }
 
 // NewServer returns a Server that opens connections by dial.
-func NewServer(dial DialFunc) *Server { return &Server{dial: dial} }
+func NewServer(dial DialFunc) *Server { return &Server{dial: dial, ended: make(chan struct{})} }
 
 // Register adds the handler for other instances to a wire server.
 func (s *Server) Register(w *wire.Server) { wire.HandleStream(w, methodOpen, s.handleOpen) }
 
 // Drain makes the server take on no further connections.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return
+	}
+	s.draining = true
+	if s.open == 0 {
+		close(s.ended)
+	}
+}
 
 // Wait waits until all connections have ended, or until ctx ends, and reports whether they
 // have. It is called after Drain.
 func (s *Server) Wait(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-s.ended:
 		return true
 	case <-ctx.Done():
+	}
+	select {
+	case <-s.ended:
+		return true
+	default:
 		return false
 	}
 }
 
+// begin counts a connection that is about to be opened. It reports false if none may be.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || s.open >= maxTunnels {
+		return false
+	}
+	s.open++
+	return true
+}
+
+// end ends the count of a connection.
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	if s.draining && s.open == 0 {
+		close(s.ended)
+	}
+}
+
 // handleOpen opens a connection and returns the function that serves it.
 func (s *Server) handleOpen(ctx context.Context, in *tunnelpb.OpenRequest) (*tunnelpb.OpenResponse, func(*wire.Stream), error) {
 	conn, result := s.connect(ctx, fleet.EndpointKey{ID: in.EndpointId, StartMillis: in.StartMillis})
@@ -79,37 +111,30 @@
 	return response, func(stream *wire.Stream) { s.serve(conn, stream) }, nil
 }
 
-// connect opens a connection, which is counted as open and active until serve ends. It is nil
-// unless the result is RESULT_OPEN.
+// connect opens a connection, which is counted as open until serve ends. It is nil unless the
+// result is RESULT_OPEN.
 func (s *Server) connect(ctx context.Context, key fleet.EndpointKey) (net.Conn, tunnelpb.Result) {
-	if s.draining.Load() {
-		return nil, tunnelpb.Result_RESULT_DECLINED
-	}
-	if s.open.Add(1) > maxTunnels {
-		s.open.Add(-1)
+	if !s.begin() {
 		return nil, tunnelpb.Result_RESULT_DECLINED
 	}
 	conn, err := s.dial(ctx, key)
+	if err == nil {
+		return conn, tunnelpb.Result_RESULT_OPEN
+	}
+	s.end()
 	var unknown *UnknownEndpointError
 	switch {
-	case err == nil:
-		s.active.Add(1)
-		return conn, tunnelpb.Result_RESULT_OPEN
 	case errors.As(err, &unknown):
-		s.open.Add(-1)
 		return nil, tunnelpb.Result_RESULT_DECLINED
 	case upstream.ConnRefused(err):
-		s.open.Add(-1)
 		return nil, tunnelpb.Result_RESULT_REFUSED
 	}
-	s.open.Add(-1)
 	return nil, tunnelpb.Result_RESULT_UNREACHABLE
 }
 
 // serve passes bytes on in both directions until one side has ended.
 func (s *Server) serve(conn net.Conn, stream *wire.Stream) {
-	defer s.active.Done()
-	defer s.open.Add(-1)
+	defer s.end()
 	defer conn.Close()
 	go func() {
 		defer conn.Close() // also ends the other direction
