Test that a lost opening leaves no connection, failing

If the instance that asked for a connection is lost while it is opened, the connection to the endpoint stays open and counts as one of another instance: a stop then waits for it until its end, and after 512 of them all are declined. Seen: the endpoint's connection is open 10 s later, and Wait fails.

--- a/tunnel/stop_test.go
+++ b/tunnel/stop_test.go
@@ -91,3 +91,32 @@
 		})
 	}
 }
+
+// TestLostOpeningLeavesNoConnection guards against connections that stay open, and counted, because
+// the instance that asked for them was lost while they were opened.
+func TestLostOpeningLeavesNoConnection(t *testing.T) {
+	b := newTestBed(t)
+	dialing, goOn := make(chan struct{}), make(chan struct{})
+	b.beforeDial = func() {
+		close(dialing)
+		<-goOn
+	}
+	opened := make(chan error, 1)
+	go func() {
+		_, err := tunnel.Dial(t.Context(), b.client, key)
+		opened <- err
+	}()
+	<-dialing
+	b.client.Close()
+	assert.Check(t, <-opened != nil)
+	time.Sleep(noticeTime)
+	close(goOn)
+	endpoint := <-b.endpoints
+	assert.NilError(t, endpoint.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err := endpoint.Read(make([]byte, 1))
+	assert.Check(t, upstream.ClosedByPeer(err), "the connection to the endpoint is open: %v", err)
+	b.server.Drain()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.Check(t, b.server.Wait(ctx), "a connection counts as open")
+}
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -26,6 +26,8 @@
 	client    *wire.Client
 	endpoints chan *net.TCPConn // accepted by the endpoint
 	stop      context.CancelFunc
+	// beforeDial is called before a connection to the endpoint is opened; nil for nothing.
+	beforeDial func()
 }
 
 func newTestBed(t *testing.T) *testBed {
@@ -45,6 +47,9 @@
 	b.server = tunnel.NewServer(func(ctx context.Context, k fleet.EndpointKey) (net.Conn, error) {
 		switch k.ID {
 		case key.ID:
+			if b.beforeDial != nil {
+				b.beforeDial()
+			}
 			return upstream.Dial(ctx, endpoint.Addr().String())
 		case "refusing":
 			return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
