Wire: a stream's function is called even if its opener is gone

serveStream returned without calling the function that serves the stream when the response could not be sent, so that the connection to an endpoint that the handler had opened, and its count, were never released. It is called with a stream that is closed, which ends it at once.

TestLostOpeningLeavesNoConnection passes; ./wire and ./slots pass.

--- a/wire/stream.go
+++ b/wire/stream.go
@@ -39,8 +39,9 @@
 type streamHandler func(ctx context.Context, payload []byte) ([]byte, func(*Stream), error)
 
 // HandleStream registers h as the handler of a method that opens streams: the function that
-// it returns, if any, serves the stream once the response is sent. The context is that of the
-// call and ends with it. HandleStream must be called before s.Serve.
+// it returns, if any, serves the stream once the response is sent. It is called even if the
+// response could not be sent, so that it releases what h has reserved. The context is that of
+// the call and ends with it. HandleStream must be called before s.Serve.
 func HandleStream[Q, P proto.Message](s *Server, method string, h func(context.Context, Q) (P, func(*Stream), error)) {
 	s.streamHandlers[method] = func(ctx context.Context, payload []byte) ([]byte, func(*Stream), error) {
 		var zero Q
@@ -66,10 +67,13 @@
 		defer cancel()
 	}
 	payload, serve, err := h(ctx, req.Payload)
-	if err := writeFrame(conn, responseTo(payload, err)); err != nil || serve == nil {
-		return
+	stream := &Stream{conn}
+	if writeFrame(conn, responseTo(payload, err)) != nil {
+		stream.Abort()
+	}
+	if serve != nil {
+		serve(stream)
 	}
-	serve(&Stream{conn})
 }
 
 // responseTo returns the response of a handler that has returned payload and err. An error
