Tunnel: a stopping instance tells others to send nothing more through it

Drain only declined new connections. Those that an instance had kept through the stopping one were used for further requests until the end of the stop, and these were cut then. Now each open connection gets a chunk that says that the instance is leaving: what runs on it goes on, but the pool neither keeps it for, nor uses it for another request, and closes it within a second if it is idle, so that the stop need not wait for it. A connection whose opening outlasts the beginning of the stop is given back. The refusal of a new one says why (RESULT_LEAVING). Older instances ignore the field and take the result for a refusal.

--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -49,6 +49,7 @@
 	net.Conn // the reading end of the pipe
 	stream   *wire.Stream
 	arrived  atomic.Bool // bytes that were not read, or the end, have arrived
+	leaving  atomic.Bool // the other instance shuts down
 
 	mu  sync.Mutex
 	end error // returned by reads after the last byte, nil before the end
@@ -84,6 +85,9 @@
 			c.setEnd(&BrokenError{Err: err})
 			return
 		}
+		if chunk.Leaving {
+			c.leaving.Store(true)
+		}
 		if len(chunk.Data) > 0 {
 			if _, err := pipe.Write(chunk.Data); err != nil {
 				return // this side has closed the connection
@@ -142,6 +146,10 @@
 	return c.stream.Close()
 }
 
-// Usable reports whether the idle connection has neither ended nor received bytes that no
-// request asked for.
-func (c *Conn) Usable() bool { return !c.arrived.Load() }
+// Usable reports whether the idle connection may carry a request: it has neither ended nor
+// received bytes that no request asked for, and the other instance does not shut down.
+func (c *Conn) Usable() bool { return !c.arrived.Load() && !c.leaving.Load() }
+
+// Leaving reports whether the other instance shuts down, so that what runs on the connection may
+// go on, but nothing more should be sent.
+func (c *Conn) Leaving() bool { return c.leaving.Load() }
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -39,25 +39,31 @@
 	dial DialFunc
 
 	mu       sync.Mutex
-	open     int // connections that are open or being opened
-	draining bool
-	ended    chan struct{} // closed once draining is set and open is 0
+	open     int             // connections that are open or being opened
+	draining context.Context // ends with Drain
+	drain    context.CancelFunc
+	ended    chan struct{} // closed once the server drains and open is 0
 }
 
 // NewServer returns a Server that opens connections by dial.
-func NewServer(dial DialFunc) *Server { return &Server{dial: dial, ended: make(chan struct{})} }
+func NewServer(dial DialFunc) *Server {
+	s := &Server{dial: dial, ended: make(chan struct{})}
+	s.draining, s.drain = context.WithCancel(context.Background())
+	return s
+}
 
 // Register adds the handler for other instances to a wire server.
 func (s *Server) Register(w *wire.Server) { wire.HandleStream(w, methodOpen, s.handleOpen) }
 
-// Drain makes the server take on no further connections.
+// Drain makes the server take on no further connections, and tells the instances at the other
+// ends of the open ones to send nothing more on them.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.isDraining() {
 		return
 	}
-	s.draining = true
+	s.drain()
 	if s.open == 0 {
 		close(s.ended)
 	}
@@ -79,15 +85,21 @@
 	}
 }
 
-// begin counts a connection that is about to be opened. It reports false if none may be.
-func (s *Server) begin() bool {
+func (s *Server) isDraining() bool { return s.draining.Err() != nil }
+
+// begin counts a connection that is about to be opened. The result is not RESULT_OPEN if none may
+// be.
+func (s *Server) begin() tunnelpb.Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || s.open >= maxTunnels {
-		return false
+	switch {
+	case s.isDraining():
+		return tunnelpb.Result_RESULT_LEAVING
+	case s.open >= maxTunnels:
+		return tunnelpb.Result_RESULT_DECLINED
 	}
 	s.open++
-	return true
+	return tunnelpb.Result_RESULT_OPEN
 }
 
 // end ends the count of a connection.
@@ -95,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open--
-	if s.draining && s.open == 0 {
+	if s.isDraining() && s.open == 0 {
 		close(s.ended)
 	}
 }
@@ -114,16 +126,19 @@
 // connect opens a connection, which is counted as open until serve ends. It is nil unless the
 // result is RESULT_OPEN.
 func (s *Server) connect(ctx context.Context, key fleet.EndpointKey) (net.Conn, tunnelpb.Result) {
-	if !s.begin() {
-		return nil, tunnelpb.Result_RESULT_DECLINED
+	if result := s.begin(); result != tunnelpb.Result_RESULT_OPEN {
+		return nil, result
 	}
 	conn, err := s.dial(ctx, key)
-	if err == nil {
+	if err == nil && !s.isDraining() {
 		return conn, tunnelpb.Result_RESULT_OPEN
 	}
 	s.end()
 	var unknown *UnknownEndpointError
 	switch {
+	case err == nil:
+		conn.Close()
+		return nil, tunnelpb.Result_RESULT_LEAVING
 	case errors.As(err, &unknown):
 		return nil, tunnelpb.Result_RESULT_DECLINED
 	case upstream.ConnRefused(err):
@@ -136,6 +151,16 @@
 func (s *Server) serve(conn net.Conn, stream *wire.Stream) {
 	defer s.end()
 	defer conn.Close()
+	var sending sync.Mutex
+	send := func(chunk *tunnelpb.Chunk) error {
+		sending.Lock()
+		defer sending.Unlock()
+		return stream.Send(chunk)
+	}
+	stop := context.AfterFunc(s.draining, func() {
+		_ = send(&tunnelpb.Chunk{Leaving: true}) // fails if the stream has ended
+	})
+	defer stop()
 	go func() {
 		defer conn.Close() // also ends the other direction
 		var chunk tunnelpb.Chunk
@@ -152,7 +177,7 @@
 		if err != nil {
 			chunk.End = endOf(err)
 		}
-		if stream.Send(chunk) != nil || err != nil {
+		if send(chunk) != nil || err != nil {
 			return
 		}
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -139,11 +139,11 @@
 
 // Close returns the connection to the pool if it can be reused, and closes it
 // otherwise. It can be reused if the context has not ended, request and response
-// were transferred completely, the endpoint did not ask to close it and no data
-// follows the response.
+// were transferred completely, the endpoint did not ask to close it, no data
+// follows the response, and the instance that carries it, if any, does not shut down.
 func (r *Response) Close() {
 	running := r.detachContext()
-	reusable := running && r.raw != nil && r.bodyRead && !r.raw.Close && r.requestWritten.Load() && r.conn.reader.Buffered() == 0 && len(r.conn.refused) < maxRefusals
+	reusable := running && r.raw != nil && r.bodyRead && !r.raw.Close && r.requestWritten.Load() && r.conn.reader.Buffered() == 0 && len(r.conn.refused) < maxRefusals && !isLeaving(r.conn.Conn)
 	if !reusable {
 		r.conn.discard()
 		return
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -246,9 +246,10 @@
 	}
 }
 
-// Prune closes the idle connections that have expired at now.
+// Prune closes the idle connections that have expired at now, or lead through an instance that
+// shuts down.
 func (p *Pool) Prune(now time.Time) {
-	p.closeIdle(func(c *conn) bool { return !now.Before(c.expiry) })
+	p.closeIdle(func(c *conn) bool { return !now.Before(c.expiry) || isLeaving(c.Conn) })
 }
 
 func (c *conn) discard() {
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -70,3 +70,9 @@
 	})
 	return err == nil && noData
 }
+
+// isLeaving reports whether a connection leads through an instance that shuts down.
+func isLeaving(c net.Conn) bool {
+	l, ok := c.(interface{ Leaving() bool })
+	return ok && l.Leaving()
+}
