Relay: stopping instances don't use up the attempts at a detour

Three other instances are asked for a connection, also to confirm that an endpoint refuses connections. One that answers that it is shutting down no longer counts, so that the next one is asked.

TestStoppingInstancesHideNoDetour passes, and the tests of detours, refusals and partitions in ./relay.

--- a/relay/detour.go
+++ b/relay/detour.go
@@ -27,7 +27,7 @@
 
 const (
 	// maxDetourPeers is the number of instances that are asked for one connection, or to
-	// confirm that an endpoint refuses connections.
+	// confirm that an endpoint refuses connections, apart from those that shut down.
 	maxDetourPeers = 3
 	// detourTimeout is how long one of them may take: its own attempt to connect, and the way
 	// to another data centre.
@@ -75,22 +75,32 @@
 // one's own was refused with err. If the others find that the endpoint refuses theirs, too, it
 // returns err, and an *UnconfirmedError if none of them can tell.
 func (e *Endpoints) dialAfterRefusal(ctx context.Context, ep *endpoint, key fleet.EndpointKey, err error) (net.Conn, error) {
-	peers := e.detourPeers(ep)
+	peers := e.detours.Peers(ep.idHash)
 	if len(peers) == 0 {
 		return nil, err
 	}
 	answers := make(chan dialResult, len(peers))
-	for _, peer := range peers {
+	asked := 0
+	ask := func() {
+		peer := peers[asked]
+		asked++
 		go func() {
 			c, err := e.dialThrough(ctx, peer, key)
 			answers <- dialResult{c, err}
 		}()
 	}
+	for asked < min(len(peers), maxDetourPeers) {
+		ask()
+	}
 	var conn net.Conn
 	confirmed := false
-	for range peers {
+	for answered := 0; answered < asked; answered++ {
 		a := <-answers
 		switch {
+		case tunnel.RefusedByLeaving(a.err):
+			if asked < len(peers) {
+				ask()
+			}
 		case a.err == nil && conn == nil:
 			conn = a.conn
 		case a.err == nil:
@@ -113,13 +123,17 @@
 // reach it. It ends with the first that finds that the endpoint refuses connections.
 func (e *Endpoints) dialThroughPeers(ctx context.Context, ep *endpoint, key fleet.EndpointKey) (net.Conn, error) {
 	var err error = &tunnel.RefusedError{}
-	for _, peer := range e.detourPeers(ep) {
+	asked := 0
+	for _, peer := range e.detours.Peers(ep.idHash) {
 		var c net.Conn
 		if c, err = e.dialThrough(ctx, peer, key); err == nil {
 			return c, nil
 		}
 		metric.Counter("detour_failures_total").Inc(1)
-		if upstream.ConnRefused(err) || ctx.Err() != nil {
+		if !tunnel.RefusedByLeaving(err) {
+			asked++
+		}
+		if upstream.ConnRefused(err) || ctx.Err() != nil || asked == maxDetourPeers {
 			break
 		}
 	}
@@ -156,12 +170,6 @@
 	err  error
 }
 
-// detourPeers returns the instances to ask for a connection to an endpoint.
-func (e *Endpoints) detourPeers(ep *endpoint) []string {
-	peers := e.detours.Peers(ep.idHash)
-	return peers[:min(len(peers), maxDetourPeers)]
-}
-
 func (e *Endpoints) isOnDetour(ep *endpoint) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+
 	"redwingknot/fleet"
 	"redwingknot/tunnel/tunnelpb"
 	"redwingknot/wire"
@@ -30,6 +32,13 @@
 	return nil
 }
 
+// RefusedByLeaving reports whether err says that the instance which was asked for a connection
+// shuts down.
+func RefusedByLeaving(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Result == tunnelpb.Result_RESULT_LEAVING
+}
+
 // BrokenError reports that a tunnel broke. What was sent may have reached the endpoint, and
 // the endpoint may still run.
 type BrokenError struct{ Err error }
