Test that a stopping coordinator loses no call, failing

In ./slots, requests that wait at the coordinator stay there, and one that was on its way is left to choose for itself.

--- a/processtest/slots_test.go
+++ b/processtest/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"redwingknot/internal/standin/fleetwire"
 	"redwingknot/internal/standin/fleetworker"
+	"redwingknot/slots"
 )
 
 // slotCallers is the number of concurrent callers before slotCount slots. With two gateways, fewer
@@ -62,3 +64,56 @@
 	assert.NilError(t, gateways[0].cmd.Process.Signal(syscall.SIGKILL))
 	assert.Equal(t, callers(3, gateways[1]), int64(3*slotCallers))
 }
+
+// TestStoppingCoordinatorLosesNoCall stops the gateway that grants the slots while callers of calm
+// gateways hold them and wait for them. Each call must be served.
+func TestStoppingCoordinatorLosesNoCall(t *testing.T) {
+	d := newPartitionDeployment(t)
+	for _, id := range []string{"i-a", "i-b", "i-c"} {
+		d.deleteKey(fleetwire.EndpointKey(id))
+	}
+	w := fleetworker.New(fleetworker.Options{ID: "i-d", Service: "app", Slots: slotCount, WorkTime: 20 * time.Millisecond})
+	server := httptest.NewServer(w)
+	t.Cleanup(server.CloseClientConnections)
+	d.putKey(fleetwire.EndpointKey("i-d"), string(w.Entry(server.Listener.Addr().String(), "z", 1)))
+	names := []string{"front-1", "front-2", "front-3"}
+	coordinator := slots.Coordinators(slots.Group{Service: "app", Count: 1}, names, nil)[0]
+	var stopping *gatewayProcess
+	var calm []*gatewayProcess
+	for _, name := range names {
+		g := d.startGateway(name)
+		d.waitUntilAllServed(g)
+		if name == coordinator {
+			stopping = g
+		} else {
+			calm = append(calm, g)
+		}
+	}
+	time.Sleep(time.Second) // all know of all
+	var callers sync.WaitGroup
+	var sent, served atomic.Int64
+	var ended atomic.Bool
+	began := time.Now()
+	for i := range slotCallers {
+		callers.Go(func() {
+			for !ended.Load() {
+				sent.Add(1)
+				after := time.Since(began)
+				if a := d.callOnNewConn(calm[i%len(calm)], "once", nil); a.isWhole() {
+					served.Add(1)
+				} else {
+					t.Logf("sent %v after the beginning: status %d, %v, %s", after, a.status, a.err, a.body)
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.NilError(t, stopping.cmd.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, <-stopping.exited)
+	time.Sleep(500 * time.Millisecond)
+	ended.Store(true)
+	callers.Wait()
+	t.Logf("%d of %d calls served, %d of %d arrivals rejected", served.Load(), sent.Load(), len(w.Arrivals())-len(w.Runs()), len(w.Arrivals()))
+	assert.Check(t, strings.Contains(stopping.output.String(), "slots-coordinated"), "the gateway that stops has granted no slots")
+	assert.Equal(t, served.Load(), sent.Load())
+}
--- a/processtest/stop_detour_test.go
+++ b/processtest/stop_detour_test.go
@@ -34,9 +34,13 @@
 
 // callLong asks for a stream that takes detourCallTime and can't be resumed.
 func (d *partitionDeployment) callLong(g *gatewayProcess) answer {
+	return d.callOnNewConn(g, "long", &fleetwire.Prompt{Model: "m", Input: 300, Output: 20, Parts: []string{fmt.Sprintf("%x:50", d.sent.Load())}})
+}
+
+// callOnNewConn sends a request of a route on a new connection; prompt may be nil.
+func (d *partitionDeployment) callOnNewConn(g *gatewayProcess, route string, prompt *fleetwire.Prompt) answer {
 	n := d.sent.Add(1)
-	c := fleetwire.Call{Attempt: fmt.Sprint("a-", n), Method: http.MethodPost, Host: "h", Path: fmt.Sprintf("/long/%d", n), Body: "body", Token: "key", Timeout: 8 * time.Second}
-	c.Prompt = &fleetwire.Prompt{Model: "m", Input: 300, Output: 20, Parts: []string{fmt.Sprintf("%x:50", n)}}
+	c := fleetwire.Call{Attempt: fmt.Sprint("a-", n), Method: http.MethodPost, Host: "h", Path: fmt.Sprintf("/%s/%d", route, n), Body: "body", Token: "key", Timeout: 8 * time.Second, Prompt: prompt}
 	r, err := c.Request()
 	if err != nil {
 		return answer{err: err}
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -351,3 +351,38 @@
 		f.mustAcquire("c", "a").Release(Done, 0)
 	})
 }
+
+// TestStoppingCoordinatorHandsOver guards against requests that wait for a coordinator that shuts
+// down, or choose for themselves because it declines them, while the next one grants slots.
+func TestStoppingCoordinatorHandsOver(t *testing.T) {
+	testWithFleet(t, 1, "", func(t *testing.T, f *testFleet) {
+		held := f.mustAcquire("c", "a")
+		waiting := []chan *Grant{f.waiter("d"), f.waiter("a")}
+		began := time.Now()
+		f.instances["a"].server.Drain()
+		for _, w := range waiting {
+			g := <-w
+			assert.Assert(t, g != nil, "the request chooses for itself")
+			assert.Equal(t, g.Coordinator, "b")
+			g.Release(Done, 0)
+		}
+		f.mustAcquire("c", "b").Release(Done, 0)
+		assert.Check(t, time.Since(began) < answerTimeout)
+		assert.Check(t, held.Live())
+		held.Release(Done, 0)
+		inUse, granted := f.inUse("a")
+		assert.Equal(t, inUse+granted, 0)
+	})
+}
+
+// TestRequestsOnTheirWayToStoppingCoordinator guards against requests that choose for themselves
+// because they were sent just before their instance heard that the coordinator shuts down.
+func TestRequestsOnTheirWayToStoppingCoordinator(t *testing.T) {
+	testWithFleet(t, 4, "", func(t *testing.T, f *testFleet) {
+		f.mustAcquire("c", "a").Release(Done, 0)
+		f.instances["a"].server.Drain()
+		for range 3 {
+			f.mustAcquire("c", "b").Release(Done, 0)
+		}
+	})
+}
