Slots: a coordinator that stops hands its queue over

Drain only declined new requests. Those that waited stayed in its queue, so that it granted slots beside the next coordinator, which didn't know of it, for as long as the queue lasted. Those that it declined chose an endpoint themselves at the same time. Endpoints rejected so many that the retry budget of calm instances was used up. Now the coordinator declines what waits, and tells all members at once that it is leaving; a request that it declines asks the next coordinator, with its age.

--- a/slots/coordinator.go
+++ b/slots/coordinator.go
@@ -251,6 +251,15 @@
 	return h == nil || now.Sub(h.heardAt) > silentTime
 }
 
+// DeclineWaiting declines all requests that wait.
+func (c *Coordinator) DeclineWaiting() {
+	for k, t := range c.tickets {
+		c.waiting.Remove(t)
+		delete(c.tickets, k)
+		c.answer(Answer{Kind: Declined, Holder: k.holder, Number: k.number})
+	}
+}
+
 // Hear records that a holder has sent something.
 func (c *Coordinator) Hear(id uint64, now time.Time) {
 	if h := c.holders[id]; h != nil {
--- a/slots/link.go
+++ b/slots/link.go
@@ -16,11 +16,12 @@
 	"redwingknot/wire"
 )
 
-// linkEndedError reports that the link to a coordinator ended while a request waited.
+// linkEndedError reports that the link to a coordinator ended, or the coordinator began to shut
+// down, while a request waited.
 type linkEndedError struct{}
 
 // Error implements error.
-func (*linkEndedError) Error() string { return "the link to the coordinator ended" }
+func (*linkEndedError) Error() string { return "the coordinator has ended or shuts down" }
 
 // link is the stream to the coordinator of a group, or the way to the one in this process. It
 // is safe for concurrent use.
@@ -65,13 +66,23 @@
 
 // usable reports whether the coordinator can be asked.
 func (l *link) usable() bool {
-	if l.server != nil && l.server.isDraining() {
+	if l.isLeaving() {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	opening := l.reopened && l.member == nil && l.stream == nil
-	return !l.ended.Load() && !l.silent && !l.leaving && !opening
+	return !l.ended.Load() && !l.silent && !opening
+}
+
+// isLeaving reports whether the coordinator shuts down.
+func (l *link) isLeaving() bool {
+	if l.server != nil {
+		return l.server.isDraining()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving
 }
 
 // mayReopen reports whether the link has ended and may be opened again.
@@ -176,6 +187,9 @@
 	case Refused:
 		return nil, &RefusedError{Delay: a.Delay}
 	case Declined:
+		if l.isLeaving() {
+			return nil, &linkEndedError{}
+		}
 		return nil, &UnavailableError{Reason: reasonDeclined}
 	}
 	if l.isSilent() {
--- a/slots/server.go
+++ b/slots/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -112,11 +114,33 @@
 	return nil
 }
 
-// Drain makes the instances ask other coordinators. Grants stay valid.
+// Drain makes the instances ask other coordinators, also for the requests that wait. Grants stay
+// valid.
 func (s *Server) Drain() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.draining = true
+	s.mu.Unlock()
+	for _, c := range s.coordinations() {
+		c.handOver()
+	}
+}
+
+// handOver declines the requests that wait, and tells all members that the instance shuts down.
+func (c *coordination) handOver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.coordinator.DeclineWaiting()
+	c.distribute()
+	for _, m := range c.members {
+		m.deliver(nil)
+	}
+}
+
+// coordinations returns the coordinations of all groups.
+func (s *Server) coordinations() []*coordination {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.groups))
 }
 
 func (s *Server) isDraining() bool {
@@ -128,13 +152,7 @@
 // Run ends what has lapsed, regularly, until ctx ends. It returns nil.
 func (s *Server) Run(ctx context.Context) error {
 	return timer.Every(ctx, tickInterval, func() {
-		s.mu.Lock()
-		list := make([]*coordination, 0, len(s.groups))
-		for _, c := range s.groups {
-			list = append(list, c)
-		}
-		s.mu.Unlock()
-		for _, c := range list {
+		for _, c := range s.coordinations() {
 			c.tick()
 		}
 	})
