Peers: reports say that an instance is leaving, so that others ask it last

An instance that was told to stop had lately reached endpoints, so others asked it first for connections, and each of these took one more round trip, or several while many instances stop at a time. Reports now say so, and PeersReaching puts such peers last until the next process reports.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -21,7 +21,7 @@
 	key := peerKey()
 	g.wire = wire.NewServer(key)
 	g.exchange = peers.New(peers.Options{
-		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Table: g.opts.Relay.OtherLoads, Now: g.opts.Relay.Now,
+		Self: g.opts.Instance, Key: key, Source: g.relay.Endpoints(), Table: g.opts.Relay.OtherLoads, Now: g.opts.Relay.Now, Leaving: g.draining.Load,
 		Confirmations: g.confirmations, Suspects: g.opts.Relay.Suspects, Limits: g.relay.Endpoints(), WeightLoads: g.relay.Endpoints(), Backlogs: g.relay.Endpoints(),
 		Cold: g.relay.Endpoints(), Ramps: g.relay.Endpoints(),
 		Origins: g.origins.Registry, Software: g.origins.History,
--- a/peers/clients.go
+++ b/peers/clients.go
@@ -50,11 +50,17 @@
 // PeersReaching returns the peers that may reach an endpoint, given by the hash of its
 // identifier: first those of the own row that say that they have lately reached it, then those
 // of the row that have reached any, then those in other rows, of which only sums are known,
-// and then the others of the row. Among equals, instances and endpoints are spread by
-// rendezvous.
+// then the others of the row, and those that shut down last. Among equals, instances and
+// endpoints are spread by rendezvous.
 func (e *Exchange) PeersReaching(target uint64) []string {
 	e.mu.Lock()
 	row, column := slices.Clone(e.grid.row), slices.Clone(e.grid.column)
+	leaving := map[string]bool{}
+	for name, p := range e.peers {
+		if p.isLeaving() {
+			leaving[name] = true
+		}
+	}
 	e.mu.Unlock()
 	rank := map[string]int{}
 	var names []string
@@ -74,6 +80,9 @@
 		rank[name] = 2
 		names = append(names, name)
 	}
+	for name := range leaving {
+		rank[name] = 4
+	}
 	weight := func(name string) uint64 {
 		return place.RendezvousWeight(target^place.Hash(e.opts.Self), place.Hash(name))
 	}
@@ -82,3 +91,9 @@
 	})
 	return names
 }
+
+func (p *peer) isLeaving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving
+}
--- a/peers/confirmation.go
+++ b/peers/confirmation.go
@@ -47,7 +47,7 @@
 func (p *peer) recordReport(r *peerspb.Report, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reportedAt = now
+	p.reportedAt, p.leaving = now, r.Leaving
 	if p.stamp.GetProcess() != r.Built.GetProcess() {
 		p.suspectsReceived, p.originsReceived = 0, 0
 	}
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -96,6 +96,7 @@
 	SavesOrigins  func() bool        // whether rows save origins in the metadata store; nil if they never do
 	Backlogs      BacklogSource      // nil to exchange no backlogs
 	Table         *Table             // receives the reports of other instances
+	Leaving       func() bool        // whether this instance shuts down; nil if it never does
 	// Now returns the current time. It must go on while the machine is suspended, or
 	// confirmations seem younger than they are.
 	Now func() time.Time
@@ -146,6 +147,7 @@
 	allSentAt       int64     // time in the stamp of the first of these reports
 	savesOrigins    bool      // the peer saves the origins of the row
 	reportedAt      time.Time // when the latest report from the peer arrived
+	leaving         bool      // the peer shuts down, by its latest report
 }
 
 // New returns an Exchange without peers.
@@ -323,7 +325,7 @@
 // instance is not a peer yet, and the report holds only this instance's own
 // load.
 func (e *Exchange) buildReport(p *peer) *peerspb.Report {
-	r := &peerspb.Report{Instance: e.opts.Self}
+	r := &peerspb.Report{Instance: e.opts.Self, Leaving: e.opts.Leaving != nil && e.opts.Leaving()}
 	e.addStamps(r, p)
 	e.addConfirmations(r)
 	e.addSuspects(r, p)
