Test also that a stop of an instance that holds slots loses no call

The test of the coordinator's stop has callers at the stopping gateway, too, and a second case stops a gateway that coordinates nothing.

--- a/processtest/slots_test.go
+++ b/processtest/slots_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -65,9 +66,16 @@
 	assert.Equal(t, callers(3, gateways[1]), int64(3*slotCallers))
 }
 
-// TestStoppingCoordinatorLosesNoCall stops the gateway that grants the slots while callers of calm
-// gateways hold them and wait for them. Each call must be served.
-func TestStoppingCoordinatorLosesNoCall(t *testing.T) {
+// TestStopOfSharedSlotsLosesNoCall stops a gateway while callers of calm gateways hold slots and
+// wait for them: the one that grants them, and one whose own callers hold some. Each call of a calm
+// gateway must be served.
+func TestStopOfSharedSlotsLosesNoCall(t *testing.T) {
+	for _, stopsCoordinator := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stops the coordinator %t", stopsCoordinator), func(t *testing.T) { testStopOfSharedSlots(t, stopsCoordinator) })
+	}
+}
+
+func testStopOfSharedSlots(t *testing.T, stopsCoordinator bool) {
 	d := newPartitionDeployment(t)
 	for _, id := range []string{"i-a", "i-b", "i-c"} {
 		d.deleteKey(fleetwire.EndpointKey(id))
@@ -83,7 +91,7 @@
 	for _, name := range names {
 		g := d.startGateway(name)
 		d.waitUntilAllServed(g)
-		if name == coordinator {
+		if stopping == nil && (name == coordinator) == stopsCoordinator {
 			stopping = g
 		} else {
 			calm = append(calm, g)
@@ -97,8 +105,8 @@
 	for i := range slotCallers {
 		callers.Go(func() {
 			for !ended.Load() {
-				sent.Add(1)
 				after := time.Since(began)
+				sent.Add(1)
 				if a := d.callOnNewConn(calm[i%len(calm)], "once", nil); a.isWhole() {
 					served.Add(1)
 				} else {
@@ -107,6 +115,12 @@
 			}
 		})
 	}
+	for range slotCount {
+		callers.Go(func() {
+			for d.callOnNewConn(stopping, "once", nil).err == nil {
+			}
+		})
+	}
 	time.Sleep(500 * time.Millisecond)
 	assert.NilError(t, stopping.cmd.Process.Signal(syscall.SIGTERM))
 	assert.NilError(t, <-stopping.exited)
@@ -114,6 +128,6 @@
 	ended.Store(true)
 	callers.Wait()
 	t.Logf("%d of %d calls served, %d of %d arrivals rejected", served.Load(), sent.Load(), len(w.Arrivals())-len(w.Runs()), len(w.Arrivals()))
-	assert.Check(t, strings.Contains(stopping.output.String(), "slots-coordinated"), "the gateway that stops has granted no slots")
+	assert.Equal(t, strings.Contains(stopping.output.String(), "slots-coordinated"), stopsCoordinator)
 	assert.Equal(t, served.Load(), sent.Load())
 }
