Gateway: an instance that can't listen for others is never ready

What callers could see: connections reset by an instance that had just become ready and ended because its port for other instances was taken. Run bound that port in a goroutine after it had begun to answer readiness checks. It is now bound before.

Found by tests that chose a port which another process took.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,6 +190,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	// An instance that can't listen must not become ready.
+	peerListener, err := net.Listen("tcp4", g.opts.PeerAddr)
+	if err != nil {
+		front.Close()
+		return errors.Wrap(err, "listen for other instances")
+	}
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, workCtx := errgroup.WithContext(workCtx)
@@ -199,6 +205,7 @@
 		return err
 	}
 	g.startControlLoops(ctx, workCtx, group)
+	group.Go(func() error { return g.wire.Serve(workCtx, peerListener) })
 	event.ProcessStarted.Log(g.log, slog.String("instance", g.opts.Instance), slog.String("dataCentre", g.opts.DataCentre))
 	select {
 	case <-ctx.Done():
@@ -226,7 +233,6 @@
 	group.Go(func() error { return g.elector.Run(ctx) })
 	group.Go(func() error { return g.runOrders(ctx) })
 	group.Go(func() error { return g.expireEndpoints(workCtx) })
-	group.Go(func() error { return g.servePeers(workCtx) })
 	group.Go(func() error { return g.exchange.Run(workCtx) })
 	group.Go(func() error { return g.slots.Run(workCtx) })
 	group.Go(func() error { return g.runCacheStores(workCtx) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,12 +4,9 @@
 	"context"
 	"crypto/sha256"
 	"maps"
-	"net"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"redwingknot/fleet"
 	"redwingknot/internal/timer"
 	"redwingknot/peers"
@@ -39,15 +36,6 @@
 	return sum[:]
 }
 
-// servePeers serves the calls of other instances until ctx ends.
-func (g *Gateway) servePeers(ctx context.Context) error {
-	l, err := net.Listen("tcp4", g.opts.PeerAddr)
-	if err != nil {
-		return errors.Wrap(err, "listen for other instances")
-	}
-	return g.wire.Serve(ctx, l)
-}
-
 // settleTime is the time after its start in which an instance does not reduce the
 // number of instances that it assumes: after a power failure, the others take some
 // seconds to register in the metadata store again.
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -47,6 +47,7 @@
 	worker       *fleetworker.Server
 	workerAddr   string // host:port
 	grace        int    // seconds that gateways have to stop
+	internalPort string // of gateways for each other; empty for a free one
 }
 
 // newGatewayDeployment starts a deployment whose worker waits 1 ms between the
@@ -171,8 +172,12 @@
 func (d *gatewayDeployment) launchGateway(name, storeAddr string) *gatewayProcess {
 	d.t.Helper()
 	g := &gatewayProcess{frontAddr: freeAddr(d.t), readyAddr: freeAddr(d.t), exited: make(chan error, 1)}
-	_, internalPort, err := net.SplitHostPort(freeAddr(d.t))
-	assert.NilError(d.t, err)
+	internalPort := d.internalPort
+	if internalPort == "" {
+		var err error
+		_, internalPort, err = net.SplitHostPort(freeAddr(d.t))
+		assert.NilError(d.t, err)
+	}
 	settingsPath := filepath.Join(d.t.TempDir(), "boot.conf")
 	settings := fmt.Sprintf(`node_name=%s
 zone=z
@@ -381,3 +386,17 @@
 	}
 	t.Errorf("the handler of SIGHUP is not initialised:\n%s", out)
 }
+
+// TestGatewayWithoutPeerPortIsNeverReady starts a gateway whose port for other instances is taken: it
+// must end before it serves readiness checks, so that no caller is sent to it.
+func TestGatewayWithoutPeerPortIsNeverReady(t *testing.T) {
+	d := newGatewayDeployment(t)
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { taken.Close() })
+	_, d.internalPort, err = net.SplitHostPort(taken.Addr().String())
+	assert.NilError(t, err)
+	g := d.launchGateway("front-1", d.storeAddr)
+	assert.ErrorContains(t, <-g.exited, "exit status 1")
+	assert.Check(t, !strings.Contains(g.output.String(), "process-started"), "%s", g.output.String())
+}
