Soak: callers that send late in stops, and stops in series

Callers connect to a gateway only if it says at that moment that it is ready, they send their next request at most 60 ms after the last one, so that a response that asks to close reaches each of them at once, and endpoints answer within 0.26 s. lost-answer would have counted a cut answer.

Change: half of all seeds, drawn apart, stop gateways in rolls that overlap with each other and with the other steps, twice, between SIGHUPs and shortly after a start, and move routes under long calls. In these runs late callers open connections before they have a request, also for 2 s after SIGTERM, as balancers do; keep them until the gateway closes them; pause for up to 4 s; and ask for calls and streams of 0.05 to 3.5 s, repeatable and resumable or not, on routes of 8 s, at endpoints of their own. The check cut-in-stop finds requests to a stopping gateway without a disruption that were sent during the stop and got neither a whole answer nor a refusal as not run, those that were refused as not run and ran, and those sent before that were not answered although their endpoint needed less time than the stop left. The report counts what became of the requests that were sent in stops. lost-answer leaves late calls that end in a stop to cut-in-stop, which excuses only those that needed longer than the stop left.

Older seeds keep their steps: those of 300 plans, without the new kinds, are as before. Endpoints of older services keep their numbers.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -49,6 +49,7 @@
 	set.Int(&o.runOptions.Gateways, "gateways", 3, 1, 200, "processes", "number of gateways in a run")
 	set.Int(&o.runOptions.Engines, "engines", 3, 1, 100, "stand-ins", "number of engines in a run")
 	set.Int(&o.runOptions.Callers, "callers", 12, 1, 1000, "callers", "number of callers in a run")
+	set.Int(&o.runOptions.LateCallers, "late-callers", 16, 1, 1000, "callers", "number of callers that send late on open connections in a run with stops")
 	set.Bool(&o.regressions, "regressions", false, "run the recorded seeds of earlier failures and ignore --first and --seeds")
 	set.Bool(&o.runOptions.CheckTimeBounds, "timed", true, "also check invariants that have a time limit")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -145,6 +146,9 @@
 // and the violations.
 func printReport(out io.Writer, r soak.Report) {
 	fmt.Fprintf(out, "seed %d: %d steps, %d calls, by status %v, %d violations\n", r.Seed, len(r.Steps), r.Calls, r.Statuses, len(r.Violations))
+	if r.InStops != (soak.StopCounts{}) {
+		fmt.Fprintf(out, "  %s\n", r.InStops)
+	}
 	if len(r.Violations) == 0 {
 		return
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,15 +32,34 @@
 	callResume callKind = "resume" // a stream that may be resumed by another run
 	callCrash  callKind = "crash"  // crashes each endpoint that runs it; always the same request
 	callPart   callKind = "part"   // a stream that may be resumed, of a prompt with a part that crashes engines
+
+	// The kinds of late callers, which need no token. Their endpoints take the time that the path names.
+	lateOpen   callKind = "late-open"   // may be repeated
+	lateOnce   callKind = "late-once"   // must run at most once
+	lateStream callKind = "late-stream" // a stream that must run at most once
+	lateResume callKind = "late-resume" // a stream that may be resumed by another run
 )
 
 var callKinds = []callKind{callOpen, callOnce, callMoved, callStream, callResume}
 
 // repeatable reports whether a call may run more than once.
-func (k callKind) repeatable() bool { return k != callOnce && k != callStream }
+func (k callKind) repeatable() bool {
+	return k != callOnce && k != callStream && k != lateOnce && k != lateStream
+}
+
+// resumable reports whether the answer is a stream that the caller may take up.
+func (k callKind) resumable() bool { return k == callResume || k == lateResume }
+
+// public reports whether a call needs no token.
+func (k callKind) public() bool { return k == callOpen || k.isLate() }
+
+// isLate reports whether late callers make calls of the kind.
+func (k callKind) isLate() bool { return slices.Contains(lateKinds, k) }
 
 // isStream reports whether the answer to a call is a stream.
-func (k callKind) isStream() bool { return k == callStream || k == callResume || k == callPart }
+func (k callKind) isStream() bool {
+	return k == callStream || k == callResume || k == callPart || k == lateStream || k == lateResume
+}
 
 // callTimeout is the time budget that callers give a request. It is also the timeout
 // of the routes.
@@ -52,6 +72,8 @@
 	path        string
 	token       string
 	gateway     *gateway
+	timeout     time.Duration // within which the caller wants the answer
+	connIdle    time.Duration // time for which the connection had been open without a request
 	sentAt      time.Time
 	endedAt     time.Time
 	status      int           // HTTP status, 0 without an answer
@@ -60,6 +82,7 @@
 	retryAfter  time.Duration // when a refused call may be sent again
 
 	retry           bool   // an earlier call made the same request
+	retryOf         *call  // the call whose refusal this one follows, nil if it follows none
 	resumes         *call  // the call that began the stream that this one takes up, nil if it takes up none
 	resumedAfter    int    // ID of the last event that the caller had then
 	received        string // of a stream, as far as it came
@@ -90,6 +113,7 @@
 	rng       *rand.Rand
 	run       *run
 	client    *http.Client
+	transport transport
 	gateway   *gateway                // nil if the next call may go to any
 	dialed    atomic.Pointer[gateway] // of the latest call; net/http dials in goroutines of its own
 	sentCalls int
@@ -108,9 +132,36 @@
 		},
 		DisableCompression: true, MaxIdleConns: 1,
 	}}
+	c.transport = pooled{c}
 	return c
 }
 
+// transport carries the requests of a caller.
+type transport interface {
+	do(*http.Request) (*http.Response, error)
+	// idle returns how long the open connection has had no request, 0 if that is not known.
+	idle() time.Duration
+	// disconnect closes the connection, if one is open.
+	disconnect()
+	// reconnect closes the connection and chooses the gateway of the next one. It returns nil
+	// if none takes new connections.
+	reconnect() *gateway
+}
+
+// pooled is the transport of a caller that connects to ready gateways when it has a request.
+type pooled struct{ *caller }
+
+func (p pooled) do(r *http.Request) (*http.Response, error) { return p.client.Do(r) }
+
+func (p pooled) idle() time.Duration { return 0 }
+
+func (p pooled) disconnect() { p.client.CloseIdleConnections() }
+
+func (p pooled) reconnect() *gateway {
+	p.disconnect()
+	return p.run.readyGateway(p.rng)
+}
+
 // NotReadyError reports that a gateway is not ready, so that a load balancer opens no
 // new connection to it.
 type NotReadyError struct{ Gateway string }
@@ -154,8 +205,12 @@
 // callAndRetry makes a call and, if the answer promises that it did not run, sends the same
 // request again, on a new connection and under a new attempt ID.
 func (c *caller) callAndRetry(ctx context.Context, kind callKind) {
-	cl := c.call(kind)
-	if kind == callResume && cl.brokeOff() {
+	c.retryRefused(ctx, c.call(kind))
+}
+
+// retryRefused sends the request of a call again as callAndRetry does.
+func (c *caller) retryRefused(ctx context.Context, cl *call) {
+	if cl.kind.resumable() && cl.brokeOff() && !cl.hasLastEventOfLate() {
 		c.takeUp(ctx, cl)
 		return
 	}
@@ -163,12 +218,11 @@
 		if !cl.promisedNotRun() || !timer.Sleep(ctx, min(cl.retryAfter, maxRetryDelay)) {
 			return
 		}
-		c.client.CloseIdleConnections()
-		if c.gateway = c.run.readyGateway(c.rng); c.gateway == nil {
+		if c.gateway = c.transport.reconnect(); c.gateway == nil {
 			return
 		}
-		next := c.newCall(kind, cl.path)
-		next.retry = true
+		next := c.newCall(cl.kind, cl.path)
+		next.retry, next.retryOf, next.timeout = true, cl, cl.timeout
 		cl = c.send(next)
 	}
 }
@@ -181,11 +235,11 @@
 		if !timer.Sleep(ctx, min(last.retryAfter, maxRetryDelay)) {
 			return
 		}
-		c.client.CloseIdleConnections()
-		if c.gateway = c.run.readyGateway(c.rng); c.gateway == nil {
+		if c.gateway = c.transport.reconnect(); c.gateway == nil {
 			return
 		}
 		next := c.newCall(first.kind, first.path)
+		next.timeout = first.timeout
 		next.retry, next.resumes, next.resumedAfter, next.lastEvent = true, first, last.lastEvent, last.lastEvent
 		c.send(next)
 		if next.complete() && next.status == http.StatusOK {
@@ -208,7 +262,7 @@
 
 // newCall returns a call of the request with the given path, under a new attempt ID.
 func (c *caller) newCall(kind callKind, path string) *call {
-	cl := &call{attemptID: fmt.Sprintf("a-%d-%d", c.id, c.sentCalls), kind: kind, gateway: c.gateway, path: path, token: token, lastEvent: -1}
+	cl := &call{attemptID: fmt.Sprintf("a-%d-%d", c.id, c.sentCalls), kind: kind, gateway: c.gateway, path: path, token: token, timeout: callTimeout, lastEvent: -1}
 	if c.id%revocableTokenEvery == 0 {
 		cl.token = revocableToken
 	}
@@ -223,7 +277,7 @@
 	c.exchange(cl)
 	if cl.err != nil {
 		// The next call connects to any ready gateway, as a load balancer would.
-		c.client.CloseIdleConnections()
+		c.transport.disconnect()
 		c.gateway = nil
 	}
 	c.run.callLog.end(cl)
@@ -234,15 +288,15 @@
 func (c *caller) exchange(cl *call) {
 	method, body := http.MethodPost, "body of "+cl.path
 	switch cl.kind {
-	case callOpen, callMoved:
+	case callOpen, callMoved, lateOpen:
 		method, body = http.MethodGet, ""
 	case callCrash:
 		body = fleetworker.CrashBody
 	}
 	request := fleetwire.Call{
-		Attempt: cl.attemptID, Method: method, Host: host, Path: cl.path, Body: body, Token: cl.token, Timeout: callTimeout,
+		Attempt: cl.attemptID, Method: method, Host: host, Path: cl.path, Body: body, Token: cl.token, Timeout: cl.timeout,
 	}
-	if cl.kind == callOpen {
+	if cl.kind.public() {
 		request.Token = ""
 	}
 	if cl.kind.isStream() {
@@ -252,6 +306,9 @@
 		}
 		parts = append(parts, fmt.Sprintf("%x:100", c.id*1000+c.sentCalls))
 		request.Prompt = &fleetwire.Prompt{Model: model, Input: 400, Output: 20, Parts: parts}
+		if cl.kind.isLate() {
+			request.Prompt.Model = lateModel
+		}
 	}
 	if cl.resumes != nil {
 		request.Resume = &fleetwire.Resumption{Attempt: cl.resumes.attemptID, LastEvent: cl.resumedAfter}
@@ -261,7 +318,8 @@
 		cl.err = err
 		return
 	}
-	res, err := c.client.Do(req)
+	cl.connIdle = c.transport.idle()
+	res, err := c.transport.do(req)
 	if err != nil {
 		cl.err = err
 		return
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -38,6 +38,7 @@
 	BrittleFell          Invariant = "brittle-fell"     // brittle endpoints hardly fall over
 	LimitExceeded        Invariant = "limit-exceeded"   // an endpoint gets hardly more requests than the limit that it names
 	MemoryExceeded       Invariant = "memory"           // a gateway stays within its machine's memory
+	CutInStop            Invariant = "cut-in-stop"      // a gateway that stops ends no request unanswered that it could have refused or finished
 	NoRecovery           Invariant = "no-recovery"      // everything works again after the last step
 )
 
@@ -71,7 +72,7 @@
 // observe returns the observations so far.
 func (r *run) observe() *observations {
 	obs := &observations{runs: map[string][]endpointRun{}}
-	for _, e := range r.endpoints {
+	for _, e := range r.allEndpoints() {
 		for _, i := range e.incarnations() {
 			for _, ran := range i.worker.Runs() {
 				obs.runs[ran.Attempt] = append(obs.runs[ran.Attempt], endpointRun{ran, i, e})
@@ -101,6 +102,7 @@
 		r.checkLeftEndpoints(obs)
 		r.checkNotices(obs)
 		r.checkLostAnswers(obs)
+		r.checkStops(obs)
 		r.checkRepeats(obs)
 		r.checkCrashes(obs)
 		r.checkCrashingPart(obs)
@@ -123,7 +125,7 @@
 		}
 		for _, ran := range runs {
 			wantTeam := team
-			if c.kind == callOpen {
+			if c.kind.public() {
 				wantTeam = ""
 			}
 			if ran.Path != c.path || ran.Authenticated || ran.Team != wantTeam {
@@ -333,7 +335,7 @@
 		from := c.sentAt.Add(-settleTime)
 		if r.disruptions.noneBetween(from, c.endedAt, nil) {
 			hasRun := len(obs.runs[attempt]) > 0
-			if hasRun && (!c.complete() || c.status >= http.StatusInternalServerError) && !timedOut(c.err) {
+			if hasRun && !outlastsStop(c) && (!c.complete() || c.status >= http.StatusInternalServerError) && !timedOut(c.err) {
 				r.recordViolation(LostAnswer, "%s (%s) at %s ran but got status %d, error %v, during planned steps only", attempt, c.kind, c.gateway.name, c.status, c.err)
 			}
 		}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -42,6 +43,11 @@
 	return c
 }
 
+// addStop adds a planned stop of the first gateway that began the given time ago and goes on.
+func (f *checkFixture) addStop(ago time.Duration) {
+	f.gateways[0].stops = append(f.gateways[0].stops, stopPeriod{began: time.Now().Add(-ago)})
+}
+
 // addRun has an endpoint run a request of a team.
 func (f *checkFixture) addRun(e *endpoint, attempt, path, forTeam string) {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(""))
@@ -205,6 +211,45 @@
 			f.addCall("a", callOnce, 0, http.StatusBadGateway, nil)
 			f.addRun(f.endpoints[1], "a", path, team)
 		}},
+		"a request taken late in a stop and cut": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", lateStream, time.Second, http.StatusOK, io.ErrUnexpectedEOF)
+			f.addRun(f.endpoints[0], "a", "/late-stream/1", "")
+		}},
+		"a request taken late in a stop that fails": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", lateOnce, time.Second, http.StatusBadGateway, nil)
+			f.addRun(f.endpoints[1], "a", "/late-once/1", "")
+		}},
+		"a request of a kept connection cut in a stop": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", callResume, time.Second, http.StatusOK, io.ErrUnexpectedEOF)
+		}},
+		"a request that a stopping gateway leaves without an answer": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", callOnce, time.Second, 0, io.EOF)
+		}},
+		"a run without an answer on a connection that was idle": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", lateOpen, time.Second, 0, io.EOF).connIdle = time.Minute
+			f.addRun(f.endpoints[1], "a", "/late-open/1", "")
+		}},
+		"a refusal in a stop of what may be repeated and ran": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", callOpen, time.Second, http.StatusServiceUnavailable, nil)
+			f.addRun(f.endpoints[1], "a", "/open/1", "")
+		}},
+		"a timeout in a stop before its time": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", lateOnce, time.Second, http.StatusGatewayTimeout, nil).timeout = lateTimeout
+		}},
+		"a request that a stop had time for": {CutInStop, func(f *checkFixture) {
+			f.addStop(finishTime)
+			c := f.addCall("a", lateOnce, graceTime, http.StatusBadGateway, nil)
+			c.path = "/late-once/200-1"
+			f.addRun(f.endpoints[1], "a", c.path, "")
+			f.gateways[0].stops[0].began, c.endedAt = time.Now().Add(-100*time.Millisecond), time.Now()
+		}},
 		"a refused call during a store disruption": {LostAnswer, func(f *checkFixture) {
 			f.disruptions.begin(StoreBusy)
 			f.addCall("a", callOpen, 0, http.StatusServiceUnavailable, nil)
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -75,7 +75,7 @@
 // at new ones if there are none. The caller holds mu.
 func (e *endpoint) launch(id string, links []*Link) (*incarnation, error) {
 	i := &incarnation{id: id, startedAt: time.Now()}
-	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime, SoftwareVersion: e.software, Crash: func() { e.crash(i) }, FallOver: func() { e.fallOver(i) }}
+	o := fleetworker.Options{ID: i.id, Service: e.service, Slots: appSlots, MaxQueued: queueLength, WorkTime: workTime, SoftwareVersion: e.software, TimeOf: timeOfPath, Crash: func() { e.crash(i) }, FallOver: func() { e.fallOver(i) }}
 	if e.model != "" {
 		o.Slots, o.Model, o.WeightsVersion = engineSlots, e.model, e.operator.newestWeights()
 		o.EventGap, o.StreamEvents, o.LoadTime, o.ReportLag = eventGap, streamEvents, weightsLoadTime, reportLag
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -51,6 +51,8 @@
 	exited    chan struct{} // closed when the last process has exited
 	resumedAt time.Time     // end of the last pause or store link fault
 	startedAt time.Time     // start of the last process
+	stops     []stopPeriod  // planned stops so far, in order
+	wasReady  bool          // the last process has been ready
 
 	partitions []*partitionPeriod
 }
@@ -98,12 +100,13 @@
 		return errors.Wrapf(err, "start %s", g.name)
 	}
 	exited := make(chan struct{})
-	g.process, g.exited, g.startedAt = cmd.Process, exited, time.Now()
+	g.process, g.exited, g.startedAt, g.wasReady = cmd.Process, exited, time.Now(), false
 	go func() {
 		// The exit status is ignored: the checks look at what callers see.
 		_ = cmd.Wait()
 		g.mu.Lock()
 		g.process = nil
+		g.recordExit()
 		g.mu.Unlock()
 		close(exited)
 	}()
@@ -118,6 +121,9 @@
 	if g.process != nil {
 		// The error is ignored, because the process may exit at any time.
 		_ = g.process.Signal(s)
+		if s == syscall.SIGTERM {
+			g.recordStop()
+		}
 	}
 	return g.exited
 }
@@ -141,7 +147,13 @@
 		return false
 	}
 	res.Body.Close()
-	return res.StatusCode == http.StatusOK
+	if res.StatusCode != http.StatusOK {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wasReady = true
+	return true
 }
 
 // lastStarted returns the start of the gateway's last process.
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -56,7 +56,7 @@
 // them at its own links.
 func (r *run) addressesFor(gateway int) func(key string, value []byte) []byte {
 	return func(key string, value []byte) []byte {
-		for _, e := range r.endpoints {
+		for _, e := range r.allEndpoints() {
 			for _, i := range e.incarnations() {
 				if key == fleetwire.EndpointKey(i.id) {
 					return bytes.ReplaceAll(value, []byte(i.links[0].Addr()), []byte(i.links[gateway].Addr()))
@@ -91,7 +91,7 @@
 // connections if reset is set.
 func (r *run) setPaths(gateway int, f LinkFault, reset bool) {
 	r.network.setFault(gateway, f)
-	for _, e := range r.endpoints {
+	for _, e := range r.allEndpoints() {
 		i := e.running()
 		if i == nil {
 			continue
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -39,6 +39,7 @@
 	configVersion     int64
 	config            []byte // as last written
 	extraRoutes       int    // routes that no caller uses
+	lateMoved         bool   // the routes of late calls lead to otherLateService
 	routeMoved        bool   // the route /moved/ leads to otherAppService
 	tokenRevoked      bool
 	weightsVersion    int64 // newest weight version that was named
@@ -100,6 +101,15 @@
 	}
 }
 
+// moveLateRoutes switches the routes of late calls between two services. Unlike that of
+// callMoved they are not checked.
+func (o *operator) moveLateRoutes() {
+	o.mu.Lock()
+	o.lateMoved = !o.lateMoved
+	o.mu.Unlock()
+	o.publishConfig()
+}
+
 // moveRoute switches the route of callMoved between the two applications. Until the
 // configuration is written, movedRoute returns the zero time, so that the route is
 // not checked.
@@ -216,8 +226,22 @@
 		Services: []fleetwire.Service{
 			{Name: engineService, MaxConns: maxConns, Model: model, CacheTokens: 100_000, TokenBytes: 1000},
 			{Name: appService, MaxConns: maxConns}, {Name: otherAppService, MaxConns: maxConns},
+			{Name: lateEngineService, MaxConns: maxConns, Model: lateModel, CacheTokens: 100_000, TokenBytes: 1000},
+			{Name: lateAppService, MaxConns: maxConns}, {Name: otherLateService, MaxConns: maxConns},
 		},
 	}
+	lateService := lateAppService
+	if o.lateMoved {
+		lateService = otherLateService
+	}
+	for _, kind := range lateKinds {
+		late := route(kind, lateRouteKinds[kind], lateService)
+		if kind.isStream() {
+			late.Service = lateEngineService
+		}
+		late.Timeout, late.Resumable, late.Public = lateTimeout, kind.resumable(), true
+		config.Routes = append(config.Routes, late)
+	}
 	for n := range o.extraRoutes {
 		config.Routes = append(config.Routes, route(callKind(fmt.Sprint("extra-", n)), fleetwire.Idempotent, appService))
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -21,6 +21,12 @@
 	GatewayReload StepKind = "gateway-reload" // SIGHUP
 	GatewaysKill  StepKind = "gateways-kill"  // SIGKILL to all at once, and restarts at the end of the step
 
+	// GatewaysRoll stops gateways one after the other, each before the last one has exited.
+	GatewaysRoll      StepKind = "gateways-roll"
+	GatewayStopTwice  StepKind = "gateway-stop-twice"  // SIGTERM, and another one after the step's duration
+	GatewayStopReload StepKind = "gateway-stop-reload" // SIGTERM between SIGHUPs
+	GatewayStopEarly  StepKind = "gateway-stop-early"  // SIGTERM, and another one shortly after the restart
+
 	StoreBusy         StepKind = "store-busy"      // the store answers 503
 	StoreSilent       StepKind = "store-silent"    // the store does not answer
 	StoreSlow         StepKind = "store-slow"      // the store answers after storeDelay
@@ -85,12 +91,13 @@
 	EndpointKilledAway StepKind = "endpoint-killed-away" // the next one listens after awayTime
 	EndpointLeftKilled StepKind = "endpoint-left-killed" // the same, when its time to leave is over
 
-	ConfigMove    StepKind = "config-move"    // a route moves to another service
-	ConfigGrow    StepKind = "config-grow"    // many routes are added
-	ConfigRevoke  StepKind = "config-revoke"  // a token is revoked
-	WeightsNamed  StepKind = "weights-named"  // a new weight version is named
-	CallersReset  StepKind = "callers-reset"  // open connections of callers to one gateway are reset
-	CallersSilent StepKind = "callers-silent" // open connections of callers to one gateway pass no more bytes
+	ConfigMove     StepKind = "config-move"      // a route moves to another service
+	ConfigMoveLate StepKind = "config-move-late" // the routes of late calls move to another service
+	ConfigGrow     StepKind = "config-grow"      // many routes are added
+	ConfigRevoke   StepKind = "config-revoke"    // a token is revoked
+	WeightsNamed   StepKind = "weights-named"    // a new weight version is named
+	CallersReset   StepKind = "callers-reset"    // open connections of callers to one gateway are reset
+	CallersSilent  StepKind = "callers-silent"   // open connections of callers to one gateway pass no more bytes
 )
 
 // plannedKinds are the steps that an operator plans. No caller may lose an answer
@@ -117,6 +124,9 @@
 	newestUnplannedKinds = []StepKind{PartitionHangs, PartitionResets, PartitionRefuses, EndpointsBrittle}
 	// fleetKinds came after these, in the same way. They end all gateways.
 	fleetKinds = []StepKind{GatewaysKill}
+	// stopKinds came after all others, and are drawn apart, in the seeds with hasStopSteps only. An
+	// operator plans them.
+	stopKinds = []StepKind{GatewaysRoll, GatewaysRoll, GatewaysRoll, GatewayStopTwice, GatewayStopReload, GatewayStopEarly, ConfigMoveLate}
 	// streamKinds came after these, in the same way.
 	streamKinds = []StepKind{
 		StreamSkips, StreamRestarts, StreamRepeats, StreamRepeatsLater, StreamEmpty, StreamErrorText, StreamErrorEvent, StreamBreaks,
@@ -126,7 +136,7 @@
 
 // isPlanned reports whether an operator plans the steps of a kind.
 func isPlanned(k StepKind) bool {
-	return slices.Contains(plannedKinds, k) || slices.Contains(addedPlannedKinds, k) || slices.Contains(newestPlannedKinds, k)
+	return slices.Contains(plannedKinds, k) || slices.Contains(addedPlannedKinds, k) || slices.Contains(newestPlannedKinds, k) || slices.Contains(stopKinds, k)
 }
 
 // pauseKinds are the steps in which endpoints ask for pauses.
@@ -166,6 +176,7 @@
 	seriesOneIn      = 5                      // one step in seriesOneIn begins a series
 	addedInterval    = 2 * time.Second        // between steps of the added kinds, on average
 	streamInterval   = 1 * time.Second        // between steps of streamKinds, on average
+	stopInterval     = 2 * time.Second        // between steps of stopKinds, on average
 	fleetInterval    = 4 * time.Second        // between steps that end all gateways, on average
 	firstFleetStep   = 2 * time.Second        // before it, hardly any stream has begun
 )
@@ -212,10 +223,17 @@
 		}
 	}
 	steps = append(steps, stepsOfStream(seed, 7, duration, streamInterval, ofStreams)...)
+	if hasStopSteps(seed) {
+		steps = append(steps, stepsOfStream(seed, 8, duration, stopInterval, stopKinds)...)
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
 
+// hasStopSteps reports whether the run of a seed has steps of stopKinds, and late callers. Half of
+// all runs do, so that the others go on as before these kinds came.
+func hasStopSteps(seed uint64) bool { return rand.New(rand.NewPCG(seed, 9)).IntN(2) == 0 }
+
 // stepsOfStream returns steps of the given kinds at the mean interval, drawn from a stream of
 // random numbers of its own.
 func stepsOfStream(seed, stream uint64, duration, interval time.Duration, kinds []StepKind) []Step {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -18,8 +18,8 @@
 	"redwingknot/internal/timer"
 )
 
-// Options configures a run. Duration, Gateways, Engines, Apps and Callers take
-// defaults if they are zero.
+// Options configures a run. Duration and the numbers of processes, endpoints and
+// callers take defaults if they are zero.
 type Options struct {
 	Gatewayd string // path of the gatewayd binary
 	Dir      string // existing directory for settings and log files
@@ -29,6 +29,9 @@
 	Engines  int
 	Apps     int // endpoints of each of the two applications
 	Callers  int
+	// LateCallers keep connections open and send late on them, in the runs with steps of
+	// stopKinds.
+	LateCallers int
 	// CheckTimeBounds enables the checks of invariants with a time bound, which cannot be kept on
 	// an overloaded machine.
 	CheckTimeBounds bool
@@ -37,7 +40,7 @@
 // withDefaults sets the default size, which is about a dozen processes and simulated
 // endpoints, and the default duration.
 func (o Options) withDefaults() Options {
-	for value, defaultValue := range map[*int]int{&o.Gateways: 3, &o.Engines: 3, &o.Apps: 2, &o.Callers: 12} {
+	for value, defaultValue := range map[*int]int{&o.Gateways: 3, &o.Engines: 3, &o.Apps: 2, &o.Callers: 12, &o.LateCallers: 16} {
 		if *value == 0 {
 			*value = defaultValue
 		}
@@ -55,6 +58,7 @@
 	Calls      int
 	Statuses   map[int]int // number of ended calls by HTTP status, 0 for no answer
 	Violations []Violation
+	InStops    StopCounts // of the requests that arrived at stopping gateways
 }
 
 // run is the state of a run.
@@ -68,10 +72,13 @@
 	storeServers []*httptest.Server
 	gateways     []*gateway
 	endpoints    []*endpoint
-	callLog      *callLog
-	disruptions  *disruptionLog
+	// lateEndpoints serve the calls of late callers. No step disturbs them alone.
+	lateEndpoints []*endpoint
+	callLog       *callLog
+	disruptions   *disruptionLog
 
 	leaveMu sync.Mutex // held while tryLeave decides
+	rollMu  sync.Mutex // held during GatewaysRoll
 
 	mu         sync.Mutex
 	violations map[string]Violation // by invariant and detail
@@ -99,6 +106,11 @@
 	for id := range r.opts.Callers {
 		tasks.Go(func() { newCaller(r, id).callUntilDone(callersCtx) })
 	}
+	if hasStopSteps(r.opts.Seed) {
+		for n := range r.opts.LateCallers {
+			tasks.Go(func() { newLateCaller(r, n).callUntilDone(callersCtx) })
+		}
+	}
 	tasks.Go(func() { _ = timer.Every(callersCtx, checkInterval, func() { r.check(r.opts.CheckTimeBounds) }) })
 	tasks.Go(func() { _ = timer.Every(callersCtx, entryCheckInterval, r.updateEndpointEntries) })
 	r.runSteps(ctx, steps)
@@ -125,7 +137,8 @@
 	add(engineService, model, r.opts.Engines)
 	add(appService, "", r.opts.Apps)
 	add(otherAppService, "", r.opts.Apps)
-	for _, e := range r.endpoints {
+	r.addLateEndpoints()
+	for _, e := range r.allEndpoints() {
 		if err := e.start(); err != nil {
 			return err
 		}
@@ -150,7 +163,7 @@
 	for _, g := range r.gateways {
 		g.stop()
 	}
-	for _, e := range r.endpoints {
+	for _, e := range r.allEndpoints() {
 		e.release()
 	}
 	if r.loopback != nil {
@@ -194,6 +207,7 @@
 			rep.Statuses[c.status]++
 		}
 	}
+	rep.InStops = r.countInStops(r.observe())
 	for _, v := range r.violations {
 		rep.Violations = append(rep.Violations, v)
 	}
@@ -308,6 +322,8 @@
 	switch s.Kind {
 	case GatewayKill, GatewayStop, GatewayPause, GatewayReload:
 		r.signalGateway(g, s.Kind, waitEnd)
+	case GatewaysRoll, GatewayStopTwice, GatewayStopReload, GatewayStopEarly:
+		r.stopGateways(ctx, s)
 	case GatewaysKill:
 		r.killGateways(waitEnd)
 	case StoreDropsHistory:
@@ -334,6 +350,8 @@
 		r.makeBrittle(ctx, s, e, waitEnd)
 	case ConfigMove:
 		r.operator.moveRoute()
+	case ConfigMoveLate:
+		r.operator.moveLateRoutes()
 	case ConfigGrow:
 		r.operator.addRoutes()
 	case ConfigRevoke:
@@ -403,7 +421,7 @@
 	r.operator.store.Restore(copied)
 	r.operator.store.SetFault(fleetstore.Fault{})
 	r.operator.writeAgain()
-	for _, e := range r.endpoints {
+	for _, e := range r.allEndpoints() {
 		running := e.running()
 		for _, i := range e.incarnations() {
 			if i == running {
@@ -412,7 +430,7 @@
 		}
 	}
 	time.Sleep(entryDeleteDelay)
-	for _, e := range r.endpoints {
+	for _, e := range r.allEndpoints() {
 		running := e.running()
 		for _, i := range e.incarnations() {
 			if i != running {
@@ -449,14 +467,7 @@
 		waitEnd()
 		r.restart(g)
 	case GatewayStop:
-		exited := closedIfNil(g.signal(syscall.SIGTERM))
-		select {
-		case <-exited:
-		case <-time.After(graceTime):
-			g.signal(syscall.SIGKILL)
-			<-exited
-		}
-		r.restart(g)
+		r.stopAndRestart(g, func() {})
 	}
 }
 
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -28,7 +28,10 @@
 	StreamEvents int           // number of events of a stream
 	LoadTime     time.Duration // time to load weights
 	CopyTime     time.Duration // time to copy a run to another endpoint
-	ReportLag    time.Duration // age at which an order shows in reports
+	// TimeOf returns the time that the request with the given path takes in place of WorkTime
+	// and EventGap, or 0 if it takes the usual time; nil if all do.
+	TimeOf    func(path string) time.Duration
+	ReportLag time.Duration // age at which an order shows in reports
 
 	// Crash ends the endpoint's process as a crash does. It is called when a request with
 	// CrashBody begins to run, and after the first event of a stream whose prompt has
@@ -296,11 +299,27 @@
 	}
 }
 
-// sleepScaled waits for d multiplied by the slow factor. It reports false if the
-// client disconnects first.
+// sleepScaled waits for d, or for the request's own share of time, multiplied by the slow
+// factor. It reports false if the client disconnects first.
 func (s *Server) sleepScaled(r *http.Request, d time.Duration) bool {
+	if own := s.ownTime(r); own > 0 {
+		d = own
+	}
 	s.mu.Lock()
 	d *= time.Duration(s.slowFactor)
 	s.mu.Unlock()
 	return timer.Sleep(r.Context(), d)
 }
+
+// ownTime returns the time that an application's answer or each step of an engine's stream takes
+// if the request has a time of its own, else 0.
+func (s *Server) ownTime(r *http.Request) time.Duration {
+	if s.options.TimeOf == nil {
+		return 0
+	}
+	whole := s.options.TimeOf(r.URL.Path)
+	if s.options.Model == "" {
+		return whole
+	}
+	return whole / time.Duration(1+s.options.StreamEvents)
+}
