--- a/relay/server.go
+++ b/relay/server.go
@@ -83,14 +83,15 @@
 	endpoints      *Endpoints
 	bodyBytes      atomic.Int64 // bytes of request bodies in memory
 	activeRequests sync.WaitGroup
-	attempts       attemptSet                // requests in progress that may move
-	stopBegan      atomic.Pointer[time.Time] // nil before Drain
+	attempts       attemptSet // requests in progress that may move
+	answerTimes    *answerTimes
+	stop           atomic.Pointer[StopTimes] // nil before Drain
 	stopping       *stopSignal
 }
 
 // NewServer returns a Server that relays to the endpoints of o.View.
 func NewServer(o Options) *Server {
-	return &Server{opts: o, endpoints: newEndpoints(o), stopping: newStopSignal()}
+	return &Server{opts: o, endpoints: newEndpoints(o), answerTimes: newAnswerTimes(), stopping: newStopSignal()}
 }
 
 // Endpoints returns the Endpoints from which the server chooses.
@@ -136,16 +137,6 @@
 	}
 }
 
-// Drain makes every response from now on ask the caller to close its connection.
-func (s *Server) Drain() {
-	now := time.Now()
-	s.stopBegan.Store(&now)
-}
-
-// Stop ends the requests in progress: those that wait or run are answered with a refusal, and
-// responses of which a part was sent are aborted.
-func (s *Server) Stop() { s.stopping.stop() }
-
 // maxConfirmationAge is the maximum age of the last confirmation of the
 // configuration at which a request is refused permanently because its route or
 // token is not in the configuration. With an older confirmation, the refusal is
@@ -162,8 +153,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Done()
-	c := &callerRequest{server: s, w: w, arrivedAt: time.Now(), sequence: newEventSequence(-1)}
-	c.recordArrival(callerConnOf(r.Context()))
+	c := &callerRequest{server: s, w: w, conn: callerConnOf(r.Context()), arrivedAt: time.Now(), sequence: newEventSequence(-1)}
+	c.recordArrival()
 	if !r.ProtoAtLeast(1, 1) {
 		c.beforeAbort = func() { resetCallerConn(r.Context()) }
 	}
@@ -181,21 +172,14 @@
 	c.serve(r.Context())
 }
 
-// recordArrival records that the request has arrived on conn, which is nil if it is not known.
-// After the stop has begun, the response asks the caller to close the connection.
-func (c *callerRequest) recordArrival(conn *callerConn) {
-	if conn != nil {
-		conn.requests.Add(1)
+// recordArrival records that the request has arrived on its connection.
+func (c *callerRequest) recordArrival() {
+	if c.conn != nil {
+		c.conn.requests.Add(1)
 	}
-	stopBegan := c.server.stopBegan.Load()
-	if stopBegan == nil {
-		return
-	}
-	c.late = newLateArrival(conn, *stopBegan, c.arrivedAt)
-	metric.Counter("requests_during_stop_total", "connection", c.late.connection).Inc(1)
-	c.w.Header().Set("Connection", "close")
-	if conn != nil {
-		conn.askedToEnd.Store(true)
+	if stop := c.server.stop.Load(); stop != nil {
+		c.late = newLateArrival(c.conn, stop.Began, c.arrivedAt)
+		metric.Counter("requests_during_stop_total", "connection", c.late.connection).Inc(1)
 	}
 }
 
@@ -220,7 +204,7 @@
 	}
 	c.prepareQuery(cfg)
 	c.sequence = newEventSequence(c.call.LastEventID)
-	return nil
+	return c.refuseStopping()
 }
 
 // findRoute determines the route and the team of a request whose call is known. It returns a
@@ -382,7 +366,7 @@
 		c.server.opts.Dialect.SetRetryAfter(h, r.RetryAfter)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	c.w.WriteHeader(r.Status)
+	c.writeHeader(r.Status)
 	// A write error means that the caller is gone; there is nobody to report it to.
 	_, _ = io.WriteString(c.w, string(r.Reason)+": "+r.Detail+"\n")
 }
