Soak: a step that stops a gateway signals only the process that it stops

A step now signals the process that it waits for, or none. The test fails if the process is not compared.

--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -128,6 +128,17 @@
 	return g.exited
 }
 
+// signalProcess sends s to the process whose exit the given channel reports, unless it has
+// exited: another one may have started since.
+func (g *gateway) signalProcess(exited <-chan struct{}, s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process != nil && exited == g.exited {
+		// The error is ignored, because the process may exit at any time.
+		_ = g.process.Signal(s)
+	}
+}
+
 // stop kills the process, closes the links and closes the log file.
 func (g *gateway) stop() {
 	if exited := g.signal(syscall.SIGKILL); exited != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -467,7 +467,7 @@
 		waitEnd()
 		r.restart(g)
 	case GatewayStop:
-		r.stopAndRestart(g, func() {})
+		r.stopAndRestart(g, nil)
 	}
 }
 
--- a/internal/soak/stop.go
+++ b/internal/soak/stop.go
@@ -53,16 +53,19 @@
 	return stopPeriod{}, false
 }
 
-// stopAndRestart stops a gateway, calls during in the stop, and starts the gateway again when
-// its process has exited.
-func (r *run) stopAndRestart(g *gateway, during func()) {
+// stopAndRestart stops a gateway, calls during in the stop unless it is nil, and starts the
+// gateway again when its process has exited. The argument of during sends a signal to that
+// process.
+func (r *run) stopAndRestart(g *gateway, during func(send func(syscall.Signal))) {
 	exited := closedIfNil(g.signal(syscall.SIGTERM))
 	killAt := time.Now().Add(graceTime)
-	during()
+	if during != nil {
+		during(func(s syscall.Signal) { g.signalProcess(exited, s) })
+	}
 	select {
 	case <-exited:
 	case <-time.After(time.Until(killAt)):
-		g.signal(syscall.SIGKILL)
+		g.signalProcess(exited, syscall.SIGKILL)
 		<-exited
 	}
 	r.restart(g)
@@ -88,23 +91,23 @@
 	case GatewaysRoll:
 		r.rollGateways(s.Target, wait(rollFraction))
 	case GatewayStopTwice:
-		r.stopAndRestart(g, func() {
+		r.stopAndRestart(g, func(send func(syscall.Signal)) {
 			wait(1)()
-			g.signal(syscall.SIGTERM)
+			send(syscall.SIGTERM)
 		})
 	case GatewayStopReload:
 		if s.variant(0) {
 			g.signal(syscall.SIGHUP)
 		}
-		r.stopAndRestart(g, func() {
-			g.signal(syscall.SIGHUP)
+		r.stopAndRestart(g, func(send func(syscall.Signal)) {
+			send(syscall.SIGHUP)
 			wait(1)()
-			g.signal(syscall.SIGHUP)
+			send(syscall.SIGHUP)
 		})
 	case GatewayStopEarly:
-		r.stopAndRestart(g, func() {})
+		r.stopAndRestart(g, nil)
 		wait(earlyFraction)()
-		r.stopAndRestart(g, func() {})
+		r.stopAndRestart(g, nil)
 	}
 }
 
@@ -118,7 +121,7 @@
 	var stops sync.WaitGroup
 	defer stops.Wait()
 	for n := range min(len(r.gateways)-1, mostRolled) {
-		stops.Go(func() { r.stopAndRestart(r.gateways[(first+n)%len(r.gateways)], func() {}) })
+		stops.Go(func() { r.stopAndRestart(r.gateways[(first+n)%len(r.gateways)], nil) })
 		between()
 	}
 }
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -3,7 +3,10 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,6 +82,25 @@
 	assert.Check(t, with > 15 && with < 45, "%d", with)
 }
 
+// TestStopDoesNotEndNextProcess checks that a step that stops a gateway signals only the process
+// that it stops, also if another step has started the next one.
+func TestStopDoesNotEndNextProcess(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "gatewayd")
+	assert.NilError(t, os.WriteFile(binary, []byte("#!/bin/sh\nexec sleep 600\n"), 0o700))
+	g := &gateway{name: "front-1", binary: binary}
+	assert.NilError(t, g.start())
+	exited := g.signal(syscall.SIGTERM)
+	<-exited
+	assert.NilError(t, g.start())
+	t.Cleanup(func() { <-g.signal(syscall.SIGKILL) })
+	g.signalProcess(exited, syscall.SIGKILL)
+	select {
+	case <-g.exited:
+		t.Error("the next process was killed")
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
 // TestPathsOfLateCallsNameTheirTime checks which paths name the time that endpoints take.
 func TestPathsOfLateCallsNameTheirTime(t *testing.T) {
 	for path, want := range map[string]time.Duration{
