Soak: cuts of requests that were sent while a gateway still got new connections

cut-in-stop is split by name, both parts are violations as before: cut-while-routed has the requests that were sent in the first half of the stop, when a refusal may send their callers back to the same gateway, and the report counts them.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -39,6 +39,7 @@
 	LimitExceeded        Invariant = "limit-exceeded"   // an endpoint gets hardly more requests than the limit that it names
 	MemoryExceeded       Invariant = "memory"           // a gateway stays within its machine's memory
 	CutInStop            Invariant = "cut-in-stop"      // a gateway that stops ends no request unanswered that it could have refused or finished
+	CutWhileRouted       Invariant = "cut-while-routed" // the same, of requests that were sent while it still got new connections
 	NoRecovery           Invariant = "no-recovery"      // everything works again after the last step
 )
 
--- a/internal/soak/check_stop.go
+++ b/internal/soak/check_stop.go
@@ -11,6 +11,8 @@
 const (
 	// finishTime is the time from SIGTERM until a gateway ends the requests that are left.
 	finishTime = graceTime * 9 / 10
+	// unroutedTime is the time from SIGTERM until a gateway takes no new connections.
+	unroutedTime = finishTime / 2
 	// finishMargin is the part of that time that a request may lose on the way.
 	finishMargin = 500 * time.Millisecond
 	// retireIdle and retireNew are the times without a request after which a gateway that stops
@@ -22,7 +24,8 @@
 // checkStops checks the requests to gateways that stop, unless there was a disruption. One that
 // was sent after the stop began must get a whole answer, or a refusal that says that it has not
 // run. One that was sent before must get a whole answer if its endpoint needed less time than
-// the stop left.
+// the stop left. Requests that were sent while the gateway still got new connections and were cut
+// have a name of their own: a refusal may send their callers back to the same gateway.
 func (r *run) checkStops(obs *observations) {
 	for attempt, c := range obs.calls {
 		p, ok := r.undisturbedStop(obs, c)
@@ -33,13 +36,23 @@
 		if c.sentAt.Before(p.began) {
 			fault = earlyFault(c, p, obs.runs[attempt])
 		}
+		invariant := CutInStop
+		if sentWhileRouted(c, p) && !c.promisedNotRun() {
+			invariant = CutWhileRouted
+		}
 		if fault != "" {
-			r.recordViolation(CutInStop, "%s (%s) at %s, sent %s after SIGTERM, ended %s after it, %s: status %d, error %v",
+			r.recordViolation(invariant, "%s (%s) at %s, sent %s after SIGTERM, ended %s after it, %s: status %d, error %v",
 				attempt, c.kind, c.gateway.name, c.sentAt.Sub(p.began).Round(time.Millisecond), c.endedAt.Sub(p.began).Round(time.Millisecond), fault, c.status, c.err)
 		}
 	}
 }
 
+// sentWhileRouted reports whether a call was sent after a stop had begun, but while the gateway
+// still got new connections.
+func sentWhileRouted(c *call, p stopPeriod) bool {
+	return !c.sentAt.Before(p.began) && c.sentAt.Before(p.began.Add(unroutedTime))
+}
+
 // undisturbedStop returns the planned stop during which a call that has ended was sent or under
 // way, if there is one and no disruption.
 func (r *run) undisturbedStop(obs *observations, c *call) (stopPeriod, bool) {
@@ -114,22 +127,23 @@
 // StopCounts counts the requests that were sent to gateways during planned stops without a
 // disruption, by their outcome. Requests that are sent again after a refusal count once.
 type StopCounts struct {
-	Sent          int
-	Whole         int // got the whole answer
-	ServedNext    int // refused, and answered whole at the next attempt
-	RefusedTwice  int // refused, and refused again at the next attempt
-	RefusedOnly   int // refused, and not sent again or with another outcome at the next attempt
-	Cut           int // the answer broke off, or there was none after a run, or it was a failure
-	CrossedClose  int // the connection was closed when it had been idle, without a run
-	Other         int // not answered without a run, or with a status that has nothing to do with the stop
-	EarlyOutlasts int // sent before the stop, and cut: they needed longer than the stop left
-	EarlyCut      int // sent before the stop, and cut although there was time
+	Sent           int
+	Whole          int // got the whole answer
+	ServedNext     int // refused, and answered whole at the next attempt
+	RefusedTwice   int // refused, and refused again at the next attempt
+	RefusedOnly    int // refused, and not sent again or with another outcome at the next attempt
+	Cut            int // the answer broke off, or there was none after a run, or it was a failure
+	CutWhileRouted int // of these, sent while the gateway still got new connections
+	CrossedClose   int // the connection was closed when it had been idle, without a run
+	Other          int // not answered without a run, or with a status that has nothing to do with the stop
+	EarlyOutlasts  int // sent before the stop, and cut: they needed longer than the stop left
+	EarlyCut       int // sent before the stop, and cut although there was time
 }
 
 // String implements fmt.Stringer.
 func (n StopCounts) String() string {
-	return fmt.Sprintf("in stops: %d sent, %d whole, %d refused and served next, %d refused twice, %d refused only, %d cut, %d crossed the close of their connection, %d other; sent before: %d outlasted the stop, %d cut in time",
-		n.Sent, n.Whole, n.ServedNext, n.RefusedTwice, n.RefusedOnly, n.Cut, n.CrossedClose, n.Other, n.EarlyOutlasts, n.EarlyCut)
+	return fmt.Sprintf("in stops: %d sent, %d whole, %d refused and served next, %d refused twice, %d refused only, %d cut (%d while routed), %d crossed the close of their connection, %d other; sent before: %d outlasted the stop, %d cut in time",
+		n.Sent, n.Whole, n.ServedNext, n.RefusedTwice, n.RefusedOnly, n.Cut, n.CutWhileRouted, n.CrossedClose, n.Other, n.EarlyOutlasts, n.EarlyCut)
 }
 
 // countInStops counts the requests that were sent to stopping gateways so far.
@@ -156,7 +170,11 @@
 			}
 		case c.retryOf == nil || !r.refusedInStop(obs, c.retryOf):
 			n.Sent++
+			cut := n.Cut
 			n.add(c, runs, next[c])
+			if n.Cut > cut && sentWhileRouted(c, p) {
+				n.CutWhileRouted++
+			}
 		}
 	}
 	return n
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -216,6 +216,16 @@
 			f.addCall("a", lateStream, time.Second, http.StatusOK, io.ErrUnexpectedEOF)
 			f.addRun(f.endpoints[0], "a", "/late-stream/1", "")
 		}},
+		"a request taken early in a stop and cut": {CutWhileRouted, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", lateStream, 3*time.Second, http.StatusOK, io.ErrUnexpectedEOF)
+			f.addRun(f.endpoints[0], "a", "/late-stream/1", "")
+		}},
+		"a refusal early in a stop of what ran": {CutInStop, func(f *checkFixture) {
+			f.addStop(4 * time.Second)
+			f.addCall("a", lateOpen, 3*time.Second, http.StatusServiceUnavailable, nil)
+			f.addRun(f.endpoints[1], "a", "/late-open/1", "")
+		}},
 		"a request taken late in a stop that fails": {CutInStop, func(f *checkFixture) {
 			f.addStop(4 * time.Second)
 			f.addCall("a", lateOnce, time.Second, http.StatusBadGateway, nil)
