--- a/gateway/front_test.go
+++ b/gateway/front_test.go
@@ -59,3 +59,53 @@
 	assert.NilError(t, err)
 	assert.Check(t, !c.mayRetire(now.Add(time.Hour)), "read")
 }
+
+// queueConnections opens connections that a listener has yet to accept.
+func queueConnections(t *testing.T, l net.Listener, n int) []net.Conn {
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { c.Close() })
+		conns[i] = c
+	}
+	return conns
+}
+
+// TestQueuedConnectionsAreAcceptedAfterDelay lets a process that stops get no processor time
+// until the time for the last connections is over. Those that are queued must not be reset.
+func TestQueuedConnectionsAreAcceptedAfterDelay(t *testing.T) {
+	l, err := listenFront("127.0.0.1:0")
+	assert.NilError(t, err)
+	queueConnections(t, l, 3)
+	l.stop()
+	time.Sleep(2 * lastAcceptTime)
+	for range 3 {
+		_, err := l.Accept()
+		assert.NilError(t, err)
+	}
+	_, err = l.Accept()
+	assert.Check(t, errors.Is(err, http.ErrServerClosed), "%v", err)
+}
+
+// TestRetireAwaitsQueuedConnections checks that a stop with no connection open goes on until those
+// that are queued have been accepted.
+func TestRetireAwaitsQueuedConnections(t *testing.T) {
+	l, err := listenFront("127.0.0.1:0")
+	assert.NilError(t, err)
+	queueConnections(t, l, 1)
+	l.stop()
+	retired := make(chan int, 1)
+	go func() { retired <- l.retire(t.Context()) }()
+	select {
+	case <-retired:
+		t.Fatal("a connection is queued")
+	case <-time.After(100 * time.Millisecond):
+	}
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	_, err = l.Accept()
+	assert.Check(t, errors.Is(err, http.ErrServerClosed), "%v", err)
+	l.recordState(c, http.StateClosed)
+	assert.Equal(t, <-retired, 0)
+}
