Gateway: a stop that is delayed accepts the connections that are queued

Callers saw connections reset, with requests on them, that the kernel had accepted while the process got no processor time. The end of the queue was taken from a deadline of 1 ms: one that passes before the call, because the goroutine or the process stood still, or because stop ends the wait of a call that no longer waits, looks like an empty queue. And the time for the last connections, 100 ms, could be over before the first was accepted. The queue itself is now looked at, and after that time a number bounds what is accepted. TestQueuedConnectionsAreAcceptedAfterDelay failed before.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -19,9 +19,11 @@
 const (
 	// lastAcceptWait is how long the queue of connections that the kernel has accepted must be
 	// empty before the listener is closed: closing it resets those that are still queued.
-	// lastAcceptTime bounds that wait if connections keep arriving.
+	// lastAcceptTime bounds that wait if connections keep arriving. After it, as many are
+	// accepted as the kernel may have queued while the process got no processor time.
 	lastAcceptWait = time.Millisecond
 	lastAcceptTime = 100 * time.Millisecond
+	maxQueuedConns = 4096
 	// idleRetireTime is how long a connection must have been idle before it is closed. A caller
 	// whose stream has just ended was not asked to close the connection, and may send its next
 	// request at once.
@@ -40,7 +42,9 @@
 // them that no goroutine has read yet.
 type frontListener struct {
 	*net.TCPListener
-	stopAt atomic.Pointer[time.Time] // when to accept no more in any case; nil before stop
+	stopAt atomic.Pointer[time.Time] // when to accept only what is queued; nil before stop
+	// acceptedLate is the number of times that Accept went on after that; used only by Accept
+	acceptedLate int
 
 	mu    sync.Mutex
 	conns map[*frontConn]struct{} // guarded by mu
@@ -70,25 +74,55 @@
 	for {
 		stopAt := l.stopAt.Load()
 		if stopAt != nil {
+			if !l.mayAcceptMore(*stopAt) {
+				l.Close()
+				return nil, http.ErrServerClosed
+			}
 			_ = l.SetDeadline(time.Now().Add(lastAcceptWait)) // an error shows in AcceptTCP
 		}
 		c, err := l.AcceptTCP()
-		if stopAt != nil && time.Now().After(*stopAt) {
-			l.Close() // the next call returns
-		}
 		switch {
 		case err == nil:
 			return l.track(c), nil
 		case l.stopAt.Load() == nil:
 			return nil, err
-		case stopAt == nil && errors.Is(err, os.ErrDeadlineExceeded):
-			continue // stop has just ended the wait
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// Whether a connection is queued is found out above: the time may have passed
+			// before the queue was looked at.
+			continue
 		}
 		l.Close()
 		return nil, http.ErrServerClosed
 	}
 }
 
+// mayAcceptMore reports whether a connection is queued that is to be accepted after stop.
+func (l *frontListener) mayAcceptMore(stopAt time.Time) bool {
+	if time.Now().After(stopAt) {
+		l.acceptedLate++
+		if l.acceptedLate > maxQueuedConns {
+			return false
+		}
+	}
+	return l.hasQueued()
+}
+
+// hasQueued reports whether a connection is queued, or is within lastAcceptWait.
+func (l *frontListener) hasQueued() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	// An error means that the listener is closed.
+	_ = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, int(lastAcceptWait.Milliseconds()))
+		queued = n > 0 || errors.Is(err, unix.EINTR)
+	})
+	return queued
+}
+
 // stop ends Accept. The connections go on.
 func (l *frontListener) stop() {
 	at := time.Now().Add(lastAcceptTime)
