Gateway: a stop goes on until the queued connections are accepted

Callers whose connections were queued when the listener was to close saw them reset: with no other connection open, retire returned at once, and drain closed the server before Accept had looked at the queue. That is a matter of which goroutine runs first, and a process that stood still has queued connections. retire now also waits until Accept returns no more. TestRetireAwaitsQueuedConnections failed before.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -45,6 +45,7 @@
 	stopAt atomic.Pointer[time.Time] // when to accept only what is queued; nil before stop
 	// acceptedLate is the number of times that Accept went on after that; used only by Accept
 	acceptedLate int
+	closed       chan struct{} // closed when Accept returns no more connections after stop
 
 	mu    sync.Mutex
 	conns map[*frontConn]struct{} // guarded by mu
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &frontListener{TCPListener: l.(*net.TCPListener), conns: map[*frontConn]struct{}{}}, nil
+	return &frontListener{TCPListener: l.(*net.TCPListener), closed: make(chan struct{}), conns: map[*frontConn]struct{}{}}, nil
 }
 
 // Accept implements net.Listener. After stop it returns the connections that the kernel has
@@ -75,8 +76,7 @@
 		stopAt := l.stopAt.Load()
 		if stopAt != nil {
 			if !l.mayAcceptMore(*stopAt) {
-				l.Close()
-				return nil, http.ErrServerClosed
+				return nil, l.end()
 			}
 			_ = l.SetDeadline(time.Now().Add(lastAcceptWait)) // an error shows in AcceptTCP
 		}
@@ -91,11 +91,21 @@
 			// before the queue was looked at.
 			continue
 		}
-		l.Close()
-		return nil, http.ErrServerClosed
+		return nil, l.end()
 	}
 }
 
+// end closes the listener and returns the error that says so. It is called only by Accept.
+func (l *frontListener) end() error {
+	l.Close()
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return http.ErrServerClosed
+}
+
 // mayAcceptMore reports whether a connection is queued that is to be accepted after stop.
 func (l *frontListener) mayAcceptMore(stopAt time.Time) bool {
 	if time.Now().After(stopAt) {
@@ -153,14 +163,15 @@
 	}
 }
 
-// retire closes each connection once it is idle, until none is left or ctx ends. It returns the
-// number that is left.
+// retire closes each connection once it is idle, until none is left and Accept returns no more, or
+// ctx ends. It returns the number that is left. It is called after stop.
 func (l *frontListener) retire(ctx context.Context) int {
 	tick := time.NewTicker(retireInterval)
 	defer tick.Stop()
 	for {
+		ended := l.hasEnded() // before the list, which Accept adds to
 		open := l.list()
-		if len(open) == 0 {
+		if ended && len(open) == 0 {
 			return 0
 		}
 		for _, c := range open {
@@ -177,6 +188,16 @@
 	}
 }
 
+// hasEnded reports whether Accept returns no more connections.
+func (l *frontListener) hasEnded() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *frontListener) list() []*frontConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
