--- a/gateway/front.go
+++ b/gateway/front.go
@@ -175,10 +175,7 @@
 			return 0
 		}
 		for _, c := range open {
-			if c.mayRetire(time.Now()) {
-				metric.Counter("caller_connections_retired_total").Inc(1)
-				c.Close()
-			}
+			c.retire(time.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -226,6 +223,14 @@
 	}
 }
 
+// retire closes the connection if it may.
+func (c *frontConn) retire(now time.Time) {
+	if c.mayRetire(now) {
+		metric.Counter("caller_connections_retired_total").Inc(1)
+		c.Close()
+	}
+}
+
 // mayRetire reports whether no request is in progress on the connection, none has arrived, and
 // the caller has had time to send one.
 func (c *frontConn) mayRetire(now time.Time) bool {
--- a/gateway/front_test.go
+++ b/gateway/front_test.go
@@ -109,3 +109,39 @@
 	l.recordState(c, http.StateClosed)
 	assert.Equal(t, <-retired, 0)
 }
+
+// TestRequestIsNotReadFromRetiredConnection sends a byte on idle connections in the moment in
+// which they are closed. What was read from a connection must not be lost with it.
+func TestRequestIsNotReadFromRetiredConnection(t *testing.T) {
+	l, err := listenFront("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	lost := 0
+	for n := range 4000 {
+		caller, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		accepted, err := l.Accept()
+		assert.NilError(t, err)
+		c := accepted.(*frontConn)
+		c.setState(http.StateIdle, time.Now().Add(-time.Hour))
+		read := make(chan int, 1)
+		go func() {
+			n, _ := c.Read(make([]byte, 1))
+			read <- n
+		}()
+		time.Sleep(20 * time.Microsecond)
+		_, err = caller.Write([]byte("G"))
+		assert.NilError(t, err)
+		for began := time.Now(); time.Since(began) < time.Duration(n%100)*200*time.Nanosecond; {
+		}
+		c.retire(time.Now())
+		if <-read > 0 {
+			if _, err := c.Write([]byte("A")); err != nil {
+				lost++
+			}
+		}
+		caller.Close()
+		c.Close()
+	}
+	assert.Equal(t, lost, 0)
+}
