Gateway: the goroutine that reads decides whether an idle connection is closed

Callers whose request arrived in the microseconds in which a stopping instance looked whether their connection was idle saw it closed without an answer; a request that was read in that time could even be passed on first. Only the goroutine that reads knows whether it has just taken bytes from the kernel, or is about to. retire now ends its wait by the read deadline, and the read goes on if anything has come.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -56,9 +56,10 @@
 	*net.TCPConn
 	hasRead atomic.Bool // bytes were read since the connection became new or idle
 
-	mu    sync.Mutex
-	state http.ConnState // guarded by mu
-	since time.Time      // of the state; guarded by mu
+	mu       sync.Mutex
+	state    http.ConnState // guarded by mu
+	since    time.Time      // of the state; guarded by mu
+	retiring bool           // the wait for a request was ended by retire; guarded by mu
 }
 
 func listenFront(address string) (*frontListener, error) {
@@ -207,11 +208,15 @@
 
 // Read implements net.Conn.
 func (c *frontConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.hasRead.Store(true)
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.hasRead.Store(true)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.stay() {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 func (c *frontConn) setState(state http.ConnState, now time.Time) {
@@ -221,21 +226,45 @@
 	if state == http.StateIdle {
 		c.hasRead.Store(false)
 	}
+	c.endRetiring()
 }
 
-// retire closes the connection if it may.
+// retire ends the wait for a request if the connection may be closed, upon which the http.Server
+// closes it. Only the goroutine that reads knows whether it has just read a part of a request.
 func (c *frontConn) retire(now time.Time) {
-	if c.mayRetire(now) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.mayRetire(now) {
+		return
+	}
+	if !c.retiring {
 		metric.Counter("caller_connections_retired_total").Inc(1)
-		c.Close()
 	}
+	c.retiring = true
+	_ = c.SetReadDeadline(now) // fails only if the connection is closed
 }
 
-// mayRetire reports whether no request is in progress on the connection, none has arrived, and
-// the caller has had time to send one.
-func (c *frontConn) mayRetire(now time.Time) bool {
+// stay reports whether the wait for a request that retire has ended goes on, since a part of one
+// has arrived.
+func (c *frontConn) stay() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return (c.hasRead.Load() || c.hasUnread()) && c.endRetiring()
+}
+
+// endRetiring undoes retire, and reports whether there was anything to undo. The caller holds mu.
+func (c *frontConn) endRetiring() bool {
+	if !c.retiring {
+		return false
+	}
+	c.retiring = false
+	_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	return true
+}
+
+// mayRetire reports whether no request is in progress on the connection, none has arrived, and
+// the caller has had time to send one. The caller holds mu.
+func (c *frontConn) mayRetire(now time.Time) bool {
 	wait := newRetireTime
 	switch c.state {
 	case http.StateNew:
