Test what callers get whose request bodies arrive in a stop, failing

A refusal before the body is read closes the connection of a caller that asked for that, or speaks HTTP/1.0, while it sends: it sees a broken pipe (TestRefusalInStopReachesCallerThatSendsBody, 2 of 3 cases). A request whose body is still being read when the stop ends gets no answer (TestRequestWhoseBodyArrivesInStopIsAnswered).

--- a/relay/late_stop_test.go
+++ b/relay/late_stop_test.go
@@ -1,6 +1,10 @@
 package relay_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -210,3 +214,56 @@
 	assert.Check(t, got.isStopRefusal(), "%d %s", got.status, got.body)
 	assert.Equal(t, len(f.requests()), 0)
 }
+
+// TestRefusalInStopReachesCallerThatSendsBody refuses requests whose bodies have not arrived yet.
+// Callers read the response when they have sent the body.
+func TestRefusalInStopReachesCallerThatSendsBody(t *testing.T) {
+	for _, c := range []struct{ name, version, header string }{
+		{"kept connection", "1.1", ""},
+		{"connection for one request", "1.1", "Connection: close\r\n"},
+		{"old caller", "1.0", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t)
+			f := b.startEndpoint("i-1", respondOK)
+			b.drainLate()
+			conn, err := net.Dial("tcp4", b.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			const pieces = 4
+			piece := strings.Repeat("x", 10<<10)
+			_, err = fmt.Fprintf(conn, "POST /once/1 HTTP/%s\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Bearer key\r\n%sContent-Length: %d\r\n\r\n", c.version, c.header, pieces*len(piece))
+			assert.NilError(t, err)
+			for range pieces {
+				time.Sleep(20 * time.Millisecond)
+				_, err = conn.Write([]byte(piece))
+				assert.Check(t, err, "the connection was closed before the body was sent")
+			}
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, len(f.requests()), 0)
+		})
+	}
+}
+
+// TestRequestWhoseBodyArrivesInStopIsAnswered ends a stop while the body of a request arrives.
+func TestRequestWhoseBodyArrivesInStopIsAnswered(t *testing.T) {
+	b := newTestBed(t)
+	f := b.startEndpoint("i-1", respondOK)
+	conn, err := net.Dial("tcp4", b.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Bearer key\r\nContent-Length: 10\r\n\r\nhello")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	b.drainLate()
+	b.relay.Stop()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	assert.Check(t, res.Close)
+	assert.Check(t, res.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(f.requests()), 0)
+}
