Relay: a stopping instance refuses a request when its body has arrived

Callers that send one request a connection, or speak HTTP/1.0, and were refused in the stop got a broken pipe while they sent the body: net/http closes such a connection after the response, whether or not the body was read. The refusal is now given when the body has been read, as those of all later checks are. TestRefusalInStopReachesCallerThatSendsBody failed before for 2 of 3 cases.

--- a/relay/server.go
+++ b/relay/server.go
@@ -166,6 +166,11 @@
 		return
 	}
 	defer s.bodyBytes.Add(-int64(len(c.body)))
+	// A caller may not look for a refusal before it has sent the whole body.
+	if refusal := c.refuseStopping(); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
 	if s.opts.MoveStreams && c.call.Prompt != nil {
 		defer s.attempts.add(c.call.AttemptID)()
 	}
@@ -204,7 +209,7 @@
 	}
 	c.prepareQuery(cfg)
 	c.sequence = newEventSequence(c.call.LastEventID)
-	return c.refuseStopping()
+	return nil
 }
 
 // findRoute determines the route and the team of a request whose call is known. It returns a
