Relay: a request whose body is still read when the stop ends is answered

Callers saw the connection closed without a word, so that they could not know that the request has not run. Stop ends only the contexts of requests that were read. It now ends the reads of bodies, too, and these requests are refused as not run. TestRequestWhoseBodyArrivesInStopIsAnswered failed before.

--- a/relay/server.go
+++ b/relay/server.go
@@ -322,8 +322,8 @@
 	return c.deadline
 }
 
-// readBody reads the whole request body into memory. If that fails or a limit is
-// exceeded, it responds with a refusal and returns false.
+// readBody reads the whole request body into memory. If that fails, a limit is
+// exceeded or the server stops, it responds with a refusal and returns false.
 func (c *callerRequest) readBody(r *http.Request) bool {
 	if r.ContentLength == 0 {
 		return true
@@ -332,9 +332,13 @@
 	if limit == 0 {
 		limit = c.server.opts.MaxBodyBytes
 	}
+	wasStopped := c.server.stopping.endReads(c.w)
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case wasStopped():
+		c.refuse(contract.Unavailable(contract.ReasonDraining, stopRetryAfter, errStopped.Error()))
+		return false
 	case errors.As(err, &tooLarge):
 		c.refuse(contract.Refuse(http.StatusRequestEntityTooLarge, contract.ReasonTooLarge, "the body is too large"))
 		return false
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"redwingknot/contract"
@@ -100,3 +101,12 @@
 		cancel(nil)
 	}
 }
+
+// endReads ends reads of the request that w responds to when the server stops, and returns the
+// function that ends this and reports whether the server has stopped before.
+func (s *stopSignal) endReads(w http.ResponseWriter) (wasStopped func() bool) {
+	detach := context.AfterFunc(s.ctx, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only if the connection is closed
+	})
+	return func() bool { return !detach() }
+}
