Test that a gateway which is told to stop while suspended ends in time, failing

A gateway that is suspended for 4 s, and told to stop as that begins, counts its grace period from the moment at which it goes on: a stream that it takes then is cut when the platform kills the process, 8 s after SIGTERM. Fails in each run in which the request comes 0.3 s after the gateway goes on; one that comes before is refused since tokens can't be confirmed.

--- a/processtest/suspended_test.go
+++ b/processtest/suspended_test.go
@@ -100,3 +100,28 @@
 	}
 	return true
 }
+
+// TestStopOfSuspendedGatewayEndsInTime tells a gateway to stop while it is suspended. The platform
+// counts the grace period from then on: a request that arrives must not be passed on if it can't
+// end within what is left, and the process must have ended by then.
+func TestStopOfSuspendedGatewayEndsInTime(t *testing.T) {
+	d := newLateDeployment(t)
+	g := d.startGateway("front-1")
+	status, _, err := g.ask("key") // the gateway has seen how long streams take
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	time.Sleep(time.Second)
+	assert.NilError(t, g.cmd.Process.Signal(syscall.SIGSTOP))
+	stopAt := time.Now()
+	assert.NilError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+	c, err := connect(g)
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	time.Sleep(4 * time.Second)
+	assert.NilError(t, g.cmd.Process.Signal(syscall.SIGCONT))
+	time.AfterFunc(time.Until(stopAt.Add(time.Duration(d.grace)*time.Second)), func() { _ = g.cmd.Process.Kill() })
+	time.Sleep(300 * time.Millisecond) // the gateway has confirmed the configuration again
+	a := c.post("/x/1")
+	assert.Check(t, a.isWhole() || a.isRefusal(), "status %d, body %q, %v", a.status, a.body, a.err)
+	assert.NilError(t, <-g.exited)
+}
