Gateway: a stop counts from when the process was suspended

Callers saw streams cut and calls end without an answer: an instance that is told to stop while it is suspended gets the signal when it goes on, and counted the grace period from then, so that it took what it could not finish before the platform killed it. TestStopOfSuspendedGatewayEndsInTime failed before: the stream was cut, and the process killed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,7 @@
 	slotClient    *slots.Client
 	era           int64 // of the metadata store at the last read of the operator's range; used only by its watcher
 	draining      atomic.Bool
+	suspension    *suspensionWatch
 	started       time.Time
 	memberCount   atomic.Int64 // registered instances, 0 before they are known
 	rank          atomic.Int64 // position of this instance among them by name, from 0 on
@@ -110,7 +111,7 @@
 
 // New returns a Gateway that does nothing until Run is called.
 func New(o Options) *Gateway {
-	g := &Gateway{opts: o, era: unknownEra, log: o.Relay.Log, kv: metastore.NewWatchMux(o.KV), view: o.Relay.View, started: o.Relay.Now()}
+	g := &Gateway{opts: o, era: unknownEra, log: o.Relay.Log, kv: metastore.NewWatchMux(o.KV), view: o.Relay.View, suspension: newSuspensionWatch(time.Now()), started: o.Relay.Now()}
 	g.confirmations = newConfirmations(g.view, o.Relay.Now)
 	g.opts.Relay.OtherLoads = peers.NewTable()
 	g.opts.Relay.MembersConfirmedAt = g.membersConfirmedAt
@@ -217,6 +218,7 @@
 	for _, w := range g.newWatchers(workCtx) {
 		group.Go(func() error { return w.run(workCtx) })
 	}
+	group.Go(func() error { return g.suspension.run(workCtx) })
 	group.Go(func() error { return g.registration.run(workCtx) })
 	group.Go(func() error { return g.endSettling(workCtx) })
 	group.Go(func() error { return g.suspects.run(workCtx) })
@@ -309,16 +311,17 @@
 // its end are answered. It takes some milliseconds, on a busy machine some tens.
 const lastAnswerFraction = 0.04
 
-// stopTimes returns the times of a stop that begins now.
-func (g *Gateway) stopTimes(now time.Time) relay.StopTimes {
+// stopTimes returns the times of a stop that began at a time.
+func (g *Gateway) stopTimes(began time.Time) relay.StopTimes {
 	drainTime := time.Duration(drainGraceFraction * float64(g.opts.Grace))
-	return relay.StopTimes{Began: now, Unrouted: now.Add(min(balancerNoticeTime, drainTime/2)), End: now.Add(drainTime)}
+	return relay.StopTimes{Began: began, Unrouted: began.Add(min(balancerNoticeTime, drainTime/2)), End: began.Add(drainTime)}
 }
 
 // drain reports the instance as not ready, waits until the balancer has noticed,
 // closes the listener and waits until the pending requests are answered.
 func (g *Gateway) drain(server *http.Server, front *frontListener) {
-	times := g.stopTimes(time.Now())
+	// While the process is suspended, the grace period goes on, and readiness checks fail.
+	times := g.stopTimes(g.suspension.signalSent(time.Now()))
 	event.ProcessDraining.Log(g.log)
 	g.draining.Store(true)
 	g.relay.Drain(times)
