Test that a stop with a silent metadata store ends in time, failing

With a request that goes on until the end of the stop and a store that does not answer, the process ends 4.4 s after SIGTERM, with a grace period of 4 s.

--- a/processtest/stop_test.go
+++ b/processtest/stop_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"redwingknot/internal/standin/fleetstore"
 )
 
 // callerConn is a caller's connection to a gateway.
@@ -144,3 +146,20 @@
 	assert.Equal(t, status, http.StatusBadGateway, "%s", body)
 	assert.NilError(t, <-g.exited)
 }
+
+// TestStopWithSilentStoreEndsInTime stops a gateway whose metadata store does not answer while a
+// stream goes on that takes longer than the grace period.
+func TestStopWithSilentStoreEndsInTime(t *testing.T) {
+	d := newGatewayDeploymentWithEventGap(t, 1900*time.Millisecond)
+	d.grace = 4
+	g := d.startGateway("front-1")
+	go func() { _, _, _ = g.ask("key") }()
+	time.Sleep(300 * time.Millisecond)
+	d.storeServer.SetFault(fleetstore.Fault{NoAnswer: true})
+	time.Sleep(300 * time.Millisecond)
+	stopAt := time.Now()
+	assert.NilError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, <-g.exited)
+	took := time.Since(stopAt)
+	assert.Check(t, took < time.Duration(d.grace)*time.Second, "%v", took)
+}
