Gateway: the last call of a stop fits into the grace period

With a silent metadata store, the call that removes the instance's key went on for up to a second after the last answers, and the platform had to kill the process. It is now bounded by the grace period. TestStopWithSilentStoreEndsInTime failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,7 +126,7 @@
 	g.opts.Relay.Detours = detours
 	g.setUpSlots()
 	g.relay = relay.NewServer(g.opts.Relay)
-	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease), coordinates: o.Cores >= minCoordinatorCores}
+	g.registration = &registration{kv: o.KV, instance: o.Instance, address: o.PeerAddr, ttl: max(memberTTL, o.MinLease), revokeTime: time.Duration(lastCallFraction * float64(o.Grace)), coordinates: o.Cores >= minCoordinatorCores}
 	g.setUpPeerExchange()
 	g.originBatches = newOriginBatches(g)
 	detours.exchange = g.exchange
@@ -311,6 +311,10 @@
 // its end are answered. It takes some milliseconds, on a busy machine some tens.
 const lastAnswerFraction = 0.04
 
+// lastCallFraction is the fraction of the grace period for the last call of the metadata store,
+// after the pending requests have been answered.
+const lastCallFraction = 0.03
+
 // stopTimes returns the times of a stop that began at a time.
 func (g *Gateway) stopTimes(began time.Time) relay.StopTimes {
 	drainTime := time.Duration(drainGraceFraction * float64(g.opts.Grace))
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -34,6 +34,8 @@
 	instance string
 	address  string // at which other instances reach this one
 	ttl      time.Duration
+	// revokeTime bounds the call by which the key is removed when the instance ends.
+	revokeTime time.Duration
 	// coordinates is set if this instance has the processor time to coordinate others.
 	coordinates bool
 }
@@ -124,7 +126,7 @@
 			metric.Counter("member_failures_total").Inc(1)
 		}
 	}
-	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.revokeTime)
 	defer cancel()
 	if err := r.kv.Revoke(revokeCtx, purposeMembers, lease); err != nil {
 		metric.Counter("member_failures_total").Inc(1)
