--- a/processtest/suspended_test.go
+++ b/processtest/suspended_test.go
@@ -125,3 +125,35 @@
 	assert.Check(t, a.isWhole() || a.isRefusal(), "status %d, body %q, %v", a.status, a.body, a.err)
 	assert.NilError(t, <-g.exited)
 }
+
+// TestSuspendedStopAnswersQueuedRequests suspends a gateway during its stop until the time has come
+// to close its listener, or to end all requests. The kernel accepts connections meanwhile: the
+// requests on them must be answered.
+func TestSuspendedStopAnswersQueuedRequests(t *testing.T) {
+	const queued = 6
+	d := newGatewayDeployment(t)
+	for _, goesOnAfter := range []time.Duration{4 * time.Second, 7400 * time.Millisecond} {
+		g := d.startGateway("front-1")
+		http.DefaultClient.CloseIdleConnections() // none is open but those that are queued
+		stopAt := time.Now()
+		assert.NilError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+		time.Sleep(1500 * time.Millisecond)
+		assert.NilError(t, g.cmd.Process.Signal(syscall.SIGSTOP))
+		answers := make(chan error, queued)
+		for range queued {
+			c, err := connect(g)
+			assert.NilError(t, err)
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				_, _, _, err := c.ask("unknown")
+				answers <- err
+			}()
+		}
+		time.Sleep(time.Until(stopAt.Add(goesOnAfter)))
+		assert.NilError(t, g.cmd.Process.Signal(syscall.SIGCONT))
+		for range queued {
+			assert.Check(t, <-answers, "the gateway goes on %v after the stop began", goesOnAfter)
+		}
+		assert.NilError(t, <-g.exited)
+	}
+}
