Gateway: a stop that goes on at its end answers what is queued

A process that was suspended until all requests are to be ended found no connection open and closed its server before it had accepted those that were queued: callers saw them reset. The queued ones now get the same time for an answer as pending requests. TestSuspendedStopAnswersQueuedRequests failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -335,8 +335,11 @@
 	ctx, cancel := context.WithDeadline(context.Background(), times.End)
 	defer cancel()
 	front.stop()
-	if pending := front.retire(ctx); pending > 0 {
+	pending := front.retire(ctx)
+	if pending > 0 {
 		event.RequestsCutOff.Log(g.log, slog.Int("connections", pending))
+	}
+	if pending > 0 || !front.hasEnded() {
 		g.endPending(front)
 	}
 	server.Close()
