Tests: the connection of the suspended gateway is accepted after the suspension

TestStopOfSuspendedGatewayEndsInTime failed once of six runs, beside others: the gateway had accepted the connection in the moment in which it was suspended, so that it had been idle for 4 s when it went on, and was closed before the request was sent. A run in which the connection is made before the suspension shows the same. The test now waits until the gateway stands still.

--- a/processtest/suspended_test.go
+++ b/processtest/suspended_test.go
@@ -114,6 +114,7 @@
 	assert.NilError(t, g.cmd.Process.Signal(syscall.SIGSTOP))
 	stopAt := time.Now()
 	assert.NilError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(100 * time.Millisecond) // a connection that is accepted before is idle for 4 s
 	c, err := connect(g)
 	assert.NilError(t, err)
 	t.Cleanup(func() { c.Close() })
