--- a/gateway/front.go
+++ b/gateway/front.go
@@ -19,9 +19,11 @@
 const (
 	// lastAcceptWait is how long the queue of connections that the kernel has accepted must be
 	// empty before the listener is closed: closing it resets those that are still queued.
-	// lastAcceptTime bounds that wait if connections keep arriving.
+	// lastAcceptTime bounds that wait if connections keep arriving. After it, as many are
+	// accepted as the kernel may have queued while the process got no processor time.
 	lastAcceptWait = time.Millisecond
 	lastAcceptTime = 100 * time.Millisecond
+	maxQueuedConns = 4096
 	// idleRetireTime is how long a connection must have been idle before it is closed. A caller
 	// whose stream has just ended was not asked to close the connection, and may send its next
 	// request at once.
@@ -40,7 +42,10 @@
 // them that no goroutine has read yet.
 type frontListener struct {
 	*net.TCPListener
-	stopAt atomic.Pointer[time.Time] // when to accept no more in any case; nil before stop
+	stopAt atomic.Pointer[time.Time] // when to accept only what is queued; nil before stop
+	// acceptedLate is the number of times that Accept went on after that; used only by Accept
+	acceptedLate int
+	closed       chan struct{} // closed when Accept returns no more connections after stop
 
 	mu    sync.Mutex
 	conns map[*frontConn]struct{} // guarded by mu
@@ -51,9 +56,10 @@
 	*net.TCPConn
 	hasRead atomic.Bool // bytes were read since the connection became new or idle
 
-	mu    sync.Mutex
-	state http.ConnState // guarded by mu
-	since time.Time      // of the state; guarded by mu
+	mu       sync.Mutex
+	state    http.ConnState // guarded by mu
+	since    time.Time      // of the state; guarded by mu
+	retiring bool           // the wait for a request was ended by retire; guarded by mu
 }
 
 func listenFront(address string) (*frontListener, error) {
@@ -61,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &frontListener{TCPListener: l.(*net.TCPListener), conns: map[*frontConn]struct{}{}}, nil
+	return &frontListener{TCPListener: l.(*net.TCPListener), closed: make(chan struct{}), conns: map[*frontConn]struct{}{}}, nil
 }
 
 // Accept implements net.Listener. After stop it returns the connections that the kernel has
@@ -70,23 +76,62 @@
 	for {
 		stopAt := l.stopAt.Load()
 		if stopAt != nil {
+			if !l.mayAcceptMore(*stopAt) {
+				return nil, l.end()
+			}
 			_ = l.SetDeadline(time.Now().Add(lastAcceptWait)) // an error shows in AcceptTCP
 		}
 		c, err := l.AcceptTCP()
-		if stopAt != nil && time.Now().After(*stopAt) {
-			l.Close() // the next call returns
-		}
 		switch {
 		case err == nil:
 			return l.track(c), nil
 		case l.stopAt.Load() == nil:
 			return nil, err
-		case stopAt == nil && errors.Is(err, os.ErrDeadlineExceeded):
-			continue // stop has just ended the wait
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// Whether a connection is queued is found out above: the time may have passed
+			// before the queue was looked at.
+			continue
+		}
+		return nil, l.end()
+	}
+}
+
+// end closes the listener and returns the error that says so. It is called only by Accept.
+func (l *frontListener) end() error {
+	l.Close()
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return http.ErrServerClosed
+}
+
+// mayAcceptMore reports whether a connection is queued that is to be accepted after stop.
+func (l *frontListener) mayAcceptMore(stopAt time.Time) bool {
+	if time.Now().After(stopAt) {
+		l.acceptedLate++
+		if l.acceptedLate > maxQueuedConns {
+			return false
 		}
-		l.Close()
-		return nil, http.ErrServerClosed
 	}
+	return l.hasQueued()
+}
+
+// hasQueued reports whether a connection is queued, or is within lastAcceptWait.
+func (l *frontListener) hasQueued() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	// An error means that the listener is closed.
+	_ = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, int(lastAcceptWait.Milliseconds()))
+		queued = n > 0 || errors.Is(err, unix.EINTR)
+	})
+	return queued
 }
 
 // stop ends Accept. The connections go on.
@@ -119,21 +164,19 @@
 	}
 }
 
-// retire closes each connection once it is idle, until none is left or ctx ends. It returns the
-// number that is left.
+// retire closes each connection once it is idle, until none is left and Accept returns no more, or
+// ctx ends. It returns the number that is left. It is called after stop.
 func (l *frontListener) retire(ctx context.Context) int {
 	tick := time.NewTicker(retireInterval)
 	defer tick.Stop()
 	for {
+		ended := l.hasEnded() // before the list, which Accept adds to
 		open := l.list()
-		if len(open) == 0 {
+		if ended && len(open) == 0 {
 			return 0
 		}
 		for _, c := range open {
-			if c.mayRetire(time.Now()) {
-				metric.Counter("caller_connections_retired_total").Inc(1)
-				c.Close()
-			}
+			c.retire(time.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -143,6 +186,16 @@
 	}
 }
 
+// hasEnded reports whether Accept returns no more connections.
+func (l *frontListener) hasEnded() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *frontListener) list() []*frontConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -155,11 +208,15 @@
 
 // Read implements net.Conn.
 func (c *frontConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.hasRead.Store(true)
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.hasRead.Store(true)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.stay() {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 func (c *frontConn) setState(state http.ConnState, now time.Time) {
@@ -169,13 +226,45 @@
 	if state == http.StateIdle {
 		c.hasRead.Store(false)
 	}
+	c.endRetiring()
 }
 
-// mayRetire reports whether no request is in progress on the connection, none has arrived, and
-// the caller has had time to send one.
-func (c *frontConn) mayRetire(now time.Time) bool {
+// retire ends the wait for a request if the connection may be closed, upon which the http.Server
+// closes it. Only the goroutine that reads knows whether it has just read a part of a request.
+func (c *frontConn) retire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.mayRetire(now) {
+		return
+	}
+	if !c.retiring {
+		metric.Counter("caller_connections_retired_total").Inc(1)
+	}
+	c.retiring = true
+	_ = c.SetReadDeadline(now) // fails only if the connection is closed
+}
+
+// stay reports whether the wait for a request that retire has ended goes on, since a part of one
+// has arrived.
+func (c *frontConn) stay() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return (c.hasRead.Load() || c.hasUnread()) && c.endRetiring()
+}
+
+// endRetiring undoes retire, and reports whether there was anything to undo. The caller holds mu.
+func (c *frontConn) endRetiring() bool {
+	if !c.retiring {
+		return false
+	}
+	c.retiring = false
+	_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	return true
+}
+
+// mayRetire reports whether no request is in progress on the connection, none has arrived, and
+// the caller has had time to send one. The caller holds mu.
+func (c *frontConn) mayRetire(now time.Time) bool {
 	wait := newRetireTime
 	switch c.state {
 	case http.StateNew:
--- a/gateway/front_test.go
+++ b/gateway/front_test.go
@@ -59,3 +59,89 @@
 	assert.NilError(t, err)
 	assert.Check(t, !c.mayRetire(now.Add(time.Hour)), "read")
 }
+
+// queueConnections opens connections that a listener has yet to accept.
+func queueConnections(t *testing.T, l net.Listener, n int) []net.Conn {
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { c.Close() })
+		conns[i] = c
+	}
+	return conns
+}
+
+// TestQueuedConnectionsAreAcceptedAfterDelay lets a process that stops get no processor time
+// until the time for the last connections is over. Those that are queued must not be reset.
+func TestQueuedConnectionsAreAcceptedAfterDelay(t *testing.T) {
+	l, err := listenFront("127.0.0.1:0")
+	assert.NilError(t, err)
+	queueConnections(t, l, 3)
+	l.stop()
+	time.Sleep(2 * lastAcceptTime)
+	for range 3 {
+		_, err := l.Accept()
+		assert.NilError(t, err)
+	}
+	_, err = l.Accept()
+	assert.Check(t, errors.Is(err, http.ErrServerClosed), "%v", err)
+}
+
+// TestRetireAwaitsQueuedConnections checks that a stop with no connection open goes on until those
+// that are queued have been accepted.
+func TestRetireAwaitsQueuedConnections(t *testing.T) {
+	l, err := listenFront("127.0.0.1:0")
+	assert.NilError(t, err)
+	queueConnections(t, l, 1)
+	l.stop()
+	retired := make(chan int, 1)
+	go func() { retired <- l.retire(t.Context()) }()
+	select {
+	case <-retired:
+		t.Fatal("a connection is queued")
+	case <-time.After(100 * time.Millisecond):
+	}
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	_, err = l.Accept()
+	assert.Check(t, errors.Is(err, http.ErrServerClosed), "%v", err)
+	l.recordState(c, http.StateClosed)
+	assert.Equal(t, <-retired, 0)
+}
+
+// TestRequestIsNotReadFromRetiredConnection sends a byte on idle connections in the moment in
+// which they are closed. What was read from a connection must not be lost with it.
+func TestRequestIsNotReadFromRetiredConnection(t *testing.T) {
+	l, err := listenFront("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	lost := 0
+	for n := range 2000 {
+		caller, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		accepted, err := l.Accept()
+		assert.NilError(t, err)
+		c := accepted.(*frontConn)
+		c.setState(http.StateIdle, time.Now().Add(-time.Hour))
+		read := make(chan int, 1)
+		go func() {
+			n, _ := c.Read(make([]byte, 1))
+			read <- n
+		}()
+		time.Sleep(20 * time.Microsecond)
+		_, err = caller.Write([]byte("G"))
+		assert.NilError(t, err)
+		for began := time.Now(); time.Since(began) < time.Duration(n%100)*200*time.Nanosecond; {
+		}
+		c.retire(time.Now())
+		if <-read > 0 {
+			if _, err := c.Write([]byte("A")); err != nil {
+				lost++
+			}
+		}
+		caller.Close()
+		c.Close()
+	}
+	assert.Equal(t, lost, 0)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -166,6 +166,11 @@
 		return
 	}
 	defer s.bodyBytes.Add(-int64(len(c.body)))
+	// A caller may not look for a refusal before it has sent the whole body.
+	if refusal := c.refuseStopping(); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
 	if s.opts.MoveStreams && c.call.Prompt != nil {
 		defer s.attempts.add(c.call.AttemptID)()
 	}
@@ -204,7 +209,7 @@
 	}
 	c.prepareQuery(cfg)
 	c.sequence = newEventSequence(c.call.LastEventID)
-	return c.refuseStopping()
+	return nil
 }
 
 // findRoute determines the route and the team of a request whose call is known. It returns a
@@ -317,8 +322,8 @@
 	return c.deadline
 }
 
-// readBody reads the whole request body into memory. If that fails or a limit is
-// exceeded, it responds with a refusal and returns false.
+// readBody reads the whole request body into memory. If that fails, a limit is
+// exceeded or the server stops, it responds with a refusal and returns false.
 func (c *callerRequest) readBody(r *http.Request) bool {
 	if r.ContentLength == 0 {
 		return true
@@ -327,9 +332,13 @@
 	if limit == 0 {
 		limit = c.server.opts.MaxBodyBytes
 	}
+	wasStopped := c.server.stopping.endReads(c.w)
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case wasStopped():
+		c.refuse(contract.Unavailable(contract.ReasonDraining, stopRetryAfter, errStopped.Error()))
+		return false
 	case errors.As(err, &tooLarge):
 		c.refuse(contract.Refuse(http.StatusRequestEntityTooLarge, contract.ReasonTooLarge, "the body is too large"))
 		return false
