Listener of a stopping gateway: a package of its own

entryd needs the same listener. It moves from gateway/front.go to internal/drainlistener with its tests; nothing else changes. ./internal/drainlistener passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"redwingknot/datacentre"
 	"redwingknot/event"
 	"redwingknot/fleet"
+	"redwingknot/internal/drainlistener"
 	"redwingknot/internal/timer"
 	"redwingknot/metastore"
 	"redwingknot/origin"
@@ -186,7 +187,7 @@
 // requests are answered or the grace period is nearly over. It returns early with
 // the error of a component that fails.
 func (g *Gateway) Run(ctx context.Context) error {
-	front, err := listenFront(g.opts.FrontAddr)
+	front, err := drainlistener.Listen("tcp4", g.opts.FrontAddr)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -245,10 +246,10 @@
 	idleTimeout   = 60 * time.Second
 )
 
-func (g *Gateway) frontServer(front *frontListener) *http.Server {
+func (g *Gateway) frontServer(front *drainlistener.Listener) *http.Server {
 	return &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: g.opts.MaxHeaderBytes, ConnContext: relay.WithCallerConn, ConnState: front.recordState, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: g.opts.MaxHeaderBytes, ConnContext: relay.WithCallerConn, ConnState: front.RecordState, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 }
 
@@ -311,7 +312,7 @@
 
 // drain reports the instance as not ready, waits until the balancer has noticed,
 // closes the listener and waits until the pending requests are answered.
-func (g *Gateway) drain(server *http.Server, front *frontListener) {
+func (g *Gateway) drain(server *http.Server, front *drainlistener.Listener) {
 	started := time.Now()
 	event.ProcessDraining.Log(g.log)
 	g.draining.Store(true)
@@ -322,8 +323,8 @@
 	time.Sleep(min(balancerNoticeTime, drainTime/2))
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime-time.Since(started))
 	defer cancel()
-	front.stop()
-	if pending := front.retire(ctx); pending > 0 {
+	front.Stop()
+	if pending := front.Retire(ctx); pending > 0 {
 		event.RequestsCutOff.Log(g.log, slog.Int("connections", pending))
 		g.endPending(front)
 	}
@@ -334,11 +335,11 @@
 }
 
 // endPending ends the pending requests, and waits a moment for their callers to be answered.
-func (g *Gateway) endPending(front *frontListener) {
+func (g *Gateway) endPending(front *drainlistener.Listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(lastAnswerFraction*float64(g.opts.Grace)))
 	defer cancel()
 	g.relay.Stop()
-	front.retire(ctx)
+	front.Retire(ctx)
 }
 
 // endpointExpiryInterval is the interval of checks for endpoints whose entries
--- a/gateway/front.go
+++ b/internal/drainlistener/listener.go
@@ -1,4 +1,6 @@
-package gateway
+// Package drainlistener accepts the connections of callers and ends them without losing a request
+// when an instance stops.
+package drainlistener
 
 import (
 	"context"
@@ -33,21 +35,21 @@
 	retireInterval = 20 * time.Millisecond
 )
 
-// frontListener accepts callers' connections and tracks them until they are closed.
+// Listener accepts callers' connections and tracks them until they are closed.
 //
-// See docs/design/stopping.md. http.Server.Shutdown is not used for them. It closes a request that it reads after the
-// shutdown began without a response, and idle connections also if a request has arrived on
-// them that no goroutine has read yet.
-type frontListener struct {
+// See docs/design/stopping.md. http.Server.Shutdown is not used for them. It closes a request
+// that it reads after the shutdown began without a response, and idle connections also if a
+// request has arrived on them that no goroutine has read yet.
+type Listener struct {
 	*net.TCPListener
-	stopAt atomic.Pointer[time.Time] // when to accept no more in any case; nil before stop
+	stopAt atomic.Pointer[time.Time] // when to accept no more in any case; nil before Stop
 
 	mu    sync.Mutex
-	conns map[*frontConn]struct{} // guarded by mu
+	conns map[*conn]struct{} // guarded by mu
 }
 
-// frontConn is a caller's connection.
-type frontConn struct {
+// conn is a caller's connection.
+type conn struct {
 	*net.TCPConn
 	hasRead atomic.Bool // bytes were read since the connection became new or idle
 
@@ -56,17 +58,18 @@
 	since time.Time      // of the state; guarded by mu
 }
 
-func listenFront(address string) (*frontListener, error) {
-	l, err := net.Listen("tcp4", address)
+// Listen announces on a TCP address; network is one of those of net.ListenTCP.
+func Listen(network, address string) (*Listener, error) {
+	l, err := net.Listen(network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &frontListener{TCPListener: l.(*net.TCPListener), conns: map[*frontConn]struct{}{}}, nil
+	return &Listener{TCPListener: l.(*net.TCPListener), conns: map[*conn]struct{}{}}, nil
 }
 
-// Accept implements net.Listener. After stop it returns the connections that the kernel has
+// Accept implements net.Listener. After Stop it returns the connections that the kernel has
 // accepted before, then closes the listener and returns http.ErrServerClosed.
-func (l *frontListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		stopAt := l.stopAt.Load()
 		if stopAt != nil {
@@ -82,32 +85,32 @@
 		case l.stopAt.Load() == nil:
 			return nil, err
 		case stopAt == nil && errors.Is(err, os.ErrDeadlineExceeded):
-			continue // stop has just ended the wait
+			continue // Stop has just ended the wait
 		}
 		l.Close()
 		return nil, http.ErrServerClosed
 	}
 }
 
-// stop ends Accept. The connections go on.
-func (l *frontListener) stop() {
+// Stop ends Accept. The connections go on.
+func (l *Listener) Stop() {
 	at := time.Now().Add(lastAcceptTime)
 	l.stopAt.Store(&at)
 	_ = l.SetDeadline(time.Now()) // fails only if the listener is closed
 }
 
-func (l *frontListener) track(c *net.TCPConn) *frontConn {
-	f := &frontConn{TCPConn: c, since: time.Now()}
+func (l *Listener) track(c *net.TCPConn) *conn {
+	f := &conn{TCPConn: c, since: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[f] = struct{}{}
 	return f
 }
 
-// recordState records a change of a connection's state. It is meant as the ConnState function
+// RecordState records a change of a connection's state. It is meant as the ConnState function
 // of the http.Server.
-func (l *frontListener) recordState(c net.Conn, state http.ConnState) {
-	f, ok := c.(*frontConn)
+func (l *Listener) RecordState(c net.Conn, state http.ConnState) {
+	f, ok := c.(*conn)
 	if !ok {
 		return
 	}
@@ -119,9 +122,9 @@
 	}
 }
 
-// retire closes each connection once it is idle, until none is left or ctx ends. It returns the
+// Retire closes each connection once it is idle, until none is left or ctx ends. It returns the
 // number that is left.
-func (l *frontListener) retire(ctx context.Context) int {
+func (l *Listener) Retire(ctx context.Context) int {
 	tick := time.NewTicker(retireInterval)
 	defer tick.Stop()
 	for {
@@ -143,10 +146,10 @@
 	}
 }
 
-func (l *frontListener) list() []*frontConn {
+func (l *Listener) list() []*conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	open := make([]*frontConn, 0, len(l.conns))
+	open := make([]*conn, 0, len(l.conns))
 	for c := range l.conns {
 		open = append(open, c)
 	}
@@ -154,7 +157,7 @@
 }
 
 // Read implements net.Conn.
-func (c *frontConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		c.hasRead.Store(true)
@@ -162,7 +165,7 @@
 	return n, err
 }
 
-func (c *frontConn) setState(state http.ConnState, now time.Time) {
+func (c *conn) setState(state http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = state, now
@@ -173,7 +176,7 @@
 
 // mayRetire reports whether no request is in progress on the connection, none has arrived, and
 // the caller has had time to send one.
-func (c *frontConn) mayRetire(now time.Time) bool {
+func (c *conn) mayRetire(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wait := newRetireTime
@@ -188,7 +191,7 @@
 }
 
 // hasUnread reports whether the kernel holds bytes of the connection that were not read.
-func (c *frontConn) hasUnread() bool {
+func (c *conn) hasUnread() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
--- a/gateway/front_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -1,4 +1,4 @@
-package gateway
+package drainlistener
 
 import (
 	"io"
@@ -14,14 +14,14 @@
 // TestQueuedConnectionsAreAcceptedAfterStop checks that connections which the kernel has
 // accepted are not reset when the listener is closed.
 func TestQueuedConnectionsAreAcceptedAfterStop(t *testing.T) {
-	l, err := listenFront("127.0.0.1:0")
+	l, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	for range 3 {
 		c, err := net.Dial("tcp4", l.Addr().String())
 		assert.NilError(t, err)
 		t.Cleanup(func() { c.Close() })
 	}
-	l.stop()
+	l.Stop()
 	for range 3 {
 		_, err := l.Accept()
 		assert.NilError(t, err)
@@ -33,7 +33,7 @@
 // TestConnectionWithArrivedRequestIsNotRetired has a request arrive on an idle connection: it
 // must not be closed, whether or not a goroutine has read a part of it.
 func TestConnectionWithArrivedRequestIsNotRetired(t *testing.T) {
-	l, err := listenFront("127.0.0.1:0")
+	l, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
 	caller, err := net.Dial("tcp4", l.Addr().String())
@@ -41,7 +41,7 @@
 	t.Cleanup(func() { caller.Close() })
 	accepted, err := l.Accept()
 	assert.NilError(t, err)
-	c := accepted.(*frontConn)
+	c := accepted.(*conn)
 	now := time.Now()
 	assert.Check(t, !c.mayRetire(now.Add(idleRetireTime)), "a new one has more time")
 	assert.Check(t, c.mayRetire(now.Add(time.Hour)))
