Serve: requests that outlast a stop are refused, or ended with an answer

A stop waited for requests for as long as it had, and then ended the process: requests that still ran got no answer, and those that could not end in time were sent on all the same. BeginStop gives the time at which running requests are ended: one whose deadline is later is refused as not run, unless an attempt was sent. End ends the contexts of the others: a prompt or call of which something may have run gets 502 and ran unknown, a stream its last event, a request without its whole body 503 and not run.

--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -28,6 +28,7 @@
 	failBroken   failure = "stream-broken"    // the connection or the stream broke after the request was sent
 	failGap      failure = "token-missing"    // a token of the answer is missing
 	failTimeout  failure = "first-token-late" // no token, first or later, within its time limit
+	failStopped  failure = "stopped"          // this instance has ended its running requests in a stop
 	failCanceled failure = "canceled"         // the caller disconnected or the request's deadline passed
 )
 
@@ -41,6 +42,8 @@
 	var gap *TokenGapError
 	var version *VersionError
 	switch {
+	case isStopped(ctx):
+		return failStopped
 	case ctx.Err() != nil:
 		return failCanceled
 	case errors.As(err, &gap):
@@ -112,7 +115,7 @@
 // routeOutcome returns the outcome that is reported to the router for a failure.
 func routeOutcome(f failure) route.Outcome {
 	switch f {
-	case failCanceled:
+	case failCanceled, failStopped:
 		return route.Canceled
 	case failConnect:
 		return route.Unreachable
--- a/serve/chat_request.go
+++ b/serve/chat_request.go
@@ -61,11 +61,13 @@
 // readBody reads the whole body of r, at most limit bytes and within timeout. If
 // reading fails, the connection is closed after the response, and its read
 // deadline stays set because the HTTP server would otherwise wait for the rest of
-// the body.
+// the body. The end of the request's context ends the read.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Now().Add(timeout))
+	stop := context.AfterFunc(r.Context(), func() { rc.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	stop()
 	if err != nil {
 		w.Header().Set("Connection", "close")
 	} else {
@@ -77,6 +79,8 @@
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, contract.Refuse(http.StatusRequestEntityTooLarge, contract.ReasonTooLarge, "the body is larger than the limit")
+	case isStopped(r.Context()):
+		return nil, refusalOfStop(contract.NotRun)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, contract.Refuse(http.StatusRequestTimeout, contract.ReasonSlowBody, "the body did not arrive in time")
 	case errors.Is(err, context.Canceled):
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -71,6 +71,9 @@
 		return nil
 	}
 	r := asRefusal(err)
+	if c.maybeSent && r.Reason == contract.ReasonDraining {
+		r = refusalOfStop(contract.MayHaveRun)
+	}
 	if c.maybeSent {
 		r.Ran = contract.MayHaveRun
 	}
@@ -90,12 +93,15 @@
 		if err != nil || fail == "" {
 			return err
 		}
+		if fail == failStopped {
+			return refusalOfStop(contract.NotRun)
+		}
 		wait, err := c.retries.Next(retryReason(fail, c.assembler.nextOffset > 0), 0, time.Now(), c.rng)
 		if err != nil {
 			return c.finalRefusal(fail, err)
 		}
 		if !timer.Sleep(ctx, wait) {
-			return c.finalRefusal(failCanceled, ctx.Err())
+			return c.finalRefusal(classifyError(ctx, ctx.Err()), ctx.Err())
 		}
 	}
 }
@@ -103,6 +109,11 @@
 // runAttempt runs one attempt. It returns the failure if the attempt failed and
 // another may follow, and an error if the request is refused.
 func (c *chatRun) runAttempt(ctx context.Context) (failure, error) {
+	if !c.maybeSent {
+		if err := c.server.CheckEnd(c.deadline); err != nil {
+			return "", err
+		}
+	}
 	attemptID := c.trace.Request + "." + strconv.Itoa(len(c.trace.Attempts))
 	permit, err := c.server.opts.Suspects.Begin(ctx, c.fingerprint, attemptID, c.deadline, c.rng)
 	if err != nil {
@@ -382,6 +393,8 @@
 	var spent *retry.SpentError
 	var expired *retry.ExpiredError
 	switch {
+	case fail == failStopped:
+		return refusalOfStop(contract.NotRun)
 	case fail == failCanceled && time.Now().Before(c.deadline):
 		r.Status, r.Reason, r.RetryAfter = http.StatusBadRequest, contract.ReasonCallerDisconnected, 0
 	case fail == failCanceled, errors.As(cause, &expired):
--- a/serve/deadline.go
+++ b/serve/deadline.go
@@ -12,8 +12,8 @@
 )
 
 // checkLimits returns the deadline and the maximum number of attempts of a request
-// from its headers and its class, and applies the team's limit. Errors are of type
-// *contract.Refusal.
+// from its headers and its class, refuses it if this instance may stop before the
+// deadline, and applies the team's limit. Errors are of type *contract.Refusal.
 func (s *Server) checkLimits(r *http.Request, team note.Team, class contract.Class, started time.Time) (deadline time.Time, attempts int, err error) {
 	deadline, err = requestDeadline(r.Header, class, started)
 	if err != nil {
@@ -23,6 +23,9 @@
 	if err != nil {
 		return deadline, 0, malformed(err.Error())
 	}
+	if err := s.CheckEnd(deadline); err != nil {
+		return deadline, 0, err
+	}
 	return deadline, attempts, s.checkTeamLimit(team)
 }
 
--- a/serve/server.go
+++ b/serve/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -96,6 +97,10 @@
 	auth   authenticator
 	traces *traceStore
 
+	stopEnd atomic.Pointer[time.Time] // when running requests are ended; nil before BeginStop
+	ended   context.Context           // ends in End
+	end     context.CancelCauseFunc
+
 	mu              sync.Mutex
 	draining        bool
 	runningRequests sync.WaitGroup
@@ -103,7 +108,9 @@
 
 // New returns a Server with the given options.
 func New(o Options) *Server {
-	return &Server{opts: o, auth: authenticator{operatorHash: o.OperatorHash}, traces: newTraceStore()}
+	s := &Server{opts: o, auth: authenticator{operatorHash: o.OperatorHash}, traces: newTraceStore()}
+	s.ended, s.end = context.WithCancelCause(context.Background())
+	return s
 }
 
 // RegisterRoutes registers the paths for callers on r.
@@ -143,7 +150,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
-		return contract.Unavailable(contract.ReasonDraining, drainRetryAfter, "this instance is stopping")
+		return refusalOfStop(contract.NotRun)
 	}
 	s.runningRequests.Add(1)
 	return nil
--- a/serve/service_call.go
+++ b/serve/service_call.go
@@ -187,9 +187,16 @@
 	return &serviceCall{team: t, service: svc, spec: call, class: s.Classes[call.Class], path: path}, nil
 }
 
-// detachedContext returns a context that ends at the request's deadline but not
-// when the caller disconnects, so that the outcome of a call that was sent is
+// detachedContext returns a context that ends at the request's deadline or in End but
+// not when the caller disconnects, so that the outcome of a call that was sent is
 // recorded in any case.
-func detachedContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+func (s *Server) detachedContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(s.ended, func() { end(context.Cause(s.ended)) })
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	return ctx, func() {
+		cancel()
+		stop()
+		end(nil)
+	}
 }
--- a/serve/service_run.go
+++ b/serve/service_run.go
@@ -70,6 +70,7 @@
 	retries        *retry.Retrier
 	deadline       time.Time
 	triedEndpoints []string
+	maybeSent      bool // an endpoint may have received the call
 }
 
 // execute executes the call and returns the response of the service, or a refusal.
@@ -81,7 +82,7 @@
 	}
 	// The outcome of a claimed call must be recorded even if the caller
 	// disconnects.
-	ctx, cancel := detachedContext(ctx, r.deadline)
+	ctx, cancel := r.server.detachedContext(ctx, r.deadline)
 	defer cancel()
 	return r.runNonIdempotent(ctx)
 }
@@ -94,6 +95,9 @@
 		if err == nil || fail == "" {
 			return reply, err
 		}
+		if fail == failStopped {
+			return nil, r.failureRefusal(fail, contract.MayHaveRun, err)
+		}
 		wait, nextErr := r.retries.Next(retryReason(fail, false), 0, time.Now(), r.rng)
 		if nextErr != nil || !timer.Sleep(ctx, wait) {
 			return nil, r.failureRefusal(fail, contract.MayHaveRun, err)
@@ -101,9 +105,14 @@
 	}
 }
 
-// runAttempt sends the call to one endpoint. If there is no endpoint to send it to,
-// it returns an empty failure and an error.
+// runAttempt sends the call to one endpoint. If there is no endpoint to send it to, or
+// this instance may stop before the call ends, it returns an empty failure and an error.
 func (r *serviceRun) runAttempt(ctx context.Context) (*serviceReply, failure, error) {
+	if !r.maybeSent {
+		if err := r.server.CheckEnd(r.deadline); err != nil {
+			return nil, "", err
+		}
+	}
 	now := time.Now()
 	choice, err := r.svc.Router.Choose(route.Query{
 		Service: r.call.service.Name, Class: r.call.class, Deadline: r.deadline,
@@ -140,6 +149,7 @@
 		return ""
 	}
 	fail := classifyError(ctx, err)
+	r.maybeSent = r.maybeSent || fail != failConnect
 	r.svc.Router.RecordEnd(choice.Endpoint, attemptID, routeOutcome(fail), time.Now())
 	r.triedEndpoints = append(r.triedEndpoints, choice.Endpoint)
 	event.AttemptFailed.Log(r.server.opts.Logger, slog.String("request", r.trace.Request),
@@ -244,6 +254,9 @@
 // failureRefusal returns the refusal for a failed call; ran says whether the call
 // may have been executed, and cause is the error of the last attempt.
 func (r *serviceRun) failureRefusal(fail failure, ran contract.ExecutionStatus, cause error) error {
+	if fail == failStopped {
+		return refusalOfStop(ran)
+	}
 	refusal := &contract.Refusal{
 		Status: http.StatusBadGateway, Reason: contract.ReasonEndpointFailed, Ran: ran,
 		RetryAfter: addJitter(noEndpointRetryAfter, r.rng), Detail: cause.Error(),
