Entry: a stop accepts connections until the balancer has noticed, and answers all

entryd closed its listener as soon as nothing ran, and left connections to http.Server.Shutdown, which closes those whose request it reads after it began, and idle ones on which a request has arrived. The process ended while requests ran.

Until then and after, requests that end in time are served, others and late notes refused; each response asks to close the connection. Requests whose body has not arrived are a further case of the test.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"redwingknot/engine"
 	"redwingknot/event"
 	"redwingknot/instance"
+	"redwingknot/internal/drainlistener"
 	"redwingknot/ledger"
 	"redwingknot/metastore"
 	"redwingknot/note"
@@ -231,10 +232,10 @@
 }
 
 // Run serves until ctx ends, a server fails or the instance is superseded, and then
-// drains: the instance accepts no new requests, running requests finish, the outcomes of
+// drains: requests that end in time finish, others are refused or ended, the outcomes of
 // claims are written, and the leader lease is given up if the instance holds it.
 func (e *Entry) Run(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp", e.opts.Listen)
+	callerListener, err := drainlistener.Listen("tcp", e.opts.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -242,7 +243,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	server := e.httpServer()
+	server := e.httpServer(callerListener)
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	componentCtx, stopComponents := context.WithCancel(serveCtx)
@@ -258,7 +259,7 @@
 	case <-ctx.Done():
 	case <-serveCtx.Done():
 	}
-	e.drain(server)
+	e.drain(server, callerListener)
 	stopComponents()
 	stopServing()
 	return g.Wait()
@@ -266,9 +267,10 @@
 
 // httpServer returns the server for callers and operators. Its limits bound the memory and
 // the idle connections that a caller can make the instance hold.
-func (e *Entry) httpServer() *http.Server {
+func (e *Entry) httpServer(l *drainlistener.Listener) *http.Server {
 	return &http.Server{
-		Handler: e.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: e.closing(e.routes()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		BaseContext: e.server.BaseContext, ConnState: l.RecordState,
 		MaxHeaderBytes: e.opts.MaxHeaderKiB << 10,
 		ErrorLog:       slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
@@ -282,29 +284,6 @@
 	return err
 }
 
-// drain finishes the instance's work within the drain timeout. It first announces to the
-// other instances that this one is leaving, so that they stop using it while it still
-// answers.
-func (e *Entry) drain(server *http.Server) {
-	event.ProcessDraining.Log(e.log)
-	e.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), e.opts.DrainTimeout)
-	defer cancel()
-	e.members.Leave(ctx)
-	e.logDrainError("requests", e.server.Drain(ctx))
-	e.logDrainError("claims", e.ledger.Drain(ctx))
-	e.suspects.Wait()
-	e.logDrainError("connections", server.Shutdown(ctx))
-	e.ledger.Close()
-}
-
-// logDrainError logs an error in draining a part of the instance; nil is ignored.
-func (e *Entry) logDrainError(part string, err error) {
-	if err != nil {
-		event.ComponentFailed.Log(e.log, slog.String("component", "drain "+part), slog.Any("error", err))
-	}
-}
-
 // components returns the parts of the instance that run in the background.
 func (e *Entry) components() []component {
 	f := e.newFeed()
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
+	"redwingknot/contract"
 	"redwingknot/event"
 	"redwingknot/instance"
 	"redwingknot/metric"
@@ -56,9 +59,16 @@
 	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, note.MaxBytes+1))
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		writeJSON(w, http.StatusRequestEntityTooLarge, operator.NoteAnswer{Error: "the note is larger than the limit"})
 		return
 	}
+	var refusal *contract.Refusal
+	if err := e.server.CheckEnd(time.Now().Add(noteTimeout)); errors.As(err, &refusal) {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+		writeJSON(w, http.StatusServiceUnavailable, operator.NoteAnswer{Error: refusal.Error()})
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), noteTimeout)
 	defer cancel()
 	head, err := e.book.Submit(ctx, base, raw)
--- a/entry/options.go
+++ b/entry/options.go
@@ -24,7 +24,8 @@
 	PlatformReads  float64 // maximum rate of reads from the platform, in calls per second
 	PlatformWrites float64 // maximum rate of writes to the platform, in calls per second
 
-	DrainTimeout     time.Duration // for running requests to finish when the instance stops
+	DrainTimeout     time.Duration // from the request to stop until all requests are answered
+	BalancerNotice   time.Duration // from the request to stop until the listener for callers is closed
 	BodyTimeout      time.Duration // for the body of a request to arrive
 	StallTimeout     time.Duration // between two tokens, after which an attempt is given up
 	MaxBodyKiB       int           // maximum size of a request's body
@@ -59,7 +60,8 @@
 
 // bindRequests adds the options for the handling of requests to set.
 func (o *Options) bindRequests(set *settings.Set) {
-	set.Duration(&o.DrainTimeout, "drain-timeout", 2*time.Minute, time.Second, time.Hour, "time for running requests to finish when the instance stops")
+	set.Duration(&o.DrainTimeout, "drain-timeout", 2*time.Minute, time.Second, time.Hour, "time from SIGTERM in which running requests finish or are ended; must be shorter than the time after which the process is killed")
+	set.Duration(&o.BalancerNotice, "balancer-notice", 3*time.Second, 0, 10*time.Minute, "time from SIGTERM in which new connections are accepted until the balancer has noticed, at most half of the time for running requests")
 	set.Duration(&o.BodyTimeout, "body-timeout", 10*time.Second, 100*time.Millisecond, 5*time.Minute, "time for the body of a request to arrive")
 	set.Duration(&o.StallTimeout, "stall-timeout", 10*time.Second, 100*time.Millisecond, 5*time.Minute, "time between two tokens after which an attempt is given up")
 	set.Int(&o.MaxBodyKiB, "max-body", 4096, 1, 65536, "KiB", "maximum size of a request's body")
--- a/processtest/entry_stop_test.go
+++ b/processtest/entry_stop_test.go
@@ -63,6 +63,11 @@
 	if _, err := io.WriteString(c, b.String()); err != nil {
 		return entryAnswer{closes: true, err: err}
 	}
+	return c.receive()
+}
+
+// receive reads a response.
+func (c *callerConn) receive() entryAnswer {
 	res, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return entryAnswer{closes: true, err: err}
@@ -258,6 +263,10 @@
 			return c.send(http.MethodPost, "/v1/chat/completions", teamToken, `{"model":"llm","messages":[{"role":"user","content":"y"}]}`)
 		},
 	}
+	unsent, err := d.connectTo("e1")
+	assert.NilError(t, err)
+	_, err = fmt.Fprintf(unsent, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", teamToken)
+	assert.NilError(t, err)
 	answers := map[string]chan entryAnswer{}
 	for name, send := range sends {
 		answers[name] = make(chan entryAnswer, 1)
@@ -269,6 +278,8 @@
 		return strings.Count(reports, `"Running":1`) == 2 || strings.Contains(reports, `"Running":2`)
 	})
 	d.signal("e1", syscall.SIGTERM)
+	a := unsent.receive()
+	assert.Check(t, a.isRefusal(), "a request whose body has not arrived: %v", a)
 	for name := range sends {
 		a := <-answers[name]
 		assert.Check(t, a.err == nil && (a.status >= 500) == (name != "stream") && strings.Contains(a.body, `"ran":"`+string(contract.MayHaveRun)+`"`) && strings.Contains(a.body, "draining"), "%s: %v", name, a)
@@ -337,8 +348,10 @@
 	}()
 	time.Sleep(300 * time.Millisecond)
 	d.signal("e1", syscall.SIGTERM)
+	signaled := time.Now()
 	a := <-answered
 	d.assertExited("e1")
+	t.Logf("ended %v after the signal", time.Since(signaled))
 	d.signal("kvs", syscall.SIGCONT)
 	unknown := a.status == http.StatusGatewayTimeout && strings.Contains(a.body, `"Unknown":true`)
 	assert.Assert(t, unknown || a.status == http.StatusServiceUnavailable, "%v", a)
