--- a/processtest/entry_stop_test.go
+++ b/processtest/entry_stop_test.go
@@ -243,6 +243,22 @@
 // TestEntryAnswersWhatIsPendingAtEndOfStop guards against requests that get no answer because
 // they run longer than the stop, and against a call that runs twice because of it.
 func TestEntryAnswersWhatIsPendingAtEndOfStop(t *testing.T) {
+	t.Run("running", func(t *testing.T) {
+		testPendingAtEndOfStop(t, func(d *entryDeployment) { d.signal("e1", syscall.SIGTERM) })
+	})
+	t.Run("paused until the time is over", func(t *testing.T) {
+		testPendingAtEndOfStop(t, func(d *entryDeployment) {
+			d.signal("e1", syscall.SIGTERM)
+			time.Sleep(200 * time.Millisecond)
+			d.pause("e1")
+			time.Sleep(3 * time.Second)
+			d.signal("e1", syscall.SIGCONT)
+		})
+	})
+}
+
+// testPendingAtEndOfStop has stop stop e1, whose drain timeout is 2 s, while requests run.
+func testPendingAtEndOfStop(t *testing.T, stop func(*entryDeployment)) {
 	d := newEntryDeployment(t)
 	d.startEntry("e1", "ilala", "--drain-timeout", "2s")
 	d.startEntry("e2", "ilala")
@@ -277,7 +293,7 @@
 		reports := d.fetch("engine-ilala-0-slow", "/report") + d.fetch("engine-ilala-1-slow", "/report")
 		return strings.Count(reports, `"Running":1`) == 2 || strings.Contains(reports, `"Running":2`)
 	})
-	d.signal("e1", syscall.SIGTERM)
+	stop(d)
 	a := unsent.receive()
 	assert.Check(t, a.isRefusal(), "a request whose body has not arrived: %v", a)
 	for name := range sends {
