Entry: what runs at the end of a stop gets its answer also after a pause

The time for the last answers and for the records of claims was counted from the stop's end, which may be over when a paused process goes on. It is counted from the moment at which the requests are ended.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -34,8 +34,10 @@
 	noticed := started.Add(min(e.opts.BalancerNotice, end.Sub(started)/2))
 	timer.Sleep(ctx, time.Until(noticed))
 	callers.Stop()
-	e.finishRequests(ctx, callers, end)
+	e.finishRequests(callers, end, reserve/2)
 	server.Close()
+	ctx, cancel = context.WithTimeout(context.Background(), max(time.Until(end)+reserve, reserve/2))
+	defer cancel()
 	e.logDrainError("requests", e.server.Drain(ctx))
 	e.logDrainError("claims", e.ledger.Drain(ctx))
 	e.suspects.Wait()
@@ -43,18 +45,17 @@
 }
 
 // finishRequests waits until callers' connections are closed, and ends the requests that are
-// running at end. Their answers have half of the time until ctx ends.
-func (e *Entry) finishRequests(ctx context.Context, callers *drainlistener.Listener, end time.Time) {
-	runCtx, cancel := context.WithDeadline(ctx, end)
+// running at end. Their answers have answerTime, also if the process stood still until after end.
+func (e *Entry) finishRequests(callers *drainlistener.Listener, end time.Time, answerTime time.Duration) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	open := callers.Retire(runCtx)
+	open := callers.Retire(ctx)
 	if open == 0 {
 		return
 	}
 	event.RequestsCutOff.Log(e.log, slog.Int("connections", open))
 	e.server.End()
-	deadline, _ := ctx.Deadline()
-	answerCtx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+	answerCtx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	callers.Retire(answerCtx)
 }
