--- a/internal/drainlistener/listener_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -1,6 +1,7 @@
 package drainlistener
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -59,3 +60,26 @@
 	assert.NilError(t, err)
 	assert.Check(t, !c.mayRetire(now.Add(time.Hour)), "read")
 }
+
+// TestRetireCountsQueuedConnections guards against connections that the kernel has accepted and
+// that are taken for none because Accept has not returned them yet.
+func TestRetireCountsQueuedConnections(t *testing.T) {
+	l, err := Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	for range 3 {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { c.Close() })
+	}
+	l.Stop()
+	go func() {
+		for {
+			if _, err := l.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Equal(t, l.Retire(ctx), 3)
+}
