Drain listener: connections are retired once Accept has ended

Retire could return before the connections in the kernel's queue were known. It first waits for the end of Accept.

--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -24,6 +24,8 @@
 	// lastAcceptTime bounds that wait if connections keep arriving.
 	lastAcceptWait = time.Millisecond
 	lastAcceptTime = 100 * time.Millisecond
+	// acceptEndTime bounds the wait for the end of Accept, also if nothing calls it.
+	acceptEndTime = time.Second
 	// idleRetireTime is how long a connection must have been idle before it is closed. A caller
 	// whose stream has just ended was not asked to close the connection, and may send its next
 	// request at once.
@@ -44,6 +46,9 @@
 	*net.TCPListener
 	stopAt atomic.Pointer[time.Time] // when to accept no more in any case; nil before Stop
 
+	acceptEnded   chan struct{} // closed once Accept has returned the last connection
+	endAcceptOnce sync.Once
+
 	mu    sync.Mutex
 	conns map[*conn]struct{} // guarded by mu
 }
@@ -64,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: l.(*net.TCPListener), conns: map[*conn]struct{}{}}, nil
+	return &Listener{TCPListener: l.(*net.TCPListener), acceptEnded: make(chan struct{}), conns: map[*conn]struct{}{}}, nil
 }
 
 // Accept implements net.Listener. After Stop it returns the connections that the kernel has
@@ -88,6 +93,7 @@
 			continue // Stop has just ended the wait
 		}
 		l.Close()
+		l.endAcceptOnce.Do(func() { close(l.acceptEnded) })
 		return nil, http.ErrServerClosed
 	}
 }
@@ -123,8 +129,12 @@
 }
 
 // Retire closes each connection once it is idle, until none is left or ctx ends. It returns the
-// number that is left.
+// number that is left. It must be called after Stop, and first waits until Accept has ended.
 func (l *Listener) Retire(ctx context.Context) int {
+	select {
+	case <-l.acceptEnded:
+	case <-time.After(acceptEndTime):
+	}
 	tick := time.NewTicker(retireInterval)
 	defer tick.Stop()
 	for {
--- a/processtest/entry_stop_test.go
+++ b/processtest/entry_stop_test.go
@@ -376,3 +376,26 @@
 	assert.NilError(t, err)
 	assert.Check(t, unknown || status.Head == 1, "note %d is in force, the answer was %v", status.Head, a)
 }
+
+// TestEntryAnswersWhatIsQueuedWhilePaused guards against connections that are closed unanswered
+// because they were accepted by the kernel while the process stood still past the end of its stop.
+func TestEntryAnswersWhatIsQueuedWhilePaused(t *testing.T) {
+	d := startStopDeployment(t, "--drain-timeout", "2s")
+	d.signal("e1", syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond)
+	d.pause("e1")
+	answers := make(chan entryAnswer)
+	const callers = 5
+	for range callers {
+		go func() {
+			answers <- d.sendNew("e1", func(c *callerConn) entryAnswer { return c.sendPrompt(teamToken) })
+		}()
+	}
+	time.Sleep(3 * time.Second)
+	d.signal("e1", syscall.SIGCONT)
+	for range callers {
+		a := <-answers
+		assert.Check(t, a.isRefusal(), "%v", a)
+	}
+	d.assertExited("e1")
+}
