--- a/processtest/entry_stop_test.go
+++ b/processtest/entry_stop_test.go
@@ -310,6 +310,30 @@
 	assert.Equal(t, slow.runs.Load(), int64(1))
 }
 
+// TestCallOfStopCutByKillRunsOnce guards against a key that is free again because the instance
+// that holds it was killed before its stop had ended.
+func TestCallOfStopCutByKillRunsOnce(t *testing.T) {
+	d := newEntryDeployment(t)
+	d.startEntry("e1", "ilala")
+	d.startEntry("e2", "ilala")
+	slow, note := d.startSlowEndpoints(d.startEndpointsWithNote("ilala"))
+	release := sync.OnceFunc(func() { close(slow.release) })
+	t.Cleanup(release)
+	d.waitForNote(d.submitNote("e1", note), "e1", "e2")
+	key := newIdempotencyKey()
+	go d.sendNew("e1", func(c *callerConn) entryAnswer { return c.sendCall(key) })
+	d.waitFor("the call runs", func() bool { return slow.runs.Load() == 1 })
+	d.signal("e1", syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond)
+	d.kill("e1")
+	d.waitFor("the outcome is reported as unknown", func() bool {
+		status, body := d.callNonIdempotent("e2", key, "juma")
+		assert.Equal(t, status, http.StatusConflict, body)
+		return strings.Contains(body, "claim-outcome-unknown")
+	})
+	assert.Equal(t, slow.runs.Load(), int64(1))
+}
+
 // TestNotesSubmittedDuringStop guards against a note that was accepted by an instance that
 // stops and is not in force, and against a submission that is not answered.
 func TestNotesSubmittedDuringStop(t *testing.T) {
