Test of pending requests: no map that goroutines read while it is filled

The race detector found it, in the test. With -race, processes too, the other tests of the stop pass; the paused case did not start: its port had been taken (address already in use).

--- a/processtest/entry_stop_test.go
+++ b/processtest/entry_stop_test.go
@@ -285,8 +285,9 @@
 	assert.NilError(t, err)
 	answers := map[string]chan entryAnswer{}
 	for name, send := range sends {
-		answers[name] = make(chan entryAnswer, 1)
-		go func() { answers[name] <- d.sendNew("e1", send) }()
+		answer := make(chan entryAnswer, 1)
+		answers[name] = answer
+		go func() { answer <- d.sendNew("e1", send) }()
 	}
 	d.waitFor("the call runs", func() bool { return slow.runs.Load() == 1 })
 	d.waitFor("the prompts run", func() bool {
