--- a/processtest/entry_deployment_test.go
+++ b/processtest/entry_deployment_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -86,13 +88,25 @@
 	return d
 }
 
+// Ports of freeAddr. They are below those that the kernel chooses for outgoing connections and
+// for listeners without a port, which could take a port before the process listens on it.
+const (
+	firstFreePort  = 12000
+	freePortsCount = 20000
+)
+
 // freeAddr returns a loopback address with a port that was free at the call.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstFreePort+rand.IntN(freePortsCount)))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		assert.NilError(t, err)
+		defer l.Close()
+		return l.Addr().String()
+	}
 }
 
 // startProcess starts a program from binaryDir, with its output in the log file
