--- a/processtest/entry_stop_test.go
+++ b/processtest/entry_stop_test.go
@@ -424,3 +424,32 @@
 	}
 	d.assertExited("e1")
 }
+
+// TestCallsOfOthersGoOnWhileOwnerStops guards against calls that fail or run twice because an
+// instance stops that records the claims of other instances.
+func TestCallsOfOthersGoOnWhileOwnerStops(t *testing.T) {
+	d := startStopDeployment(t, "--drain-timeout", "4s")
+	var callers sync.WaitGroup
+	var calls atomic.Int64
+	for range 2 { // together they stay far below an instance's writes to the platform
+		callers.Go(func() {
+			for last := false; !last; {
+				select {
+				case <-d.processes["e1"].done:
+					last = true
+				default:
+				}
+				key := newIdempotencyKey()
+				status, body := d.callNonIdempotent("e2", key, "juma")
+				assert.Check(t, status == http.StatusCreated, "status %d: %s", status, body)
+				assert.Check(t, d.countExecutions(key, "app-ilala") == 1)
+				calls.Add(1)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	d.signal("e1", syscall.SIGTERM)
+	callers.Wait()
+	t.Logf("%d calls", calls.Load())
+	d.assertExited("e1")
+}
