--- a/gateway/front.go
+++ b/internal/drainlistener/listener.go
@@ -1,4 +1,6 @@
-package gateway
+// Package drainlistener accepts the connections of callers and ends them without losing a request
+// when an instance stops.
+package drainlistener
 
 import (
 	"context"
@@ -24,6 +26,8 @@
 	lastAcceptWait = time.Millisecond
 	lastAcceptTime = 100 * time.Millisecond
 	maxQueuedConns = 4096
+	// acceptEndTime bounds the wait for the end of Accept, also if nothing calls it.
+	acceptEndTime = 2 * lastAcceptTime
 	// idleRetireTime is how long a connection must have been idle before it is closed. A caller
 	// whose stream has just ended was not asked to close the connection, and may send its next
 	// request at once.
@@ -35,12 +39,12 @@
 	retireInterval = 20 * time.Millisecond
 )
 
-// frontListener accepts callers' connections and tracks them until they are closed.
+// Listener accepts callers' connections and tracks them until they are closed.
 //
-// See docs/design/stopping.md. http.Server.Shutdown is not used for them. It closes a request that it reads after the
-// shutdown began without a response, and idle connections also if a request has arrived on
-// them that no goroutine has read yet.
-type frontListener struct {
+// See docs/design/stopping.md. http.Server.Shutdown is not used for them. It closes a request
+// that it reads after the shutdown began without a response, and idle connections also if a
+// request has arrived on them that no goroutine has read yet.
+type Listener struct {
 	*net.TCPListener
 	stopAt atomic.Pointer[time.Time] // when to accept only what is queued; nil before stop
 	// acceptedLate is the number of times that Accept went on after that; used only by Accept
@@ -48,11 +52,11 @@
 	closed       chan struct{} // closed when Accept returns no more connections after stop
 
 	mu    sync.Mutex
-	conns map[*frontConn]struct{} // guarded by mu
+	conns map[*conn]struct{} // guarded by mu
 }
 
-// frontConn is a caller's connection.
-type frontConn struct {
+// conn is a caller's connection.
+type conn struct {
 	*net.TCPConn
 	hasRead atomic.Bool // bytes were read since the connection became new or idle
 
@@ -62,17 +66,18 @@
 	retiring bool           // the wait for a request was ended by retire; guarded by mu
 }
 
-func listenFront(address string) (*frontListener, error) {
-	l, err := net.Listen("tcp4", address)
+// Listen announces on a TCP address; network is one of those of net.ListenTCP.
+func Listen(network, address string) (*Listener, error) {
+	l, err := net.Listen(network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &frontListener{TCPListener: l.(*net.TCPListener), closed: make(chan struct{}), conns: map[*frontConn]struct{}{}}, nil
+	return &Listener{TCPListener: l.(*net.TCPListener), closed: make(chan struct{}), conns: map[*conn]struct{}{}}, nil
 }
 
-// Accept implements net.Listener. After stop it returns the connections that the kernel has
+// Accept implements net.Listener. After Stop it returns the connections that the kernel has
 // accepted before, then closes the listener and returns http.ErrServerClosed.
-func (l *frontListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		stopAt := l.stopAt.Load()
 		if stopAt != nil {
@@ -97,7 +102,7 @@
 }
 
 // end closes the listener and returns the error that says so. It is called only by Accept.
-func (l *frontListener) end() error {
+func (l *Listener) end() error {
 	l.Close()
 	select {
 	case <-l.closed:
@@ -107,8 +112,8 @@
 	return http.ErrServerClosed
 }
 
-// mayAcceptMore reports whether a connection is queued that is to be accepted after stop.
-func (l *frontListener) mayAcceptMore(stopAt time.Time) bool {
+// mayAcceptMore reports whether a connection is queued that is to be accepted after Stop.
+func (l *Listener) mayAcceptMore(stopAt time.Time) bool {
 	if time.Now().After(stopAt) {
 		l.acceptedLate++
 		if l.acceptedLate > maxQueuedConns {
@@ -119,7 +124,7 @@
 }
 
 // hasQueued reports whether a connection is queued, or is within lastAcceptWait.
-func (l *frontListener) hasQueued() bool {
+func (l *Listener) hasQueued() bool {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return false
@@ -134,25 +139,25 @@
 	return queued
 }
 
-// stop ends Accept. The connections go on.
-func (l *frontListener) stop() {
+// Stop ends Accept. The connections go on.
+func (l *Listener) Stop() {
 	at := time.Now().Add(lastAcceptTime)
 	l.stopAt.Store(&at)
 	_ = l.SetDeadline(time.Now()) // fails only if the listener is closed
 }
 
-func (l *frontListener) track(c *net.TCPConn) *frontConn {
-	f := &frontConn{TCPConn: c, since: time.Now()}
+func (l *Listener) track(c *net.TCPConn) *conn {
+	f := &conn{TCPConn: c, since: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[f] = struct{}{}
 	return f
 }
 
-// recordState records a change of a connection's state. It is meant as the ConnState function
+// RecordState records a change of a connection's state. It is meant as the ConnState function
 // of the http.Server.
-func (l *frontListener) recordState(c net.Conn, state http.ConnState) {
-	f, ok := c.(*frontConn)
+func (l *Listener) RecordState(c net.Conn, state http.ConnState) {
+	f, ok := c.(*conn)
 	if !ok {
 		return
 	}
@@ -164,13 +169,18 @@
 	}
 }
 
-// retire closes each connection once it is idle, until none is left and Accept returns no more, or
-// ctx ends. It returns the number that is left. It is called after stop.
-func (l *frontListener) retire(ctx context.Context) int {
+// Retire closes each connection once it is idle, until none is left and Accept returns no more, or
+// ctx ends. It returns the number that is left. It must be called after Stop, and first waits a
+// moment for the connections that Accept has yet to return, also if ctx has ended.
+func (l *Listener) Retire(ctx context.Context) int {
+	select {
+	case <-l.closed:
+	case <-time.After(acceptEndTime):
+	}
 	tick := time.NewTicker(retireInterval)
 	defer tick.Stop()
 	for {
-		ended := l.hasEnded() // before the list, which Accept adds to
+		ended := l.HasEnded() // before the list, which Accept adds to
 		open := l.list()
 		if ended && len(open) == 0 {
 			return 0
@@ -186,8 +196,8 @@
 	}
 }
 
-// hasEnded reports whether Accept returns no more connections.
-func (l *frontListener) hasEnded() bool {
+// HasEnded reports whether Accept returns no more connections.
+func (l *Listener) HasEnded() bool {
 	select {
 	case <-l.closed:
 		return true
@@ -196,10 +206,10 @@
 	}
 }
 
-func (l *frontListener) list() []*frontConn {
+func (l *Listener) list() []*conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	open := make([]*frontConn, 0, len(l.conns))
+	open := make([]*conn, 0, len(l.conns))
 	for c := range l.conns {
 		open = append(open, c)
 	}
@@ -207,7 +217,7 @@
 }
 
 // Read implements net.Conn.
-func (c *frontConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
@@ -219,7 +229,7 @@
 	}
 }
 
-func (c *frontConn) setState(state http.ConnState, now time.Time) {
+func (c *conn) setState(state http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = state, now
@@ -231,7 +241,7 @@
 
 // retire ends the wait for a request if the connection may be closed, upon which the http.Server
 // closes it. Only the goroutine that reads knows whether it has just read a part of a request.
-func (c *frontConn) retire(now time.Time) {
+func (c *conn) retire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.mayRetire(now) {
@@ -246,14 +256,14 @@
 
 // stay reports whether the wait for a request that retire has ended goes on, since a part of one
 // has arrived.
-func (c *frontConn) stay() bool {
+func (c *conn) stay() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return (c.hasRead.Load() || c.hasUnread()) && c.endRetiring()
 }
 
 // endRetiring undoes retire, and reports whether there was anything to undo. The caller holds mu.
-func (c *frontConn) endRetiring() bool {
+func (c *conn) endRetiring() bool {
 	if !c.retiring {
 		return false
 	}
@@ -264,7 +274,7 @@
 
 // mayRetire reports whether no request is in progress on the connection, none has arrived, and
 // the caller has had time to send one. The caller holds mu.
-func (c *frontConn) mayRetire(now time.Time) bool {
+func (c *conn) mayRetire(now time.Time) bool {
 	wait := newRetireTime
 	switch c.state {
 	case http.StateNew:
@@ -277,7 +287,7 @@
 }
 
 // hasUnread reports whether the kernel holds bytes of the connection that were not read.
-func (c *frontConn) hasUnread() bool {
+func (c *conn) hasUnread() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
--- a/gateway/front_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -1,6 +1,7 @@
-package gateway
+package drainlistener
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,14 +15,14 @@
 // TestQueuedConnectionsAreAcceptedAfterStop checks that connections which the kernel has
 // accepted are not reset when the listener is closed.
 func TestQueuedConnectionsAreAcceptedAfterStop(t *testing.T) {
-	l, err := listenFront("127.0.0.1:0")
+	l, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	for range 3 {
 		c, err := net.Dial("tcp4", l.Addr().String())
 		assert.NilError(t, err)
 		t.Cleanup(func() { c.Close() })
 	}
-	l.stop()
+	l.Stop()
 	for range 3 {
 		_, err := l.Accept()
 		assert.NilError(t, err)
@@ -33,7 +34,7 @@
 // TestConnectionWithArrivedRequestIsNotRetired has a request arrive on an idle connection: it
 // must not be closed, whether or not a goroutine has read a part of it.
 func TestConnectionWithArrivedRequestIsNotRetired(t *testing.T) {
-	l, err := listenFront("127.0.0.1:0")
+	l, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
 	caller, err := net.Dial("tcp4", l.Addr().String())
@@ -41,7 +42,7 @@
 	t.Cleanup(func() { caller.Close() })
 	accepted, err := l.Accept()
 	assert.NilError(t, err)
-	c := accepted.(*frontConn)
+	c := accepted.(*conn)
 	now := time.Now()
 	assert.Check(t, !c.mayRetire(now.Add(idleRetireTime)), "a new one has more time")
 	assert.Check(t, c.mayRetire(now.Add(time.Hour)))
@@ -75,10 +76,10 @@
 // TestQueuedConnectionsAreAcceptedAfterDelay lets a process that stops get no processor time
 // until the time for the last connections is over. Those that are queued must not be reset.
 func TestQueuedConnectionsAreAcceptedAfterDelay(t *testing.T) {
-	l, err := listenFront("127.0.0.1:0")
+	l, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	queueConnections(t, l, 3)
-	l.stop()
+	l.Stop()
 	time.Sleep(2 * lastAcceptTime)
 	for range 3 {
 		_, err := l.Accept()
@@ -91,12 +92,12 @@
 // TestRetireAwaitsQueuedConnections checks that a stop with no connection open goes on until those
 // that are queued have been accepted.
 func TestRetireAwaitsQueuedConnections(t *testing.T) {
-	l, err := listenFront("127.0.0.1:0")
+	l, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	queueConnections(t, l, 1)
-	l.stop()
+	l.Stop()
 	retired := make(chan int, 1)
-	go func() { retired <- l.retire(t.Context()) }()
+	go func() { retired <- l.Retire(t.Context()) }()
 	select {
 	case <-retired:
 		t.Fatal("a connection is queued")
@@ -106,14 +107,14 @@
 	assert.NilError(t, err)
 	_, err = l.Accept()
 	assert.Check(t, errors.Is(err, http.ErrServerClosed), "%v", err)
-	l.recordState(c, http.StateClosed)
+	l.RecordState(c, http.StateClosed)
 	assert.Equal(t, <-retired, 0)
 }
 
 // TestRequestIsNotReadFromRetiredConnection sends a byte on idle connections in the moment in
 // which they are closed. What was read from a connection must not be lost with it.
 func TestRequestIsNotReadFromRetiredConnection(t *testing.T) {
-	l, err := listenFront("127.0.0.1:0")
+	l, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
 	lost := 0
@@ -122,7 +123,7 @@
 		assert.NilError(t, err)
 		accepted, err := l.Accept()
 		assert.NilError(t, err)
-		c := accepted.(*frontConn)
+		c := accepted.(*conn)
 		c.setState(http.StateIdle, time.Now().Add(-time.Hour))
 		read := make(chan int, 1)
 		go func() {
@@ -145,3 +146,26 @@
 	}
 	assert.Equal(t, lost, 0)
 }
+
+// TestRetireCountsQueuedConnections guards against connections that the kernel has accepted and
+// that are taken for none because Accept has not returned them yet.
+func TestRetireCountsQueuedConnections(t *testing.T) {
+	l, err := Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	for range 3 {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { c.Close() })
+	}
+	l.Stop()
+	go func() {
+		for {
+			if _, err := l.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Equal(t, l.Retire(ctx), 3)
+}
