Relay: an early call that may not be repeated isn't taken in a stop if nothing is known

A call that is cut off at the end of a stop and may not be repeated is lost, while a refusal costs a connection. TestEarlyRequestOfStopIsServedIfTimeSuffices has both kinds.

--- a/relay/late_stop_test.go
+++ b/relay/late_stop_test.go
@@ -155,13 +155,14 @@
 // connections here: only those that take longer than the stop lasts are refused.
 func TestEarlyRequestOfStopIsServedIfTimeSuffices(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		takes   time.Duration // of the requests before; 0 if there were none
-		refused bool
+		name, path string
+		takes      time.Duration // of the requests before; 0 if there were none
+		refused    bool
 	}{
-		{"short requests", time.Millisecond, false},
-		{"long requests", 1100 * time.Millisecond, true},
-		{"not known", 0, false},
+		{"short requests", "/once/1", time.Millisecond, false},
+		{"long requests", "/once/1", 1100 * time.Millisecond, true},
+		{"not known, repeatable", "/plain/1", 0, false},
+		{"not known, not repeatable", "/once/1", 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newTestBed(t)
@@ -171,11 +172,11 @@
 				respondOK(x)
 			})
 			if takes > 0 {
-				b.send("/once/1", "Attempt-Id", "a0")
+				b.send(c.path, "Attempt-Id", "a0")
 			}
 			takes = 0
 			b.drainEarly()
-			got := b.send("/once/1")
+			got := b.send(c.path)
 			assert.Equal(t, got.isStopRefusal(), c.refused, "%d %s", got.status, got.body)
 			assert.Equal(t, got.status == http.StatusOK, !c.refused)
 		})
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingknot/contract"
+	"redwingknot/fleet"
 	"redwingknot/metric"
 )
 
@@ -39,17 +40,22 @@
 }
 
 // wouldBeCutOff reports whether the stop may cut off an attempt that begins now. Its deadline
-// bounds how long it takes. That isn't asked of attempts that would be no better off elsewhere:
-// while the platform still sends new connections here, a caller that is refused may come back to this instance,
-// and a stream that has begun would be broken off. For these the latest answers on the route
-// tell whether the time is enough.
+// bounds how long it takes. More is known of two kinds of attempts that a refusal would cost
+// dearly: while the platform still sends new connections here, a refused caller may come back to
+// this instance, and a stream that has begun would be broken off. For these the latest answers on
+// the route tell whether the time is enough. Without any, only a call that may not be repeated is
+// refused: cut off, it is lost.
 func (c *callerRequest) wouldBeCutOff(now time.Time) bool {
 	stop := c.server.stop.Load()
 	if stop == nil || !c.deadline.After(stop.End) {
 		return false
 	}
 	if now.Before(stop.Unrouted) || c.headerSent {
-		return now.Add(c.server.answerTimes.longestUsual(c.route.Name)).After(stop.End)
+		usual := c.server.answerTimes.longestUsual(c.route.Name)
+		if usual == 0 {
+			return c.route.Kind == fleet.KindNonIdempotent
+		}
+		return now.Add(usual).After(stop.End)
 	}
 	return true
 }
