--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -13,6 +13,7 @@
 	"redwingknot/metastore"
 	"redwingknot/metastore/metastoretest"
 	"redwingknot/origin"
+	"redwingknot/peers"
 )
 
 // originInstance is what one instance knows of the origins of streams of the service s, with
@@ -154,6 +155,57 @@
 	})
 }
 
+// follows reports whether an instance concludes the version of a stream of which it has no
+// record, when the request for it has just arrived.
+func (o *origins) follows(ctx context.Context) bool {
+	if _, known := o.Sole(ctx, "s"); known {
+		return true
+	}
+	_, known := o.Only("s", time.Now().Add(-2*testRouteTimeout))
+	return known
+}
+
+// TestVersionDoesNotFollowFromStaleHistory guards against streams that are joined with a run of
+// the only version that an instance knows, because its history ends before another one's
+// endpoints have joined. In step it knows the version while there is only one.
+func TestVersionDoesNotFollowFromStaleHistory(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		paused      bool // until the request arrives
+		unreachable bool // the instance has noticed that the store does not answer
+	}{
+		{"the store has just gone silent", false, false},
+		{"the store is known to be silent, all peers are in reach", false, true},
+		{"paused, and the store is silent", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				content := metastoretest.NewStore(time.Now)
+				a := startOriginInstance(t, content, "a", 1)
+				g := &Gateway{view: fleet.NewView(), software: a.software, exchange: peers.New(peers.Options{Self: "a", Now: time.Now})}
+				known := &origins{Local: a.Local, gateway: g}
+				time.Sleep(2*testRouteTimeout + time.Second)
+				assert.Check(t, known.follows(t.Context()), "in step, one version")
+
+				if c.paused {
+					a.end()
+				}
+				a.kv.SetDisconnected(true)
+				if c.unreachable {
+					g.view.MarkStoreUnreachable()
+				}
+				startOriginInstance(t, content, "b", 1, 2)
+				time.Sleep(registerInterval + time.Millisecond)
+				assert.Check(t, !known.follows(t.Context()), "its history does not reach up to the request")
+
+				a.kv.SetDisconnected(false)
+				g.view.MarkStoreReachable(time.Now())
+				assert.Check(t, !known.follows(t.Context()), "two versions are registered")
+			})
+		})
+	}
+}
+
 // TestOriginsOutliveTheSecondEndOfAllInstances guards against the loss of records while the
 // set is not complete: all instances end soon after they have started for the first time.
 func TestOriginsOutliveTheSecondEndOfAllInstances(t *testing.T) {
