Origins: a version follows only from what is read after the request has arrived

Cause: an instance that knew no record of a stream, and got no single version from the store, concluded the version from its own history of endpoints. That history is only good up to the last change that has arrived. An instance concluded from it while it had not noticed yet that the store is away, and while it knew so but all peers had reported within a second, which says nothing of versions. It then passed its conclusion on as a record.

Change: only the set of versions in the store decides, read after the request has arrived (Origins.Sole); the own history can only object. Streams of routes that callers may not resume register no versions, so that no version follows for them any more. HearsFromAll and BegunSince lose their only use. The test of a version that is registered elsewhere asks the one method that is left; what it demands is unchanged.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"redwingknot/origin"
@@ -25,24 +24,10 @@
 	return o.gateway.exchange.LookUpOrigin(ctx, s)
 }
 
-// Only implements relay.Origins. While neither the metadata store nor all other instances are
-// in reach, endpoints of further versions may serve. No version follows while another one is
-// registered at which streams may have begun since: its endpoints may not have reached this
-// instance yet.
-func (o *origins) Only(service string, since time.Time) (origin.Version, bool) {
-	if o.gateway.view.StoreUnreachable() && !o.gateway.exchange.HearsFromAll() {
-		return 0, false
-	}
-	v, known := o.Local.Only(service, since)
-	isOther := func(begun origin.Version) bool { return begun != v }
-	if !known || slices.ContainsFunc(o.gateway.software.registered.BegunSince(service, since), isOther) {
-		return 0, false
-	}
-	return v, true
-}
-
-// Sole implements relay.Origins.
-func (o *origins) Sole(ctx context.Context, service string) (origin.Version, bool) {
+// Sole implements relay.Origins. It follows from the registered versions alone: the own history
+// may end before others have joined, which an instance that was paused or cut off a moment ago
+// does not know.
+func (o *origins) Sole(ctx context.Context, service string, _ time.Time) (origin.Version, bool) {
 	return o.gateway.software.sole(ctx, service)
 }
 
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -13,7 +13,6 @@
 	"redwingknot/metastore"
 	"redwingknot/metastore/metastoretest"
 	"redwingknot/origin"
-	"redwingknot/peers"
 )
 
 // originInstance is what one instance knows of the origins of streams of the service s, with
@@ -136,32 +135,24 @@
 		content := metastoretest.NewStore(time.Now)
 		a := startOriginInstance(t, content, "a", 1)
 		known := &origins{Local: a.Local, gateway: &Gateway{view: fleet.NewView(), software: a.software}}
-		only := func() bool {
-			_, follows := known.Only("s", time.Now().Add(-2*testRouteTimeout))
-			return follows
-		}
 		time.Sleep(2*testRouteTimeout + time.Second)
-		assert.Check(t, only(), "one version for long enough")
+		assert.Check(t, known.follows(t.Context()), "one version for long enough")
 		b := startOriginInstance(t, content, "b", 1, 2)
 		time.Sleep(registerInterval + time.Millisecond)
-		_, sole := known.Sole(t.Context(), "s")
-		assert.Check(t, !sole && !only(), "the store names a version that this instance has not seen")
+		assert.Check(t, !known.follows(t.Context()), "the store names a version that this instance has not seen")
 		b.end()
 		for range 5 * testRouteTimeout / time.Second {
 			time.Sleep(time.Second)
 			a.software.apply(entriesOf(t, a.kv, softwareRange))
 		}
-		assert.Check(t, only(), "the streams of the other version have ended")
+		assert.Check(t, known.follows(t.Context()), "the streams of the other version have ended")
 	})
 }
 
 // follows reports whether an instance concludes the version of a stream of which it has no
 // record, when the request for it has just arrived.
 func (o *origins) follows(ctx context.Context) bool {
-	if _, known := o.Sole(ctx, "s"); known {
-		return true
-	}
-	_, known := o.Only("s", time.Now().Add(-2*testRouteTimeout))
+	_, known := o.Sole(ctx, "s", time.Now().Add(-2*testRouteTimeout))
 	return known
 }
 
@@ -182,7 +173,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				content := metastoretest.NewStore(time.Now)
 				a := startOriginInstance(t, content, "a", 1)
-				g := &Gateway{view: fleet.NewView(), software: a.software, exchange: peers.New(peers.Options{Self: "a", Now: time.Now})}
+				g := &Gateway{view: fleet.NewView(), software: a.software}
 				known := &origins{Local: a.Local, gateway: g}
 				time.Sleep(2*testRouteTimeout + time.Second)
 				assert.Check(t, known.follows(t.Context()), "in step, one version")
--- a/origin/local.go
+++ b/origin/local.go
@@ -23,5 +23,8 @@
 // nothing is shared.
 func (l Local) MayBegin(_ string, listed []Version) []Version { return listed }
 
-// Sole returns no version, because nothing is shared.
-func (l Local) Sole(context.Context, string) (Version, bool) { return 0, false }
+// Sole returns the only version that the endpoints of a service have had from the given time
+// on, and whether that is known. No other instance begins streams.
+func (l Local) Sole(_ context.Context, service string, since time.Time) (Version, bool) {
+	return l.Only(service, since)
+}
--- a/origin/registered.go
+++ b/origin/registered.go
@@ -127,21 +127,6 @@
 	return listed, true
 }
 
-// BegunSince returns the registered versions of a service at which streams may have begun
-// after the given time: those at which they may begin, and those that were retired later.
-func (r *Registered) BegunSince(service string, from time.Time) []Version {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.service(service)
-	versions := slices.Clone(s.set.Versions)
-	for _, v := range s.set.Retired {
-		if s.since[v].After(from) {
-			versions = append(versions, v)
-		}
-	}
-	return versions
-}
-
 // Lacking reports whether a service has endpoints, none of which has a registered version.
 func (r *Registered) Lacking() bool {
 	r.mu.Lock()
--- a/peers/origin.go
+++ b/peers/origin.go
@@ -232,20 +232,3 @@
 	}
 	return origin.Record{Stream: s, Version: origin.Version(answer.Version), Expires: e.opts.Now().Add(time.Duration(answer.ExpireMs) * time.Millisecond)}
 }
-
-// HearsFromAll reports whether all peers have reported lately.
-func (e *Exchange) HearsFromAll() bool {
-	silence := e.currentReportTTL()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.opts.Now()
-	for _, p := range e.peers {
-		p.mu.Lock()
-		silent := now.Sub(p.reportedAt) > silence
-		p.mu.Unlock()
-		if silent {
-			return false
-		}
-	}
-	return true
-}
--- a/processtest/stale_software_version_test.go
+++ b/processtest/stale_software_version_test.go
@@ -252,3 +252,27 @@
 		}
 	}
 }
+
+// TestStreamOfOneVersionGoesOnAtFirstAttempt guards against refusals of streams that callers
+// take up while all is in step and the service has one software version, also if nobody knows
+// of the stream: its caller names no attempt.
+func TestStreamOfOneVersionGoesOnAtFirstAttempt(t *testing.T) {
+	for _, namesAttempt := range []bool{true, false} {
+		t.Run(fmt.Sprintf("names the attempt %t", namesAttempt), func(t *testing.T) {
+			t.Parallel()
+			d := newOutOfStepDeployment(t)
+			streams := d.breakOff(true)
+			for _, s := range streams {
+				if !namesAttempt {
+					s.first = ""
+				}
+			}
+			before := time.Now()
+			takenUp, wentOn := d.takeUp(0, streams)
+			t.Logf("%d of %d streams went on at the first attempt, in %s", wentOn, takenUp, time.Since(before))
+			assert.Check(t, takenUp > 0)
+			assert.Equal(t, wentOn, takenUp)
+			checkStreams(t, streams)
+		})
+	}
+}
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -22,12 +22,10 @@
 	LookUp(ctx context.Context, s origin.Stream) (origin.Version, bool)
 	// Observe records the versions that a service's endpoints have at now.
 	Observe(service string, versions []origin.Version, now time.Time)
-	// Only returns the only version that the endpoints of a service have had since a time,
-	// and whether that is known.
-	Only(service string, since time.Time) (origin.Version, bool)
 	// Sole returns the version at which all resumable streams of a service have begun that
-	// are in progress, and whether that follows from what all instances have registered.
-	Sole(ctx context.Context, service string) (origin.Version, bool)
+	// are in progress, and whether that is known of all instances up to the call. None of
+	// them began before since.
+	Sole(ctx context.Context, service string, since time.Time) (origin.Version, bool)
 	// MayBegin returns those of the versions of a service's endpoints at which resumable
 	// streams may begin.
 	MayBegin(service string, listed []origin.Version) []origin.Version
@@ -82,13 +80,10 @@
 		}
 	}
 	c.server.endpoints.ObserveSoftware()
-	version, known := origin.Version(0), false
-	if c.route.Resumable {
-		version, known = origins.Sole(ctx, c.query.service)
-	}
-	if !known {
-		version, known = origins.Only(c.query.service, c.server.opts.Now().Add(-StreamLifetimes*c.route.Timeout))
+	if !c.route.Resumable {
+		return 0, false // such streams begin at versions that are not registered
 	}
+	version, known := origins.Sole(ctx, c.query.service, c.server.opts.Now().Add(-StreamLifetimes*c.route.Timeout))
 	if known && attempt != "" {
 		c.beginOrigin(attempt, version)
 	}
