Test that a set read from an older state, or new in an era, decides nothing, failing

./gateway -run 'FromOldRead|NewEra': a version follows from a set that is older than the one that the instance knows; and a set is declared complete in the moment in which the store is found to have come back from an older copy, until the next read of the operator's keys restarts the contact.

--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -197,6 +197,60 @@
 	}
 }
 
+// oldGetKV answers reads of single keys from an older state.
+type oldGetKV struct {
+	metastore.KV
+	old metastore.Entry
+}
+
+// Get implements metastore.KV.
+func (k oldGetKV) Get(context.Context, metastore.Purpose, string) (metastore.Entry, error) {
+	return k.old, nil
+}
+
+// TestVersionDoesNotFollowFromOldRead guards against streams that are joined because the store
+// answers a read from an older state, in which another version was not registered yet.
+func TestVersionDoesNotFollowFromOldRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		content := metastoretest.NewStore(time.Now)
+		a := startOriginInstance(t, content, "a", 1)
+		time.Sleep(2*testRouteTimeout + time.Second)
+		old, err := content.Get(softwarePrefix + "s")
+		assert.NilError(t, err)
+		startOriginInstance(t, content, "b", 1, 2)
+		time.Sleep(registerInterval + time.Millisecond)
+		a.software.apply(entriesOf(t, a.kv, softwareRange))
+		a.end()
+		synctest.Wait()
+		a.software.kv = oldGetKV{a.kv, old}
+		_, known := a.software.sole(t.Context(), "s")
+		assert.Check(t, !known, "a later set is known")
+	})
+}
+
+// TestSetIsNotCompleteAtOnceInANewEra guards against a set that an instance declares complete
+// after the store has come back from an older copy, because it plans the set before it reads
+// the operator's keys: endpoints may have come while it was paused.
+func TestSetIsNotCompleteAtOnceInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startOriginInstance(t, metastoretest.NewStore(time.Now), "a", 1)
+		time.Sleep(2*testRouteTimeout + time.Second)
+		a.end()
+		synctest.Wait()
+		era := int64(1)
+		a.software.era = func() int64 { return era }
+		plan := func() origin.Set {
+			a.Observe("s", []origin.Version{1}, time.Now())
+			old, position := a.software.registered.Set("s")
+			next, _ := a.software.plan("s", old, position, 2*testRouteTimeout)
+			return next
+		}
+		assert.Check(t, !plan().Complete)
+		time.Sleep(2 * testRouteTimeout)
+		assert.Check(t, plan().Complete, "in touch for as long as streams last")
+	})
+}
+
 // TestOriginsOutliveTheSecondEndOfAllInstances guards against the loss of records while the
 // set is not complete: all instances end soon after they have started for the first time.
 func TestOriginsOutliveTheSecondEndOfAllInstances(t *testing.T) {
