Origins: contact with the store begins anew with the first plan in an era

Cause: contact was restarted by the next read of the operator's keys. Until then, up to half a second, an instance declared sets complete from a contact with the store as it was before the restore. One that was paused meanwhile could leave out a version that joined and was lost with the older copy.

Change: the plan of a set compares the era of the store with the one in which the contact began.

Result: ./gateway -run NewEra passes.

--- a/gateway/software.go
+++ b/gateway/software.go
@@ -62,6 +62,7 @@
 	timeouts     atomic.Pointer[resumableTimeouts]
 	mu           sync.Mutex
 	inTouchSince time.Time // with the store, without a break
+	contactEra   int64     // of the store to which inTouchSince applies
 	wantedSince  map[string]time.Time
 	unregistered map[string]bool       // services whose streams begin at unregistered versions
 	pending      map[string]*freshRead // reads that are not sent, by service
@@ -236,12 +237,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, since := s.now(), rec.Since
+	now, since, era := s.now(), rec.Since, s.era()
+	if era != s.contactEra {
+		s.inTouchSince, s.contactEra = now, era
+	}
 	if since.Before(s.inTouchSince) {
 		since = s.inTouchSince
 	}
 	o := origin.Observation{Seen: rec.Seen, Registered: s.registered.Since(service), KnownSince: since, Lifetime: lifetime}
-	next, changed := origin.NextSet(old, s.era(), o, now)
+	next, changed := origin.NextSet(old, era, o, now)
 	next.Complete = next.Complete || s.firstStart && position == 0
 	if !changed {
 		delete(s.wantedSince, service)
