Origins: no version follows from a read that is older than the known set

Cause: a store that has lost its history may answer a read from an older state. The copy of the set stayed at the later one, but the answer decided. Change: a set that was written before the one that was known when the read was sent counts as not known.

--- a/gateway/software.go
+++ b/gateway/software.go
@@ -273,8 +273,9 @@
 	}
 }
 
-// read returns the set that the store holds after the call began, and the era of the store.
-// Calls at the same time share a read that is not yet sent.
+// read returns the set that the store holds after the call began, and the era of the store. A
+// set that is older than the one that was known before is not known. Calls at the same time
+// share a read that is not yet sent.
 func (s *softwareStore) read(ctx context.Context, service string) (set origin.Set, era int64, known bool) {
 	s.mu.Lock()
 	r := s.pending[service]
@@ -301,11 +302,12 @@
 	delete(s.pending, service)
 	s.lastRead[service] = s.now()
 	s.mu.Unlock()
+	_, latest := s.registered.Set(service)
 	ctx, cancel := context.WithTimeout(ctx, softwareReadTimeout)
 	defer cancel()
 	metric.Counter("software_set_reads_total").Inc(1)
 	e, err := s.kv.Get(ctx, purposeSoftware, softwarePrefix+service)
-	if err != nil {
+	if err != nil || e.ModRevision < latest {
 		return
 	}
 	r.era, _ = metastore.SplitPosition(e.ModRevision)
