--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -135,22 +135,119 @@
 		content := metastoretest.NewStore(time.Now)
 		a := startOriginInstance(t, content, "a", 1)
 		known := &origins{Local: a.Local, gateway: &Gateway{view: fleet.NewView(), software: a.software}}
-		only := func() bool {
-			_, follows := known.Only("s", time.Now().Add(-2*testRouteTimeout))
-			return follows
-		}
 		time.Sleep(2*testRouteTimeout + time.Second)
-		assert.Check(t, only(), "one version for long enough")
+		assert.Check(t, known.follows(t.Context()), "one version for long enough")
 		b := startOriginInstance(t, content, "b", 1, 2)
 		time.Sleep(registerInterval + time.Millisecond)
-		_, sole := known.Sole(t.Context(), "s")
-		assert.Check(t, !sole && !only(), "the store names a version that this instance has not seen")
+		assert.Check(t, !known.follows(t.Context()), "the store names a version that this instance has not seen")
 		b.end()
 		for range 5 * testRouteTimeout / time.Second {
 			time.Sleep(time.Second)
 			a.software.apply(entriesOf(t, a.kv, softwareRange))
 		}
-		assert.Check(t, only(), "the streams of the other version have ended")
+		assert.Check(t, known.follows(t.Context()), "the streams of the other version have ended")
+	})
+}
+
+// follows reports whether an instance concludes the version of a stream of which it has no
+// record, when the request for it has just arrived.
+func (o *origins) follows(ctx context.Context) bool {
+	_, known := o.Sole(ctx, "s", time.Now().Add(-2*testRouteTimeout))
+	return known
+}
+
+// TestVersionDoesNotFollowFromStaleHistory guards against streams that are joined with a run of
+// the only version that an instance knows, because its history ends before another one's
+// endpoints have joined. In step it knows the version while there is only one.
+func TestVersionDoesNotFollowFromStaleHistory(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		paused      bool // until the request arrives
+		unreachable bool // the instance has noticed that the store does not answer
+	}{
+		{"the store has just gone silent", false, false},
+		{"the store is known to be silent, all peers are in reach", false, true},
+		{"paused, and the store is silent", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				content := metastoretest.NewStore(time.Now)
+				a := startOriginInstance(t, content, "a", 1)
+				g := &Gateway{view: fleet.NewView(), software: a.software}
+				known := &origins{Local: a.Local, gateway: g}
+				time.Sleep(2*testRouteTimeout + time.Second)
+				assert.Check(t, known.follows(t.Context()), "in step, one version")
+
+				if c.paused {
+					a.end()
+				}
+				a.kv.SetDisconnected(true)
+				if c.unreachable {
+					g.view.MarkStoreUnreachable()
+				}
+				startOriginInstance(t, content, "b", 1, 2)
+				time.Sleep(registerInterval + time.Millisecond)
+				assert.Check(t, !known.follows(t.Context()), "its history does not reach up to the request")
+
+				a.kv.SetDisconnected(false)
+				g.view.MarkStoreReachable(time.Now())
+				assert.Check(t, !known.follows(t.Context()), "two versions are registered")
+			})
+		})
+	}
+}
+
+// oldGetKV answers reads of single keys from an older state.
+type oldGetKV struct {
+	metastore.KV
+	old metastore.Entry
+}
+
+// Get implements metastore.KV.
+func (k oldGetKV) Get(context.Context, metastore.Purpose, string) (metastore.Entry, error) {
+	return k.old, nil
+}
+
+// TestVersionDoesNotFollowFromOldRead guards against streams that are joined because the store
+// answers a read from an older state, in which another version was not registered yet.
+func TestVersionDoesNotFollowFromOldRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		content := metastoretest.NewStore(time.Now)
+		a := startOriginInstance(t, content, "a", 1)
+		time.Sleep(2*testRouteTimeout + time.Second)
+		old, err := content.Get(softwarePrefix + "s")
+		assert.NilError(t, err)
+		startOriginInstance(t, content, "b", 1, 2)
+		time.Sleep(registerInterval + time.Millisecond)
+		a.software.apply(entriesOf(t, a.kv, softwareRange))
+		a.end()
+		synctest.Wait()
+		a.software.kv = oldGetKV{a.kv, old}
+		_, known := a.software.sole(t.Context(), "s")
+		assert.Check(t, !known, "a later set is known")
+	})
+}
+
+// TestSetIsNotCompleteAtOnceInANewEra guards against a set that an instance declares complete
+// after the store has come back from an older copy, because it plans the set before it reads
+// the operator's keys: endpoints may have come while it was paused.
+func TestSetIsNotCompleteAtOnceInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startOriginInstance(t, metastoretest.NewStore(time.Now), "a", 1)
+		time.Sleep(2*testRouteTimeout + time.Second)
+		a.end()
+		synctest.Wait()
+		era := int64(1)
+		a.software.era = func() int64 { return era }
+		plan := func() origin.Set {
+			a.Observe("s", []origin.Version{1}, time.Now())
+			old, position := a.software.registered.Set("s")
+			next, _ := a.software.plan("s", old, position, 2*testRouteTimeout)
+			return next
+		}
+		assert.Check(t, !plan().Complete)
+		time.Sleep(2 * testRouteTimeout)
+		assert.Check(t, plan().Complete, "in touch for as long as streams last")
 	})
 }
 
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -62,6 +62,7 @@
 	timeouts     atomic.Pointer[resumableTimeouts]
 	mu           sync.Mutex
 	inTouchSince time.Time // with the store, without a break
+	contactEra   int64     // of the store to which inTouchSince applies
 	wantedSince  map[string]time.Time
 	unregistered map[string]bool       // services whose streams begin at unregistered versions
 	pending      map[string]*freshRead // reads that are not sent, by service
@@ -236,12 +237,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, since := s.now(), rec.Since
+	now, since, era := s.now(), rec.Since, s.era()
+	if era != s.contactEra {
+		s.inTouchSince, s.contactEra = now, era
+	}
 	if since.Before(s.inTouchSince) {
 		since = s.inTouchSince
 	}
 	o := origin.Observation{Seen: rec.Seen, Registered: s.registered.Since(service), KnownSince: since, Lifetime: lifetime}
-	next, changed := origin.NextSet(old, s.era(), o, now)
+	next, changed := origin.NextSet(old, era, o, now)
 	next.Complete = next.Complete || s.firstStart && position == 0
 	if !changed {
 		delete(s.wantedSince, service)
@@ -269,8 +273,9 @@
 	}
 }
 
-// read returns the set that the store holds after the call began, and the era of the store.
-// Calls at the same time share a read that is not yet sent.
+// read returns the set that the store holds after the call began, and the era of the store. A
+// set that is older than the one that was known before is not known. Calls at the same time
+// share a read that is not yet sent.
 func (s *softwareStore) read(ctx context.Context, service string) (set origin.Set, era int64, known bool) {
 	s.mu.Lock()
 	r := s.pending[service]
@@ -297,11 +302,12 @@
 	delete(s.pending, service)
 	s.lastRead[service] = s.now()
 	s.mu.Unlock()
+	_, latest := s.registered.Set(service)
 	ctx, cancel := context.WithTimeout(ctx, softwareReadTimeout)
 	defer cancel()
 	metric.Counter("software_set_reads_total").Inc(1)
 	e, err := s.kv.Get(ctx, purposeSoftware, softwarePrefix+service)
-	if err != nil {
+	if err != nil || e.ModRevision < latest {
 		return
 	}
 	r.era, _ = metastore.SplitPosition(e.ModRevision)
