Gateway: a process of which a component fails ends

What callers could see: an instance that is never ready again until an operator restarts it. When a component failed, Run waited for the election and the orders, which end only with SIGTERM, so that the process neither served nor ended, and the platform did not start it again. They now end with the other loops.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -221,8 +221,9 @@
 
 // startControlLoops starts the loops that keep the view up to date and order
 // endpoints to load weights. The election and the orders end with ctx, before the
-// instance drains; the other loops end with workCtx.
+// instance drains; all loops end with workCtx, so that the process ends if a component fails.
 func (g *Gateway) startControlLoops(ctx, workCtx context.Context, group *errgroup.Group) {
+	leadCtx := untilEither(ctx, workCtx)
 	for _, w := range g.newWatchers(workCtx) {
 		group.Go(func() error { return w.run(workCtx) })
 	}
@@ -233,14 +234,21 @@
 	group.Go(func() error { return g.software.run(workCtx, g.relay.Endpoints().ObserveSoftware) })
 	group.Go(func() error { return g.originBatches.run(workCtx) })
 	group.Go(func() error { return g.relay.Run(workCtx) })
-	group.Go(func() error { return g.elector.Run(ctx) })
-	group.Go(func() error { return g.runOrders(ctx) })
+	group.Go(func() error { return g.elector.Run(leadCtx) })
+	group.Go(func() error { return g.runOrders(leadCtx) })
 	group.Go(func() error { return g.expireEndpoints(workCtx) })
 	group.Go(func() error { return g.exchange.Run(workCtx) })
 	group.Go(func() error { return g.slots.Run(workCtx) })
 	group.Go(func() error { return g.runCacheStores(workCtx) })
 }
 
+// untilEither returns a context that ends with either of two.
+func untilEither(ctx, other context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(other, cancel)
+	return ctx
+}
+
 // leads reports whether this instance holds the leader lease.
 func (g *Gateway) leads() bool {
 	_, leads := g.elector.FencingToken()
