--- a/relay/repeated_refusal_test.go
+++ b/relay/repeated_refusal_test.go
@@ -117,13 +117,18 @@
 // newPatientTestBed returns a test bed whose requests have time on a busy machine.
 func newPatientTestBed(t *testing.T, attempts int) *testBed {
 	b := newTestBedOf(t, nil, func(o *relay.Options) { o.RevokeTime = 0 })
+	b.view.ApplyConfig(newPatientConfig(attempts))
+	b.view.Confirm(time.Now())
+	return b
+}
+
+// newPatientConfig returns a configuration whose requests have time on a busy machine.
+func newPatientConfig(attempts int) *fleet.Config {
 	c := newConfig(1, attempts)
 	for _, r := range []fleet.Route{plainRoute, nonIdempotentRoute, streamRoute, resumableRoute} {
 		c.Match(r.Host, r.PathPrefix).Timeout = time.Minute
 	}
-	b.view.ApplyConfig(c)
-	b.view.Confirm(time.Now())
-	return b
+	return c
 }
 
 func responseBodyOf(id string) string { return "id: 0\ndata: for " + id + "\n\n" }
--- a/relay/test_bed_test.go
+++ b/relay/test_bed_test.go
@@ -231,6 +231,14 @@
 // newTestBedOf returns a test bed that has no configuration yet, with other instances. adjust
 // changes its options.
 func newTestBedOf(t *testing.T, detours relay.Detours, adjust ...func(*relay.Options)) *testBed {
+	b := newTestBedWithoutServer(t, detours, adjust...)
+	b.server = httptest.NewServer(b.relay)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// newTestBedWithoutServer is like newTestBedOf, but nothing listens for callers.
+func newTestBedWithoutServer(t *testing.T, detours relay.Detours, adjust ...func(*relay.Options)) *testBed {
 	b := &testBed{t: t, view: fleet.NewView(), cache: promptcache.NewDirectory(), loads: peers.NewTable()}
 	b.now = func() time.Time { return time.Now().Add(time.Duration(b.ahead.Load())) }
 	b.suspectReplica = suspect.NewReplica(suspect.Config{CompanyCrashLimit: 3}, time.Now)
@@ -246,8 +254,6 @@
 		f(&o)
 	}
 	b.relay = relay.NewServer(o)
-	b.server = httptest.NewServer(b.relay)
-	t.Cleanup(b.server.Close)
 	return b
 }
 
