Relay: a success without length, chunks and body is not whole

A worker that stops right after the head of an unframed response, and goes on as a process, closes the connection in good order. The process that answers at the address is then the one that wrote the head, so that callers of plain and non-idempotent routes got a whole, empty 200. A worker that has nothing to say can say so by a length; one that has stopped can't.

Such a success counts as broken off without a look, unless its status has no body (204, 205, 304, as well as redirections and errors, whose status is the answer): one that may be repeated is, any other is refused with 502. unframed_ends_total counts it as empty.

--- /dev/null
+++ b/relay/empty_unframed_test.go
@@ -0,0 +1,44 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEmptyUnframedSuccessIsNotComplete has an endpoint stop after the head of a response that
+// has neither a length nor chunks, and close the connection. Its process goes on.
+func TestEmptyUnframedSuccessIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/plain/1", "/once/1", "/flux/1", "/goon/1"} {
+		for _, status := range []string{"200 OK", "201 Created", "206 Partial Content"} {
+			t.Run(path+" "+status, func(t *testing.T) {
+				b := newPatientTestBed(t, 2)
+				serve := func(x *exchange) {
+					x.write(fmt.Sprintf("HTTP/1.1 %s\r\nAttempt-Id: a1\r\nResponse-Stamp: mark\r\n\r\n", status))
+					x.conn.Close()
+				}
+				b.startEndpoint(uniqueID(), serve)
+				b.startEndpoint(uniqueID(), serve)
+				got := b.send(path)
+				assert.Equal(t, got.status, http.StatusBadGateway, "body %q", got.body)
+			})
+		}
+	}
+}
+
+// TestUnframedResponsesWithoutContentAreComplete sends unframed responses that need no body.
+func TestUnframedResponsesWithoutContentAreComplete(t *testing.T) {
+	for _, status := range []string{"204 No Content", "205 Reset Content", "304 Not Modified", "303 See Other", "404 Not Found"} {
+		t.Run(status, func(t *testing.T) {
+			b := newPatientTestBed(t, 1)
+			b.startEndpoint(uniqueID(), func(x *exchange) {
+				x.write(fmt.Sprintf("HTTP/1.1 %s\r\nAttempt-Id: a1\r\nResponse-Stamp: mark\r\n\r\n", status))
+				x.conn.Close()
+			})
+			got := b.send("/once/1")
+			assert.Equal(t, fmt.Sprint(got.status), status[:3])
+		})
+	}
+}
--- a/relay/incarnation_look.go
+++ b/relay/incarnation_look.go
@@ -18,11 +18,12 @@
 	endReplaced                      // another process answers at the address
 	endRefused                       // no process listens there
 	endUnanswered                    // no process has said in time which one it is
+	endEmpty                         // a success has no body; nobody was asked
 )
 
 // String implements fmt.Stringer. The values are those of a metric's label.
 func (e unframedEnd) String() string {
-	return [...]string{"whole", "replaced", "refused", "unanswered"}[e]
+	return [...]string{"whole", "replaced", "refused", "unanswered", "empty"}[e]
 }
 
 const (
--- a/relay/response.go
+++ b/relay/response.go
@@ -103,7 +103,7 @@
 		return outcomeEndpointFailed
 	}
 	if len(body) < maxBufferedResponse {
-		if c.method != http.MethodHead && !c.bodyEnded(res) || c.brokeOff(ctx, p, res) {
+		if c.method != http.MethodHead && !c.bodyEnded(res) || c.lacksBody(res, body) || c.brokeOff(ctx, p, res) {
 			return c.handleLost(ctx, p, io.ErrUnexpectedEOF)
 		}
 		buffered.writeTo(c)
@@ -192,11 +192,26 @@
 		return false
 	}
 	end := c.server.endpoints.lookAfterEnd(ctx, p.endpoint, res.SentAt)
+	c.recordUnframedEnd(end)
+	return end != endWhole
+}
+
+// lacksBody reports whether a success has neither a length, nor chunks, nor a body. The endpoint
+// may have stopped after the head and go on as a process.
+func (c *callerRequest) lacksBody(res *upstream.Response, body []byte) bool {
+	lacks := res.Unframed && len(body) == 0 && isSuccess(res.Status) && res.Status != http.StatusResetContent
+	if lacks {
+		c.recordUnframedEnd(endEmpty)
+	}
+	return lacks
+}
+
+// recordUnframedEnd records what is known of the end of a response.
+func (c *callerRequest) recordUnframedEnd(end unframedEnd) {
 	metric.Counter("unframed_ends_total", "service", c.query.service, "end", end.String()).Inc(1)
 	if end != endWhole {
 		event.UnframedEnd.Log(c.server.opts.Log, append(c.logAttrs(), slog.String("end", end.String()), slog.Int64("lastEvent", c.sequence.last))...)
 	}
-	return end != endWhole
 }
 
 // endedAtDeadline reports whether the endpoint may have ended a response because it stopped at
