Relay: empty unframed responses show no end of a stream

Two endpoints that bring no event after the caller's last one show that there is none. Two that stop right after the head of an unframed response, and go on as processes, looked the same: the stream ended as whole, within one response and where a caller takes a stream up. Such a response no longer counts as an empty end.

--- a/relay/empty_unframed_test.go
+++ b/relay/empty_unframed_test.go
@@ -28,6 +28,38 @@
 	}
 }
 
+// TestEmptyUnframedResponsesShowNoEndOfStream has all endpoints that go on with a stream stop
+// after the head of a response that has neither a length nor chunks.
+func TestEmptyUnframedResponsesShowNoEndOfStream(t *testing.T) {
+	stop := func(x *exchange) {
+		x.startUnframed("text/event-stream")
+		x.conn.Close()
+	}
+	t.Run("within one response", func(t *testing.T) {
+		b := newPatientTestBed(t, 4)
+		breakOffAfterTwo(b, stop)
+		got := b.send("/goon/1")
+		assert.Check(t, got.err != nil, "whole: %q", got.body)
+	})
+	t.Run("taken up", func(t *testing.T) {
+		b := newPatientTestBed(t, 2)
+		begun := false
+		serve := func(x *exchange) {
+			if !begun {
+				begun = true
+				stream(events(0, 1, 2))(x)
+				return
+			}
+			stop(x)
+		}
+		b.startEndpoint(uniqueID(), serve)
+		b.startEndpoint(uniqueID(), serve)
+		assert.NilError(t, b.send("/goon/1").err)
+		got := b.send("/goon/1", "Attempt-Id", "a2", "Resumes", "a1", "Last-Event-Id", "1")
+		assert.Equal(t, got.status, http.StatusBadGateway, "body %q", got.body)
+	})
+}
+
 // TestUnframedResponsesWithoutContentAreComplete sends unframed responses that need no body.
 func TestUnframedResponsesWithoutContentAreComplete(t *testing.T) {
 	for _, status := range []string{"204 No Content", "205 Reset Content", "304 Not Modified", "303 See Other", "404 Not Found"} {
--- a/relay/event_sequence.go
+++ b/relay/event_sequence.go
@@ -180,12 +180,13 @@
 // end returns an *EventOrderError if the end of the response can't be the end of the stream: it
 // resumed a stream and brought no event after the last one, although an earlier run broke off
 // there. A run that begins before the last event and ends with it, or another endpoint that has
-// no further event, shows that there is none.
+// no further event, shows that there is none. A response that ends with its connection and is
+// empty shows nothing: the endpoint may have stopped after the head.
 func (s *eventSequence) end() error {
 	if !s.resumes || s.joined || s.previous == s.last {
 		return nil
 	}
-	if s.previous < 0 {
+	if s.previous < 0 && !s.unframed {
 		if slices.ContainsFunc(s.emptyAt, func(other fleet.EndpointKey) bool { return other != s.endpoint }) {
 			return nil
 		}
