Upstream: a connection that ends within a line of a head is told as such

Of a head that breaks off inside a line net/http says only that the line is malformed, so that ClosedByPeer did not hold: whether the endpoint's process has crashed was looked at only if its connection had ended between two lines. The end that a read of the head has returned is now the error.

--- a/upstream/broken_head_test.go
+++ b/upstream/broken_head_test.go
@@ -122,6 +122,7 @@
 }
 
 // TestHeadThatIsBrokenOffIsNoResponse ends a connection after each byte of a head but the last.
+// That the peer has ended it must be told: its process may have crashed.
 func TestHeadThatIsBrokenOffIsNoResponse(t *testing.T) {
 	for name, head := range heads {
 		for i, end := range headEnds() {
@@ -130,6 +131,7 @@
 				_, _, err := end.exchange(t, method, head[:n])
 				var lost *upstream.LostError
 				assert.Check(t, errors.As(err, &lost), "%s, %s, %+v: %v after %q", name, method, end, err, head[:n])
+				assert.Check(t, upstream.ClosedByPeer(err), "%s, %s, %+v: %v after %q", name, method, end, err, head[:n])
 			}
 		}
 	}
--- a/upstream/head_reader.go
+++ b/upstream/head_reader.go
@@ -14,7 +14,8 @@
 // net/http reads without a limit. An endpoint that fails may send bytes without end.
 type headReader struct {
 	source io.Reader
-	left   int // bytes that the head may still have, or unlimited
+	left   int   // bytes that the head may still have, or unlimited
+	end    error // of source, once a read has returned it
 }
 
 // Read implements io.Reader. The error is a *HeadTooLargeError if the head has reached its
@@ -28,9 +29,23 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.end = err
 	return n, err
 }
 
+// breakOffError returns the error of a head that can't be parsed with err. If the connection ended
+// within the head, that is the error: of the line that it broke off, net/http says only that it
+// is malformed.
+func (r *headReader) breakOffError(err error) error {
+	switch r.end {
+	case nil:
+		return err
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	}
+	return r.end
+}
+
 // statusLine matches the status line of a response.
 var statusLine = regexp.MustCompile(`HTTP/1\.\d \d{3}`)
 
@@ -44,7 +59,7 @@
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		switch {
 		case err != nil:
-			return nil, err
+			return nil, c.head.breakOffError(err)
 		case joinsHeads(res):
 			return nil, &UnrelatedResponseError{Detail: "its head goes on with the status line of another response"}
 		case res.StatusCode >= http.StatusOK:
