--- a/metastore/client.go
+++ b/metastore/client.go
@@ -15,6 +15,7 @@
 
 	"redwingknot/internal/stall"
 	"redwingknot/metric"
+	"redwingknot/upstream"
 )
 
 const (
@@ -48,7 +49,7 @@
 func NewClient(o ClientOptions) *Client {
 	c := &Client{urls: o.URLs, http: o.HTTP, budget: o.Budget}
 	if c.http == nil {
-		c.http = &http.Client{Transport: newTransport()}
+		c.http = &http.Client{Transport: upstream.NewTransport(newTransport())}
 	}
 	return c
 }
--- /dev/null
+++ b/serve/broken_answer_test.go
@@ -0,0 +1,78 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/contract"
+	"redwingknot/note"
+	"redwingknot/upstream"
+)
+
+// answerBy makes a client's connections bring the given bytes after each request, and end.
+func answerBy(client *http.Client, bytes string) {
+	client.Transport.(*upstream.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			r, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(far, bytes) // fails if the client has given up
+		}()
+		return near, nil
+	}
+}
+
+// callService calls a plain service whose endpoint answers with the given bytes.
+func callService(t *testing.T, method string, idempotency contract.Idempotency, bytes string) (*serviceReply, error) {
+	clients := NewEndpointClients()
+	client := clients.clientFor(idempotency)
+	answerBy(client, bytes)
+	defer client.CloseIdleConnections()
+	call := &serviceCall{
+		team: note.Team{Name: "t"}, spec: note.Call{Method: method, Idempotency: idempotency},
+		path: "/certificates", header: http.Header{HeaderIdempotencyKey: {"k"}}, body: []byte("certificate"),
+	}
+	return call.send(t.Context(), client, "http://endpoint", "r", 1<<10)
+}
+
+// TestAnswerThatIsBrokenOffIsNotWhole has an endpoint of a plain service break off its answer after
+// each byte.
+func TestAnswerThatIsBrokenOffIsNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":       "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfine",
+		"chunks":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nfi\r\n2\r\nne\r\n0\r\n\r\n",
+		"interim head": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
+		"no content":   "HTTP/1.1 204 No Content\r\nServer: x\r\n\r\n",
+	} {
+		for _, idempotency := range []contract.Idempotency{contract.Idempotent, contract.NonIdempotent} {
+			for n := range len(answer) {
+				reply, err := callService(t, http.MethodPost, idempotency, answer[:n])
+				assert.Check(t, err != nil, "%s: whole after %q: %+v", name, answer[:n], reply)
+			}
+			_, err := callService(t, http.MethodPost, idempotency, answer)
+			assert.NilError(t, err, name)
+		}
+	}
+}
+
+// TestAnswerThatGoesOnWithAnotherIsNotWhole has an endpoint break off the head of an answer after
+// each byte and write another answer after it.
+func TestAnswerThatGoesOnWithAnotherIsNotWhole(t *testing.T) {
+	const head = "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n"
+	for _, next := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
+		for n := 1; n < len(head); n++ {
+			reply, err := callService(t, http.MethodPost, contract.NonIdempotent, head[:n]+next)
+			assert.Check(t, err != nil, "whole after %q: %+v", head[:n], reply)
+		}
+	}
+}
--- a/serve/service_call.go
+++ b/serve/service_call.go
@@ -43,7 +43,7 @@
 	shared.MaxIdleConnsPerHost = idleConnsPerEndpoint
 	singleUse := shared.Clone()
 	singleUse.DisableKeepAlives = true
-	return &EndpointClients{Shared: &http.Client{Transport: shared}, SingleUse: &http.Client{Transport: singleUse}}
+	return &EndpointClients{Shared: &http.Client{Transport: upstream.NewTransport(shared)}, SingleUse: &http.Client{Transport: upstream.NewTransport(singleUse)}}
 }
 
 // idleConnsPerEndpoint is the maximum number of idle connections per endpoint
--- a/upstream/head_reader.go
+++ b/upstream/head_reader.go
@@ -61,7 +61,7 @@
 		case err != nil:
 			return nil, c.head.breakOffError(err)
 		case joinsHeads(res):
-			return nil, &UnrelatedResponseError{Detail: "its head goes on with the status line of another response"}
+			return nil, &UnrelatedResponseError{Detail: joinedDetail}
 		case res.StatusCode >= http.StatusOK:
 			return res, nil
 		case res.StatusCode == http.StatusSwitchingProtocols || res.StatusCode < http.StatusContinue:
@@ -70,6 +70,9 @@
 	}
 }
 
+// joinedDetail is the detail of the error about a head for which joinsHeads holds.
+const joinedDetail = "its head goes on with the status line of another response"
+
 // joinsHeads reports whether a head contains the status line of another response: a response
 // broke off inside a line, and the next one followed.
 func joinsHeads(res *http.Response) bool {
--- /dev/null
+++ b/upstream/joined_head_test.go
@@ -0,0 +1,78 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"redwingknot/upstream"
+)
+
+// answerOnce returns a client whose connections bring the given bytes after each request.
+func answerOnce(bytes string) *http.Client {
+	base := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			if _, err := readRequest(far); err == nil {
+				_, _ = io.WriteString(far, bytes) // fails if the client has given up
+			}
+		}()
+		return near, nil
+	}}
+	return &http.Client{Transport: upstream.NewTransport(base), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
+// exchangeByClient sends a request by an HTTP client and reads the response.
+func exchangeByClient(t *testing.T, bytes string) (status int, body string, err error) {
+	client := answerOnce(bytes)
+	defer client.CloseIdleConnections()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/x", strings.NewReader("hello"))
+	assert.NilError(t, err)
+	res, err := client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(data), err
+}
+
+// TestHeadThatIsBrokenOffIsNoResponseOfClient is TestHeadThatIsBrokenOffIsNoResponse for clients of
+// package net/http.
+func TestHeadThatIsBrokenOffIsNoResponseOfClient(t *testing.T) {
+	for name, head := range heads {
+		for n := range len(head) {
+			status, body, err := exchangeByClient(t, head[:n])
+			assert.Check(t, err != nil, "%s: status %d, body %q after %q", name, status, body, head[:n])
+		}
+	}
+}
+
+// TestHeadThatGoesOnWithAnotherIsNoResponseOfClient is TestHeadThatGoesOnWithAnotherIsNoResponse
+// for clients of package net/http, which don't show the status line of an interim response: where
+// one breaks off in it and another interim one follows, the final response is whole.
+func TestHeadThatGoesOnWithAnotherIsNoResponseOfClient(t *testing.T) {
+	for name, head := range heads {
+		for next, response := range nextResponses {
+			for n := range len(head) {
+				if startsHead(head[:n]) || strings.HasPrefix(response, "HTTP/1.1 100") && inInterimStatusLine(head[:n]) {
+					continue
+				}
+				status, body, err := exchangeByClient(t, head[:n]+response)
+				assert.Check(t, err != nil, "%s, then %s: status %d, body %q after %q", name, next, status, body, head[:n])
+			}
+		}
+	}
+}
+
+// inInterimStatusLine reports whether bytes end in the status line of an interim response.
+func inInterimStatusLine(bytes string) bool {
+	line := bytes[strings.LastIndex(bytes, "\n")+1:]
+	return strings.HasPrefix(line, "HTTP/1.1 1")
+}
