Serve: a plain service's success without length and chunks is not whole

Such a body ends with its connection, which a service closes in the same way whether it has written all, stopped in the middle, or ended as a process. The caller got a half or empty answer as a whole one, and the ledger kept it for repeats of the call. Plain services have no report that says which process answers, as the relay's endpoints have, and whether one listens says too little. So a success must say where its body ends; otherwise the attempt counts as broken off: an idempotent call is repeated elsewhere, another one ends with 502 and unknown outcome. Failures are passed on, as many servers write them without a length; so are answers to HEAD, 204 and 304. Go's own gzip is switched off: it would hide how a response is framed.

--- a/serve/service_call.go
+++ b/serve/service_call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -39,6 +40,7 @@
 	shared := http.DefaultTransport.(*http.Transport).Clone()
 	shared.MaxResponseHeaderBytes = upstream.MaxHeadBytes
 	shared.Proxy = nil
+	shared.DisableCompression = true // it would hide how a response is framed
 	shared.MaxIdleConns = 0
 	shared.MaxIdleConnsPerHost = idleConnsPerEndpoint
 	singleUse := shared.Clone()
@@ -84,6 +86,15 @@
 // Error implements error.
 func (e *ReplyTooLargeError) Error() string { return "the service's answer is larger than the limit" }
 
+// UnframedReplyError reports a plain service's response whose body has neither a length nor
+// chunks: that its connection has ended does not show that it is whole.
+type UnframedReplyError struct{ Status int }
+
+// Error implements error.
+func (e *UnframedReplyError) Error() string {
+	return fmt.Sprintf("the service's answer of status %d has neither a length nor chunks", e.Status)
+}
+
 // findCall returns the configured call of svc that matches method and path.
 func findCall(svc note.Service, method, path string) (note.Call, bool) {
 	for _, c := range svc.Calls {
@@ -119,7 +130,8 @@
 
 // send makes one attempt at the call: it sends the call to the endpoint at baseURL,
 // with attemptID as the request identifier, and returns the response. It returns a
-// *ReplyTooLargeError if the body of the response exceeds limit bytes.
+// *ReplyTooLargeError if the body of the response exceeds limit bytes, and an
+// *UnframedReplyError if a success does not say where its body ends.
 func (c *serviceCall) send(ctx context.Context, client *http.Client, baseURL, attemptID string, limit int64) (*serviceReply, error) {
 	req, err := http.NewRequestWithContext(ctx, c.spec.Method, strings.TrimSuffix(baseURL, "/")+c.path, bytes.NewReader(c.body))
 	if err != nil {
@@ -139,6 +151,9 @@
 		return nil, errors.Wrap(err, "service call")
 	}
 	defer resp.Body.Close()
+	if isUnframed(resp) && resp.StatusCode/100 == 2 {
+		return nil, &UnframedReplyError{Status: resp.StatusCode}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "service answer")
@@ -149,6 +164,11 @@
 	return &serviceReply{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
+// isUnframed reports whether the body of a response ends with its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 // forbidReplay prevents the HTTP transport from sending req a second time. The
 // transport treats any request with an Idempotency-Key header as safe to retry,
 // unless its body cannot be read again.
