--- a/upstream/joined_head_test.go
+++ b/upstream/joined_head_test.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -76,3 +79,27 @@
 	line := bytes[strings.LastIndex(bytes, "\n")+1:]
 	return strings.HasPrefix(line, "HTTP/1.1 1")
 }
+
+// TestTraceOfRequestIsCalledForItAlone sends requests with traces of their own, as callers do that
+// ask whether a connection was made.
+func TestTraceOfRequestIsCalledForItAlone(t *testing.T) {
+	client := answerOnce("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	calls := make([]atomic.Int64, 8)
+	var senders sync.WaitGroup
+	for i := range calls {
+		senders.Go(func() {
+			trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { calls[i].Add(1) }}
+			r, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodPost, "http://h/x", nil)
+			assert.Check(t, err)
+			res, err := client.Do(r)
+			assert.Check(t, err)
+			if err == nil {
+				res.Body.Close()
+			}
+		})
+	}
+	senders.Wait()
+	for i := range calls {
+		assert.Equal(t, calls[i].Load(), int64(1), "request %d", i)
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -17,7 +17,7 @@
 // RoundTrip implements http.RoundTripper. The error is that of the http.Transport, or an
 // *UnrelatedResponseError.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), interimTrace)))
+	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), newInterimTrace())))
 	if err != nil || !joinsHeads(res) {
 		return res, err
 	}
@@ -26,10 +26,13 @@
 	return nil, &UnrelatedResponseError{Detail: joinedDetail}
 }
 
-// interimTrace fails a request whose interim responses have such heads.
-var interimTrace = &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-	if joinsHeads(&http.Response{Header: http.Header(header)}) {
-		return &UnrelatedResponseError{Detail: joinedDetail}
-	}
-	return nil
-}}
+// newInterimTrace returns a trace that fails a request whose interim responses have such heads.
+// Each request needs one of its own: WithClientTrace adds the hooks of the caller's trace to it.
+func newInterimTrace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+		if joinsHeads(&http.Response{Header: http.Header(header)}) {
+			return &UnrelatedResponseError{Detail: joinedDetail}
+		}
+		return nil
+	}}
+}
