--- a/serve/broken_answer_test.go
+++ b/serve/broken_answer_test.go
@@ -1,13 +1,10 @@
 package serve
 
 import (
-	"bufio"
 	"bytes"
 	"compress/gzip"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,30 +14,14 @@
 	"redwingknot/contract"
 	"redwingknot/note"
 	"redwingknot/upstream"
+	"redwingknot/upstream/upstreamtest"
 )
 
-// answerBy makes a client's connections bring the given bytes after each request, and end.
-func answerBy(client *http.Client, bytes string) {
-	client.Transport.(*upstream.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		go func() {
-			defer far.Close()
-			r, err := http.ReadRequest(bufio.NewReader(far))
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(far, bytes) // fails if the client has given up
-		}()
-		return near, nil
-	}
-}
-
 // callService calls a plain service whose endpoint answers with the given bytes.
 func callService(t *testing.T, method string, idempotency contract.Idempotency, bytes string) (*serviceReply, error) {
 	clients := NewEndpointClients()
 	client := clients.clientFor(idempotency)
-	answerBy(client, bytes)
+	upstreamtest.AnswerBy(client.Transport.(*upstream.Transport), bytes)
 	defer client.CloseIdleConnections()
 	call := &serviceCall{
 		team: note.Team{Name: "t"}, spec: note.Call{Method: method, Idempotency: idempotency},
