--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -103,6 +103,9 @@
 	if crashesAtOnce {
 		s.crash()
 	}
+	if s.stallHead(w, r) {
+		return
+	}
 	w.Header().Set(headerStamp, ResponseStamp)
 	if s.options.Model == "" {
 		if s.sleepScaled(r, s.options.WorkTime) {
--- a/processtest/unframed_test.go
+++ b/processtest/unframed_test.go
@@ -31,10 +31,15 @@
 
 // start starts the process and waits until it accepts connections.
 func (e *unframedEngine) start(id string) {
+	e.deployment.t.Helper()
+	e.startCommand(exec.Command(filepath.Join(binaryDir, "standin"), "fleetworker", "--listen", e.address, "--store", e.deployment.storeAddr, "--zone", "z",
+		"--id", id, "--service", "llm", "--model", "m", "--slots", "32", "--events", fmt.Sprint(unframedStreamEvents), "--gap", "50ms", "--unframed"))
+}
+
+// startCommand starts the process by a command and waits until it accepts connections.
+func (e *unframedEngine) startCommand(cmd *exec.Cmd) {
 	t := e.deployment.t
 	t.Helper()
-	cmd := exec.Command(filepath.Join(binaryDir, "standin"), "fleetworker", "--listen", e.address, "--store", e.deployment.storeAddr, "--zone", "z",
-		"--id", id, "--service", "llm", "--model", "m", "--slots", "32", "--events", fmt.Sprint(unframedStreamEvents), "--gap", "50ms", "--unframed")
 	assert.NilError(t, cmd.Start())
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill() // fails if the process has ended
