Upstream: a head that goes on with another one ends its connection alone

Transport closed all idle connections of its client, those to other peers too: of two peers of a client, one that writes such heads had the other's connection opened for each request. It closes the connection of the response now.

TestHeadThatGoesOnWithAnotherEndsItsConnectionAlone failed before (5 connections to the other peer, 1 now).

--- a/upstream/joined_head_test.go
+++ b/upstream/joined_head_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"redwingknot/upstream"
@@ -103,3 +104,45 @@
 		assert.Equal(t, calls[i].Load(), int64(1), "request %d", i)
 	}
 }
+
+// TestHeadThatGoesOnWithAnotherEndsItsConnectionAlone has one of two peers of a client write such a
+// head, whose body is whole: no later request is sent on its connection, and the other's is kept.
+func TestHeadThatGoesOnWithAnotherEndsItsConnectionAlone(t *testing.T) {
+	var opened sync.Map // number of connections, by address
+	base := &http.Transport{DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
+		count, _ := opened.LoadOrStore(address, &atomic.Int64{})
+		count.(*atomic.Int64).Add(1)
+		near, far := net.Pipe()
+		head := ""
+		if address == "faulty:80" {
+			head = "HTTP/1.1 200 OK\r\nServer: "
+		}
+		go func() {
+			defer far.Close()
+			for {
+				if _, err := readRequest(far); err != nil {
+					return
+				}
+				_, _ = io.WriteString(far, head+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") // fails if the client has given up
+			}
+		}()
+		return near, nil
+	}}
+	client := &http.Client{Transport: upstream.NewTransport(base)}
+	defer client.CloseIdleConnections()
+	const requests = 5
+	for range requests {
+		res, err := client.Get("http://sound/")
+		assert.NilError(t, err)
+		res.Body.Close()
+		_, err = client.Get("http://faulty/")
+		var unrelated *upstream.UnrelatedResponseError
+		assert.Check(t, errors.As(err, &unrelated), "%v", err)
+	}
+	count := func(address string) int64 {
+		n, _ := opened.Load(address)
+		return n.(*atomic.Int64).Load()
+	}
+	assert.Equal(t, count("sound:80"), int64(1))
+	assert.Equal(t, count("faulty:80"), int64(requests))
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync/atomic"
 )
 
 // Transport is an http.RoundTripper for responses of other processes. It returns none whose head
@@ -17,22 +18,31 @@
 // RoundTrip implements http.RoundTripper. The error is that of the http.Transport, or an
 // *UnrelatedResponseError.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), newInterimTrace())))
+	// Each request needs a trace of its own: WithClientTrace adds the hooks of the caller's to it.
+	w := &headWatch{}
+	trace := &httptrace.ClientTrace{GotConn: w.gotConn, Got1xxResponse: w.gotInterim}
+	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil || !joinsHeads(res) {
 		return res, err
 	}
+	if info := w.conn.Load(); info != nil {
+		info.Conn.Close() // what follows on it belongs to no request
+	}
 	res.Body.Close()
-	t.CloseIdleConnections() // what follows on the connection belongs to no request
 	return nil, &UnrelatedResponseError{Detail: joinedDetail}
 }
 
-// newInterimTrace returns a trace that fails a request whose interim responses have such heads.
-// Each request needs one of its own: WithClientTrace adds the hooks of the caller's trace to it.
-func newInterimTrace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-		if joinsHeads(&http.Response{Header: http.Header(header)}) {
-			return &UnrelatedResponseError{Detail: joinedDetail}
-		}
-		return nil
-	}}
+// headWatch watches the heads that a request gets.
+type headWatch struct {
+	conn atomic.Pointer[httptrace.GotConnInfo] // on which the request was sent
+}
+
+func (w *headWatch) gotConn(info httptrace.GotConnInfo) { w.conn.Store(&info) }
+
+// gotInterim fails the request if the head of an interim response goes on with another one.
+func (w *headWatch) gotInterim(_ int, header textproto.MIMEHeader) error {
+	if joinsHeads(&http.Response{Header: http.Header(header)}) {
+		return &UnrelatedResponseError{Detail: joinedDetail}
+	}
+	return nil
 }
