--- a/relay/empty_unframed_test.go
+++ b/relay/empty_unframed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -74,3 +76,21 @@
 		})
 	}
 }
+
+// TestHeadOfResponseIsWholeWithoutBody sends requests for the head of a response alone, which is
+// all that comes, whatever it says of the body. Prefixes of it are nothing.
+func TestHeadOfResponseIsWholeWithoutBody(t *testing.T) {
+	unreachable := unreachableAddress(t)
+	for name, head := range wholeHeads {
+		whole := strings.ReplaceAll(head, "ATTEMPT", "a1")
+		for n := range len(whole) + 1 {
+			b := newMemoryBed(t, 1, unreachable, func(*http.Request) (string, error) { return whole[:n], io.EOF })
+			got := b.sendBy(http.MethodHead, "/once/1")
+			if n == len(whole) {
+				assert.Equal(t, got.status, http.StatusOK, name)
+				continue
+			}
+			assert.Equal(t, got.status, http.StatusBadGateway, "%s: after %q", name, whole[:n])
+		}
+	}
+}
--- a/relay/memory_endpoint_test.go
+++ b/relay/memory_endpoint_test.go
@@ -93,8 +93,13 @@
 
 // send sends a request. The error is http.ErrAbortHandler if the relay closes the caller's
 // connection.
-func (b *memoryBed) send(path string, headers ...string) (got reply) {
-	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("hello"))
+func (b *memoryBed) send(path string, headers ...string) reply {
+	return b.sendBy(http.MethodPost, path, headers...)
+}
+
+// sendBy is send with another method.
+func (b *memoryBed) sendBy(method, path string, headers ...string) (got reply) {
+	r := httptest.NewRequest(method, path, strings.NewReader("hello"))
 	r.Host = "h"
 	r.Header.Set("Attempt-Id", "a1")
 	r.Header.Set("Authorization", "Bearer key")
