Chat, service calls: a caller's fault is not retried

After a failure of the caller's side the attempt was decided on like one of an endpoint: a retry was taken from the service's budget and only the wait before it was to notice that the request's context had ended. net/http ends that context when a write fails, but if the wait (0 to 20 ms) was over, too, when its goroutine got to run, the select chose by chance and a second attempt was made: the two attempts of TestCallerThatDoesNotReadEndsAttempt. Without the end of the context there were three.

Attempts that were canceled are final now, and timer.Wait is false if its context has ended.

--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -26,7 +26,7 @@
 	case <-wake:
 	case <-t.C:
 	}
-	return true
+	return ctx.Err() == nil
 }
 
 // Every calls f at each interval until ctx is done. The first call comes after one
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -90,6 +90,9 @@
 		if err != nil || fail == "" {
 			return err
 		}
+		if fail == failCanceled {
+			return c.finalRefusal(fail, ctx.Err())
+		}
 		wait, err := c.retries.Next(retryReason(fail, c.assembler.nextOffset > 0), 0, time.Now(), c.rng)
 		if err != nil {
 			return c.finalRefusal(fail, err)
--- a/serve/service_run.go
+++ b/serve/service_run.go
@@ -94,6 +94,9 @@
 		if err == nil || fail == "" {
 			return reply, err
 		}
+		if fail == failCanceled {
+			return nil, r.failureRefusal(fail, contract.MayHaveRun, err)
+		}
 		wait, nextErr := r.retries.Next(retryReason(fail, false), 0, time.Now(), r.rng)
 		if nextErr != nil || !timer.Sleep(ctx, wait) {
 			return nil, r.failureRefusal(fail, contract.MayHaveRun, err)
