Relay: copies of moved runs are freed in spite of lost and late answers

The copy that a run left at another engine keeps memory and a slot there until it is freed or handle_s has passed. It was not freed if the one call for that failed, and if the answer that names the copy came after the limit of the call, 100 ms at least: its handle was lost with the connection.

A call that frees a copy is made again while the engines keep it, after no answer, 429 or 5xx. The first copy's call goes on apart from the stream for handle_s, and its late answer is used to free the copy. A first copy without an answer never stops the run, so that its reservation is given up by handle_s from then on, not from the end of the stream. stream_move_frees_failed_total counts a copy that was not freed once, refusals included.

--- a/relay/move.go
+++ b/relay/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -35,8 +36,10 @@
 	// closeTime is how long the response of a stopped run may go on before its connection is
 	// closed. The endpoint has written all of it when it answers.
 	closeTime = 200 * time.Millisecond
-	// freeLimit is the time for freeing a copy. If that fails, the endpoints free it later.
-	freeLimit = 400 * time.Millisecond
+	// freeLimit is the time for one call that frees a copy. One that fails is made again, after
+	// minFreePause and then twice as long each time, while the endpoints keep the copy.
+	freeLimit    = 400 * time.Millisecond
+	minFreePause = 100 * time.Millisecond
 	// handleTimeMargin is added to the time for which endpoints keep a copy.
 	handleTimeMargin = time.Second
 	// noMovesTime is how long no run moves to an endpoint that could not take one. Reports
@@ -90,13 +93,14 @@
 	stopping     atomic.Bool  // the call by which the run stops was sent
 
 	done      chan struct{}
-	early     string        // handle of the first copy, empty without one
-	reply     MoveReply     // answer to the call by which the run stops
-	pauseFrom time.Time     // when the response of the stopped run ended
-	taken     bool          // the handle was sent to an endpoint that has not refused it
-	released  sync.Once     // releases the reservation at the target
-	cleared   sync.Once     // frees the copy
-	holdFor   time.Duration // how long the target's reservation is kept, 0 if the copy is known not to exist
+	early     string           // handle of the first copy, empty without one
+	late      <-chan MoveReply // brings the answer to the first call, nil unless it missed its limit
+	reply     MoveReply        // answer to the call by which the run stops
+	pauseFrom time.Time        // when the response of the stopped run ended
+	taken     bool             // the handle was sent to an endpoint that has not refused it
+	released  sync.Once        // releases the reservation at the target
+	cleared   sync.Once        // frees the copy
+	holdFor   time.Duration    // how long the target's reservation is kept, 0 if the copy is known not to exist
 }
 
 // moveState is what an attempt needs for the move of its run.
@@ -307,7 +311,7 @@
 // It reports whether the run certainly goes on where it is.
 func (m *runMove) copy() (goesOn bool) {
 	limit := min(max(copyLimitFactor*m.copyTime, minCopyLimit), maxCopyLimit, m.handleTime/2)
-	first := m.call(false, limit)
+	first := m.firstCall(limit)
 	m.early = first.Handle
 	if first.Status != MoveCopied {
 		return m.fail("copy", first.Status)
@@ -330,6 +334,20 @@
 	return m.fail("stop", m.reply.Status)
 }
 
+// firstCall makes the call for the first copy. If its limit passes, the call goes on, because
+// its answer names the copy that is to be freed.
+func (m *runMove) firstCall(limit time.Duration) MoveReply {
+	answer := make(chan MoveReply, 1)
+	go func() { answer <- m.call(false, m.handleTime) }()
+	select {
+	case reply := <-answer:
+		return reply
+	case <-time.After(limit):
+		m.late = answer
+		return MoveReply{}
+	}
+}
+
 // fail records that a call of the move failed. It reports whether the run certainly goes on
 // where it is.
 func (m *runMove) fail(stage string, status MoveStatus) (goesOn bool) {
@@ -345,9 +363,9 @@
 		m.end(stage + "_" + status.String())
 		event.StreamMoveFailed.Log(m.server.opts.Log, append(m.logAttrs(), slog.String("cause", (&MoveError{Stage: stage, Status: status}).Error()))...)
 	}
-	// A call without an answer may take effect later, and one that found no room may have
-	// stopped the run.
-	return status != MoveUnknown && !(stage == "stop" && status == MoveNoRoom)
+	// A call that is to stop the run may do so later if it has no answer, and may have done so
+	// if it found no room.
+	return stage == "copy" || status != MoveUnknown && status != MoveNoRoom
 }
 
 // end counts the end of a move.
@@ -449,21 +467,35 @@
 // target. The calls of the move must have ended.
 func (m *runMove) clear() {
 	m.cleared.Do(func() {
+		began := time.Now()
 		handle := m.reply.Handle
 		if handle == "" {
 			handle = m.early
 		}
+		if handle == "" && m.late != nil {
+			handle = m.lateHandle()
+		}
 		switch {
 		case m.taken:
 		case handle != "" && m.free(handle):
 		case m.holdFor > 0:
-			time.AfterFunc(m.holdFor, m.releaseTarget)
+			time.AfterFunc(m.holdFor-time.Since(began), m.releaseTarget)
 			return
 		}
 		m.releaseTarget()
 	})
 }
 
+// lateHandle waits for the answer to the first call and returns its handle, empty if there is
+// no copy or no answer.
+func (m *runMove) lateHandle() string {
+	reply := <-m.late
+	if reply.Status != MoveUnknown && reply.Handle == "" {
+		m.holdFor = 0
+	}
+	return reply.Handle
+}
+
 // releaseTarget releases the reservation at the target unless the run has continued there.
 func (m *runMove) releaseTarget() {
 	m.released.Do(func() { m.server.endpoints.release(m.target) })
@@ -471,17 +503,37 @@
 
 // free frees the copy at both ends, and reports whether that is certain.
 func (m *runMove) free(handle string) bool {
+	expiry := time.Now().Add(m.handleTime)
+	for pause := minFreePause; ; pause *= 2 {
+		freed, mayRetry := m.tryFree(handle)
+		if freed {
+			return true
+		}
+		if !mayRetry || time.Until(expiry) <= pause {
+			metric.Counter("stream_move_frees_failed_total", "service", m.query.service).Inc(1)
+			return false
+		}
+		time.Sleep(pause)
+	}
+}
+
+// tryFree makes one call that frees the copy. It reports whether the copy is certainly freed
+// and, if not, whether another call may free it.
+func (m *runMove) tryFree(handle string) (freed, mayRetry bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
 	defer cancel()
 	res, err := m.source.endpoint.pool.Send(ctx, m.server.opts.Dialect.FreeRequest(m.source.spec.ID, handle))
 	if err != nil {
-		metric.Counter("stream_move_frees_failed_total", "service", m.query.service).Inc(1)
-		return false
+		return false, true
 	}
 	defer res.Close()
 	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxMoveReplyBytes))
 	res.PreventReuse()
-	return err == nil && res.Status < 300
+	switch {
+	case err != nil, res.Status == http.StatusTooManyRequests, res.Status >= http.StatusInternalServerError:
+		return false, true
+	}
+	return res.Status < http.StatusMultipleChoices, false
 }
 
 // continuedFrom returns the address and the handle of the run that the attempt continues,
