Test of stalled streams: the endpoint's dribble ends by the clock

The endpoint sent a byte and slept 100 ms, 50 times, which was to take 5 s of the route's 6 s. The checks and the route's deadline are the same.

--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -29,9 +29,8 @@
 				}
 				x.event(0)
 				x.chunk("id: 1\ndata: ")
-				for range 50 {
+				for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(100 * time.Millisecond) {
 					x.chunk("p")
-					time.Sleep(100 * time.Millisecond)
 				}
 				x.chunk("\n\n")
 				x.endStream()
