Soak: a late step kills only the process that it stops

Two overlapping steps may stop the same gateway. If the process exits as the time limit of one of them passes, the other one starts the next process, and the first, which waits for exit and limit at once, sends SIGKILL to whatever process the gateway has then. The next process may have been killed before it wrote a line.

A step now kills the process that it has sent SIGTERM to.

--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -122,6 +122,37 @@
 	return g.exited
 }
 
+// terminate sends SIGTERM to the process that runs now, and SIGKILL if it has not exited within
+// limit, and returns when it has.
+func (g *gateway) terminate(limit time.Duration) {
+	process, exited := g.current()
+	if process == nil {
+		return
+	}
+	// The error is ignored, because the process may exit at any time.
+	_ = process.Signal(syscall.SIGTERM)
+	awaitExit(process, exited, time.After(limit))
+}
+
+// current returns the process that runs now, nil if none, and a channel that is closed when it
+// has exited.
+func (g *gateway) current() (*os.Process, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.process, g.exited
+}
+
+// awaitExit waits until a process has exited, and kills it when limit brings a value. It leaves
+// alone the gateway's next process, which an overlapping step may have started.
+func awaitExit(process *os.Process, exited <-chan struct{}, limit <-chan time.Time) {
+	select {
+	case <-exited:
+	case <-limit:
+		_ = process.Kill() // fails if it has exited
+		<-exited
+	}
+}
+
 // stop kills the process, closes the links and closes the log file.
 func (g *gateway) stop() {
 	if exited := g.signal(syscall.SIGKILL); exited != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -449,13 +449,7 @@
 		waitEnd()
 		r.restart(g)
 	case GatewayStop:
-		exited := closedIfNil(g.signal(syscall.SIGTERM))
-		select {
-		case <-exited:
-		case <-time.After(graceTime):
-			g.signal(syscall.SIGKILL)
-			<-exited
-		}
+		g.terminate(graceTime)
 		r.restart(g)
 	}
 }
