Test that a gateway with a failed part exits, failing

A gateway that can't listen for other instances, because the port is taken, closes its port for callers and the readiness check and then runs on for good (20 s watched here, 30 s in a trial): Gateway.Run waits for all its parts, but election and orders end only with the process's signal context. In one run of TestUnframedStreamsOfKilledEngineAreNotComplete on a machine with few free ports the gateway logged process-started, callers got "connection refused" at its port, and "no stream is whole" came after 90 s.

--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -169,9 +169,15 @@
 
 // launchGateway starts a gateway as a process that uses the metadata store at an address.
 func (d *gatewayDeployment) launchGateway(name, storeAddr string) *gatewayProcess {
+	d.t.Helper()
+	return d.launchGatewayWithPeerAddr(name, storeAddr, freeAddr(d.t))
+}
+
+// launchGatewayWithPeerAddr is launchGateway with an address for other instances.
+func (d *gatewayDeployment) launchGatewayWithPeerAddr(name, storeAddr, peerAddr string) *gatewayProcess {
 	d.t.Helper()
 	g := &gatewayProcess{frontAddr: freeAddr(d.t), readyAddr: freeAddr(d.t), exited: make(chan error, 1)}
-	_, internalPort, err := net.SplitHostPort(freeAddr(d.t))
+	_, internalPort, err := net.SplitHostPort(peerAddr)
 	assert.NilError(d.t, err)
 	settingsPath := filepath.Join(d.t.TempDir(), "boot.conf")
 	settings := fmt.Sprintf(`node_name=%s
@@ -204,6 +210,22 @@
 	return g
 }
 
+// TestGatewayWithFailedPartExits guards against a gateway that goes on without its listeners after
+// one of its parts has failed, here because the port for other instances is taken.
+func TestGatewayWithFailedPartExits(t *testing.T) {
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	d := newGatewayDeployment(t)
+	g := d.launchGatewayWithPeerAddr("front-1", d.storeAddr, taken.Addr().String())
+	select {
+	case err := <-g.exited:
+		assert.Check(t, err != nil)
+	case <-time.After(20 * time.Second):
+		t.Errorf("the gateway runs on after 20 s; it has written:\n%s", g.output.String())
+	}
+}
+
 // isReady reports whether the gateway answers its readiness check with status 200.
 func (g *gatewayProcess) isReady() bool {
 	res, err := http.Get("http://" + g.readyAddr + "/redwingknot/ready")
