Test of unframed streams: an engine whose port is taken is started with another

The test took any process that accepts connections at the engine's address for the engine, and did not notice that the engine had exited because its port, chosen before, was taken. The engine has to answer under its identifier now, its exit is noticed, and before its first start it may take another port, as gateways do. waitUntilStreamed says what the last stream and the gateway's log showed. TestEngineTakesAnotherPort takes the port of an engine on purpose.

--- a/processtest/software_version_test.go
+++ b/processtest/software_version_test.go
@@ -137,10 +137,11 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		n++
 		s := &streamOf{path: fmt.Sprint("/x/first", n)}
-		if err := s.read(g, fmt.Sprint("first-", g.frontAddr, n)); err == nil && s.whole {
+		err := s.read(g, fmt.Sprint("first-", g.frontAddr, n))
+		if err == nil && s.whole {
 			return poll.Success()
 		}
-		return poll.Continue("no stream is whole")
+		return poll.Continue("no stream is whole: the last has %d events, error %v; the gateway has written:\n%s", s.count(), err, g.output.String())
 	}, poll.WithTimeout(waitTimeout), poll.WithDelay(20*time.Millisecond))
 }
 
--- a/processtest/unframed_test.go
+++ b/processtest/unframed_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"net"
+	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -27,34 +29,99 @@
 	deployment *gatewayDeployment
 	address    string
 	cmd        *exec.Cmd
+	exited     <-chan struct{} // closed when the process has exited
+	hasRun     bool            // the address is known to gateways
 }
 
-// start starts the process and waits until it accepts connections.
+// start starts the process and waits until it answers. If another process has taken the port of
+// an engine that has not run yet, it is started with another one.
 func (e *unframedEngine) start(id string) {
+	t := e.deployment.t
+	t.Helper()
+	for ; ; e.address = freeAddr(t) {
+		exit := e.launch(id)
+		if exit == "" {
+			e.hasRun = true
+			return
+		}
+		if e.hasRun || !strings.Contains(exit, "address already in use") {
+			t.Fatalf("the engine has exited: %s", exit)
+		}
+		t.Logf("another process has taken the port of engine %s; it is started with another", id)
+	}
+}
+
+// launch starts the process and waits until it answers. If it exits before, launch returns what
+// it wrote.
+func (e *unframedEngine) launch(id string) (exit string) {
 	t := e.deployment.t
 	t.Helper()
 	cmd := exec.Command(filepath.Join(binaryDir, "standin"), "fleetworker", "--listen", e.address, "--store", e.deployment.storeAddr, "--zone", "z",
 		"--id", id, "--service", "llm", "--model", "m", "--slots", "32", "--events", fmt.Sprint(unframedStreamEvents), "--gap", "50ms", "--unframed")
+	var output keptOutput
+	cmd.Stdout, cmd.Stderr = &output, &output
 	assert.NilError(t, cmd.Start())
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // reports the signal
+		close(exited)
+	}()
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill() // fails if the process has ended
-		_ = cmd.Wait()
+		<-exited
 	})
-	e.cmd = cmd
+	e.cmd, e.exited = cmd, exited
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		c, err := net.Dial("tcp4", e.address)
-		if err != nil {
+		select {
+		case <-exited:
+			exit = "exited: " + output.String()
+			return poll.Success()
+		default:
+		}
+		if err := e.answers(id); err != nil {
 			return poll.Continue("%v", err)
 		}
-		c.Close()
 		return poll.Success()
 	}, poll.WithTimeout(waitTimeout), poll.WithDelay(time.Millisecond))
+	return exit
+}
+
+// answers returns an error unless the engine of an identifier answers at the address.
+func (e *unframedEngine) answers(id string) error {
+	req, err := http.NewRequest(http.MethodGet, "http://"+e.address+"/redwingknot/report", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Expect-Instance", id)
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", res.StatusCode)
+	}
+	return nil
 }
 
 // kill ends the process as a crash does.
 func (e *unframedEngine) kill() {
 	assert.NilError(e.deployment.t, e.cmd.Process.Kill())
-	_ = e.cmd.Wait() // reports the signal
+	<-e.exited
+}
+
+// TestEngineTakesAnotherPort guards against an engine that is taken for running because another
+// process accepts connections at its address.
+func TestEngineTakesAnotherPort(t *testing.T) {
+	taken := httptest.NewServer(http.NotFoundHandler())
+	defer taken.Close()
+	e := &unframedEngine{deployment: newGatewayDeployment(t), address: taken.Listener.Addr().String()}
+	e.start("i-9")
+	assert.Check(t, e.address != taken.Listener.Addr().String())
+	assert.NilError(t, e.answers("i-9"))
+	e.deployment.putKey("op/config", unframedConfig)
+	waitUntilStreamed(t, e.deployment.startGateway("front-1"))
 }
 
 // leave has the entry of an engine say that it leaves.
@@ -66,6 +133,12 @@
 	assert.NilError(d.t, fleetstore.Put(d.storeContent, "servers/"+id, []byte(leaving)))
 }
 
+const unframedConfig = `{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/x/","kind":"stream","timeout_ms":8000,
+	"target_latency_ms":300,"priority":0,"service":"llm","max_attempts":1}],
+	"services":[{"name":"llm","health_path":"/health","max_conns":200,"engine":{"kv_capacity_tokens":100000,"models":[{"name":"m"}]}}],
+	"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+	"tenants":[{"name":"t","api_keys":["key"]}]}`
+
 // drainTime is how long endpoints serve after they have announced that they leave.
 const drainTime = 2 * time.Second
 
@@ -97,11 +170,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newGatewayDeployment(t)
-			d.putKey("op/config", `{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/x/","kind":"stream","timeout_ms":8000,
-				"target_latency_ms":300,"priority":0,"service":"llm","max_attempts":1}],
-				"services":[{"name":"llm","health_path":"/health","max_conns":200,"engine":{"kv_capacity_tokens":100000,"models":[{"name":"m"}]}}],
-				"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-				"tenants":[{"name":"t","api_keys":["key"]}]}`)
+			d.putKey("op/config", unframedConfig)
 			e := &unframedEngine{deployment: d, address: freeAddr(t)}
 			e.start("i-9")
 			g := d.startGateway("front-1")
