--- a/processtest/broken_head_test.go
+++ b/processtest/broken_head_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -20,8 +18,7 @@
 // start starts the process and waits until it accepts connections.
 func (e *headEngine) start(id string) {
 	e.deployment.t.Helper()
-	e.startCommand(exec.Command(filepath.Join(binaryDir, "standin"), "fleetworker", "--listen", e.address, "--store", e.deployment.storeAddr, "--zone", "z",
-		"--id", id, "--service", "llm", "--model", "m", "--slots", "512", "--events", "3", "--gap", "1ms"))
+	e.startWith(id, "--slots", "512", "--events", "3", "--gap", "1ms")
 }
 
 // TestHeadsOfKilledEngineAreNoAnswers kills an engine that has stopped in the heads of many
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -47,7 +47,6 @@
 	worker       *fleetworker.Server
 	workerAddr   string // host:port
 	grace        int    // seconds that gateways have to stop
-	internalPort string // of gateways for each other; empty for a free one
 }
 
 // newGatewayDeployment starts a deployment whose worker waits 1 ms between the
@@ -170,14 +169,16 @@
 
 // launchGateway starts a gateway as a process that uses the metadata store at an address.
 func (d *gatewayDeployment) launchGateway(name, storeAddr string) *gatewayProcess {
+	d.t.Helper()
+	return d.launchGatewayWithPeerAddr(name, storeAddr, freeAddr(d.t))
+}
+
+// launchGatewayWithPeerAddr is launchGateway with an address for other instances.
+func (d *gatewayDeployment) launchGatewayWithPeerAddr(name, storeAddr, peerAddr string) *gatewayProcess {
 	d.t.Helper()
 	g := &gatewayProcess{frontAddr: freeAddr(d.t), readyAddr: freeAddr(d.t), exited: make(chan error, 1)}
-	internalPort := d.internalPort
-	if internalPort == "" {
-		var err error
-		_, internalPort, err = net.SplitHostPort(freeAddr(d.t))
-		assert.NilError(d.t, err)
-	}
+	_, internalPort, err := net.SplitHostPort(peerAddr)
+	assert.NilError(d.t, err)
 	settingsPath := filepath.Join(d.t.TempDir(), "boot.conf")
 	settings := fmt.Sprintf(`node_name=%s
 zone=z
@@ -388,15 +389,18 @@
 }
 
 // TestGatewayWithoutPeerPortIsNeverReady starts a gateway whose port for other instances is taken: it
-// must end before it serves readiness checks, so that no caller is sent to it.
+// must end, and before it serves readiness checks, so that no caller is sent to it.
 func TestGatewayWithoutPeerPortIsNeverReady(t *testing.T) {
-	d := newGatewayDeployment(t)
 	taken, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { taken.Close() })
-	_, d.internalPort, err = net.SplitHostPort(taken.Addr().String())
-	assert.NilError(t, err)
-	g := d.launchGateway("front-1", d.storeAddr)
-	assert.ErrorContains(t, <-g.exited, "exit status 1")
+	d := newGatewayDeployment(t)
+	g := d.launchGatewayWithPeerAddr("front-1", d.storeAddr, taken.Addr().String())
+	select {
+	case err := <-g.exited:
+		assert.ErrorContains(t, err, "exit status 1")
+	case <-time.After(20 * time.Second):
+		t.Errorf("the gateway runs on after 20 s")
+	}
 	assert.Check(t, !strings.Contains(g.output.String(), "process-started"), "%s", g.output.String())
 }
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -93,8 +93,11 @@
 		if err != nil || fail == "" {
 			return err
 		}
-		if fail == failStopped {
+		switch fail {
+		case failStopped:
 			return refusalOfStop(contract.NotRun)
+		case failCanceled:
+			return c.finalRefusal(fail, ctx.Err())
 		}
 		wait, err := c.retries.Next(retryReason(fail, c.assembler.nextOffset > 0), 0, time.Now(), c.rng)
 		if err != nil {
--- a/serve/service_run.go
+++ b/serve/service_run.go
@@ -95,7 +95,7 @@
 		if err == nil || fail == "" {
 			return reply, err
 		}
-		if fail == failStopped {
+		if fail == failStopped || fail == failCanceled {
 			return nil, r.failureRefusal(fail, contract.MayHaveRun, err)
 		}
 		wait, nextErr := r.retries.Next(retryReason(fail, false), 0, time.Now(), r.rng)
