--- a/internal/soak/check_stop.go
+++ b/internal/soak/check_stop.go
@@ -15,9 +15,8 @@
 	unroutedTime = finishTime / 2
 	// finishMargin is the part of that time that a request may lose on the way.
 	finishMargin = 500 * time.Millisecond
-	// retireIdle and retireNew are the times without a request after which a gateway that stops
-	// may close a connection that has had one, and one that has had none: a request may cross
-	// the close. They are a little shorter at the caller.
+	// retireIdle is the time without a request after which a gateway that stops may close a
+	// connection: a request may cross the close. It is a little shorter at the caller.
 	retireIdle = 400 * time.Millisecond
 )
 
