Relay: a call that may not be repeated begins in a stop only if its deadline allows

Its deadline alone now decides, at any time of a stop. Streams and repeatable calls are still judged by the latest answers while the platform sends new connections here.

--- a/relay/stop.go
+++ b/relay/stop.go
@@ -40,24 +40,20 @@
 }
 
 // wouldBeCutOff reports whether the stop may cut off an attempt that begins now. Its deadline
-// bounds how long it takes. More is known of two kinds of attempts that a refusal would cost
-// dearly: while the platform still sends new connections here, a refused caller may come back to
-// this instance, and a stream that has begun would be broken off. For these the latest answers on
-// the route tell whether the time is enough. Without any, only a call that may not be repeated is
-// refused: cut off, it is lost.
+// bounds how long it takes; nothing else counts for a call that may not be repeated, since it is
+// lost if it is cut off. A refusal would cost two other kinds of attempts dearly: while the
+// platform still sends new connections here, a refused caller may come back to this instance, and
+// a stream that has begun would be broken off. For these the latest answers on the route tell
+// whether the time is enough.
 func (c *callerRequest) wouldBeCutOff(now time.Time) bool {
 	stop := c.server.stop.Load()
 	if stop == nil || !c.deadline.After(stop.End) {
 		return false
 	}
-	if now.Before(stop.Unrouted) || c.headerSent {
-		usual := c.server.answerTimes.longestUsual(c.route.Name)
-		if usual == 0 {
-			return c.route.Kind == fleet.KindNonIdempotent
-		}
-		return now.Add(usual).After(stop.End)
+	if c.route.Kind == fleet.KindNonIdempotent || !now.Before(stop.Unrouted) && !c.headerSent {
+		return true
 	}
-	return true
+	return now.Add(c.server.answerTimes.longestUsual(c.route.Name)).After(stop.End)
 }
 
 // writeHeader sends the response header to the caller. In a stop it asks the caller to close
