--- a/internal/soak/late.go
+++ b/internal/soak/late.go
@@ -141,7 +141,8 @@
 	}
 	c.idleSince = time.Now()
 	_ = c.conn.SetReadDeadline(time.Now().Add(randDuration(c.rng, latePauses[c.rng.IntN(len(latePauses))])))
-	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetReadDeadline(time.Now()) })
+	conn := c.conn // the function may still run when the caller has another one
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
 	defer stop()
 	_, err := c.reader.Peek(1)
 	return timedOut(err) && ctx.Err() == nil
