Relay: what a stop may cut off is decided by state and time alone

The decision was part of callerRequest and had no test without sockets. What it decides has not changed.

--- a/relay/stop.go
+++ b/relay/stop.go
@@ -39,21 +39,45 @@
 	return c.markPossibleExecution(contract.Unavailable(contract.ReasonDraining, stopRetryAfter, "the instance stops before the time of the request is over"))
 }
 
-// wouldBeCutOff reports whether the stop may cut off an attempt that begins now. Its deadline
-// bounds how long it takes; nothing else counts for a call that may not be repeated, since it is
-// lost if it is cut off. A refusal would cost two other kinds of attempts dearly: while the
-// platform still sends new connections here, a refused caller may come back to this instance, and
-// a stream that has begun would be broken off. For these the latest answers on the route tell
-// whether the time is enough.
+// wouldBeCutOff reports whether the stop may cut off an attempt that begins at now.
 func (c *callerRequest) wouldBeCutOff(now time.Time) bool {
 	stop := c.server.stop.Load()
-	if stop == nil || !c.deadline.After(stop.End) {
+	if stop == nil {
 		return false
 	}
-	if c.route.Kind == fleet.KindNonIdempotent || !now.Before(stop.Unrouted) && !c.headerSent {
+	return stop.mayCutOff(stopAttempt{
+		deadline: c.deadline, once: c.route.Kind == fleet.KindNonIdempotent, begun: c.headerSent,
+		usual: func() time.Duration { return c.server.answerTimes.longestUsual(c.route.Name) },
+	}, now)
+}
+
+// stopAttempt is what a stop asks of an attempt.
+type stopAttempt struct {
+	deadline time.Time
+	once     bool                 // a call that may not be repeated; streams are none
+	begun    bool                 // the caller has got a part of the response
+	usual    func() time.Duration // time that all but a few of the latest answers on the route took at most
+}
+
+// mayCutOff reports whether the stop may cut off an attempt that begins at now.
+//
+// Load pattern: in a release, instances stop one after the other, each half second. Callers go on
+// sending to each for seconds, on connections that they keep, and until the platform sends new
+// ones elsewhere. What is taken and takes too long is cut off; what is refused comes to another
+// instance, which may be stopping, too, and then has used up its tries.
+//
+// So an attempt whose deadline lies before the end begins, and nothing else does once new
+// connections go elsewhere, nor a call that may not be repeated at any time. Before that, and
+// for a stream that a refusal would break off, it begins if the answers on its route usually take
+// no longer than what is left.
+func (t *StopTimes) mayCutOff(a stopAttempt, now time.Time) bool {
+	switch {
+	case !a.deadline.After(t.End):
+		return false
+	case a.once, !now.Before(t.Unrouted) && !a.begun:
 		return true
 	}
-	return now.Add(c.server.answerTimes.longestUsual(c.route.Name)).After(stop.End)
+	return now.Add(a.usual()).After(t.End)
 }
 
 // writeHeader sends the response header to the caller. In a stop it asks the caller to close
