Soak: heads of responses that break off, stand alone, or go on with another response

Three kinds of steps, drawn apart, spoil a third of the responses of a third of the endpoints.

A name of the late callers says what it means.

--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -46,10 +46,11 @@
 // request has arrived on them that no goroutine has read yet.
 type Listener struct {
 	*net.TCPListener
-	stopAt atomic.Pointer[time.Time] // when to accept only what is queued; nil before stop
-	// acceptedLate is the number of times that Accept went on after that; used only by Accept
+	stopAt atomic.Pointer[time.Time] // when to accept only what is queued; nil before Stop
+	// acceptedLate counts the connections that Accept has looked for after stopAt. It is used by
+	// Accept only.
 	acceptedLate int
-	closed       chan struct{} // closed when Accept returns no more connections after stop
+	closed       chan struct{} // closed when Accept returns no more connections after Stop
 
 	mu    sync.Mutex
 	conns map[*conn]struct{} // guarded by mu
@@ -262,7 +263,8 @@
 	return (c.hasRead.Load() || c.hasUnread()) && c.endRetiring()
 }
 
-// endRetiring undoes retire, and reports whether there was anything to undo. The caller holds mu.
+// endRetiring undoes retire, and reports whether there was anything to undo. From then on the stop
+// alone bounds the read. The caller holds mu.
 func (c *conn) endRetiring() bool {
 	if !c.retiring {
 		return false
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -210,7 +210,7 @@
 
 // retryRefused sends the request of a call again as callAndRetry does.
 func (c *caller) retryRefused(ctx context.Context, cl *call) {
-	if cl.kind.resumable() && cl.brokeOff() && !cl.hasLastEventOfLate() {
+	if cl.kind.resumable() && cl.brokeOff() && !cl.lacksOnlyEnd() {
 		c.takeUp(ctx, cl)
 		return
 	}
--- a/internal/soak/kill.go
+++ b/internal/soak/kill.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// faultyOneIn is the share of engines that get a fault of streams.
+// faultyOneIn is the share of endpoints that get a fault of streams or heads.
 const faultyOneIn = 3
 
 // disturbStreams has some engines write streams with a fault until the end of a step.
@@ -138,3 +138,13 @@
 	}
 	waitEnd()
 }
+
+// spoilHeads has some endpoints write heads of responses with a fault until the end of a step.
+func (r *run) spoilHeads(s Step, waitEnd func()) {
+	for n, e := range r.endpoints {
+		if i := e.running(); i != nil && n%faultyOneIn == s.Target%faultyOneIn {
+			defer i.worker.AddHeadFault(fleetworker.HeadFault(s.Kind))()
+		}
+	}
+	waitEnd()
+}
--- a/internal/soak/late.go
+++ b/internal/soak/late.go
@@ -208,6 +208,6 @@
 	return ready
 }
 
-// hasLastEventOfLate reports whether a call is a late one whose stream broke off between its last
-// event and its end, which is long for slow streams. Nothing is left to take up.
-func (c *call) hasLastEventOfLate() bool { return c.kind.isLate() && c.lastEvent == streamEvents-1 }
+// lacksOnlyEnd reports whether the stream of a late call broke off between its last event and its
+// end, which is long for slow streams. Nothing is left to take up.
+func (c *call) lacksOnlyEnd() bool { return c.kind.isLate() && c.lastEvent == streamEvents-1 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -87,6 +87,11 @@
 	StreamPieces         = StepKind(fleetworker.StreamPieces)
 	StreamSecondResponse = StepKind(fleetworker.StreamSecondResponse)
 
+	// The faults of heads are those of fleetworker, at some endpoints.
+	HeadBreaks = StepKind(fleetworker.HeadBreaks)
+	HeadAlone  = StepKind(fleetworker.HeadAlone)
+	HeadJoins  = StepKind(fleetworker.HeadJoins)
+
 	EndpointKilled     StepKind = "endpoint-killed"      // its process is killed, and the next one listens at once
 	EndpointKilledAway StepKind = "endpoint-killed-away" // the next one listens after awayTime
 	EndpointLeftKilled StepKind = "endpoint-left-killed" // the same, when its time to leave is over
@@ -124,14 +129,16 @@
 	newestUnplannedKinds = []StepKind{PartitionHangs, PartitionResets, PartitionRefuses, EndpointsBrittle}
 	// fleetKinds came after these, in the same way. They end all gateways.
 	fleetKinds = []StepKind{GatewaysKill}
-	// stopKinds came after all others, and are drawn apart, in the seeds with hasStopSteps only. An
-	// operator plans them.
-	stopKinds = []StepKind{GatewaysRoll, GatewaysRoll, GatewaysRoll, GatewayStopTwice, GatewayStopReload, GatewayStopEarly, ConfigMoveLate}
 	// streamKinds came after these, in the same way.
 	streamKinds = []StepKind{
 		StreamSkips, StreamRestarts, StreamRepeats, StreamRepeatsLater, StreamEmpty, StreamErrorText, StreamErrorEvent, StreamBreaks,
 		StreamPieces, StreamSecondResponse, EndpointKilled, EndpointKilled, EndpointKilledAway, EndpointLeftKilled,
 	}
+	// stopKinds came after these. They are drawn in the seeds with hasStopSteps only, and an
+	// operator plans them.
+	stopKinds = []StepKind{GatewaysRoll, GatewaysRoll, GatewaysRoll, GatewayStopTwice, GatewayStopReload, GatewayStopEarly, ConfigMoveLate}
+	// headKinds came after these, in the same way as streamKinds.
+	headKinds = []StepKind{HeadBreaks, HeadAlone, HeadJoins}
 )
 
 // isPlanned reports whether an operator plans the steps of a kind.
@@ -177,6 +184,7 @@
 	addedInterval    = 2 * time.Second        // between steps of the added kinds, on average
 	streamInterval   = 1 * time.Second        // between steps of streamKinds, on average
 	stopInterval     = 2 * time.Second        // between steps of stopKinds, on average
+	headInterval     = 2 * time.Second        // between steps of headKinds, on average
 	fleetInterval    = 4 * time.Second        // between steps that end all gateways, on average
 	firstFleetStep   = 2 * time.Second        // before it, hardly any stream has begun
 )
@@ -188,7 +196,7 @@
 func NewPlan(seed uint64, duration time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	kinds, addedKinds := slices.Clone(plannedKinds), slices.Clone(addedPlannedKinds)
-	var laterKinds, latestKinds, newestKinds, endingKinds, ofStreams []StepKind
+	var laterKinds, latestKinds, newestKinds, endingKinds, ofStreams, ofHeads []StepKind
 	switch rng.IntN(3) {
 	case 1:
 		kinds = append(kinds, storeKinds...)
@@ -197,7 +205,7 @@
 		kinds = append(append(kinds, storeKinds...), unplannedKinds...)
 		addedKinds = append(append(addedKinds, addedStoreKinds...), addedUnplannedKinds...)
 		laterKinds, latestKinds, newestKinds, endingKinds = laterUnplannedKinds, latestUnplannedKinds, newestUnplannedKinds, fleetKinds
-		ofStreams = streamKinds
+		ofStreams, ofHeads = streamKinds, headKinds
 	}
 	var steps []Step
 	for at := firstStep; at < duration; at += meanStepInterval/2 + randDuration(rng, meanStepInterval) {
@@ -226,6 +234,7 @@
 	if hasStopSteps(seed) {
 		steps = append(steps, stepsOfStream(seed, 8, duration, stopInterval, stopKinds)...)
 	}
+	steps = append(steps, stepsOfStream(seed, 10, duration, headInterval, ofHeads)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -17,4 +17,5 @@
 	{143005, "errors of resumed runs, events that came again and early ends were relayed as a stream's"},
 	{210017, "a stream that was sent on a kept connection 3.3 s after SIGTERM was cut at the end of the stop"},
 	{220006, "as seed 210017, a stream that may be resumed"},
+	{260012, "a head without length, chunks and body was returned as a whole empty answer"},
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -366,6 +366,8 @@
 		r.sendRepeatedly(ctx, s, callPart, 1)
 	case StreamSkips, StreamRestarts, StreamRepeats, StreamRepeatsLater, StreamEmpty, StreamErrorText, StreamErrorEvent, StreamBreaks, StreamPieces, StreamSecondResponse:
 		r.disturbStreams(s, waitEnd)
+	case HeadBreaks, HeadAlone, HeadJoins:
+		r.spoilHeads(s, waitEnd)
 	case EndpointKilled, EndpointKilledAway, EndpointLeftKilled:
 		r.killEndpoint(e, s, waitEnd)
 	default:
--- a/internal/standin/fleetworker/run.go
+++ b/internal/standin/fleetworker/run.go
@@ -103,7 +103,7 @@
 	if crashesAtOnce {
 		s.crash()
 	}
-	if s.stallHead(w, r) {
+	if s.stallHead(w, r) || s.spoilHead(w, r) {
 		return
 	}
 	w.Header().Set(headerStamp, ResponseStamp)
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -133,6 +133,7 @@
 	handles        int                   // issued so far
 	moveFault      MoveFault
 	streamFaults   map[StreamFault]int // steps that have set each
+	headFaults     map[HeadFault]int   // likewise
 	orders         []Order             // accepted since the start, the oldest first
 }
 
@@ -143,7 +144,7 @@
 	}
 	s := &Server{
 		options: o, mux: http.NewServeMux(), weightsVersion: o.WeightsVersion, startTime: time.Now(), slowFactor: 1,
-		live: map[string]*liveRun{}, copies: map[string]*copiedRun{}, targets: map[string]string{}, streamFaults: map[StreamFault]int{},
+		live: map[string]*liveRun{}, copies: map[string]*copiedRun{}, targets: map[string]string{}, streamFaults: map[StreamFault]int{}, headFaults: map[HeadFault]int{},
 		slots: make(chan struct{}, o.Slots), admitted: make(chan struct{}, o.Slots+o.MaxQueued),
 	}
 	s.mux.HandleFunc("GET /health", s.serveHealth)
