--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,7 +192,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	// An instance that can't listen must not become ready.
+	// An instance that others can't reach must not become ready.
 	peerListener, err := net.Listen("tcp4", g.opts.PeerAddr)
 	if err != nil {
 		front.Close()
@@ -326,7 +326,7 @@
 // its end are answered. It takes some milliseconds, on a busy machine some tens.
 const lastAnswerFraction = 0.04
 
-// lastCallFraction is the fraction of the grace period for the last call of the metadata store,
+// lastCallFraction is the fraction of the grace period for the last call to the metadata store,
 // after the pending requests have been answered.
 const lastCallFraction = 0.03
 
@@ -354,6 +354,7 @@
 	if pending > 0 {
 		event.RequestsCutOff.Log(g.log, slog.Int("connections", pending))
 	}
+	// A process that stood still until the end may have yet to accept the last connections.
 	if pending > 0 || !front.HasEnded() {
 		g.endPending(front)
 	}
--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -40,6 +40,7 @@
 	w.recordLocked(now)
 }
 
+// recordLocked is record. The caller holds mu.
 func (w *suspensionWatch) recordLocked(now time.Time) {
 	if now.Sub(w.aliveAt) >= minSuspension {
 		w.from, w.until = w.aliveAt, now
@@ -49,6 +50,10 @@
 
 // signalSent returns the earliest time at which a signal may have been sent that is noticed at
 // now.
+//
+// Load pattern: a process stands still for seconds and is told to stop meanwhile. The platform
+// counts the grace period from the signal, and kills it while it answers what it has taken after
+// it went on.
 func (w *suspensionWatch) signalSent(now time.Time) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -71,10 +71,10 @@
 		return nil
 	}
 	r := asRefusal(err)
-	if c.maybeSent && r.Reason == contract.ReasonDraining {
-		r = refusalOfStop(contract.MayHaveRun)
-	}
-	if c.maybeSent {
+	if c.maybeSent { // the refusals of the attempts speak of the last one alone
+		if r.Reason == contract.ReasonDraining {
+			r = refusalOfStop(contract.MayHaveRun)
+		}
 		r.Ran = contract.MayHaveRun
 	}
 	if c.assembler.nextOffset == 0 {
@@ -93,10 +93,7 @@
 		if err != nil || fail == "" {
 			return err
 		}
-		switch fail {
-		case failStopped:
-			return refusalOfStop(contract.NotRun)
-		case failCanceled:
+		if fail == failStopped || fail == failCanceled {
 			return c.finalRefusal(fail, ctx.Err())
 		}
 		wait, err := c.retries.Next(retryReason(fail, c.assembler.nextOffset > 0), 0, time.Now(), c.rng)
--- a/slots/server.go
+++ b/slots/server.go
@@ -126,6 +126,9 @@
 }
 
 // handOver declines the requests that wait, and tells all members that the instance shuts down.
+//
+// Load pattern: the coordinator of a small service stops at the peak. Requests that go on waiting
+// for it compete with those that already ask the next one, and both are granted the same slots.
 func (c *coordination) handOver() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
