--- a/review/kit/case_memory.go
+++ b/review/kit/case_memory.go
@@ -20,7 +20,8 @@
 )
 
 // memoryGuard is the platform's limit of memory: a process that exceeds it is killed, and started
-// again after a short delay.
+// again after a short delay. It counts the anonymous memory that is resident, and neither the
+// program's file nor bytes that have been received and not yet read.
 type memoryGuard struct {
 	d     *deployment
 	peak  map[*gateway]float64
@@ -48,7 +49,7 @@
 }
 
 func (m *memoryGuard) check(g *gateway) {
-	used := g.statusMiB("VmRSS")
+	used := g.statusMiB("RssAnon")
 	m.peak[g] = max(m.peak[g], used)
 	if used <= memoryMiB {
 		return
@@ -195,9 +196,9 @@
 // Uploads of a class of requests whose bodies have the largest size that the configuration allows.
 const (
 	uploadBytes   = 4 << 20
-	linkBytes     = 1000e6 / 8 // a second
-	usualUploads  = 10         // at once, at one gateway
-	burstUploads  = 17         // 1.7 times as many
+	uploadRate    = 1000e6 / 8 / 2 // bytes a second of all uploads at a gateway: half of its link
+	usualUploads  = 10             // at once, at one gateway
+	burstUploads  = 17             // 1.7 times as many
 	uploadRounds  = 4
 	uploadSpacing = 4 * time.Second
 )
@@ -266,7 +267,7 @@
 	var running sync.WaitGroup
 	var clients []*keptClient
 	for _, g := range d.gateways {
-		for range 5 {
+		for range 8 {
 			c := &keptClient{d: d, g: g, path: timedPath("sign")}
 			clients = append(clients, c)
 			running.Go(func() { c.run(stop) })
@@ -282,7 +283,7 @@
 		for _, g := range d.gateways {
 			for range atOnce {
 				uploads.Go(func() {
-					d.note("  upload at %s: %s", g.name, upload(d, g, linkBytes/float64(atOnce)))
+					d.note("  upload at %s: %s", g.name, upload(d, g, uploadRate/float64(atOnce)))
 				})
 			}
 		}
--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -50,7 +50,6 @@
 	mu       sync.Mutex
 	record   *os.File
 	hosts    int
-	down     bool // the store is down for everybody
 	gateways []*gateway
 	closers  []func()
 }
@@ -128,21 +127,6 @@
 	return nil
 }
 
-// setStoreDown has the store answer nobody, or everybody again.
-func (d *deployment) setStoreDown(down bool) {
-	d.mu.Lock()
-	d.down = down
-	d.mu.Unlock()
-	d.storeHTTP.SetFault(fleetstore.Fault{NoAnswer: down})
-	d.note("store down: %t", down)
-}
-
-func (d *deployment) storeDown() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.down
-}
-
 // gateway is a machine that runs the project's gateway.
 type gateway struct {
 	d    *deployment
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -12,14 +12,11 @@
 	"redwingknot/internal/standin/fleetworker"
 )
 
-// worker is a stand-in of a server that keeps its identifier and address over restarts. Its
-// process is a listener in this one: a crash closes the listener and all connections.
+// worker is a stand-in of a sound server. Its process is a listener in this one.
 type worker struct {
-	d    *deployment
-	name string
-	addr string                          // host:port
-	wrap func(http.Handler) http.Handler // what it does otherwise than a sound worker; may be nil
-
+	d       *deployment
+	name    string
+	addr    string // host:port
 	mu      sync.Mutex
 	options fleetworker.Options
 	current *fleetworker.Server
@@ -30,12 +27,7 @@
 
 // startWorker starts a worker at a new address, which registers at once.
 func (d *deployment) startWorker(o fleetworker.Options) (*worker, error) {
-	return d.startWrapped(o, nil)
-}
-
-// startWrapped is startWorker for one that does not behave as a sound worker.
-func (d *deployment) startWrapped(o fleetworker.Options, wrap func(http.Handler) http.Handler) (*worker, error) {
-	w := &worker{d: d, name: o.ID, addr: d.address() + ":8080", options: o, wrap: wrap}
+	w := &worker{d: d, name: o.ID, addr: d.address() + ":8080", options: o}
 	d.closers = append(d.closers, func() { w.crash() })
 	return w, w.start(o)
 }
@@ -50,22 +42,18 @@
 	defer w.mu.Unlock()
 	w.options, w.current, w.stop = o, fleetworker.New(o), make(chan struct{})
 	w.past = append(w.past, w.current)
-	var handler http.Handler = w.current
-	if w.wrap != nil {
-		handler = w.wrap(w.current)
-	}
-	w.server = &http.Server{Handler: handler}
+	w.server = &http.Server{Handler: w.current}
 	go w.server.Serve(l)
 	go w.register(w.current, w.stop)
 	w.d.note("worker %s: software version %s listens", w.name, w.current.SoftwareVersion())
 	return nil
 }
 
-// register writes the worker's entry as soon as the store answers, and again when it changes.
+// register writes the worker's entry and again when it changes.
 func (w *worker) register(s *fleetworker.Server, stop chan struct{}) {
 	written := ""
 	for {
-		if entry := s.Entry(w.addr, "za", 1); !w.d.storeDown() && string(entry) != written {
+		if entry := s.Entry(w.addr, "za", 1); string(entry) != written {
 			if fleetstore.Put(w.d.store, "servers/"+w.name, entry) == nil {
 				written = string(entry)
 				w.d.note("worker %s: its entry is in the store: %s", w.name, entry)
