Fleet: a version of weights is outdated since the first newer one

Cause: the view kept one time for each model, since when its newest version is wanted, and the relay judged all older versions by it. A further version that was set before all engines had the one before it allowed the oldest for the whole time once more.

A version that an instance never saw is covered by the time of the next one, which is that of the last confirmation before it.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,12 +22,13 @@
 type Snapshot struct {
 	Config        *Config                // nil before the first configuration
 	WantedWeights map[string]int64       // wanted version of the weights, by model
-	WantedSince   map[string]time.Time   // by model, the earliest time at which the wanted version can have been set
 	Endpoints     map[string]*Endpoint   // by identifier
 	ByService     map[string][]*Endpoint // endpoints of each service
 	Evacuated     map[string]bool        // data centres to whose endpoints nothing may be sent
 	Serving       map[string][]*Endpoint // ByService without the endpoints of evacuated data centres
 	Instances     int                    // number of live instances of the system, at least 1
+
+	weightsHistory map[string]weightsHistory // by model; the last version of each is the wanted one
 }
 
 // View is what an instance knows about its deployment. The versions of the
@@ -52,7 +53,7 @@
 func NewView() *View {
 	v := &View{lapsedEntries: map[string]bool{}, leftIDs: map[string]bool{}, evacuationEnds: map[string]time.Time{}, listedAt: map[EndpointKey]time.Time{}}
 	v.current.Store(&Snapshot{
-		WantedWeights: map[string]int64{}, WantedSince: map[string]time.Time{}, Endpoints: map[string]*Endpoint{},
+		WantedWeights: map[string]int64{}, weightsHistory: map[string]weightsHistory{}, Endpoints: map[string]*Endpoint{},
 		ByService: map[string][]*Endpoint{}, Serving: map[string][]*Endpoint{}, Instances: assumedInstances,
 	})
 	return v
@@ -100,8 +101,8 @@
 	v.updateSnapshot(func(s *Snapshot) {
 		s.WantedWeights = maps.Clone(s.WantedWeights)
 		s.WantedWeights[model] = version
-		s.WantedSince = maps.Clone(s.WantedSince)
-		s.WantedSince[model] = since
+		s.weightsHistory = maps.Clone(s.weightsHistory)
+		s.weightsHistory[model] = s.weightsHistory[model].with(version, since)
 	})
 	return true
 }
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -18,7 +18,8 @@
 	assert.Equal(t, v.Snapshot().Config.Version, int64(7))
 	assert.Check(t, v.SetWantedWeights("m", 2, atMillis(0)))
 	assert.Check(t, !v.SetWantedWeights("m", 1, atMillis(1)))
-	assert.Equal(t, v.Snapshot().WantedSince["m"], atMillis(0))
+	since, outdated := v.Snapshot().OutdatedSince("m", 1)
+	assert.Check(t, outdated && since.Equal(atMillis(0)), "%v", since)
 }
 
 func TestEntriesLapsedDuringStoreOutageGetGracePeriod(t *testing.T) {
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -475,8 +475,8 @@
 const oldWeightsMargin = 800 * time.Millisecond
 
 // modelStanding returns how an endpoint stands towards a request for a model as far as
-// that depends on its weights. It may execute the request if it has the wanted version of the weights, or an older one for which
-// oldWeightsTime has not passed, and is not loading another.
+// that depends on its weights. It may execute the request if it has the wanted version of the
+// weights, or one that has been outdated for less than oldWeightsTime, and is not loading another.
 func (e *Endpoints) modelStanding(s *fleet.Snapshot, ep *endpoint, model string, now time.Time) place.Standing {
 	version := ep.weightsVersion(model)
 	switch {
@@ -484,10 +484,11 @@
 		return place.NoWeights
 	case len(ep.loadingUntil) > 0 && now.Before(ep.loadingUntil[model]) || e.isLoading(ep, model, version, now):
 		return place.Loading
-	case version >= s.WantedWeights[model] || now.Sub(s.WantedSince[model]) < e.oldWeightsTime-oldWeightsMargin:
-		return place.MayRun
 	}
-	return place.OldWeights
+	if since, outdated := s.OutdatedSince(model, version); outdated && now.Sub(since) >= e.oldWeightsTime-oldWeightsMargin {
+		return place.OldWeights
+	}
+	return place.MayRun
 }
 
 // release removes an attempt from its endpoint's load.
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -322,6 +322,18 @@
 	assert.Equal(t, requestCount(f), 0)
 }
 
+// TestWeightsSetAgainLiftNoBan guards against weights that are used again, long after they were
+// replaced, because still newer ones are set.
+func TestWeightsSetAgainLiftNoBan(t *testing.T) {
+	b := newTestBed(t)
+	f := b.startEndpoint("i-1", respondOK)
+	b.view.SetWantedWeights("m", 2, time.Now().Add(-5500*time.Millisecond))
+	b.view.SetWantedWeights("m", 3, time.Now())
+	got := b.send("/plain/", promptHeaders()...)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, requestCount(f), 0)
+}
+
 func TestStoredPartsAreFetchedAndOthersSaved(t *testing.T) {
 	b := newTestBed(t)
 	const store = "10.9.9.9:80"
