Relay: what is held of responses has a common limit

Reported for systems like this one: a faulty worker sends bytes that are no answer, without end; the process that called it keeps them all, runs out of memory and ends with the requests of others.

It could happen here. Each part of a response had a limit (head 64 KiB, failure 256 KiB, event 1 MiB), all responses together had none.

Change: membudget.Budget counts the memory for what is read of responses and not passed on, before a buffer grows, both buffers while one is copied, and 128 bytes for each header beside its text. The first 4 KiB of each part are free, so that usual responses never lack room. The responses of one endpoint may use no more than is left to all others: however many endpoints send without end, what the largest of them uses is left for the next. A response without room is broken off as one that exceeds its own limit, and counts as a failure of its endpoint. gatewayd gives a tenth of its memory for that; the gauge response_bytes shows the use. A buffer that an event has enlarged is given up after the event, and the end of an event is looked for only in what has arrived since the last look.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -21,6 +21,7 @@
 	"redwingknot/internal/boottime"
 	"redwingknot/internal/boundlog"
 	"redwingknot/internal/hangup"
+	"redwingknot/membudget"
 	"redwingknot/platform"
 	"redwingknot/relay"
 	"redwingknot/settings"
@@ -35,6 +36,8 @@
 	// bodyShare is the fraction of the memory limit in the settings file that
 	// request bodies may use.
 	bodyShare = 0.15
+	// responseShare is the same for the parts of endpoints' responses that are not passed on yet.
+	responseShare = 0.1
 	// maxHeaderBytes is the HTTP server's limit for the headers of a request. It is
 	// above the limit that configurations set for headers.
 	maxHeaderBytes = 64 << 10
@@ -87,7 +90,8 @@
 	go watchSettings(ctx, path, hangup.Signals(), log)
 	g := s.GatewayOptions(relay.Options{
 		Log: log, Now: boottime.Now, MoveStreams: o.moveStreams, SeparatePrefill: o.moveStreams, RampUp: o.rampUp,
-		MaxBodyBytes: int64(bodyShare * float64(s.MemoryMiB) * (1 << 20)),
+		MaxBodyBytes:   int64(bodyShare * float64(s.MemoryMiB) * (1 << 20)),
+		ResponseMemory: membudget.New(int64(responseShare * float64(s.MemoryMiB) * (1 << 20))),
 	})
 	g.MaxHeaderBytes = maxHeaderBytes
 	if o.metricsPort != 0 {
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -13,6 +13,7 @@
 	"redwingknot/contract"
 	"redwingknot/event"
 	"redwingknot/fleet"
+	"redwingknot/membudget"
 	"redwingknot/metric"
 	"redwingknot/queue"
 	"redwingknot/retry"
@@ -59,6 +60,7 @@
 	explains           bool              // the request is only explained: it is not counted
 	fixedRandom        float64           // what random returns in an explanation
 	failureResponse    *bufferedResponse // failure reported by an endpoint, returned if no retry succeeds
+	failureMemory      membudget.Hold    // of failureResponse
 }
 
 // outcome is how an attempt ended.
@@ -91,6 +93,7 @@
 	ctx, detach := c.server.stopping.attach(ctx)
 	defer detach()
 	defer c.endRun()
+	defer func() { c.failureMemory.Release() }()
 	c.server.endpoints.countRequest(c.query.service)
 	if refusal := c.requireOrigin(ctx); refusal != nil {
 		c.refuse(refusal)
--- a/relay/endpoint.go
+++ b/relay/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingknot/fleet"
+	"redwingknot/membudget"
 	"redwingknot/metric"
 	"redwingknot/origin"
 	"redwingknot/peers"
@@ -23,6 +24,7 @@
 	// incarnationHash stands for this incarnation in reports to other instances.
 	incarnationHash uint64
 	pool            *upstream.Pool
+	memory          *membudget.Account         // for its responses
 	ownLoad         peers.Load                 // load from this instance's requests
 	residentParts   *promptcache.ResidentParts // estimate of the prompt parts in its memory
 	health          place.Health
@@ -67,9 +69,13 @@
 		others: &peers.Load{}, otherFetches: &peers.Load{},
 		residentParts: promptcache.NewResidentParts(int(promptCacheShare * float64(cacheTokens))),
 	}
+	if e.responseMemory != nil {
+		ep.memory = e.responseMemory.NewAccount()
+	}
 	ep.pool = upstream.NewPool(spec.Address, limit, func() { opened.Inc(1) }, func(ctx context.Context) (net.Conn, error) {
 		return e.dialEndpoint(ctx, ep, spec.Key(), spec.Address)
 	})
+	ep.pool.SetMemory(ep.memory)
 	ep.pool.OnSilent(func() { e.recordSilent(ep) })
 	return ep
 }
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"redwingknot/fleet"
+	"redwingknot/membudget"
 	"redwingknot/metric"
 	"redwingknot/peers"
 	"redwingknot/place"
@@ -27,6 +28,7 @@
 // for each request. It is safe for concurrent use.
 type Endpoints struct {
 	view           *fleet.View
+	responseMemory *membudget.Budget // nil without a limit
 	dataCentre     string
 	oldWeightsTime time.Duration
 	drainTime      time.Duration
@@ -99,7 +101,7 @@
 
 func newEndpoints(o Options) *Endpoints {
 	e := &Endpoints{
-		view: o.View, dataCentre: o.DataCentre, oldWeightsTime: o.OldWeightsTime, now: o.Now, startedAt: o.Now(),
+		view: o.View, responseMemory: o.ResponseMemory, dataCentre: o.DataCentre, oldWeightsTime: o.OldWeightsTime, now: o.Now, startedAt: o.Now(),
 		drainTime: o.DrainTime, log: o.Log, dialect: o.Dialect, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, origins: o.Origins, detours: o.Detours, slots: slotShares{client: o.Slots, granted: map[*pick]struct{}{}}, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		byKey:       map[fleet.EndpointKey]*endpoint{}, notices: map[fleet.EndpointKey]*noticeState{}, limits: map[uint64]*endpointLimit{}, reportedCold: map[uint64]reportedCold{}, weightLoads: map[weightLoadKey]peers.WeightLoad{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
--- a/relay/event_text.go
+++ b/relay/event_text.go
@@ -9,10 +9,11 @@
 var eventSeparator = []byte("\n\n")
 
 // completeEventsLength returns the total length of the complete events at the
-// start of b.
-func completeEventsLength(b []byte) int {
-	if i := bytes.LastIndex(b, eventSeparator); i >= 0 {
-		return i + len(eventSeparator)
+// start of b, of which the first searched bytes are known to complete none.
+func completeEventsLength(b []byte, searched int) int {
+	from := max(searched-len(eventSeparator)+1, 0)
+	if i := bytes.LastIndex(b[from:], eventSeparator); i >= 0 {
+		return from + i + len(eventSeparator)
 	}
 	return 0
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"redwingknot/event"
+	"redwingknot/membudget"
 	"redwingknot/metric"
 	"redwingknot/upstream"
 )
@@ -38,12 +39,13 @@
 }
 
 // countEndlessResponse counts an attempt that was given up because a part of the response
-// exceeded its limit.
+// exceeded its limit, or any part found no room beside the responses of the same endpoint.
 func countEndlessResponse(err error, service string) {
 	part := ""
 	var head *upstream.HeadTooLargeError
 	var body *ResponseTooLargeError
 	var event *EventTooLargeError
+	var memory *membudget.ExceededError
 	switch {
 	case errors.As(err, &head):
 		part = "head"
@@ -51,6 +53,8 @@
 		part = "body"
 	case errors.As(err, &event):
 		part = "event"
+	case errors.As(err, &memory):
+		part = "any"
 	default:
 		return
 	}
@@ -84,7 +88,9 @@
 	if !c.isEndpointsOwn(res) {
 		return c.handleUnusable(p, res)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse))
+	memory := p.endpoint.memory.Hold()
+	defer func() { memory.Release() }()
+	body, err := memory.ReadAll(res.Body, maxBufferedResponse)
 	if err != nil {
 		return c.handleLost(ctx, p, err)
 	}
@@ -99,7 +105,8 @@
 			return c.handleLost(ctx, p, io.ErrUnexpectedEOF)
 		}
 		c.handleUnusable(p, res)
-		c.failureResponse = buffered
+		c.keepFailure(buffered, memory)
+		memory = membudget.Hold{}
 		return outcomeEndpointFailed
 	}
 	if len(body) < maxBufferedResponse {
@@ -109,7 +116,14 @@
 		buffered.writeTo(c)
 		return outcomeDelivered
 	}
-	return c.relayLongResponse(ctx, p, res, buffered)
+	return c.relayLongResponse(ctx, p, res, buffered, &memory)
+}
+
+// keepFailure keeps a failure that an endpoint reported, with its memory, in place of an earlier
+// one.
+func (c *callerRequest) keepFailure(r *bufferedResponse, memory membudget.Hold) {
+	c.failureMemory.Release()
+	c.failureResponse, c.failureMemory = r, memory
 }
 
 // isEndpointsOwn reports whether a response bears the stamp of an endpoint's own response,
@@ -158,8 +172,9 @@
 }
 
 // relayLongResponse relays a response that is too long to be buffered. buffered
-// holds its header and the part of the body that has been read.
-func (c *callerRequest) relayLongResponse(ctx context.Context, p *pick, res *upstream.Response, buffered *bufferedResponse) outcome {
+// holds its header and the part of the body that has been read, whose memory is released once that
+// part is sent.
+func (c *callerRequest) relayLongResponse(ctx context.Context, p *pick, res *upstream.Response, buffered *bufferedResponse, memory *membudget.Hold) outcome {
 	h := c.w.Header()
 	c.server.opts.Dialect.CopyReplyHeaders(h, buffered.header)
 	if res.Length >= 0 {
@@ -170,6 +185,8 @@
 	if _, err := c.w.Write(buffered.body); err != nil {
 		return outcomeCallerGone
 	}
+	buffered.body = nil
+	memory.Release()
 	n, err := io.Copy(c.w, io.LimitReader(res.Body, maxResponseBytes))
 	switch {
 	case err != nil:
--- a/relay/server.go
+++ b/relay/server.go
@@ -18,6 +18,7 @@
 	"redwingknot/event"
 	"redwingknot/fleet"
 	"redwingknot/internal/timer"
+	"redwingknot/membudget"
 	"redwingknot/metric"
 	"redwingknot/peers"
 	"redwingknot/promptcache"
@@ -75,6 +76,8 @@
 	// MaxBodyBytes is the maximum total size in bytes of the request bodies in memory
 	// at one time.
 	MaxBodyBytes int64
+	// ResponseMemory bounds what is held in memory of endpoints' responses, nil for no limit.
+	ResponseMemory *membudget.Budget
 }
 
 // Server relays requests to endpoints. It implements http.Handler.
@@ -122,6 +125,9 @@
 func (s *Server) updateGauges() {
 	metric.Gauge("confirmed_age_ms").Update(s.confirmedAge().Milliseconds())
 	metric.Gauge("request_body_bytes").Update(s.bodyBytes.Load())
+	if s.opts.ResponseMemory != nil {
+		metric.Gauge("response_bytes").Update(s.opts.ResponseMemory.Used())
+	}
 	snapshot := s.opts.View.Snapshot()
 	if snapshot.Config != nil {
 		metric.Gauge("config_version").Update(snapshot.Config.Version)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"redwingknot/membudget"
 	"redwingknot/upstream"
 )
 
@@ -30,6 +31,8 @@
 	if !reply.Stamped || res.Header.Get("Content-Encoding") != "" {
 		return c.handleLost(ctx, p, &StatusError{Status: res.Status})
 	}
+	memory := p.endpoint.memory.Hold()
+	defer memory.Release()
 	buf := make([]byte, 0, streamBufferSize)
 	var firstData time.Time
 	pauses := &enginePauses{endpoints: c.server.endpoints, pick: p}
@@ -40,15 +43,17 @@
 	}
 	defer func() { c.server.endpoints.recordEventNumbers(c.query.service, &c.sequence.attemptEvents) }()
 	for {
-		if len(buf) == cap(buf) {
-			if cap(buf) >= maxEventSize {
-				return c.handleLost(ctx, p, &EventTooLargeError{})
-			}
-			buf = append(buf, 0)[:len(buf)]
+		if len(buf) >= maxEventSize {
+			return c.handleLost(ctx, p, &EventTooLargeError{})
+		}
+		var err error
+		if buf, err = memory.Grow(buf, maxEventSize); err != nil {
+			return c.handleLost(ctx, p, err)
 		}
+		searched := len(buf)
 		n, err := res.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		complete := completeEventsLength(buf)
+		complete := completeEventsLength(buf, searched)
 		if complete > 0 {
 			if c.timeToFirstData == 0 {
 				c.timeToFirstData = time.Since(c.arrivedAt)
@@ -73,7 +78,7 @@
 			} else if time.Since(firstData) >= answeringTime {
 				c.run.Answering()
 			}
-			buf = append(buf[:0], buf[complete:]...)
+			buf = cutEvents(buf, complete, &memory)
 		}
 		c.limitStall(&progress, res, len(buf))
 		switch {
@@ -94,6 +99,18 @@
 	}
 }
 
+// cutEvents returns what follows the complete events at the start of buf, in a buffer of the
+// usual size if it fits.
+func cutEvents(buf []byte, complete int, memory *membudget.Hold) []byte {
+	rest := buf[complete:]
+	if cap(buf) <= membudget.FreeBytes || len(rest) >= streamBufferSize {
+		return append(buf[:0], rest...)
+	}
+	rest = append(make([]byte, 0, streamBufferSize), rest...)
+	memory.Release()
+	return rest
+}
+
 // isEmptyUnframed reports whether a stream that has ended with its connection had no event,
 // although it was not resumed: then none may be left.
 func (c *callerRequest) isEmptyUnframed(res *upstream.Response) bool {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"redwingknot/membudget"
 )
 
 // Request is an HTTP request in its wire encoding.
@@ -41,8 +43,9 @@
 	detachContext  func() bool // keeps the end of the context from closing the connection; returns false if the context has already ended
 	attemptID      string
 	raw            *http.Response
-	requestWritten atomic.Bool // the whole request was written
-	bodyRead       bool        // Body was read to its end
+	memory         membudget.Hold // for the head
+	requestWritten atomic.Bool    // the whole request was written
+	bodyRead       bool           // Body was read to its end
 }
 
 // Send sends r once and returns after the response header was read. The
@@ -57,7 +60,7 @@
 		c.discard()
 		return nil, &NotSentError{Address: p.address, Err: context.Cause(ctx)}
 	}
-	res := &Response{conn: c, attemptID: r.AttemptID, Reused: c.used, SentAt: time.Now()}
+	res := &Response{conn: c, attemptID: r.AttemptID, Reused: c.used, SentAt: time.Now(), memory: p.memory.Hold()}
 	c.used = true
 	res.detachContext = context.AfterFunc(ctx, func() { c.Conn.Close() })
 	if err := res.write(r); err != nil {
@@ -65,7 +68,7 @@
 		return nil, &LostError{Address: p.address, Stage: "sending the request", Err: err}
 	}
 	watch := watchSilence(c, r.Repeatable)
-	res.raw, err = c.readHead(r.Method)
+	res.raw, err = c.readHead(r.Method, &res.memory)
 	if watch.end() {
 		err = &SilentError{}
 	}
@@ -142,6 +145,7 @@
 // were transferred completely, the endpoint did not ask to close it, no data
 // follows the response, and the instance that carries it, if any, does not shut down.
 func (r *Response) Close() {
+	r.memory.Release()
 	running := r.detachContext()
 	reusable := running && r.raw != nil && r.bodyRead && !r.raw.Close && r.requestWritten.Load() && r.conn.reader.Buffered() == 0 && len(r.conn.refused) < maxRefusals && !isLeaving(r.conn.Conn)
 	if !reusable {
--- a/upstream/head_reader.go
+++ b/upstream/head_reader.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"regexp"
 	"strconv"
+
+	"redwingknot/membudget"
 )
 
 // unlimited stands for no limit of a headReader.
@@ -16,10 +19,15 @@
 	source io.Reader
 	left   int   // bytes that the head may still have, or unlimited
 	end    error // of source, once a read has returned it
+	memory *membudget.Hold
+	needed int64 // memory for what has arrived of the head
 }
 
+// headLineBytes is the memory for a header in addition to its text.
+const headLineBytes = 128
+
 // Read implements io.Reader. The error is a *HeadTooLargeError if the head has reached its
-// limit.
+// limit, and a *membudget.ExceededError if there is no memory for it.
 func (r *headReader) Read(p []byte) (int, error) {
 	if r.left == unlimited {
 		return r.source.Read(p)
@@ -30,9 +38,20 @@
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
 	r.end = err
+	if memoryErr := r.memory.Resize(r.memoryWith(p[:n])); memoryErr != nil {
+		return 0, memoryErr
+	}
 	return n, err
 }
 
+// memoryWith returns the memory for the head after more of it has arrived, perhaps with the
+// beginning of the body.
+func (r *headReader) memoryWith(more []byte) int64 {
+	head, _, _ := bytes.Cut(more, []byte("\r\n\r\n"))
+	r.needed += int64(len(head) + headLineBytes*bytes.Count(head, []byte("\n")))
+	return r.needed
+}
+
 // breakOffError returns the error of a head that can't be parsed with err. If the connection ended
 // within the head, that is the error: of the line that it broke off, net/http says only that it
 // is malformed.
@@ -52,9 +71,9 @@
 // readHead reads the head of the response to a request of the given method. It skips interim
 // responses, whose headers say nothing of the request. The error is an *UnrelatedResponseError if
 // the head is not that of a final response alone.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.head.left = MaxHeadBytes
-	defer func() { c.head.left = unlimited }()
+func (c *conn) readHead(method string, memory *membudget.Hold) (*http.Response, error) {
+	c.head.left, c.head.memory, c.head.needed = MaxHeadBytes, memory, 0
+	defer func() { c.head.left, c.head.memory = unlimited, nil }()
 	for {
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		switch {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"redwingknot/membudget"
 )
 
 const (
@@ -45,6 +47,7 @@
 	// onSilent is called when the endpoint has acknowledged nothing of a request for a while;
 	// may be nil.
 	onSilent func()
+	memory   *membudget.Account // for the heads of responses
 
 	mu     sync.Mutex
 	idle   []*conn // in the order of last use, most recent last
@@ -88,6 +91,10 @@
 // request for a while. It must be called before the pool is used.
 func (p *Pool) OnSilent(f func()) { p.onSilent = f }
 
+// SetMemory sets the account of the memory for the heads of responses, which have no common limit
+// otherwise. It must be called before the pool is used.
+func (p *Pool) SetMemory(a *membudget.Account) { p.memory = a }
+
 // SetLimit changes the maximum number of connections; a limit below 1 counts as
 // 1. Connections above the limit are closed instead of becoming idle when their
 // response is closed.
