Soak: requests that begin on weights that were replaced long ago

The soak set new weights and judged only who gives the orders. It now checks the rule as users do: by the first event that an engine sends, and the time at which the store acknowledged the first newer version. A request counts unless its gateway was stopped, paused or cut off of late, the way to the engine was disturbed, or the store was in the last loadTime.

TestChecksReportViolations has a case of the new check.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -50,6 +50,7 @@
 	set.Int(&o.runOptions.Engines, "engines", 3, 1, 100, "stand-ins", "number of engines in a run")
 	set.Int(&o.runOptions.Callers, "callers", 12, 1, 1000, "callers", "number of callers in a run")
 	set.Int(&o.runOptions.LateCallers, "late-callers", 16, 1, 1000, "callers", "number of callers that send late on open connections in a run with stops")
+	set.Bool(&o.runOptions.WeightSteps, "weights", false, "set new weights in quick succession in every run, not only in those of some seeds")
 	set.Bool(&o.regressions, "regressions", false, "run the recorded seeds of earlier failures and ignore --first and --seeds")
 	set.Bool(&o.runOptions.CheckTimeBounds, "timed", true, "also check invariants that have a time limit")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,6 +21,7 @@
 	RefusedButRan        Invariant = "refused-but-ran"  // a request whose refusal says that it did not run has not run
 	ValidCallDenied      Invariant = "denied"           // valid requests are not denied
 	TwoHolders           Invariant = "two-holders"      // engines get orders from one holder of the leader lease at a time
+	OldWeightsRun        Invariant = "old-weights"      // no request begins on weights that were replaced longer than loadTime ago
 	RevokedTokenAccepted Invariant = "withdrawn-token"  // a revoked token is refused within revokeTime
 	OldRouteUsed         Invariant = "old-route"        // a new configuration is in force within applyTime
 	LeftEndpointUsed     Invariant = "left-endpoint"    // an endpoint gets no requests later than drainTime after it announced that it leaves
@@ -99,6 +100,7 @@
 	r.checkOrders()
 	if checkTimeBounds {
 		r.checkRevokedToken(obs)
+		r.checkWeights(obs)
 		r.checkMovedRoute(obs)
 		r.checkLeftEndpoints(obs)
 		r.checkNotices(obs)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -132,6 +132,16 @@
 				f.addRun(f.endpoints[1], attempt, "/open/1", "")
 			}
 		}},
+		"a request that begins on weights replaced long ago": {OldWeightsRun, func(f *checkFixture) {
+			f.gateways[0].startedAt = time.Now().Add(-time.Hour)
+			f.operator.nameNewWeights()
+			f.operator.nameNewWeights()
+			f.operator.weightsNamedAt[2] = time.Now().Add(-loadTime - time.Second)
+			for attempt, version := range map[string]int64{"old": 1, "new": 2} {
+				c := f.addCall(attempt, callResume, time.Second, 200, nil)
+				f.endpoints[0].running().worker.RecordRun(fleetworker.Run{Attempt: attempt, Path: c.path, Team: team, StartedAt: time.Now(), FirstEventAt: time.Now(), FirstEventWeights: version})
+			}
+		}},
 		"a stream of two software versions": {MixedVersions, func(f *checkFixture) {
 			first := f.addCall("a", callResume, 0, 200, http.ErrAbortHandler)
 			first.recordEvents(fleetworker.StreamEvent(first.path, "v1", 0))
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -42,7 +42,8 @@
 	lateMoved         bool   // the routes of late calls lead to otherLateService
 	routeMoved        bool   // the route /moved/ leads to otherAppService
 	tokenRevoked      bool
-	weightsVersion    int64 // newest weight version that was named
+	weightsVersion    int64               // newest weight version that was named
+	weightsNamedAt    map[int64]time.Time // when each version was acknowledged, but the first
 	routeMovedAt      time.Time
 	tokenRevokedAt    time.Time
 	softwareReleases  int // number of software versions after the first
@@ -51,7 +52,7 @@
 
 func newOperator() *operator {
 	content := metastoretest.NewStore(time.Now)
-	return &operator{content: content, store: fleetstore.New(content), weightsVersion: firstWeights}
+	return &operator{content: content, store: fleetstore.New(content), weightsVersion: firstWeights, weightsNamedAt: map[int64]time.Time{}}
 }
 
 // nextEndpointID returns a new ID for an endpoint.
@@ -184,6 +185,14 @@
 	defer o.mu.Unlock()
 	o.weightsVersion++
 	o.put(fleetwire.WeightsEntry(model, o.weightsVersion))
+	o.weightsNamedAt[o.weightsVersion] = time.Now()
+}
+
+// weightsReplaced returns when the version after the given one was named, or the zero time.
+func (o *operator) weightsReplaced(version int64) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.weightsNamedAt[version+1]
 }
 
 // writeAgain writes the newest configuration and weight version again, after the store has
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -92,6 +92,10 @@
 	HeadAlone  = StepKind(fleetworker.HeadAlone)
 	HeadJoins  = StepKind(fleetworker.HeadJoins)
 
+	// The faults of orders are those of fleetworker, for orderFaultTime longer than the step.
+	OrdersLate = StepKind(fleetworker.OrderLate)
+	OrdersLost = StepKind(fleetworker.OrderLost)
+
 	EndpointKilled     StepKind = "endpoint-killed"      // its process is killed, and the next one listens at once
 	EndpointKilledAway StepKind = "endpoint-killed-away" // the next one listens after awayTime
 	EndpointLeftKilled StepKind = "endpoint-left-killed" // the same, when its time to leave is over
@@ -137,6 +141,8 @@
 	// stopKinds came after these. They are drawn in the seeds with hasStopSteps only, and an
 	// operator plans them.
 	stopKinds = []StepKind{GatewaysRoll, GatewaysRoll, GatewaysRoll, GatewayStopTwice, GatewayStopReload, GatewayStopEarly, ConfigMoveLate}
+	// weightKinds came after these. They are drawn in the seeds with hasWeightSteps only.
+	weightKinds = []StepKind{WeightsNamed, WeightsNamed, WeightsNamed, OrdersLate, OrdersLost, OrdersLost, EndpointSlow, GatewayKill}
 	// headKinds came after these, in the same way as streamKinds.
 	headKinds = []StepKind{HeadBreaks, HeadAlone, HeadJoins}
 )
@@ -185,6 +191,7 @@
 	streamInterval   = 1 * time.Second        // between steps of streamKinds, on average
 	stopInterval     = 2 * time.Second        // between steps of stopKinds, on average
 	headInterval     = 2 * time.Second        // between steps of headKinds, on average
+	weightInterval   = 1 * time.Second        // between steps of weightKinds, on average
 	fleetInterval    = 4 * time.Second        // between steps that end all gateways, on average
 	firstFleetStep   = 2 * time.Second        // before it, hardly any stream has begun
 )
@@ -235,14 +242,31 @@
 		steps = append(steps, stepsOfStream(seed, 8, duration, stopInterval, stopKinds)...)
 	}
 	steps = append(steps, stepsOfStream(seed, 10, duration, headInterval, ofHeads)...)
+	if hasWeightSteps(seed) {
+		return withWeightSteps(steps, seed, duration)
+	}
+	return inOrder(steps)
+}
+
+// inOrder sorts steps by time.
+func inOrder(steps []Step) []Step {
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
 
+// withWeightSteps returns steps and those of weightKinds, in order of time.
+func withWeightSteps(steps []Step, seed uint64, duration time.Duration) []Step {
+	return inOrder(append(steps, stepsOfStream(seed, 11, duration, weightInterval, weightKinds)...))
+}
+
 // hasStopSteps reports whether the run of a seed has steps of stopKinds, and late callers. Half of
 // all runs do, so that the others go on as before these kinds came.
 func hasStopSteps(seed uint64) bool { return rand.New(rand.NewPCG(seed, 9)).IntN(2) == 0 }
 
+// hasWeightSteps reports whether the run of a seed has steps of weightKinds. A quarter of all runs
+// do.
+func hasWeightSteps(seed uint64) bool { return rand.New(rand.NewPCG(seed, 12)).IntN(4) == 0 }
+
 // stepsOfStream returns steps of the given kinds at the mean interval, drawn from a stream of
 // random numbers of its own.
 func stepsOfStream(seed, stream uint64, duration, interval time.Duration, kinds []StepKind) []Step {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,7 @@
 	// LateCallers keep connections open and send late on them, in the runs with steps of
 	// stopKinds.
 	LateCallers int
+	WeightSteps bool // steps of weightKinds are drawn whatever the seed says
 	// CheckTimeBounds enables the checks of invariants with a time bound, which cannot be kept on
 	// an overloaded machine.
 	CheckTimeBounds bool
@@ -76,6 +77,7 @@
 	lateEndpoints []*endpoint
 	callLog       *callLog
 	disruptions   *disruptionLog
+	delays        delayLog
 
 	leaveMu sync.Mutex // held while tryLeave decides
 	rollMu  sync.Mutex // held during GatewaysRoll
@@ -100,6 +102,9 @@
 		return r.report(nil), ctx.Err()
 	}
 	steps := NewPlan(r.opts.Seed, r.opts.Duration)
+	if r.opts.WeightSteps && !hasWeightSteps(r.opts.Seed) {
+		steps = withWeightSteps(steps, r.opts.Seed, r.opts.Duration)
+	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var tasks sync.WaitGroup
@@ -313,6 +318,7 @@
 	defer end()
 	g := r.gateways[s.Target%len(r.gateways)]
 	e := r.endpoints[s.Target%len(r.endpoints)]
+	defer r.delays.begin(s.Kind, g, e)()
 	waitEnd := func() {
 		select {
 		case <-ctx.Done():
@@ -566,6 +572,10 @@
 // endlessBeginnings holds how responses without end begin for each kind.
 var endlessBeginnings = map[StepKind]string{EndlessHead: fleetworker.EndlessHead, EndlessBody: fleetworker.EndlessBody}
 
+// orderFaultTime is how long orders fail beyond the step: long enough for the users' bound on old
+// weights to apply.
+const orderFaultTime = 8 * time.Second
+
 // stallTime is how long a sound endpoint falls silent.
 const stallTime = 1200 * time.Millisecond
 
@@ -634,6 +644,12 @@
 			r.operator.writeEntry(e, next)
 		}
 		return
+	case OrdersLate, OrdersLost:
+		i.worker.SetOrderFault(fleetworker.OrderFault(kind), true)
+		waitEnd()
+		time.Sleep(orderFaultTime)
+		i.worker.SetOrderFault(fleetworker.OrderFault(kind), false)
+		return
 	case EndpointSlow:
 		i.worker.SetSlowFactor(slowFactor)
 		waitEnd()
--- a/internal/standin/fleetworker/move.go
+++ b/internal/standin/fleetworker/move.go
@@ -48,6 +48,7 @@
 	copying bool          // a call to move it is in progress
 	stopped bool
 	handle  string // of its copy, empty before the first
+	index   int    // in the runs of the Server
 }
 
 // copiedRun is what continues a run elsewhere.
@@ -67,6 +68,10 @@
 	run.copiedRun = copiedRun{Attempt: r.Header.Get(headerAttempt), Path: r.URL.Path, Weights: s.WeightsVersion()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	run.index = len(s.runs) - 1
+	for run.index > 0 && s.runs[run.index].Attempt != run.Attempt {
+		run.index--
+	}
 	s.live[run.Attempt] = run
 	return r.WithContext(ctx), run
 }
@@ -76,6 +81,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run.Events = id + 1
+	if first := &s.runs[run.index]; first.FirstEventAt.IsZero() {
+		first.FirstEventAt, first.FirstEventWeights = time.Now(), s.weightsVersion
+	}
 }
 
 // endStream ends a stream, without its end if the run was stopped before.
--- a/internal/standin/fleetworker/order.go
+++ b/internal/standin/fleetworker/order.go
@@ -43,18 +43,60 @@
 	if s.refuseIfMisdirected(w, r) {
 		return
 	}
+	o.At = time.Now()
+	if s.failOrder(o) {
+		<-r.Context().Done()
+		return
+	}
 	w.WriteHeader(s.acceptOrder(o))
 }
 
+// OrderFault is a way in which an order gets no answer.
+type OrderFault string
+
+// The faults of orders.
+const (
+	OrderLate OrderFault = "orders-late" // it is carried out lateOrderTime later
+	OrderLost OrderFault = "orders-lost" // it is not carried out
+)
+
+// lateOrderTime is how late an order is carried out that is late.
+const lateOrderTime = 2500 * time.Millisecond
+
+// SetOrderFault begins a fault of all orders, or ends one that began.
+func (s *Server) SetOrderFault(f OrderFault, begins bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if begins {
+		s.orderFaults[f]++
+	} else {
+		s.orderFaults[f]--
+	}
+}
+
+// failOrder reports whether an order gets no answer. It may be carried out later.
+func (s *Server) failOrder(o Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.orderFaults[OrderLost] > 0 {
+		return true
+	}
+	if s.orderFaults[OrderLate] == 0 {
+		return false
+	}
+	time.AfterFunc(lateOrderTime, func() { s.acceptOrder(o) })
+	return true
+}
+
 // acceptOrder accepts or refuses an order and returns the HTTP status of the
 // answer. It answers 409 Conflict while weights load and if the number of orders
 // accepted isn't the expected one.
 func (s *Server) acceptOrder(o Order) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o.At = time.Now()
+	now := time.Now()
 	switch {
-	case o.Expected != nil && *o.Expected != int64(len(s.orders)), o.At.Before(s.loadingUntil):
+	case o.Expected != nil && *o.Expected != int64(len(s.orders)), now.Before(s.loadingUntil):
 		return http.StatusConflict
 	case o.Model != s.options.Model:
 		return http.StatusBadRequest
@@ -62,7 +104,7 @@
 		return http.StatusOK
 	}
 	s.orders = append(s.orders, o)
-	s.loadingUntil = o.At.Add(s.options.LoadTime)
+	s.loadingUntil = now.Add(s.options.LoadTime)
 	time.AfterFunc(s.options.LoadTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/standin/fleetworker/worker.go
+++ b/internal/standin/fleetworker/worker.go
@@ -72,6 +72,9 @@
 	Resumes        string // attempt that brought the caller the first event, as the caller names it
 	WeightsVersion int64  // weight version that ran the request
 	StartedAt      time.Time
+
+	FirstEventAt      time.Time // zero before the first event, and for applications
+	FirstEventWeights int64     // weight version at the first event
 }
 
 // Order is an order that the endpoint accepted.
@@ -134,6 +137,7 @@
 	moveFault      MoveFault
 	streamFaults   map[StreamFault]int // steps that have set each
 	headFaults     map[HeadFault]int   // likewise
+	orderFaults    map[OrderFault]int  // likewise
 	orders         []Order             // accepted since the start, the oldest first
 }
 
@@ -144,7 +148,7 @@
 	}
 	s := &Server{
 		options: o, mux: http.NewServeMux(), weightsVersion: o.WeightsVersion, startTime: time.Now(), slowFactor: 1,
-		live: map[string]*liveRun{}, copies: map[string]*copiedRun{}, targets: map[string]string{}, streamFaults: map[StreamFault]int{}, headFaults: map[HeadFault]int{},
+		live: map[string]*liveRun{}, copies: map[string]*copiedRun{}, targets: map[string]string{}, streamFaults: map[StreamFault]int{}, headFaults: map[HeadFault]int{}, orderFaults: map[OrderFault]int{},
 		slots: make(chan struct{}, o.Slots), admitted: make(chan struct{}, o.Slots+o.MaxQueued),
 	}
 	s.mux.HandleFunc("GET /health", s.serveHealth)
