Relay: requests begin on outdated weights in time or elsewhere

What callers got: an answer of weights that were replaced longer ago than allowed, by a request that was sent in time and began too late.

Cause: a request begins with its first event; the relay judged the weights when it sent it and left 0.8 s for the engine's queue, the connection and the process between decision and write. Once sent, it was left there however long it waited.

Change: - An engine with outdated weights is not chosen for a prompt that by its expected time to the first event begins too late there. - An attempt that has not begun 0.3 s before the end of the time is taken back and made elsewhere, if it may be repeated and retries are left; event 7071, attempts_taken_back_total. - Requests that can't be taken back are sent to such engines only until 2 s before the end of the time. - Logs: lines of requests name the version that was asked for, weights-wanted the age of the last confirmation, and event 7072 (old_weights_used_total) a request that began too late all the same, with the time since the choice.

Tests: TestRequestThatHasNotBegunLeavesOldWeights (before: 504 at the deadline, the request stayed in the engine's queue) and TestCallThatRunsOnceIsNotSentToOldWeightsLate (before: 200 by weights 4.5 s old) failed on the commit before; TestEngineThatBeginsTooLateIsNotChosen, TestAttemptsAreTakenBackBeforeWeightsExpire, TestBegunStreamStaysAtOldWeights. ./relay and ./gateway with the race detector passed.

--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -141,7 +141,8 @@
 			event.ConfigInForce.Log(g.log, slog.Int64("config", s.Config.Version), slog.Int("routes", s.Config.RouteCount()),
 				slog.Int("tokens", len(s.Config.Teams)), slog.Int64("revision", e.ModRevision))
 		case changed:
-			event.WeightsWanted.Log(g.log, slog.Any("weights", s.WantedWeights), slog.Int64("revision", e.ModRevision))
+			event.WeightsWanted.Log(g.log, slog.Any("weights", s.WantedWeights), slog.Int64("revision", e.ModRevision),
+				slog.Duration("confirmedAge", g.view.ConfirmedAge(g.opts.Relay.Now())))
 		}
 	}
 	for _, key := range d.Removed {
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -56,11 +56,13 @@
 	move               *runMove          // move of the present run, nil without one
 	moved              bool              // the run has moved once; all further attempts use new connections
 	lastEndpoint       *fleet.Endpoint   // endpoint of the latest attempt
+	lastWeights        int64             // version of the weights that the latest attempt asked for, 0 for any
 	lastErr            error             // error of the latest failed attempt
 	explains           bool              // the request is only explained: it is not counted
 	fixedRandom        float64           // what random returns in an explanation
 	failureResponse    *bufferedResponse // failure reported by an endpoint, returned if no retry succeeds
 	failureMemory      membudget.Hold    // of failureResponse
+	retryTaken         bool              // the next attempt is already taken from the retry budget
 }
 
 // outcome is how an attempt ended.
@@ -275,7 +277,9 @@
 	if c.sends == 0 {
 		return true // no attempt was sent, so this is not a retry
 	}
-	if !c.server.endpoints.takeRetry(c.query.service) {
+	taken := c.retryTaken || c.server.endpoints.takeRetry(c.query.service)
+	c.retryTaken = false
+	if !taken {
 		metric.Counter("retries_refused_total", "reason", string(reason)).Inc(1)
 		return false
 	}
@@ -304,9 +308,10 @@
 	if !callerConnected(ctx) {
 		return outcomeCallerGone
 	}
-	c.lastEndpoint = p.spec
+	c.lastEndpoint, c.lastWeights = p.spec, p.weights
 	c.logResumption(p)
 	p.cancel = cancel
+	defer c.server.endpoints.awaitBeginning(c.query, p)()
 	sent, sentAt := time.Now(), c.server.endpoints.now()
 	res, err := p.endpoint.pool.Send(ctx, c.buildRequest(p))
 	var notSent *upstream.NotSentError
@@ -400,6 +405,10 @@
 // failure of the endpoint.
 func (c *callerRequest) handleNotSent(ctx context.Context, p *pick, err error) outcome {
 	if ctx.Err() != nil {
+		if c.server.endpoints.wasTakenBack(p) {
+			c.handleTakenBack(p)
+			return outcomeNotExecuted
+		}
 		return outcomeCallerGone
 	}
 	c.lastErr = err
@@ -420,6 +429,9 @@
 func (c *callerRequest) handleLost(ctx context.Context, p *pick, err error) outcome {
 	c.lastErr = err
 	callerGone := ctx.Err() != nil
+	if callerGone && c.server.endpoints.wasTakenBack(p) {
+		return c.handleTakenBack(p)
+	}
 	if !callerGone {
 		countEndlessResponse(err, c.query.service)
 		event.RelayLost.Log(c.server.opts.Log, c.logAttrs()...)
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -70,6 +70,7 @@
 	explains       bool                        // a decision is being explained: nothing is logged or counted
 	buffers        choiceBuffers
 	partitions     map[partitionKey]string // names of partitions
+	awaited        map[*pick]struct{}      // attempts that wait for their first event and may be taken back
 }
 
 // serviceState is this instance's state of one service.
@@ -105,7 +106,7 @@
 		drainTime: o.DrainTime, log: o.Log, dialect: o.Dialect, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, origins: o.Origins, detours: o.Detours, slots: slotShares{client: o.Slots, granted: map[*pick]struct{}{}}, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		byKey:       map[fleet.EndpointKey]*endpoint{}, notices: map[fleet.EndpointKey]*noticeState{}, limits: map[uint64]*endpointLimit{}, reportedCold: map[uint64]reportedCold{}, weightLoads: map[weightLoadKey]peers.WeightLoad{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
-		partitions: map[partitionKey]string{}, separate: o.SeparatePrefill,
+		partitions: map[partitionKey]string{}, awaited: map[*pick]struct{}{}, separate: o.SeparatePrefill,
 		membersConfirmedAt: o.MembersConfirmedAt, coldOver: o.ColdOver, coldSlack: o.ColdSlack, rampUpAll: o.RampUp, ramps: map[uint64]*rampState{},
 	}
 	e.longPrefill = pendingPrefill{e}
@@ -215,11 +216,12 @@
 	fetchAddresses []string       // for each part of the prompt, the address to fetch it from, or empty; nil without any
 	plannedFetches []plannedFetch // transfers that are expected to take place
 	moveState
-	waitCost float64 // cost in the units of a queue
-	rejected bool    // the endpoint rejected the attempt
-	memory   pickMemory
-	grant    *slots.Grant // of the slot, nil without
-	sentAt   time.Time    // when the request was sent, zero before a response has begun
+	takenBack takenBack // guarded by the mutex of Endpoints
+	waitCost  float64   // cost in the units of a queue
+	rejected  bool      // the endpoint rejected the attempt
+	memory    pickMemory
+	grant     *slots.Grant // of the slot, nil without
+	sentAt    time.Time    // when the request was sent, zero before a response has begun
 }
 
 // pickMemory is the memory of the slices of a pick for a prompt of up to three parts, the
@@ -372,7 +374,7 @@
 		return place.Unregistered
 	}
 	if q.prompt != nil {
-		if standing := e.modelStanding(s, ep, q.prompt.Model, now); standing != place.MayRun {
+		if standing := e.modelStanding(s, q, ep, now); standing != place.MayRun {
 			return standing
 		}
 	}
@@ -472,22 +474,18 @@
 	return place.IsDark(ep.others.Reached, ep.others.Unreachable)
 }
 
-// oldWeightsMargin is subtracted from the time for which old weights may be used
-// after a new version was announced.
-const oldWeightsMargin = 800 * time.Millisecond
-
-// modelStanding returns how an endpoint stands towards a request for a model as far as
-// that depends on its weights. It may execute the request if it has the wanted version of the
-// weights, or one that has been outdated for less than oldWeightsTime, and is not loading another.
-func (e *Endpoints) modelStanding(s *fleet.Snapshot, ep *endpoint, model string, now time.Time) place.Standing {
+// modelStanding returns how an endpoint stands towards a prompt as far as that depends on its
+// weights. It may execute the request if it has the wanted version of the weights, or one with
+// which it may begin in time, and is not loading another.
+func (e *Endpoints) modelStanding(s *fleet.Snapshot, q *placementQuery, ep *endpoint, now time.Time) place.Standing {
+	model := q.prompt.Model
 	version := ep.weightsVersion(model)
 	switch {
 	case version == 0:
 		return place.NoWeights
 	case len(ep.loadingUntil) > 0 && now.Before(ep.loadingUntil[model]) || e.isLoading(ep, model, version, now):
 		return place.Loading
-	}
-	if since, outdated := s.OutdatedSince(model, version); outdated && now.Sub(since) >= e.oldWeightsTime-oldWeightsMargin {
+	case !e.mayBeginInTime(s, q, version, now):
 		return place.OldWeights
 	}
 	return place.MayRun
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -282,6 +282,8 @@
 			d.Candidate = true
 			t := e.termsOf(q, i, around)
 			d.Terms = &t
+		} else if d.Standing == place.MayRun && q.prompt != nil {
+			d.Standing = place.OldWeights // the request would begin too late there
 		}
 		x.Endpoints = append(x.Endpoints, d)
 	}
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -188,6 +188,10 @@
 			engines[i].RecentPrefill = ep.others.RecentPrefill + ep.recentPrefill.Sum(now)
 		}
 	}
+	if e.dropLate(s, q, now); len(b.list) == 0 {
+		return nil
+	}
+	list, engines, plans = b.list, b.engines, b.plans
 	chosen := place.ChooseEngine(q.sessionHash, engines)
 	if !place.Admits(&engines[chosen], q.priority, q.target, &service.prefillRate) {
 		q.admissionDelay = place.AdmissionDelay(engines, q.priority, q.target, &service.prefillRate)
--- a/relay/query.go
+++ b/relay/query.go
@@ -37,6 +37,7 @@
 	waitsForLimit   bool                // the request is counted in waitingForLimit of its service
 	pauses          callerPauses        // between the events that the caller gets
 	maxAttempts     int
+	repeatable      bool                // the request may run more than once
 	software        origin.Version      // software version that must run the request, 0 for any
 	beginsStream    bool                // the request begins a stream that callers may take up
 	unresumable     bool                // the stream began at an endpoint that does not name its software version
@@ -45,7 +46,7 @@
 }
 
 func newPlacementQuery(c *Call, r *fleet.Route, service string) *placementQuery {
-	q := &placementQuery{service: service, requestHash: place.Hash(c.AttemptID), maxAttempts: r.MaxAttempts, priority: r.Priority, target: r.TargetTime, pauses: callerPauses{objective: r.MaxGap}}
+	q := &placementQuery{service: service, requestHash: place.Hash(c.AttemptID), maxAttempts: r.MaxAttempts, repeatable: r.Repeatable(), priority: r.Priority, target: r.TargetTime, pauses: callerPauses{objective: r.MaxGap}}
 	if c.Prompt != nil {
 		q.prompt = c.Prompt
 		q.sessionHash = place.Hash(sessionPartID(c.Prompt))
--- a/relay/response.go
+++ b/relay/response.go
@@ -95,6 +95,7 @@
 		return c.handleLost(ctx, p, err)
 	}
 	c.timeToFirstData = time.Since(c.arrivedAt)
+	c.server.endpoints.recordBegun(p, c.query)
 	c.server.endpoints.recordFirstData(p, c.query, time.Since(sent))
 	buffered := &bufferedResponse{status: res.Status, header: res.Header, body: body}
 	if !c.returnable(res) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -110,6 +110,7 @@
 	go timer.Every(ctx, probeCheckInterval, func() {
 		s.endpoints.RecordReportedLeaving()
 		s.endpoints.stepRamps()
+		s.endpoints.takeBackLate()
 		s.endpoints.probeUnreachable(ctx)
 	})
 	return timer.Every(ctx, maintenanceInterval, func() {
@@ -406,6 +407,9 @@
 	if c.lastEndpoint != nil {
 		attrs = append(attrs, slog.String("endpoint", c.lastEndpoint.ID), slog.String("cacheplan", c.cachePlan))
 	}
+	if c.lastWeights != 0 {
+		attrs = append(attrs, slog.Int64("weights", c.lastWeights))
+	}
 	if c.lastErr != nil {
 		attrs = append(attrs, slog.String("cause", c.lastErr.Error()))
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -54,6 +54,9 @@
 		n, err := res.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		complete := completeEventsLength(buf, searched)
+		if complete > 0 && firstData.IsZero() {
+			c.server.endpoints.recordBegun(p, c.query)
+		}
 		if complete > 0 {
 			if c.timeToFirstData == 0 {
 				c.timeToFirstData = time.Since(c.arrivedAt)
