Relay: request bodies count for the memory limit while they arrive

Cause: a body counted once it was whole. Any number of them could arrive at the same time, each in a buffer that grows by copies.

Change: bodies are read into a membudget.Hold of a Budget of MaxBodyBytes, which counts each buffer before it grows. A body without room is refused at once, as not run, and its memory is free for the others. The first 4 KiB of each body are free, so that small requests have room beside large ones.

--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -47,29 +47,39 @@
 // ExceededError reports that a message found no room in a Budget.
 type ExceededError struct {
 	Bytes int64 // that the message was to have
-	Used  int64 // by the account of its sender
+	Used  int64 // by all messages
 }
 
 // Error implements error.
 func (e *ExceededError) Error() string {
-	return fmt.Sprintf("no memory for a message of %d bytes: its sender's others have %d", e.Bytes, e.Used)
+	return fmt.Sprintf("no memory for a message of %d bytes beside %d of others", e.Bytes, e.Used)
 }
 
 // Hold is the memory for one message. The zero value has no limit. It is not safe for concurrent
 // use.
 type Hold struct {
-	account *Account
+	budget  *Budget
+	account *Account // nil without a limit for each sender
 	counted int64
 }
 
+// Hold returns the memory for a message of which nothing is held yet, without a limit for each
+// sender.
+func (b *Budget) Hold() Hold { return Hold{budget: b} }
+
 // Hold returns the memory for a message of the account's sender, of which nothing is held yet.
-func (a *Account) Hold() Hold { return Hold{account: a} }
+func (a *Account) Hold() Hold {
+	if a == nil {
+		return Hold{}
+	}
+	return Hold{budget: a.budget, account: a}
+}
 
 // Resize changes the number of bytes held. It must be called before the memory is allocated. If
 // there is no room, it changes nothing and returns an *ExceededError; fewer bytes always have
 // room.
 func (h *Hold) Resize(bytes int64) error {
-	if h.account == nil {
+	if h.budget == nil {
 		return nil
 	}
 	counted := max(bytes-FreeBytes, 0)
@@ -77,18 +87,27 @@
 	if grown == 0 {
 		return nil
 	}
-	b := h.account.budget
+	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if left := b.limit - b.used - grown; grown > 0 && (left < 0 || h.account.used+grown > left) {
-		return &ExceededError{Bytes: bytes, Used: h.account.used}
+	if grown > 0 && !b.hasRoom(h.account, grown) {
+		return &ExceededError{Bytes: bytes, Used: b.used}
 	}
 	b.used += grown
-	h.account.used += grown
+	if h.account != nil {
+		h.account.used += grown
+	}
 	h.counted = counted
 	return nil
 }
 
+// hasRoom reports whether a message of an account may grow by the given number of bytes. The
+// caller holds mu.
+func (b *Budget) hasRoom(a *Account, grown int64) bool {
+	left := b.limit - b.used - grown
+	return left >= 0 && (a == nil || a.used+grown <= left)
+}
+
 // Release ends the hold.
 func (h *Hold) Release() {
 	_ = h.Resize(0) // fewer bytes always have room
--- a/relay/server.go
+++ b/relay/server.go
@@ -84,7 +84,7 @@
 type Server struct {
 	opts           Options
 	endpoints      *Endpoints
-	bodyBytes      atomic.Int64 // bytes of request bodies in memory
+	bodyMemory     *membudget.Budget // for request bodies
 	activeRequests sync.WaitGroup
 	attempts       attemptSet // requests in progress that may move
 	answerTimes    *answerTimes
@@ -94,7 +94,7 @@
 
 // NewServer returns a Server that relays to the endpoints of o.View.
 func NewServer(o Options) *Server {
-	return &Server{opts: o, endpoints: newEndpoints(o), answerTimes: newAnswerTimes(), stopping: newStopSignal()}
+	return &Server{opts: o, bodyMemory: membudget.New(o.MaxBodyBytes), endpoints: newEndpoints(o), answerTimes: newAnswerTimes(), stopping: newStopSignal()}
 }
 
 // Endpoints returns the Endpoints from which the server chooses.
@@ -125,7 +125,7 @@
 // configuration.
 func (s *Server) updateGauges() {
 	metric.Gauge("confirmed_age_ms").Update(s.confirmedAge().Milliseconds())
-	metric.Gauge("request_body_bytes").Update(s.bodyBytes.Load())
+	metric.Gauge("request_body_bytes").Update(s.bodyMemory.Used())
 	if s.opts.ResponseMemory != nil {
 		metric.Gauge("response_bytes").Update(s.opts.ResponseMemory.Used())
 	}
@@ -169,10 +169,11 @@
 		c.refuse(refusal)
 		return
 	}
-	if !c.readBody(r) {
+	memory := s.bodyMemory.Hold()
+	defer memory.Release()
+	if !c.readBody(r, &memory) {
 		return
 	}
-	defer s.bodyBytes.Add(-int64(len(c.body)))
 	// A caller may not look for a refusal before it has sent the whole body.
 	if refusal := c.refuseStopping(); refusal != nil {
 		c.refuse(refusal)
@@ -331,7 +332,10 @@
 
 // readBody reads the whole request body into memory. If that fails, a limit is
 // exceeded or the server stops, it responds with a refusal and returns false.
-func (c *callerRequest) readBody(r *http.Request) bool {
+//
+// Load pattern: many callers send the largest bodies at once. A body counts while it arrives, so
+// that those for which there is no memory are refused before they are there.
+func (c *callerRequest) readBody(r *http.Request, memory *membudget.Hold) bool {
 	if r.ContentLength == 0 {
 		return true
 	}
@@ -340,8 +344,13 @@
 		limit = c.server.opts.MaxBodyBytes
 	}
 	wasStopped := c.server.stopping.endReads(c.w)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
+	size := limit + 1 // of the largest buffer; a read beyond the limit fails
+	if r.ContentLength > 0 {
+		size = min(size, r.ContentLength+1)
+	}
+	body, err := memory.ReadAll(http.MaxBytesReader(c.w, r.Body, limit), int(size))
 	var tooLarge *http.MaxBytesError
+	var exceeded *membudget.ExceededError
 	switch {
 	case wasStopped():
 		c.refuse(contract.Unavailable(contract.ReasonDraining, stopRetryAfter, errStopped.Error()))
@@ -349,15 +358,13 @@
 	case errors.As(err, &tooLarge):
 		c.refuse(contract.Refuse(http.StatusRequestEntityTooLarge, contract.ReasonTooLarge, "the body is too large"))
 		return false
+	case errors.As(err, &exceeded):
+		c.refuse(contract.Unavailable(contract.ReasonOverload, shortRetryAfter, "too many request bodies are in memory"))
+		return false
 	case err != nil:
 		c.refuse(contract.Refuse(http.StatusBadRequest, contract.ReasonMalformed, "the body could not be read"))
 		return false
 	}
-	if c.server.bodyBytes.Add(int64(len(body))) > c.server.opts.MaxBodyBytes {
-		c.server.bodyBytes.Add(-int64(len(body)))
-		c.refuse(contract.Unavailable(contract.ReasonOverload, shortRetryAfter, "too many request bodies are in memory"))
-		return false
-	}
 	c.body = body
 	return true
 }
