Platform: lists of cache stores share the memory limit of responses

Change: the client of the cache stores reads bodies into holds of the same budget, an account for each store.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -13,6 +13,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"redwingknot/membudget"
 )
 
 // Limits bound a call. All of them must be positive.
@@ -63,10 +65,17 @@
 // ReadAll reads the response's body. The header has arrived. The error of a call that was
 // given up is an *Error, that of a body with more than maxBytes an *http.MaxBytesError.
 func (c *Call) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
+	return c.ReadAllInto(&membudget.Hold{}, body, maxBytes)
+}
+
+// ReadAllInto is like ReadAll, and returns a *membudget.ExceededError if memory has no room for
+// the body.
+func (c *Call) ReadAllInto(memory *membudget.Hold, body io.Reader, maxBytes int64) ([]byte, error) {
 	if c.timer.Stop() {
 		c.timer = time.AfterFunc(c.limits.Gap, func() { c.cancel(&Error{Limit: "gap", After: c.limits.Gap}) })
 	}
-	data, err := io.ReadAll(&progressReader{call: c, body: http.MaxBytesReader(nil, io.NopCloser(body), maxBytes)})
+	limited := http.MaxBytesReader(nil, io.NopCloser(body), maxBytes)
+	data, err := memory.ReadAll(&progressReader{call: c, body: limited}, int(maxBytes)+1)
 	if err != nil && c.ctx.Err() != nil {
 		err = context.Cause(c.ctx)
 	}
