--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -12,7 +12,7 @@
 // Budget bounds the bytes of all messages that are held at one time. It is safe for concurrent
 // use.
 //
-// Invariant: used is the sum of the used bytes of all accounts, and at most limit.
+// Invariant: used is the sum of what all holds count, and at most limit.
 type Budget struct {
 	mu    sync.Mutex
 	limit int64
