Relay: what can't be taken back may use old weights as long as others

Cause: requests that can't be repeated went to engines with outdated weights only until 2 s before the end of the time, whatever those engines had to do.

Change: for these requests three times the expected time to the first event must be left, and 0.8 s as for others.

--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -374,7 +374,7 @@
 		return place.Unregistered
 	}
 	if q.prompt != nil {
-		if standing := e.modelStanding(s, q, ep, now); standing != place.MayRun {
+		if standing := e.modelStanding(s, ep, q.prompt.Model, now); standing != place.MayRun {
 			return standing
 		}
 	}
@@ -475,17 +475,16 @@
 }
 
 // modelStanding returns how an endpoint stands towards a prompt as far as that depends on its
-// weights. It may execute the request if it has the wanted version of the weights, or one with
-// which it may begin in time, and is not loading another.
-func (e *Endpoints) modelStanding(s *fleet.Snapshot, q *placementQuery, ep *endpoint, now time.Time) place.Standing {
-	model := q.prompt.Model
+// weights. It may execute the request if it has the wanted version of the weights, or one that has
+// been outdated for a short time only, and is not loading another.
+func (e *Endpoints) modelStanding(s *fleet.Snapshot, ep *endpoint, model string, now time.Time) place.Standing {
 	version := ep.weightsVersion(model)
 	switch {
 	case version == 0:
 		return place.NoWeights
 	case len(ep.loadingUntil) > 0 && now.Before(ep.loadingUntil[model]) || e.isLoading(ep, model, version, now):
 		return place.Loading
-	case !e.mayBeginInTime(s, q, version, now):
+	case !e.maySendTo(s, model, version, now):
 		return place.OldWeights
 	}
 	return place.MayRun
--- a/relay/late_begin_test.go
+++ b/relay/late_begin_test.go
@@ -20,9 +20,11 @@
 		b.e.service("s").prefillRate.Observe(time.Millisecond, 1)
 	}
 	request := ExplainedRequest{Host: "h", Path: "/stream", AttemptID: "a", Prompt: &Prompt{Model: "m", InputTokens: 100, Parts: []Part{{ID: "p", Tokens: 100}}}}
+	takeBack := true
 	choose := func() *pick {
 		c := b.call(t, request)
 		c.query.target = time.Hour // the wait alone is no reason not to choose an engine
+		c.query.repeatable = takeBack
 		p, _ := b.e.choose(c.query)
 		return p
 	}
@@ -33,6 +35,13 @@
 		assert.Equal(t, p.spec.ID, "s1")
 		b.e.release(p)
 	}
+	b.endpoint("s1").ownLoad.PendingTokens = 800
+	p := choose()
+	assert.Assert(t, p != nil)
+	b.e.release(p)
+	takeBack = false // its wait may be longer than expected
+	assert.Check(t, choose() == nil)
+	takeBack = true
 	b.endpoint("s1").ownLoad.PendingTokens = 4000
 	assert.Check(t, choose() == nil)
 	x, err := b.Explain(request)
@@ -41,7 +50,7 @@
 		assert.Check(t, !ep.Candidate, "%+v", ep)
 	}
 	b.view.PutEndpoint(withWeights(b, "s0", 2))
-	p := choose()
+	p = choose()
 	assert.Check(t, p != nil && p.spec.ID == "s0")
 }
 
--- a/relay/old_weights.go
+++ b/relay/old_weights.go
@@ -11,11 +11,11 @@
 
 const (
 	// oldWeightsMargin is the time before the end of OldWeightsTime from which outdated weights
-	// are not used for requests that can be taken back from their engine.
+	// are not used.
 	oldWeightsMargin = 800 * time.Millisecond
-	// oldWeightsOnceMargin is the same for other requests, which may wait longer at the engine
-	// than expected.
-	oldWeightsOnceMargin = 2 * time.Second
+	// onceWaitFactor is how many times longer than expected a request that can't be taken back
+	// may wait at its engine.
+	onceWaitFactor = 3
 	// takeBackMargin is the time before the end of OldWeightsTime at which requests that have not
 	// begun are taken back. It allows for the interval of the checks and the way to the engine.
 	takeBackMargin = 300 * time.Millisecond
@@ -28,15 +28,11 @@
 	return e.oldWeightsTime - now.Sub(since), outdated
 }
 
-// mayBeginInTime reports whether q can be sent to an endpoint with the given version of its model's
-// weights: a request begins with its first event, not when it is sent.
-func (e *Endpoints) mayBeginInTime(s *fleet.Snapshot, q *placementQuery, version int64, now time.Time) bool {
-	margin := oldWeightsMargin
-	if !q.mayTakeBack() {
-		margin = oldWeightsOnceMargin
-	}
-	left, outdated := e.oldWeightsLeft(s, q.prompt.Model, version, now)
-	return !outdated || left > margin
+// maySendTo reports whether requests may be sent to an endpoint with the given version of a model's
+// weights.
+func (e *Endpoints) maySendTo(s *fleet.Snapshot, model string, version int64, now time.Time) bool {
+	left, outdated := e.oldWeightsLeft(s, model, version, now)
+	return !outdated || left > oldWeightsMargin
 }
 
 // mayTakeBack reports whether an attempt that is sent now may be given up in favour of another one.
@@ -45,13 +41,18 @@
 }
 
 // dropLate removes the engines with outdated weights at which q would begin too late by their
-// expected time to the first event. The three lists belong together. The caller holds mu.
+// expected time to the first event: a request begins with that event, not when it is sent. The
+// three lists belong together. The caller holds mu.
 func (e *Endpoints) dropLate(s *fleet.Snapshot, q *placementQuery, now time.Time) {
 	b, rate := &e.buffers, &e.service(q.service).prefillRate
+	factor := 1.0
+	if !q.mayTakeBack() {
+		factor = onceWaitFactor
+	}
 	kept := 0
 	for i, ep := range b.list {
 		left, outdated := e.oldWeightsLeft(s, q.prompt.Model, ep.weightsVersion(q.prompt.Model), now)
-		if outdated && rate.PrefillTime(int(b.engines[i].Cost())) > left-takeBackMargin {
+		if outdated && rate.PrefillTime(int(factor*b.engines[i].Cost())) > left-takeBackMargin {
 			continue
 		}
 		b.list[kept], b.engines[kept], b.plans[kept] = ep, b.engines[i], b.plans[i]
