Relay: tests of memory don't count their own copies

Cause: each stand-in endpoint held a copy of its 1 MiB response until it was written, which beside load lasts longer than the test waits, in the same process. All endpoints, and the callers of TestBodiesThatArriveCount, write from one copy now; the bounds stay.

--- a/relay/request_memory_test.go
+++ b/relay/request_memory_test.go
@@ -1,10 +1,10 @@
 package relay_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,13 +32,13 @@
 	before := liveHeap()
 	var done sync.WaitGroup
 	var sent atomic.Int64
-	text := strings.Repeat("x", arriving)
+	text := bytes.Repeat([]byte("x"), arriving)
 	rest := make(chan struct{})
 	for n := range callers {
 		done.Go(func() {
 			body, w := io.Pipe()
 			go func() {
-				_, _ = io.WriteString(w, text)
+				_, _ = w.Write(text)
 				sent.Add(1)
 				<-rest
 				w.Close()
--- a/relay/response_memory_test.go
+++ b/relay/response_memory_test.go
@@ -41,10 +41,13 @@
 			b.view.ApplyConfig(twoServices())
 			b.view.Confirm(time.Now())
 			b.view.SetInstances(1)
+			head, after, _ := strings.Cut(c.text, "ATTEMPT")
+			rest := []byte(after) // one copy for all endpoints
 			var ended atomic.Int64
 			for n := range 4 {
 				b.startEndpoint(fmt.Sprint("i-", n), func(x *exchange) {
-					_, _ = io.WriteString(x.conn, strings.ReplaceAll(c.text, "ATTEMPT", x.Header.Get("Attempt-Id")))
+					_, _ = io.WriteString(x.conn, head+x.Header.Get("Attempt-Id"))
+					_, _ = x.conn.Write(rest)
 					ended.Add(1)
 					_, _ = io.Copy(io.Discard, x.conn) // until the relay closes the connection
 				})
