--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -475,8 +475,8 @@
 }
 
 // modelStanding returns how an endpoint stands towards a prompt as far as that depends on its
-// weights. It may execute the request if it has the wanted version of the weights, or one that has
-// been outdated for a short time only, and is not loading another.
+// weights. It may execute the request if it has the wanted version of the weights, or an older one
+// that maySendTo still allows, and is not loading another.
 func (e *Endpoints) modelStanding(s *fleet.Snapshot, ep *endpoint, model string, now time.Time) place.Standing {
 	version := ep.weightsVersion(model)
 	switch {
