--- a/review/kit2/case_split.go
+++ b/review/kit2/case_split.go
@@ -15,14 +15,14 @@
 // With TROUBLE=0 there is neither the change nor the kill, with TROUBLE=kill only the kill.
 func runSplit(w *world) (bool, error) {
 	const (
-		timeout = 14 * time.Second
+		timeout = 12 * time.Second
 		events  = 90
 		gap     = 100 * time.Millisecond
-		every   = 100 * time.Millisecond
+		every   = 70 * time.Millisecond
 		length  = 22 * time.Second
 	)
 	tenants := []tenant{{name: "t0"}, {name: "t1"}}
-	c := config{version: 3, tenants: tenants, shares: []split{{"llm-a", 95}, {"llm-b", 5}}, services: []string{"llm-a", "llm-b"}, timeout: timeout}
+	c := config{version: 3, tenants: tenants, shares: []split{{"llm-a", 90}, {"llm-b", 10}}, services: []string{"llm-a", "llm-b"}, timeout: timeout}
 	if _, err := w.apply(c); err != nil {
 		return false, err
 	}
@@ -92,7 +92,7 @@
 	begin := time.Now()
 	for i := 0; time.Since(begin) < length; i++ {
 		if changes := trouble != "0" && trouble != "kill"; changes && changedAt.IsZero() && time.Since(begin) > 9*time.Second {
-			c.version, c.shares = 8, []split{{"llm-a", 5}, {"llm-b", 95}}
+			c.version, c.shares = 8, []split{{"llm-a", 10}, {"llm-b", 90}}
 			at, err := w.apply(c)
 			if err != nil {
 				return false, err
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -21,9 +21,9 @@
 var trouble = os.Getenv("TROUBLE")
 
 func main() {
-	cases := map[string]func(*world) (broken bool, err error){"wall": runWall, "late": runLate, "parts": runParts, "split": runSplit, "storm": runStorm, "numbers": runNumbers, "pause": runPause, "release": runRelease, "files": runFiles}
+	cases := map[string]func(*world) (broken bool, err error){"split": runSplit, "release": runRelease}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: kit2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: kit2 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
 	root, err := os.Getwd()
@@ -31,16 +31,16 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	folder, err := filepath.Abs(os.Args[2])
+	recordPath, err := filepath.Abs(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	os.Exit(runCase(root, folder, cases[os.Args[1]]))
+	os.Exit(runCase(root, recordPath, cases[os.Args[1]]))
 }
 
-func runCase(root, folder string, run func(*world) (bool, error)) int {
-	w, err := newWorld(root, folder)
+func runCase(root, recordPath string, run func(*world) (bool, error)) int {
+	w, err := newWorld(root, recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -184,6 +184,23 @@
 		})
 	})
 	m.HandleFunc("POST /redwingknot/order", func(w http.ResponseWriter, r *http.Request) { _ = refuseMisdirected(w, r, id) })
+	m.HandleFunc("GET /redwingknot/kv-events", func(w http.ResponseWriter, r *http.Request) {
+		if refuseMisdirected(w, r, id) {
+			return
+		}
+		if ms, err := strconv.Atoi(r.Header.Get("Wait-Ms")); err == nil && !sleep(r, time.Duration(ms)*time.Millisecond) {
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"boot_epoch": born, "next": 1, "lost": false, "events": []any{}})
+	})
+	m.HandleFunc("GET /redwingknot/kv-list", func(w http.ResponseWriter, r *http.Request) {
+		if refuseMisdirected(w, r, id) {
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"boot_epoch": born, "next": 1, "held": []any{}})
+	})
 	m.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { k.serve(w, r, id) })
 	return m
 }
