Relay: a stream goes on at the service that its record names

Callers that took streams up after the weights of their route's split had changed got 503, also when they came back, while all endpoints of the software version that began the streams served.

Cause: two decisions on one request disagreed. The record of the origin names the version that must go on with the stream; the service was drawn from the present weights and a hash of the attempt that began it. That draw names the service of the record only while the weights stand; after a change, no endpoint of the drawn service has the version.

A request that takes a stream up goes to the service with endpoints of the recorded version if the route leads there with a weight above 0. It counts for the retries of that service, and has a prompt if that service has engines.

TestStreamGoesOnAtItsServiceAfterNewWeights failed on ("503" in place of the events) without any instance ending.

--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -35,6 +35,7 @@
 	route      *fleet.Route
 	team       *fleet.Team // nil on public routes
 	query      *placementQuery
+	prompt     *Prompt // as the caller describes it; call.Prompt is nil for services without engines
 	method     string
 	requestURI string
 	host       string
@@ -96,8 +97,9 @@
 	defer detach()
 	defer c.endRun()
 	defer func() { c.failureMemory.Release() }()
+	refusal := c.requireOrigin(ctx)
 	c.server.endpoints.countRequest(c.query.service)
-	if refusal := c.requireOrigin(ctx); refusal != nil {
+	if refusal != nil {
 		c.refuse(refusal)
 		return
 	}
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -56,7 +56,11 @@
 }
 
 // requireOrigin restricts a request that takes up a stream to the endpoints of the software
-// version that began it. It returns a refusal if the version is not known.
+// version that began it, at the service that they belong to. It returns a refusal if the version
+// is not known.
+//
+// Load pattern: the weights of a split change while streams are in progress, then an instance
+// ends. The draw of the attempt that began a stream then names another service.
 func (c *callerRequest) requireOrigin(ctx context.Context) *contract.Refusal {
 	if c.route.Kind != fleet.KindStream || !c.call.Resumes() {
 		return nil
@@ -66,10 +70,26 @@
 		metric.Counter("streams_of_unknown_origin_total", "service", c.query.service).Inc(1)
 		return contract.Unavailable(contract.ReasonUnknownOrigin, c.retryAfter(), "the software version that began the stream is not known")
 	}
+	if service, ok := c.server.endpoints.serviceOf(c.route, version); ok && service != c.query.service {
+		metric.Counter("streams_kept_at_service_total", "service", service).Inc(1)
+		c.useService(c.server.opts.View.Snapshot().Config, service)
+	}
 	c.query.software = version
 	return nil
 }
 
+// serviceOf returns the service with endpoints of a software version, and whether it is one that
+// the route leads to. A version belongs to one service.
+func (e *Endpoints) serviceOf(r *fleet.Route, version origin.Version) (string, bool) {
+	s := e.view.Snapshot()
+	for _, share := range r.Shares {
+		if share.Weight > 0 && slices.ContainsFunc(s.ByService[share.Service], func(spec *fleet.Endpoint) bool { return softwareOf(spec) == version }) {
+			return share.Service, true
+		}
+	}
+	return "", false
+}
+
 // lookUpOrigin returns the software version that began the stream which the caller takes up,
 // and whether it is known.
 func (c *callerRequest) lookUpOrigin(ctx context.Context) (origin.Version, bool) {
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -1,12 +1,15 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"redwingknot/fleet"
 )
 
 // setSoftware gives an endpoint a software version.
@@ -80,3 +83,57 @@
 	assert.Equal(t, takeUp().status, http.StatusOK, "one version for long enough")
 	assert.Equal(t, b.send("/goon/1", "Last-Event-Id", "0").status, http.StatusOK, "a caller that names no attempt")
 }
+
+// newSplitConfig returns a configuration whose resumable route leads to the services s and other
+// with the given weights.
+func newSplitConfig(version int64, weight, otherWeight float64) *fleet.Config {
+	r := resumableRoute
+	r.Timeout, r.TargetTime, r.MaxAttempts = 3*time.Second, 300*time.Millisecond, 2
+	r.Shares = []fleet.Share{{Service: "s", Weight: weight}, {Service: "other", Weight: otherWeight}}
+	c := fleet.NewConfig(version, []*fleet.Route{&r})
+	for _, name := range []string{"s", "other"} {
+		c.Services[name] = &fleet.Service{Name: name, Engine: &fleet.Engine{Models: []string{"m"}, CacheTokens: 100000}}
+	}
+	c.Limits.BodyBytes, c.AuthRequired = 1<<20, true
+	c.Teams["key"] = &fleet.Team{Name: "team", Priority: -1}
+	return c
+}
+
+// TestStreamGoesOnAtItsServiceAfterNewWeights guards against streams that are refused, or joined
+// with another service's, because the weights of their route's split have changed since they began.
+func TestStreamGoesOnAtItsServiceAfterNewWeights(t *testing.T) {
+	b := newTestBed(t)
+	b.view.ApplyConfig(newSplitConfig(2, 1, 0))
+	begin := b.startEndpoint("i-1", streamRest)
+	other := b.startEndpoint("i-2", streamRest)
+	spec := *other.spec
+	spec.Service = "other"
+	other.spec = &spec
+	b.view.PutEndpoint(other.spec)
+	const streams = 20
+	attempt := func(n int) string { return fmt.Sprintf("begun-%d", n) }
+	for n := range streams {
+		assert.NilError(t, b.send("/goon/1", "Attempt-Id", attempt(n)).err)
+	}
+	takeUp := func(n int, name string) reply {
+		return b.send("/goon/1", "Attempt-Id", name+attempt(n), "Resumes", attempt(n), "Last-Event-Id", "0")
+	}
+	b.view.ApplyConfig(newSplitConfig(3, 0.1, 0.9))
+	for n := range streams {
+		r := takeUp(n, "changed")
+		assert.Equal(t, r.body, events(1, 2, 3), "status %d", r.status)
+	}
+	assert.Equal(t, requestCount(begin), 2*streams)
+	// A service without a weight, or without the route, may not get its requests any more.
+	b.view.ApplyConfig(newSplitConfig(4, 0, 1))
+	r := takeUp(0, "without-weight")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	moved := newSplitConfig(5, 0, 1)
+	moved.Match("h", "/goon/").Shares = []fleet.Share{{Service: "other", Weight: 1}}
+	b.view.ApplyConfig(moved)
+	r = takeUp(0, "moved")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Check(t, headerSeconds(r.header) > 0)
+	assert.Equal(t, requestCount(begin), 2*streams)
+	assert.Equal(t, requestCount(other), 0)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -179,7 +179,7 @@
 		c.refuse(refusal)
 		return
 	}
-	if s.opts.MoveStreams && c.call.Prompt != nil {
+	if s.opts.MoveStreams && c.prompt != nil {
 		defer s.attempts.add(c.call.AttemptID)()
 	}
 	c.serve(r.Context())
@@ -237,10 +237,16 @@
 // chosen by.
 func (c *callerRequest) prepareQuery(cfg *fleet.Config) {
 	c.setDeadline()
-	// A stream that is taken up goes on at the service that began it.
-	service := chooseService(c.route, cmp.Or(c.call.ResumedAttempt, c.call.AttemptID))
-	if s := cfg.Services[service]; s == nil || s.Engine == nil {
-		c.call.Prompt = nil // only engines have weights and a prompt cache
+	c.prompt = c.call.Prompt
+	// For a stream that is taken up, the record of its origin goes first; see requireOrigin.
+	c.useService(cfg, chooseService(c.route, cmp.Or(c.call.ResumedAttempt, c.call.AttemptID)))
+}
+
+// useService makes the endpoints of a service those that may run the request.
+func (c *callerRequest) useService(cfg *fleet.Config, service string) {
+	c.call.Prompt = nil
+	if s := cfg.Services[service]; s != nil && s.Engine != nil {
+		c.call.Prompt = c.prompt // only engines have weights and a prompt cache
 	}
 	c.query = newPlacementQuery(&c.call, c.route, service)
 	c.query.team = c.team
