Relay: each software version numbers the events of its streams in its own way

In a release of a version that numbers events by tokens, new streams broke off after their first event, and were refused with 502 when their callers took them up.

Cause: whether a number that is left out is a missing event was learned for a service, from the last 256 responses of all its versions, so that those of a new version were taken for faults as long as they were under a tenth. A run that resumed a stream had to bring each next number wherever nothing was known.

Change: the evidence is kept for each software version, and dropped with its last endpoint. Where nothing is known of a version, an event after a gap in a run that resumes a stream is held until the next one has arrived: if that leaves out a number, too, both pass; otherwise, and at the end of the response, events are missing, as before.

The fuzz of the sequence gives what is held again with the next events, as relayStream does; its checks are unchanged.

--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -13,6 +13,7 @@
 	"redwingknot/fleet"
 	"redwingknot/membudget"
 	"redwingknot/metric"
+	"redwingknot/origin"
 	"redwingknot/peers"
 	"redwingknot/place"
 	"redwingknot/promptcache"
@@ -80,19 +81,19 @@
 	waitQueue             *waitQueue // nil before the first request
 	streams               place.StreamModel
 	prefillSet            prefillSet
-	pauseObjective        time.Duration      // tightest of the routes that use the service, 0 if there is none
-	pauseObjectiveConfig  int64              // version of the configuration that pauseObjective belongs to
-	around                place.Surroundings // of the latest decision
-	avoided               metrics.Counter    // decisions for another engine because of interference
-	firstEventError       float64            // moving average of the relative error of the expected time to the first data
-	waitingForPlace       int                // requests that wait for a place at a brittle endpoint
-	brittleUntil          time.Time          // until when its endpoints count as brittle
-	brittleRefusals       float64            // how many requests one of them can turn away in a second
-	waitingForLimit       int                // requests that wait for a share of an endpoint's limit
-	numbering             eventNumbering     // of the events of streams
-	mostRamp              bool               // more than half of its endpoints ramp up, so that their rates do not bind
-	usualSeconds          float64            // moving average of the time to the first data
-	averageSecondsPerCost float64            // moving average of the time to the first data, in seconds per unit of pick.cost
+	pauseObjective        time.Duration                      // tightest of the routes that use the service, 0 if there is none
+	pauseObjectiveConfig  int64                              // version of the configuration that pauseObjective belongs to
+	around                place.Surroundings                 // of the latest decision
+	avoided               metrics.Counter                    // decisions for another engine because of interference
+	firstEventError       float64                            // moving average of the relative error of the expected time to the first data
+	waitingForPlace       int                                // requests that wait for a place at a brittle endpoint
+	brittleUntil          time.Time                          // until when its endpoints count as brittle
+	brittleRefusals       float64                            // how many requests one of them can turn away in a second
+	waitingForLimit       int                                // requests that wait for a share of an endpoint's limit
+	numbering             map[origin.Version]*eventNumbering // of the events of streams, by software version
+	mostRamp              bool                               // more than half of its endpoints ramp up, so that their rates do not bind
+	usualSeconds          float64                            // moving average of the time to the first data
+	averageSecondsPerCost float64                            // moving average of the time to the first data, in seconds per unit of pick.cost
 }
 
 // averageSampleWeight is the weight of a new sample in averageSecondsPerCost,
@@ -179,7 +180,7 @@
 func (e *Endpoints) service(name string) *serviceState {
 	s, ok := e.services[name]
 	if !ok {
-		s = &serviceState{avoided: metric.Counter("interference_avoided_total", "service", name), retryWindow: retry.NewWindow(e.retryConfig, e.startedAt)}
+		s = &serviceState{numbering: map[origin.Version]*eventNumbering{}, avoided: metric.Counter("interference_avoided_total", "service", name), retryWindow: retry.NewWindow(e.retryConfig, e.startedAt)}
 		e.services[name] = s
 	}
 	return s
--- a/relay/event_order_test.go
+++ b/relay/event_order_test.go
@@ -335,3 +335,85 @@
 		})
 	}
 }
+
+// TestVersionsMayNumberEventsDifferently guards against streams of a new software version that are
+// broken off because the version before it numbers its events otherwise, and against missing events
+// that pass at the one because the other leaves out numbers.
+func TestVersionsMayNumberEventsDifferently(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		before, then []int // numbers of the events of the versions
+	}{
+		{"consecutive, then by tokens", []int{0, 1, 2, 3}, []int{0, 7, 14, 21}},
+		{"by tokens, then consecutive", []int{0, 7, 14, 21}, []int{0, 1, 2, 3}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBed(t)
+			serve := func(numbers []int) func(x *exchange) {
+				return func(x *exchange) {
+					if strings.HasPrefix(x.URL.Path, "/goon/lacking") {
+						stream(events(numbers[0]), events(numbers[1]), events(numbers[3]))(x)
+						return
+					}
+					x.startStream()
+					x.chunk(events(numbers...))
+					x.endStream()
+				}
+			}
+			old := b.startEndpoint("i-1", serve(c.before))
+			for range 60 {
+				assert.NilError(t, b.send("/goon/whole").err)
+			}
+			b.setSoftware(b.startEndpoint("i-2", serve(c.then)), "v2")
+			b.view.RemoveEndpoint(old.spec.ID, b.now())
+			for range 30 {
+				r := b.send("/goon/whole")
+				assert.NilError(t, r.err)
+				assert.Equal(t, r.body, events(c.then...))
+			}
+			consecutive := c.then[1] == 1
+			assert.Equal(t, b.send("/goon/lacking").err != nil, consecutive, "a stream without its third event")
+		})
+	}
+}
+
+// TestTakenUpStreamMayLeaveOutNumbers guards against streams that can't be taken up at an instance
+// that knows nothing of how their software version numbers events.
+func TestTakenUpStreamMayLeaveOutNumbers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		chunks []string
+		want   string
+		whole  bool
+	}{
+		{"by tokens", []string{events(7), events(14), events(21)}, events(7, 14, 21), true},
+		{"by tokens in one chunk", []string{events(7, 14, 21)}, events(7, 14, 21), true},
+		{"irregular", []string{events(2), events(5), events(9)}, events(2, 5, 9), true},
+		{"from the first event on", []string{events(0, 7, 14)}, events(7, 14), true},
+		{"comments in between", []string{events(7), commentEvent, events(14)}, events(7) + commentEvent + events(14), true},
+		{"missing events", []string{events(7), events(8), events(9)}, "", false},
+		{"one event that may not be the next", []string{events(7)}, "", false},
+		{"unnamed event after a gap", []string{events(7), errorEvent}, "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBed(t)
+			b.startEndpoint("i-1", stream(c.chunks...))
+			b.relay.Endpoints().ObserveSoftware()
+			b.advance(7 * time.Second)
+			b.view.Confirm(b.now())
+			b.relay.Endpoints().ObserveSoftware()
+			got := b.send("/goon/1", "Resumes", "elsewhere", "Last-Event-Id", "0")
+			body := got.body
+			if !c.whole {
+				assert.Check(t, got.err != nil || got.status == http.StatusBadGateway, "status %d", got.status)
+				if got.status == http.StatusBadGateway {
+					body = ""
+				}
+			}
+			assert.Equal(t, body, c.want)
+			assert.Equal(t, got.err == nil && got.status == http.StatusOK, c.whole)
+		})
+	}
+}
--- a/relay/event_sequence.go
+++ b/relay/event_sequence.go
@@ -59,8 +59,10 @@
 // and none that belongs to no run of the stream.
 //
 // An identifier is an integer above that of the event before it. That it is the next integer is
-// known only from what the endpoints of the service do; see eventNumbering. An event without
-// identifier passes in a first run, and the stream can't be resumed after it.
+// known only from what endpoints of the same software version do; see eventNumbering. Where
+// nothing is known, a run that resumes a stream shows it by its own events: the one after a gap is
+// held until the next one has arrived. An event without identifier passes in a first run, and the
+// stream can't be resumed after it.
 //
 // It is used only by the goroutine that serves the request.
 type eventSequence struct {
@@ -84,12 +86,13 @@
 	skips       bool   // identifiers were left out between two events
 	unframed    bool   // the response ends with its connection
 	contentType string // of the response
+	held        int64  // identifier of the event after a gap that waits for the next one, -1 for none
 }
 
 // newEventSequence returns the sequence of a stream of which the caller has the events up to
 // last, -1 for none.
 func newEventSequence(last int64) eventSequence {
-	return eventSequence{last: last, attemptEvents: attemptEvents{first: -1, previous: -1}}
+	return eventSequence{last: last, attemptEvents: attemptEvents{first: -1, previous: -1, held: -1}}
 }
 
 // mayResume reports whether another run can go on after the last event, or begin the stream of
@@ -97,10 +100,10 @@
 func (s *eventSequence) mayResume() bool { return !s.unnamed }
 
 // beginAttempt begins the events of the response of an endpoint; numbered is what is known of its
-// service. The error is a *ContentTypeError if the response can't go on with the stream.
+// software version. The error is a *ContentTypeError if the response can't go on with the stream.
 func (s *eventSequence) beginAttempt(res *upstream.Response, endpoint fleet.EndpointKey, numbered numberingKnown) error {
 	s.attemptEvents = attemptEvents{
-		endpoint: endpoint, resumes: s.last >= 0, numbered: numbered, first: -1, previous: -1,
+		endpoint: endpoint, resumes: s.last >= 0, numbered: numbered, first: -1, previous: -1, held: -1,
 		unframed: res.Unframed, contentType: res.Header.Get("Content-Type"),
 	}
 	if mediaType, _, err := mime.ParseMediaType(s.contentType); (s.resumes || s.begun) && (err != nil || mediaType != "text/event-stream") {
@@ -109,23 +112,54 @@
 	return nil
 }
 
-// take returns those of the given complete events that are to be sent to the caller. The error is
-// an *EventOrderError if an event is not the next one; the events before it are returned.
-func (s *eventSequence) take(events []byte) ([]byte, error) {
+// take returns those of the given complete events that are to be sent to the caller, and the length
+// of those that are dealt with: an event that is held, and what follows it, must be given again
+// together with what arrives next. The error is an *EventOrderError if an event is not the next
+// one; the events before it are returned.
+func (s *eventSequence) take(events []byte) (next []byte, taken int, err error) {
 	from := 0
+	s.held = -1
 	for at := 0; at < len(events); {
 		end := at + firstEventLength(events[at:])
 		last, id := s.last, eventID(events[at:end])
+		if s.isUnclear(id) && !s.isForeign(events[at:end]) {
+			following, arrived := nextEventID(events[end:])
+			if !arrived {
+				s.held = id
+				return events[from:at], at, nil
+			}
+			s.skipped = following > id+1
+			s.numbered.consecutive = !s.skipped
+		}
 		had, fault := s.add(events[at:end], id)
 		switch {
 		case fault != noFault:
-			return events[from:at], &EventOrderError{fault: fault, Last: last, Got: id}
+			return events[from:at], at, &EventOrderError{fault: fault, Last: last, Got: id}
 		case had:
 			from = end
 		}
 		at = end
 	}
-	return events[from:], nil
+	return events[from:], len(events), nil
+}
+
+// isUnclear reports whether an event with the given identifier follows a gap of which it is not
+// known whether events are missing there.
+func (s *eventSequence) isUnclear(id int64) bool {
+	return s.resumes && id > s.last+1 && id > s.previous && !s.skipped && !s.skips && s.numbered == numberingKnown{}
+}
+
+// nextEventID returns the identifier of the first event that is no comment, -1 if it has none, and
+// whether there is such an event.
+func nextEventID(events []byte) (id int64, found bool) {
+	for len(events) > 0 {
+		end := firstEventLength(events)
+		if !isComment(events[:end]) {
+			return eventID(events[:end]), true
+		}
+		events = events[end:]
+	}
+	return -1, false
 }
 
 // add adds the next event, with its identifier or -1. It reports whether the caller has it
@@ -168,21 +202,20 @@
 }
 
 // isNumbered reports whether the next event must have the next identifier. A run that resumes a
-// stream has to go on exactly where it stopped, so that more is needed there to take missing
-// numbers for usual ones.
+// stream may leave out identifiers if the stream's own runs do.
 func (s *eventSequence) isNumbered() bool {
-	if s.resumes {
-		return !s.numbered.skipping && !s.skipped
-	}
-	return s.numbered.consecutive
+	return s.numbered.consecutive && !(s.resumes && s.skipped)
 }
 
-// end returns an *EventOrderError if the end of the response can't be the end of the stream: it
-// resumed a stream and brought no event after the last one, although an earlier run broke off
+// end returns an *EventOrderError if the end of the response can't be the end of the stream: an
+// event after a gap is still held, or it resumed a stream and brought no event after the last one, although an earlier run broke off
 // there. A run that begins before the last event and ends with it, or another endpoint that has
 // no further event, shows that there is none. A response that ends with its connection and is
 // empty shows nothing: the endpoint may have stopped after the head.
 func (s *eventSequence) end() error {
+	if s.held >= 0 {
+		return &EventOrderError{fault: faultMissing, Last: s.last, Got: s.held}
+	}
 	if !s.resumes || s.joined || s.previous == s.last {
 		return nil
 	}
--- a/relay/event_sequence_internal_test.go
+++ b/relay/event_sequence_internal_test.go
@@ -26,12 +26,12 @@
 		if !ends[i] && i < len(events)-1 {
 			continue
 		}
-		next, err := s.take([]byte(batch))
+		next, taken, err := s.take([]byte(batch))
 		passed += string(next)
 		if err != nil {
 			return passed, err
 		}
-		batch = ""
+		batch = batch[taken:]
 	}
 	return passed, s.end()
 }
--- a/relay/software.go
+++ b/relay/software.go
@@ -30,6 +30,7 @@
 			listed[ep.spec.Service] = append(listed[ep.spec.Service], v)
 		}
 	}
+	e.forgetNumbering(listed)
 	for service, versions := range listed {
 		allowed[service] = e.origins.MayBegin(service, versions)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -38,10 +38,10 @@
 	pauses := &enginePauses{endpoints: c.server.endpoints, pick: p}
 	defer pauses.end()
 	var progress eventProgress
-	if err := c.sequence.beginAttempt(res, p.spec.Key(), c.server.endpoints.eventNumbering(c.query.service)); err != nil {
+	if err := c.sequence.beginAttempt(res, p.spec.Key(), c.server.endpoints.eventNumbering(p.spec)); err != nil {
 		return c.handleOutOfOrder(ctx, p, err)
 	}
-	defer func() { c.server.endpoints.recordEventNumbers(c.query.service, &c.sequence.attemptEvents) }()
+	defer func() { c.server.endpoints.recordEventNumbers(p.spec, &c.sequence.attemptEvents) }()
 	for {
 		if len(buf) >= maxEventSize {
 			return c.handleLost(ctx, p, &EventTooLargeError{})
@@ -63,7 +63,7 @@
 				c.server.endpoints.recordFirstData(p, c.query, time.Since(sent))
 			}
 			pauses.recordEvent(time.Now())
-			next, orderErr := c.sequence.take(buf[:complete])
+			next, taken, orderErr := c.sequence.take(buf[:complete])
 			if len(next) > 0 {
 				c.recordOrigin(p)
 				if !c.writeEvents(next, res) {
@@ -81,12 +81,14 @@
 			} else if time.Since(firstData) >= answeringTime {
 				c.run.Answering()
 			}
-			buf = cutEvents(buf, complete, &memory)
+			buf = cutEvents(buf, taken, &memory)
 		}
-		c.limitStall(&progress, res, len(buf))
+		c.limitStall(&progress, res, c.begunBytes(buf))
 		switch {
 		case err != nil && err != io.EOF && c.hasStoppedToMove(ctx, p, err):
 			return outcomeMoved
+		case err == io.EOF && c.sequence.held >= 0:
+			return c.handleOutOfOrder(ctx, p, c.sequence.end())
 		case err == io.EOF && (len(bytes.Trim(buf, "\n")) > 0 || c.isEmptyUnframed(res) || c.brokeOff(ctx, p, res)):
 			return c.handleLost(ctx, p, io.ErrUnexpectedEOF)
 		case err == io.EOF:
@@ -102,6 +104,14 @@
 	}
 }
 
+// begunBytes returns the number of bytes of an event that has begun, of what is buffered.
+func (c *callerRequest) begunBytes(buf []byte) int {
+	if c.sequence.held < 0 {
+		return len(buf)
+	}
+	return len(buf) - completeEventsLength(buf, 0)
+}
+
 // cutEvents returns what follows the complete events at the start of buf, in a buffer of the
 // usual size if it fits.
 func cutEvents(buf []byte, complete int, memory *membudget.Hold) []byte {
