Drainlistener: heads of requests have a common memory limit

In a trial of the users, clients that nobody controls ended a process, which ran out of memory: they sent heads over the limit or without end, and empty lines without end.

Cause: net/http reads heads, up to 64 KiB on each connection, and nothing bounds those of all connections together. A line of a few bytes takes many times its size. The header lives on while the body is kept back. The servers for readiness checks and metrics had the default limit of 1 MiB a head, entryd 32 KiB. Empty lines alone showed nothing.

Change: a connection of a caller counts the bytes and lines of a head as they come against a budget of 0.1 of the process's memory (membudget, each connection a sender of its own), until the request is answered. A head without room is answered with 503 and Retry-After, and its connection closed; the first 4 KiB of each are free. The same for entryd, and for readiness checks and metrics, whose heads are at most 4 KiB now.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -20,6 +20,7 @@
 	"redwingknot/gateway"
 	"redwingknot/internal/boottime"
 	"redwingknot/internal/boundlog"
+	"redwingknot/internal/drainlistener"
 	"redwingknot/internal/hangup"
 	"redwingknot/membudget"
 	"redwingknot/platform"
@@ -38,6 +39,8 @@
 	bodyShare = 0.15
 	// responseShare is the same for the parts of endpoints' responses that are not passed on yet.
 	responseShare = 0.1
+	// headShare is the same for the heads of callers' requests.
+	headShare = 0.1
 	// maxHeaderBytes is the HTTP server's limit for the headers of a request. It is
 	// above the limit that configurations set for headers.
 	maxHeaderBytes = 64 << 10
@@ -94,6 +97,7 @@
 		ResponseMemory: membudget.New(int64(responseShare * float64(s.MemoryMiB) * (1 << 20))),
 	})
 	g.MaxHeaderBytes = maxHeaderBytes
+	g.Callers = drainlistener.Limits{Heads: membudget.New(int64(headShare * float64(s.MemoryMiB) * (1 << 20)))}
 	if o.metricsPort != 0 {
 		g.MetricsAddr = net.JoinHostPort(s.Host(), strconv.Itoa(o.metricsPort))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"redwingknot/instance"
 	"redwingknot/internal/drainlistener"
 	"redwingknot/ledger"
+	"redwingknot/membudget"
 	"redwingknot/metastore"
 	"redwingknot/note"
 	"redwingknot/serve"
@@ -239,6 +240,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	callerListener.SetLimits(drainlistener.Limits{Heads: membudget.New(int64(headShare * float64(e.opts.MemoryMiB) * (1 << 20)))})
 	peerListener, err := net.Listen("tcp", e.opts.PeerListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
@@ -265,6 +267,9 @@
 	return g.Wait()
 }
 
+// headShare is the fraction of the memory limit that the heads of callers' requests may use.
+const headShare = 0.1
+
 // httpServer returns the server for callers and operators. Its limits bound the memory and
 // the idle connections that a caller can make the instance hold.
 func (e *Entry) httpServer(l *drainlistener.Listener) *http.Server {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,9 @@
 	LeaderChangeDelay time.Duration // minimum time between orders of two leaders
 	MinLease          time.Duration // shortest lease that the metadata store grants
 	MaxHeaderBytes    int           // maximum size of a request's header in bytes
+	// Callers bounds what callers, and those who ask for readiness and metrics, can make the
+	// instance hold.
+	Callers drainlistener.Limits
 
 	FirstStart bool    // the whole system starts for the first time, so that no stream is in progress
 	Cores      float64 // processor time of the machine, in cores; 0 if not known
@@ -192,6 +195,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	front.SetLimits(g.opts.Callers)
 	// An instance that others can't reach must not become ready.
 	peerListener, err := net.Listen("tcp4", g.opts.PeerAddr)
 	if err != nil {
@@ -274,21 +278,29 @@
 func (g *Gateway) serveReadinessAndMetrics(ctx context.Context, group *errgroup.Group) error {
 	routes := mux.NewRouter()
 	routes.HandleFunc(g.opts.ReadyPath, g.serveReady).Methods(http.MethodGet)
-	if err := serve(ctx, group, g.opts.ReadyAddr, routes); err != nil {
+	if err := g.serveProbes(ctx, group, g.opts.ReadyAddr, routes); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
 	if g.opts.MetricsAddr == "" {
 		return nil
 	}
-	return errors.Wrap(serve(ctx, group, g.opts.MetricsAddr, g.metricsRoutes()), "listen for metrics")
+	return errors.Wrap(g.serveProbes(ctx, group, g.opts.MetricsAddr, g.metricsRoutes()), "listen for metrics")
 }
 
-func serve(ctx context.Context, group *errgroup.Group, address string, h http.Handler) error {
-	l, err := net.Listen("tcp4", address)
+// maxProbeHeaderBytes is the maximum size of a head of the servers for readiness checks and metrics.
+const maxProbeHeaderBytes = 4 << 10
+
+// serveProbes serves readiness checks or metrics at an address until ctx ends.
+func (g *Gateway) serveProbes(ctx context.Context, group *errgroup.Group, address string, h http.Handler) error {
+	l, err := drainlistener.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	l.SetLimits(drainlistener.Limits{Heads: g.opts.Callers.Heads})
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes, ConnState: l.RecordState,
+		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
 	group.Go(func() error { return ignoreClosed(s.Serve(l)) })
 	context.AfterFunc(ctx, func() { s.Close() })
 	return nil
--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"redwingknot/membudget"
 	"redwingknot/metric"
 )
 
@@ -46,6 +47,7 @@
 // request has arrived on them that no goroutine has read yet.
 type Listener struct {
 	*net.TCPListener
+	limits Limits
 	stopAt atomic.Pointer[time.Time] // when to accept only what is queued; nil before Stop
 	// acceptedLate counts the connections that Accept has looked for after stopAt. It is used by
 	// Accept only.
@@ -59,12 +61,16 @@
 // conn is a caller's connection.
 type conn struct {
 	*net.TCPConn
-	hasRead atomic.Bool // bytes were read since the connection became new or idle
+	hasRead atomic.Bool        // bytes were read since the connection became new or idle
+	heads   *membudget.Account // nil without a limit
 
 	mu       sync.Mutex
 	state    http.ConnState // guarded by mu
 	since    time.Time      // of the state; guarded by mu
 	retiring bool           // the wait for a request was ended by retire; guarded by mu
+
+	head      membudget.Hold // of the request that arrives or is in progress; guarded by mu
+	headBytes int64          // memory that it needs; guarded by mu
 }
 
 // Listen announces on a TCP address; network is one of those of net.ListenTCP.
@@ -149,6 +155,10 @@
 
 func (l *Listener) track(c *net.TCPConn) *conn {
 	f := &conn{TCPConn: c, since: time.Now()}
+	if l.limits.Heads != nil {
+		f.heads = l.limits.Heads.NewAccount()
+		f.head = f.heads.Hold()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[f] = struct{}{}
@@ -223,6 +233,9 @@
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
 			c.hasRead.Store(true)
+			if headErr := c.countHead(p[:n]); headErr != nil {
+				return 0, headErr
+			}
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.stay() {
 			return n, err
@@ -234,6 +247,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = state, now
+	c.countState(state)
 	if state == http.StateIdle {
 		c.hasRead.Store(false)
 	}
--- a/internal/drainlistener/listener_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -5,11 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"redwingknot/membudget"
 )
 
 // TestQueuedConnectionsAreAcceptedAfterStop checks that connections which the kernel has
@@ -169,3 +172,44 @@
 	cancel()
 	assert.Equal(t, l.Retire(ctx), 3)
 }
+
+// TestHeadsLeaveMemory guards against heads that take all memory, against memory that is not given
+// back, and against small heads that are rejected because of large ones.
+func TestHeadsLeaveMemory(t *testing.T) {
+	const limit = 1 << 20
+	l, err := Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	heads := membudget.New(limit)
+	l.SetLimits(Limits{Heads: heads})
+	server := &http.Server{ConnState: l.RecordState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })}
+	t.Cleanup(func() { server.Close() })
+	go func() { _ = server.Serve(l) }()
+	const start = "POST / HTTP/1.1\r\nHost: h\r\n"
+	connect := func(text string) net.Conn {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { c.Close() })
+		_, _ = io.WriteString(c, text)
+		return c
+	}
+	status := func(c net.Conn) string {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		answer := make([]byte, len("HTTP/1.1 200"))
+		_, _ = io.ReadFull(c, answer)
+		return string(answer)
+	}
+	lines := strings.Repeat("a:\r\n", 3000) // some 0.4 MiB as entries of a map
+	withheld := connect(start + lines + "Content-Length: 2\r\n\r\n")
+	for heads.Used() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, status(connect(start+lines+lines)), "HTTP/1.1 503")
+	assert.Equal(t, status(connect(start+"Content-Length: 0\r\n\r\n")), "HTTP/1.1 200")
+	_, err = io.WriteString(withheld, "{}")
+	assert.NilError(t, err)
+	assert.Equal(t, status(withheld), "HTTP/1.1 200")
+	for heads.Used() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -47,6 +47,8 @@
 	worker       *fleetworker.Server
 	workerAddr   string // host:port
 	grace        int    // seconds that gateways have to stop
+	memoryMiB    int    // memory limit of gateways
+	maxFDs       int    // descriptors that gateways may have open
 }
 
 // newGatewayDeployment starts a deployment whose worker waits 1 ms between the
@@ -59,7 +61,7 @@
 // waits eventGap between the events of a stream, and writes the configuration and
 // the worker's entry to the store. It starts no gateway.
 func newGatewayDeploymentWithEventGap(t *testing.T, eventGap time.Duration) *gatewayDeployment {
-	d := &gatewayDeployment{t: t, storeContent: metastoretest.NewStore(time.Now), grace: 8}
+	d := &gatewayDeployment{t: t, storeContent: metastoretest.NewStore(time.Now), grace: 8, memoryMiB: 134, maxFDs: 4100}
 	d.worker, d.workerAddr = newWorker(t, eventGap)
 	d.storeServer = fleetstore.New(d.storeContent)
 	server := httptest.NewServer(d.storeServer)
@@ -97,6 +99,7 @@
 // gatewayProcess is a gateway that runs as a process.
 type gatewayProcess struct {
 	frontAddr, readyAddr string // addresses for callers and for readiness checks
+	peerAddr             string // address for other instances
 	cmd                  *exec.Cmd
 	exited               chan error // receives the result of cmd.Wait
 	output               keptOutput // the beginning of its log
@@ -176,7 +179,7 @@
 // launchGatewayWithPeerAddr is launchGateway with an address for other instances.
 func (d *gatewayDeployment) launchGatewayWithPeerAddr(name, storeAddr, peerAddr string) *gatewayProcess {
 	d.t.Helper()
-	g := &gatewayProcess{frontAddr: freeAddr(d.t), readyAddr: freeAddr(d.t), exited: make(chan error, 1)}
+	g := &gatewayProcess{frontAddr: freeAddr(d.t), readyAddr: freeAddr(d.t), peerAddr: peerAddr, exited: make(chan error, 1)}
 	_, internalPort, err := net.SplitHostPort(peerAddr)
 	assert.NilError(d.t, err)
 	settingsPath := filepath.Join(d.t.TempDir(), "boot.conf")
@@ -185,8 +188,8 @@
 listen.front=%s
 listen.ready=%s
 internal_ports=%s,%s
-limits.memory_mb=134
-limits.max_fds=4100
+limits.memory_mb=%d
+limits.max_fds=%d
 heartbeat_ms=1200
 bounds.drain_ms=2000
 bounds.grace_s=%d
@@ -199,7 +202,7 @@
 bounds.version_ms=6000
 platform.address=%s
 platform.ttl_min_ms=1000
-`, name, g.frontAddr, g.readyAddr, internalPort, internalPort, d.grace, storeAddr)
+`, name, g.frontAddr, g.readyAddr, internalPort, internalPort, d.memoryMiB, d.maxFDs, d.grace, storeAddr)
 	assert.NilError(d.t, os.WriteFile(settingsPath, []byte(settings), 0o600))
 	g.cmd = exec.Command(filepath.Join(binaryDir, "gatewayd"))
 	g.cmd.Env = append(os.Environ(), "REDWINGKNOT_BOOT="+settingsPath)
