Drainlistener: callers' connections leave descriptors for others

Callers that held connections open took all descriptors of a gateway. Ordinary callers found none, and the process ended ("accept4: too many open files") as soon as another instance connected.

Cause: nothing bounded the number of callers' connections, and the server for calls of other instances took any error of accept for a final one.

Change: callers may have three quarters of the process's descriptors (the lower one of limits.max_fds and the limit of the process; entryd: the latter). When all are in use, the connection that has waited longest for a request makes room for a new one; where requests are in progress on all, the new one is closed. Readiness checks and metrics have 64 connections each. Without descriptors or memory, connections of other instances are accepted again after 50 ms.

TestLongestWaitingConnectionMakesRoom is new.

--- a/cmd/gatewayd/main.go
+++ b/cmd/gatewayd/main.go
@@ -97,7 +97,9 @@
 		ResponseMemory: membudget.New(int64(responseShare * float64(s.MemoryMiB) * (1 << 20))),
 	})
 	g.MaxHeaderBytes = maxHeaderBytes
-	g.Callers = drainlistener.Limits{Heads: membudget.New(int64(headShare * float64(s.MemoryMiB) * (1 << 20)))}
+	g.Callers = drainlistener.Limits{
+		MaxConns: drainlistener.MaxConns(descriptors(s)), Heads: membudget.New(int64(headShare * float64(s.MemoryMiB) * (1 << 20))),
+	}
 	if o.metricsPort != 0 {
 		g.MetricsAddr = net.JoinHostPort(s.Host(), strconv.Itoa(o.metricsPort))
 	}
@@ -109,6 +111,14 @@
 	return nil
 }
 
+// descriptors returns the number of descriptors that the process may have open.
+func descriptors(s platform.Settings) int {
+	if n := drainlistener.Descriptors(); s.Descriptors == 0 || n < s.Descriptors {
+		return n
+	}
+	return s.Descriptors
+}
+
 // startLog returns a logger that writes to standard output from a goroutine, and
 // a function that writes the events still queued and stops that goroutine.
 func startLog(o options) (*slog.Logger, func()) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -240,7 +240,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	callerListener.SetLimits(drainlistener.Limits{Heads: membudget.New(int64(headShare * float64(e.opts.MemoryMiB) * (1 << 20)))})
+	callerListener.SetLimits(drainlistener.Limits{
+		MaxConns: drainlistener.MaxConns(drainlistener.Descriptors()), Heads: membudget.New(int64(headShare * float64(e.opts.MemoryMiB) * (1 << 20))),
+	})
 	peerListener, err := net.Listen("tcp", e.opts.PeerListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -287,8 +287,11 @@
 	return errors.Wrap(g.serveProbes(ctx, group, g.opts.MetricsAddr, g.metricsRoutes()), "listen for metrics")
 }
 
-// maxProbeHeaderBytes is the maximum size of a head of the servers for readiness checks and metrics.
-const maxProbeHeaderBytes = 4 << 10
+// Limits of the servers for readiness checks and metrics, which few clients use.
+const (
+	maxProbeConns       = 64
+	maxProbeHeaderBytes = 4 << 10
+)
 
 // serveProbes serves readiness checks or metrics at an address until ctx ends.
 func (g *Gateway) serveProbes(ctx context.Context, group *errgroup.Group, address string, h http.Handler) error {
@@ -296,7 +299,7 @@
 	if err != nil {
 		return err
 	}
-	l.SetLimits(drainlistener.Limits{Heads: g.opts.Callers.Heads})
+	l.SetLimits(drainlistener.Limits{MaxConns: maxProbeConns, Heads: g.opts.Callers.Heads})
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes, ConnState: l.RecordState,
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
--- a/internal/drainlistener/limits.go
+++ b/internal/drainlistener/limits.go
@@ -12,6 +12,9 @@
 
 // Limits bound what callers can make a Listener hold. The zero value has no limits.
 type Limits struct {
+	// MaxConns is the number of connections at one time, 0 for no limit. At the limit, the
+	// connection that has waited longest for a request makes room for a new one.
+	MaxConns int
 	// Heads is the memory for the heads of the requests that arrive or are in progress, nil for
 	// no limit. Each connection is a sender of its own.
 	Heads *membudget.Budget
--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -96,7 +96,10 @@
 		c, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			return l.track(c), nil
+			if tracked, ok := l.track(c); ok {
+				return tracked, nil
+			}
+			continue
 		case l.stopAt.Load() == nil:
 			return nil, err
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -153,16 +156,19 @@
 	_ = l.SetDeadline(time.Now()) // fails only if the listener is closed
 }
 
-func (l *Listener) track(c *net.TCPConn) *conn {
+// track returns the connection as one of the listener's, and whether there is room for it; if not,
+// it is closed.
+func (l *Listener) track(c *net.TCPConn) (*conn, bool) {
 	f := &conn{TCPConn: c, since: time.Now()}
 	if l.limits.Heads != nil {
 		f.heads = l.limits.Heads.NewAccount()
 		f.head = f.heads.Hold()
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[f] = struct{}{}
-	return f
+	if l.admit(f) {
+		return f, true
+	}
+	c.Close()
+	return nil, false
 }
 
 // RecordState records a change of a connection's state. It is meant as the ConnState function
--- a/internal/drainlistener/listener_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -173,6 +173,51 @@
 	assert.Equal(t, l.Retire(ctx), 3)
 }
 
+// TestLongestWaitingConnectionMakesRoom guards against ordinary callers that find no connection
+// because others keep theirs open, and against a request in progress that is cut for a new one.
+func TestLongestWaitingConnectionMakesRoom(t *testing.T) {
+	const maxConns = 3
+	l, err := Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	l.SetLimits(Limits{MaxConns: maxConns})
+	connect := func() {
+		caller, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { caller.Close() })
+	}
+	accept := func() *conn {
+		connect()
+		c, err := l.Accept()
+		assert.NilError(t, err)
+		return c.(*conn)
+	}
+	now := time.Now()
+	busy, idle, fresh := accept(), accept(), accept()
+	busy.setState(http.StateActive, now.Add(-time.Hour))
+	idle.setState(http.StateIdle, now.Add(-time.Minute))
+	fresh.setState(http.StateNew, now)
+	isClosed := func(c *conn) bool {
+		_ = c.SetReadDeadline(time.Now())
+		_, err := c.TCPConn.Read(make([]byte, 1))
+		return errors.Is(err, net.ErrClosed)
+	}
+	next := accept()
+	assert.Check(t, isClosed(idle) && !isClosed(busy) && !isClosed(fresh) && !isClosed(next))
+	assert.Equal(t, len(l.list()), maxConns)
+	for _, c := range []*conn{fresh, next} {
+		c.setState(http.StateActive, now)
+	}
+	connect() // has no room; the next one has, once a request is answered
+	time.AfterFunc(50*time.Millisecond, func() {
+		l.RecordState(busy, http.StateClosed)
+		connect()
+	})
+	_, err = l.Accept()
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.list()), maxConns)
+}
+
 // TestHeadsLeaveMemory guards against heads that take all memory, against memory that is not given
 // back, and against small heads that are rejected because of large ones.
 func TestHeadsLeaveMemory(t *testing.T) {
--- a/processtest/outside_limits_test.go
+++ b/processtest/outside_limits_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -90,6 +91,14 @@
 	return peak
 }
 
+// openDescriptors returns the number of descriptors that a process has open.
+func openDescriptors(t *testing.T, pid int) int {
+	t.Helper()
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	assert.NilError(t, err, "the process has ended")
+	return len(list)
+}
+
 // checkServes sends ordinary requests, which must be answered.
 func (g *gatewayProcess) checkServes(t *testing.T, when string) {
 	t.Helper()
@@ -165,6 +174,40 @@
 	}
 }
 
+// TestCallersThatKeepConnectionsOpenLeaveDescriptors guards against a process that ends, or serves
+// nobody else, because callers hold as many connections as it may have descriptors.
+func TestCallersThatKeepConnectionsOpenLeaveDescriptors(t *testing.T) {
+	const (
+		maxFDs  = 180
+		members = 300
+	)
+	for _, c := range []struct{ name, sent string }{
+		{"nothing is sent", ""},
+		{"a part of a head", "POST /x/1 HTTP/1.1\r\nHost: h\r\n"},
+		{"a request, and nothing more", requestHead + "Content-Length: 2\r\n\r\n{}"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newGatewayDeployment(t)
+			d.maxFDs = maxFDs
+			g := d.startGateway("front-1")
+			limit := unix.Rlimit{Cur: maxFDs, Max: maxFDs}
+			assert.NilError(t, unix.Prlimit(g.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+			startCrowd(t, g.frontAddr, members, []byte(c.sent))
+			// Another instance connects to this one.
+			peer, err := net.DialTimeout("tcp4", g.peerAddr, waitTimeout)
+			assert.NilError(t, err)
+			defer peer.Close()
+			time.Sleep(500 * time.Millisecond)
+			g.checkLives(t)
+			open := openDescriptors(t, g.cmd.Process.Pid)
+			t.Logf("descriptors open: %d", open)
+			assert.Check(t, open < maxFDs, "%d of %d", open, maxFDs)
+			http.DefaultClient.CloseIdleConnections()
+			g.checkServes(t, "beside the crowd")
+		})
+	}
+}
+
 // TestRequestAtLimitsIsServed guards against limits that reject a single sound request: one whose
 // head and body have the largest sizes that the configuration allows.
 func TestRequestAtLimitsIsServed(t *testing.T) {
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/wire/wirepb"
 )
@@ -55,7 +57,7 @@
 
 // Serve accepts connections from l and answers calls on them until ctx ends; it
 // then closes l and all connections and returns nil. It returns an error if
-// accepting fails before that.
+// accepting fails for good before that; without descriptors or memory it is tried again.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
@@ -64,16 +66,36 @@
 	defer stop()
 	for {
 		conn, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+		switch {
+		case err == nil:
+		case ctx.Err() != nil:
+			return nil
+		case lacksResources(err):
+			metric.Counter("wire_accepts_failed_total").Inc(1)
+			timer.Sleep(ctx, acceptRetryInterval)
+			continue
+		default:
 			return errors.Wrap(err, "accept")
 		}
 		go s.serveConn(ctx, conn)
 	}
 }
 
+// acceptRetryInterval is the time between attempts to accept a connection while the process or the
+// machine has no descriptors or memory for it.
+const acceptRetryInterval = 50 * time.Millisecond
+
+// lacksResources reports whether a connection could not be accepted for want of descriptors or
+// memory, or because its peer has given it up. The listener goes on.
+func lacksResources(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // serveConn authenticates conn and answers the calls on it until it is closed.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	conn = newCountedConn(conn)
