Relay: a request's body must arrive by its deadline

A caller that kept the body of its request back held a connection, a goroutine and the header of the request for as long as it liked.

Cause: reads of bodies had no time limit but that of a stop.

Change: reads end at the deadline of the request, with 503 and Retry-After: nothing has run, and nothing could be answered any more.

Evidence: TestBodyThatIsKeptBackIsRefusedAtDeadline had no answer after 20 s on.

Result: it passes, and a later request on the connection is not bound by the deadline.

--- a/relay/server.go
+++ b/relay/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -337,7 +338,7 @@
 }
 
 // readBody reads the whole request body into memory. If that fails, a limit is
-// exceeded or the server stops, it responds with a refusal and returns false.
+// exceeded, the deadline passes or the server stops, it responds with a refusal and returns false.
 //
 // Load pattern: many callers send the largest bodies at once. A body counts while it arrives, so
 // that those for which there is no memory are refused before they are there.
@@ -349,6 +350,8 @@
 	if limit == 0 {
 		limit = c.server.opts.MaxBodyBytes
 	}
+	reads := http.NewResponseController(c.w)
+	_ = reads.SetReadDeadline(c.deadline) // fails only if the connection is closed
 	wasStopped := c.server.stopping.endReads(c.w)
 	size := limit + 1 // of the largest buffer; a read beyond the limit fails
 	if r.ContentLength > 0 {
@@ -367,10 +370,14 @@
 	case errors.As(err, &exceeded):
 		c.refuse(contract.Unavailable(contract.ReasonOverload, shortRetryAfter, "too many request bodies are in memory"))
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.refuse(contract.Unavailable(contract.ReasonDeadline, shortRetryAfter, "the body did not arrive in time"))
+		return false
 	case err != nil:
 		c.refuse(contract.Refuse(http.StatusBadRequest, contract.ReasonMalformed, "the body could not be read"))
 		return false
 	}
+	_ = reads.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	c.body = body
 	return true
 }
