Tunnel: a reset that a write to the endpoint gets is passed on as a reset

Cause: the kernel reports the reset of a connection once, to a read or to a write. Behind a tunnel, a write of the upload could get it; the read then found an end in good order, which went to the other instance as such. A part of a response without a length looked like the whole.

Change: once reads have found the end, the outcome of a write in progress is awaited, a second at most; if writes have failed, that is how the connection ended.

--- a/tunnel/broken_head_test.go
+++ b/tunnel/broken_head_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -128,3 +129,50 @@
 		assert.Check(t, !upstream.ClosedByPeer(err), "the endpoint has not closed it: %v", err)
 	}
 }
+
+// resetConn is a connection to an endpoint that is reset during a write, which gets the reset;
+// reads find the end of the connection in good order.
+type resetConn struct {
+	net.Conn
+	written, closed chan struct{}
+	head            io.Reader
+	once            sync.Once
+}
+
+// Write implements net.Conn.
+func (c *resetConn) Write([]byte) (int, error) {
+	close(c.written)
+	time.Sleep(5 * time.Millisecond)
+	return 0, syscall.ECONNRESET
+}
+
+// Read implements net.Conn.
+func (c *resetConn) Read(p []byte) (int, error) {
+	<-c.written
+	return c.head.Read(p)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *resetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Close implements net.Conn.
+func (c *resetConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// TestResetThatWriteGetsIsNoEnd guards against a part of a response that is taken for the whole
+// because a write behind the tunnel got the reset of the connection.
+func TestResetThatWriteGetsIsNoEnd(t *testing.T) {
+	server := wire.NewServer(nil)
+	tunnel.NewServer(func(context.Context, fleet.EndpointKey) (net.Conn, error) {
+		return &resetConn{written: make(chan struct{}), closed: make(chan struct{}), head: strings.NewReader("HTTP/1.1 200 OK\r\n\r\nhalf")}, nil
+	}).Register(server)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(t.Context(), l) }()
+	client := wire.NewClient(l.Addr().String(), nil, nil)
+	t.Cleanup(client.Close)
+	body, err := exchangeThroughTunnel(t, client)
+	assert.Check(t, err != nil, "whole: %q", body)
+}
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -1,11 +1,13 @@
 package tunnel
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -161,11 +163,12 @@
 		_ = send(&tunnelpb.Chunk{Leaving: true}) // fails if the stream has ended
 	})
 	defer stop()
+	upload := &upload{conn: conn}
 	go func() {
 		defer conn.Close() // also ends the other direction
 		var chunk tunnelpb.Chunk
 		for stream.Receive(&chunk) == nil {
-			if _, err := conn.Write(chunk.Data); err != nil {
+			if upload.write(chunk.Data) != nil {
 				return
 			}
 		}
@@ -175,7 +178,7 @@
 		n, err := conn.Read(buf)
 		chunk := &tunnelpb.Chunk{Data: buf[:n]}
 		if err != nil {
-			chunk.End = endOf(err)
+			chunk.End = endOf(cmp.Or(upload.end(), err))
 		}
 		if send(chunk) != nil || err != nil {
 			return
@@ -183,12 +186,41 @@
 	}
 }
 
+// upload writes to an endpoint what arrives for it.
+type upload struct {
+	conn net.Conn
+	mu   sync.Mutex // held during writes
+	err  error      // of the write that failed, nil if none has; guarded by mu
+}
+
+// write writes to the endpoint.
+func (u *upload) write(data []byte) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, u.err = u.conn.Write(data)
+	return u.err
+}
+
+// uploadEndTime is how long a write may go on after the endpoint has ended the connection.
+const uploadEndTime = time.Second
+
+// end returns the error of the write that failed, if one has, after reads have found the end of
+// the connection. The kernel reports the reset of a connection once, to a read or to a write.
+func (u *upload) end() error {
+	if !u.mu.TryLock() {
+		_ = u.conn.SetWriteDeadline(time.Now().Add(uploadEndTime)) // fails only if the connection is closed
+		u.mu.Lock()
+	}
+	defer u.mu.Unlock()
+	return u.err
+}
+
 // endOf returns how a connection ended that returned err from a read.
 func endOf(err error) tunnelpb.End {
 	switch {
 	case errors.Is(err, io.EOF):
 		return tunnelpb.End_END_CLOSED
-	case errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return tunnelpb.End_END_RESET
 	}
 	return tunnelpb.End_END_LOST
