Upstream: a status outside HTTP is no answer

Cause: statuses below 100 and malformed ones were rejected, those above 599 were passed on to callers, for whom HTTP gives them no meaning.

Change: a final response has a status from 200 to 599; others are unrelated responses, upon which the caller gets 502, or the request is sent again if it may be.

Evidence: TestStatusOutsideHTTPIsNoAnswer on: 600, 700 and 999 failed; 000, 001, 099, -20, 20, 2xx and 0200 gave 502.

Result: all ten forms give 502 without the endpoint's stamp.

--- a/upstream/head_reader.go
+++ b/upstream/head_reader.go
@@ -65,6 +65,9 @@
 	return r.end
 }
 
+// maxStatus is the highest status that HTTP has.
+const maxStatus = 599
+
 // statusLine matches the status line of a response.
 var statusLine = regexp.MustCompile(`HTTP/1\.\d \d{3}`)
 
@@ -81,9 +84,9 @@
 			return nil, c.head.breakOffError(err)
 		case joinsHeads(res):
 			return nil, &UnrelatedResponseError{Detail: joinedDetail}
-		case res.StatusCode >= http.StatusOK:
+		case res.StatusCode >= http.StatusOK && res.StatusCode <= maxStatus:
 			return res, nil
-		case res.StatusCode == http.StatusSwitchingProtocols || res.StatusCode < http.StatusContinue:
+		case res.StatusCode == http.StatusSwitchingProtocols || res.StatusCode < http.StatusContinue || res.StatusCode > maxStatus:
 			return nil, &UnrelatedResponseError{Detail: "its status is " + strconv.Itoa(res.StatusCode)}
 		}
 	}
