Upstream: a response that is reset during the upload is not whole

Callers got a part of an answer as a complete one: an endpoint answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was being written. Reported by another operator; it happened here, too.

Cause: the kernel reports the reset of a connection once, to a read or to a write. The goroutine that wrote the upload got it and dropped it, and the read of the response found an end in good order. The look at the endpoint's process found it alive.

Change: when a response without length or chunks ends, the outcome of the upload is awaited, a second at most. If not all of it was written, the read fails with an UploadError, and the attempt is lost like one whose connection broke.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -45,6 +45,8 @@
 	raw            *http.Response
 	memory         membudget.Hold // for the head
 	requestWritten atomic.Bool    // the whole request was written
+	upload         chan struct{}  // closed once the body of the request is written or uploadErr is set; nil for a body that was written before the response was read
+	uploadErr      error          // valid after upload is closed
 	bodyRead       bool           // Body was read to its end
 }
 
@@ -94,21 +96,65 @@
 	if _, err := r.conn.Write(q.Head); err != nil {
 		return err
 	}
+	r.upload = make(chan struct{})
 	go func() {
-		if _, err := r.conn.Write(q.Body); err == nil {
+		defer close(r.upload)
+		if _, r.uploadErr = r.conn.Write(q.Body); r.uploadErr == nil {
 			r.requestWritten.Store(true)
 		}
-		// A write error needs no handling here: reading the response fails as well.
 	}()
 	return nil
 }
 
+// uploadEndTime is how long the upload of a request may go on after the response has ended with
+// the connection. The endpoint reads nothing more then, unless it has closed its direction alone.
+const uploadEndTime = time.Second
+
+// UploadError reports a response that has ended with its connection while the request was being
+// sent. It may have broken off.
+type UploadError struct{ Err error } // nil if the upload went on
+
+// Error implements error.
+func (e *UploadError) Error() string {
+	if e.Err == nil {
+		return "the connection ended during the upload"
+	}
+	return "the connection ended during the upload: " + e.Err.Error()
+}
+
+// Unwrap returns the error of the upload.
+func (e *UploadError) Unwrap() error { return e.Err }
+
+// checkUpload returns an *UploadError unless the whole request was sent. The kernel reports the
+// reset of a connection once. If a write gets it, reads find an end in good order.
+func (r *Response) checkUpload() error {
+	if r.upload == nil {
+		return nil
+	}
+	timeout := time.NewTimer(uploadEndTime)
+	defer timeout.Stop()
+	select {
+	case <-r.upload:
+	case <-timeout.C:
+		return &UploadError{}
+	}
+	if r.uploadErr != nil {
+		return &UploadError{Err: r.uploadErr}
+	}
+	return nil
+}
+
 // bodyReader reads the body of a Response and records when the end is reached.
 type bodyReader struct{ r *Response }
 
 // Read implements io.Reader.
 func (b bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.raw.Body.Read(p)
+	if err == io.EOF && b.r.Unframed {
+		if uploadErr := b.r.checkUpload(); uploadErr != nil {
+			return n, uploadErr
+		}
+	}
 	if err == io.EOF {
 		b.r.bodyRead = true
 	}
