Drainlistener: a connection with a part of a head makes room last

A connection whose head has just been read to its end could be chosen to make room for a new one before the server called it active, and its request would then have been passed on without an answer. One of which something has been read, or has arrived, is chosen now only if no other waits. The refusal of a head says "Retry-After: 1", a whole number, as HTTP has it.

--- a/internal/drainlistener/conns.go
+++ b/internal/drainlistener/conns.go
@@ -43,24 +43,39 @@
 }
 
 // evict closes the connection that has waited longest for a request, and reports whether there was
-// one. The caller holds mu.
+// one. One of which a part of a head has been read goes only if there is no other: the rest may just
+// have arrived. The caller holds mu.
 func (l *Listener) evict() bool {
-	var oldest *conn
-	var since time.Time
-	for c := range l.conns {
-		if at, waits := c.waitsSince(); waits && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
-		}
+	victim := l.longestWaiting(false)
+	if victim == nil {
+		victim = l.longestWaiting(true)
 	}
-	if oldest == nil {
+	if victim == nil {
 		return false
 	}
-	delete(l.conns, oldest)
-	oldest.Close()
+	delete(l.conns, victim)
+	victim.Close()
 	metric.Counter("caller_connections_evicted_total").Inc(1)
 	return true
 }
 
+// longestWaiting returns the connection that has waited longest for a request, or for the rest of
+// one if begun is true; nil if there is none. The caller holds mu.
+func (l *Listener) longestWaiting(begun bool) *conn {
+	var longest *conn
+	var since time.Time
+	for c := range l.conns {
+		at, waits := c.waitsSince()
+		if !waits || c.hasRead.Load() != begun || longest != nil && !at.Before(since) {
+			continue
+		}
+		if begun || !c.hasUnread() {
+			longest, since = c, at
+		}
+	}
+	return longest
+}
+
 // waitsSince returns since when the connection has waited for a request, and whether it does.
 func (c *conn) waitsSince() (time.Time, bool) {
 	c.mu.Lock()
--- a/internal/drainlistener/limits.go
+++ b/internal/drainlistener/limits.go
@@ -32,7 +32,7 @@
 )
 
 // headRefusal answers a request whose head finds no memory. The request has not run.
-const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.3\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // refusalWriteTime bounds the write of headRefusal to a caller that does not read.
 const refusalWriteTime = 5 * time.Millisecond
--- a/internal/drainlistener/listener_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -196,12 +196,13 @@
 	busy, idle, fresh := accept(), accept(), accept()
 	busy.setState(http.StateActive, now.Add(-time.Hour))
 	idle.setState(http.StateIdle, now.Add(-time.Minute))
-	fresh.setState(http.StateNew, now)
+	fresh.setState(http.StateNew, now.Add(-2*time.Hour))
 	isClosed := func(c *conn) bool {
 		_ = c.SetReadDeadline(time.Now())
 		_, err := c.TCPConn.Read(make([]byte, 1))
 		return errors.Is(err, net.ErrClosed)
 	}
+	fresh.hasRead.Store(true) // a part of a head
 	next := accept()
 	assert.Check(t, isClosed(idle) && !isClosed(busy) && !isClosed(fresh) && !isClosed(next))
 	assert.Equal(t, len(l.list()), maxConns)
--- a/relay/event_sequence.go
+++ b/relay/event_sequence.go
@@ -208,10 +208,11 @@
 }
 
 // end returns an *EventOrderError if the end of the response can't be the end of the stream: an
-// event after a gap is still held, or it resumed a stream and brought no event after the last one, although an earlier run broke off
-// there. A run that begins before the last event and ends with it, or another endpoint that has
-// no further event, shows that there is none. A response that ends with its connection and is
-// empty shows nothing: the endpoint may have stopped after the head.
+// event after a gap is still held, or the response resumed a stream and brought no event after the
+// last one, although an earlier run broke off there. A run that begins before the last event and
+// ends with it, or another endpoint that has no further event, shows that there is none. A response
+// that ends with its connection and is empty shows nothing: the endpoint may have stopped after the
+// head.
 func (s *eventSequence) end() error {
 	if s.held >= 0 {
 		return &EventOrderError{fault: faultMissing, Last: s.last, Got: s.held}
