Wire: messages of the handshake are short

Cause: a peer that has not proved the shared key could announce a message of 4 MiB, for which memory was allocated at once and kept for three seconds. Found while looking for readers of first lines on related paths; the port is not open to callers.

Change: messages of the handshake have at most 1 KiB.

Evidence: TestHandshakeTakesNoLongMessage failed on the commit before (a time limit in place of a *FrameError).

Result: it passes.

--- a/wire/auth.go
+++ b/wire/auth.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	var ch wirepb.Challenge
-	if err := readFrame(conn, &ch); err != nil {
+	if err := readLimitedFrame(conn, &ch, maxHandshakeBytes); err != nil {
 		return err
 	}
 	if !hmac.Equal(ch.Proof, computeProof(key, roleAcceptor, nonce, ch.Nonce)) {
@@ -64,7 +64,7 @@
 	conn.SetDeadline(time.Now().Add(setupTimeout))
 	defer conn.SetDeadline(time.Time{})
 	var hello wirepb.Hello
-	if err := readFrame(conn, &hello); err != nil {
+	if err := readLimitedFrame(conn, &hello, maxHandshakeBytes); err != nil {
 		return err
 	}
 	if len(hello.Nonce) != nonceBytes {
@@ -76,7 +76,7 @@
 		return err
 	}
 	var p wirepb.Proof
-	if err := readFrame(conn, &p); err != nil {
+	if err := readLimitedFrame(conn, &p, maxHandshakeBytes); err != nil {
 		return err
 	}
 	if !hmac.Equal(p.Proof, computeProof(key, roleDialler, hello.Nonce, nonce)) {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -30,23 +30,30 @@
 	return err
 }
 
+// maxHandshakeBytes is the maximum length of a message of the handshake, whose sender has yet to
+// prove that it holds the shared key.
+const maxHandshakeBytes = 1 << 10
+
 // readFrame reads a length-prefixed message from r into m. It returns a
 // *FrameError if the message is longer than MaxFrameBytes or can't be decoded.
-func readFrame(r io.Reader, m proto.Message) error {
+func readFrame(r io.Reader, m proto.Message) error { return readLimitedFrame(r, m, MaxFrameBytes) }
+
+// readLimitedFrame is like readFrame, for messages of at most limit bytes.
+func readLimitedFrame(r io.Reader, m proto.Message, limit uint64) error {
 	var header [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
 	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > MaxFrameBytes {
-		return &FrameError{Size: uint64(size), Err: &FrameSizeError{Limit: MaxFrameBytes}}
+	size := uint64(binary.BigEndian.Uint32(header[:]))
+	if size > limit {
+		return &FrameError{Size: size, Err: &FrameSizeError{Limit: limit}}
 	}
 	buf := make([]byte, size)
 	if _, err := io.ReadFull(r, buf); err != nil {
 		return err
 	}
 	if err := proto.Unmarshal(buf, m); err != nil {
-		return &FrameError{Size: uint64(size), Err: err}
+		return &FrameError{Size: size, Err: err}
 	}
 	return nil
 }
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,16 @@
 	assert.Assert(t, errors.As(err, &frame))
 }
 
+// TestHandshakeTakesNoLongMessage guards against memory for a long message of a peer that has not
+// proved that it holds the shared key.
+func TestHandshakeTakesNoLongMessage(t *testing.T) {
+	accepting, peer := net.Pipe()
+	go func() { _, _ = peer.Write([]byte{0, 1, 0, 0}) }() // the length of a message of 64 KiB, of which nothing follows
+	var frame *FrameError
+	err := authAccept(accepting, nil)
+	assert.Check(t, errors.As(err, &frame), "%v", err)
+}
+
 // FuzzReadFrame passes arbitrary bytes to readFrame, as a peer might send them. A
 // message that it accepts must be the same after it is written and read again.
 func FuzzReadFrame(f *testing.F) {
