Relay: a connection that waits for a body may make room for another

Ordinary callers were shut out by a crowd that kept the bodies of its requests back on all connections, until the deadlines of these requests, and longer if the requests were refused: net/http reads the rest of a body before it sends a refusal, without a time limit. At the port for readiness checks, 64 such connections made the instance look not ready.

Cause: to the listener, a request whose body has not arrived was one in progress, and the time for bodies began only once a request had been accepted.

Change: the relay tells the connection that the request waits for its body; such a connection makes room for a new one if no idle one does. A request that is refused without its body waits a second for it, the deadline is set before the request is looked at. Readiness checks and metrics are answered without their bodies.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -293,6 +293,16 @@
 	maxProbeHeaderBytes = 4 << 10
 )
 
+// withoutBody answers requests without waiting for their bodies, which net/http would read first.
+func withoutBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only if the connection is closed
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // serveProbes serves readiness checks or metrics at an address until ctx ends.
 func (g *Gateway) serveProbes(ctx context.Context, group *errgroup.Group, address string, h http.Handler) error {
 	l, err := drainlistener.Listen("tcp4", address)
@@ -301,7 +311,7 @@
 	}
 	l.SetLimits(drainlistener.Limits{MaxConns: maxProbeConns, Heads: g.opts.Callers.Heads})
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes, ConnState: l.RecordState,
+		Handler: withoutBody(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes, ConnState: l.RecordState,
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	group.Go(func() error { return ignoreClosed(s.Serve(l)) })
--- a/internal/drainlistener/conns.go
+++ b/internal/drainlistener/conns.go
@@ -26,8 +26,16 @@
 	return int(min(limit.Cur, 1<<20))
 }
 
+// AwaitBody records whether the request that is in progress waits for more of its body, so that
+// nothing has been done for it.
+func (c *conn) AwaitBody(waits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitsBody = waits
+}
+
 // admit adds a connection, and closes another one if there are too many. It reports false if there
-// is none that may be closed, because requests are in progress on all of them.
+// is none that may be closed, because whole requests are in progress on all of them.
 //
 // Load pattern: callers open connections without end and keep them, so that the process runs out
 // of descriptors, and ordinary callers find none.
@@ -43,8 +51,8 @@
 }
 
 // evict closes the connection that has waited longest for a request, and reports whether there was
-// one. One of which a part of a head has been read goes only if there is no other: the rest may just
-// have arrived. The caller holds mu.
+// one. One of which a part of a request has been read goes only if there is no other: the rest may
+// just have arrived. The caller holds mu.
 func (l *Listener) evict() bool {
 	victim := l.longestWaiting(false)
 	if victim == nil {
@@ -60,7 +68,7 @@
 }
 
 // longestWaiting returns the connection that has waited longest for a request, or for the rest of
-// one if begun is true; nil if there is none. The caller holds mu.
+// its head or body if begun is true; nil if there is none. The caller holds mu.
 func (l *Listener) longestWaiting(begun bool) *conn {
 	var longest *conn
 	var since time.Time
@@ -80,5 +88,5 @@
 func (c *conn) waitsSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since, c.awaitsRequest()
+	return c.since, c.awaitsRequest() || c.awaitsBody
 }
--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -69,8 +69,9 @@
 	since    time.Time      // of the state; guarded by mu
 	retiring bool           // the wait for a request was ended by retire; guarded by mu
 
-	head      membudget.Hold // of the request that arrives or is in progress; guarded by mu
-	headBytes int64          // memory that it needs; guarded by mu
+	head       membudget.Hold // of the request that arrives or is in progress; guarded by mu
+	headBytes  int64          // memory that it needs; guarded by mu
+	awaitsBody bool           // the request in progress waits for its body; guarded by mu
 }
 
 // Listen announces on a TCP address; network is one of those of net.ListenTCP.
@@ -252,7 +253,7 @@
 func (c *conn) setState(state http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = state, now
+	c.state, c.since, c.awaitsBody = state, now, false
 	c.countState(state)
 	if state == http.StateIdle {
 		c.hasRead.Store(false)
--- a/processtest/outside_limits_test.go
+++ b/processtest/outside_limits_test.go
@@ -181,10 +181,16 @@
 		maxFDs  = 180
 		members = 300
 	)
-	for _, c := range []struct{ name, sent string }{
-		{"nothing is sent", ""},
-		{"a part of a head", "POST /x/1 HTTP/1.1\r\nHost: h\r\n"},
-		{"a request, and nothing more", requestHead + "Content-Length: 2\r\n\r\n{}"},
+	for _, c := range []struct {
+		name, sent string
+		toReady    bool // sent to the port for readiness checks
+	}{
+		{"nothing is sent", "", false},
+		{"a part of a head", "POST /x/1 HTTP/1.1\r\nHost: h\r\n", false},
+		{"a request, and nothing more", requestHead + "Content-Length: 2\r\n\r\n{}", false},
+		{"a request without its body", requestHead + "Content-Length: 2\r\n\r\n", false},
+		{"a request without a token and without its body", "POST /x/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-1\r\nContent-Length: 2\r\n\r\n", false},
+		{"a readiness check without its body", readyHead + "Content-Length: 2\r\n\r\n", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newGatewayDeployment(t)
@@ -192,7 +198,11 @@
 			g := d.startGateway("front-1")
 			limit := unix.Rlimit{Cur: maxFDs, Max: maxFDs}
 			assert.NilError(t, unix.Prlimit(g.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
-			startCrowd(t, g.frontAddr, members, []byte(c.sent))
+			address := g.frontAddr
+			if c.toReady {
+				address = g.readyAddr
+			}
+			startCrowd(t, address, members, []byte(c.sent))
 			// Another instance connects to this one.
 			peer, err := net.DialTimeout("tcp4", g.peerAddr, waitTimeout)
 			assert.NilError(t, err)
@@ -204,6 +214,7 @@
 			assert.Check(t, open < maxFDs, "%d of %d", open, maxFDs)
 			http.DefaultClient.CloseIdleConnections()
 			g.checkServes(t, "beside the crowd")
+			assert.Check(t, g.isReady(), "beside the crowd")
 		})
 	}
 }
--- a/relay/caller_conn.go
+++ b/relay/caller_conn.go
@@ -34,6 +34,17 @@
 	return c
 }
 
+// awaitBody records whether a request on the connection, which may be nil, waits for its body: until
+// it is there, the connection may be closed for want of connections.
+func (c *callerConn) awaitBody(waits bool) {
+	if c == nil {
+		return
+	}
+	if l, ok := c.Conn.(interface{ AwaitBody(bool) }); ok {
+		l.AwaitBody(waits)
+	}
+}
+
 // lateArrival describes a request that has arrived after the instance began to stop.
 type lateArrival struct {
 	afterStop  time.Duration // since the stop began
--- a/relay/late_body_test.go
+++ b/relay/late_body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -32,3 +33,19 @@
 	time.Sleep(400 * time.Millisecond)
 	assert.Equal(t, b.send("/once/1", "Attempt-Id", "a3").status, http.StatusOK)
 }
+
+// TestRefusalDoesNotWaitForBody guards against callers that hold connections for as long as they
+// like by keeping back the bodies of requests that are refused anyway.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	b := newTestBed(t)
+	c, err := net.Dial("tcp4", b.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	fmt.Fprintf(c, "POST /once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nContent-Length: 10\r\n\r\nhalf")
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusUnauthorized)
+	_, err = io.Copy(io.Discard, c)
+	assert.NilError(t, err, "the connection is not closed")
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -163,6 +163,7 @@
 	defer s.activeRequests.Done()
 	c := &callerRequest{server: s, w: w, conn: callerConnOf(r.Context()), arrivedAt: time.Now(), sequence: newEventSequence(-1)}
 	c.recordArrival()
+	c.limitBody(r)
 	if !r.ProtoAtLeast(1, 1) {
 		c.beforeAbort = func() { resetCallerConn(r.Context()) }
 	}
@@ -186,6 +187,19 @@
 	c.serve(r.Context())
 }
 
+// unreadBodyTime is how long the body of a request that is refused without it may take. net/http
+// reads it before it sends the refusal, so that the caller gets that.
+const unreadBodyTime = time.Second
+
+// limitBody limits the time for the body of a request until readBody does.
+func (c *callerRequest) limitBody(r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	c.conn.awaitBody(true)
+	_ = http.NewResponseController(c.w).SetReadDeadline(c.arrivedAt.Add(unreadBodyTime)) // fails only if the connection is closed
+}
+
 // recordArrival records that the request has arrived on its connection.
 func (c *callerRequest) recordArrival() {
 	if c.conn != nil {
@@ -378,6 +392,7 @@
 		return false
 	}
 	_ = reads.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	c.conn.awaitBody(false)
 	c.body = body
 	return true
 }
