--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -1,5 +1,5 @@
-// Package drainlistener accepts the connections of callers and ends them without losing a request
-// when an instance stops.
+// Package drainlistener accepts the connections of callers, bounds what they can make a process
+// hold, and ends them without losing a request when an instance stops.
 package drainlistener
 
 import (
@@ -42,7 +42,7 @@
 
 // Listener accepts callers' connections and tracks them until they are closed.
 //
-// See docs/design/stopping.md. http.Server.Shutdown is not used for them. It closes a request
+// See docs/design/stopping.md, and docs/design/callers-outside-limits.md for the limits. http.Server.Shutdown is not used for them. It closes a request
 // that it reads after the shutdown began without a response, and idle connections also if a
 // request has arrived on them that no goroutine has read yet.
 type Listener struct {
