--- a/relay/caller_conn.go
+++ b/relay/caller_conn.go
@@ -34,8 +34,8 @@
 	return c
 }
 
-// awaitBody records whether a request on the connection, which may be nil, waits for its body: until
-// it is there, the connection may be closed for want of connections.
+// awaitBody records whether the request in progress still waits for its body, so that its connection
+// may be closed to make room for another one. The connection may be nil.
 func (c *callerConn) awaitBody(waits bool) {
 	if c == nil {
 		return
--- a/relay/event_numbering.go
+++ b/relay/event_numbering.go
@@ -19,8 +19,8 @@
 	skipping    int // responses with one
 }
 
-// numberingKnown is what is known of how a software version numbers events. Neither holds before there is
-// evidence.
+// numberingKnown is what is known of how a software version numbers events. Neither holds before
+// there is evidence.
 type numberingKnown struct {
 	consecutive bool // hardly any response leaves out numbers
 	skipping    bool // many responses do
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -78,8 +78,8 @@
 	return nil
 }
 
-// serviceOf returns the service with endpoints of a software version, and whether it is one that
-// the route leads to. A version belongs to one service.
+// serviceOf returns the service of a software version, which belongs to one service only, and
+// whether the route leads there and the service has a listed endpoint of the version.
 func (e *Endpoints) serviceOf(r *fleet.Route, version origin.Version) (string, bool) {
 	s := e.view.Snapshot()
 	for _, share := range r.Shares {
--- a/relay/server.go
+++ b/relay/server.go
@@ -187,11 +187,12 @@
 	c.serve(r.Context())
 }
 
-// unreadBodyTime is how long the body of a request that is refused without it may take. net/http
-// reads it before it sends the refusal, so that the caller gets that.
+// unreadBodyTime bounds the wait for the body of a request that is refused before it is read:
+// net/http reads what is left of a body before it sends the response.
 const unreadBodyTime = time.Second
 
-// limitBody limits the time for the body of a request until readBody does.
+// limitBody limits the time for the body of a request that is refused early. For others, readBody
+// sets the limit anew.
 func (c *callerRequest) limitBody(r *http.Request) {
 	if r.ContentLength == 0 {
 		return
