Stand-in engine: cached parts, modes of orders, preemption

The engine played no cache of prompt parts, and it refused copies that were made under other weights, which the platform does not promise. A run on cached memory of another version could therefore not be seen by any test.

It carries out orders in all three modes and refuses waiting requests from the acceptance on. Preempt makes streams read their prompt again.

--- a/internal/standin/fleetworker/move.go
+++ b/internal/standin/fleetworker/move.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -45,33 +46,46 @@
 	copiedRun
 	cancel  context.CancelFunc
 	closed  chan struct{} // closed when the stream has ended
-	copying bool          // a call to move it is in progress
+	prompt  prompt
+	copying bool // a call to move it is in progress
 	stopped bool
-	handle  string // of its copy, empty before the first
-	index   int    // in the runs of the Server
+	cut     bool // an order has ended it
+	// preempted says that its prompt is to be read again before its next event.
+	preempted bool
+	handle    string // of its copy, empty before the first
+	index     int    // in the runs of the Server
 }
 
 // copiedRun is what continues a run elsewhere.
 type copiedRun struct {
-	Attempt string
-	Path    string
-	Weights int64
-	Events  int // generated so far
-	Used    bool
+	Attempt   string
+	Path      string
+	Memory    []CachedPart // of the prompt, by the number of the part
+	Generated []int64      // versions of the weights under which its events were made
+	Events    int          // generated so far
+	Used      bool
+}
+
+// copied returns a copy of the run. The caller holds the mutex of Server.
+func (run *liveRun) copied() copiedRun {
+	c := run.copiedRun
+	c.Memory, c.Generated = slices.Clone(c.Memory), slices.Clone(c.Generated)
+	return c
 }
 
 // beginStream records a stream that the endpoint is about to send, under the context of the
 // returned request. The caller must call endStream.
 func (s *Server) beginStream(r *http.Request) (*http.Request, *liveRun) {
 	ctx, cancel := context.WithCancel(r.Context())
-	run := &liveRun{cancel: cancel, closed: make(chan struct{})}
-	run.copiedRun = copiedRun{Attempt: r.Header.Get(headerAttempt), Path: r.URL.Path, Weights: s.WeightsVersion()}
+	run := &liveRun{cancel: cancel, closed: make(chan struct{}), prompt: parsePrompt(r)}
+	run.copiedRun = copiedRun{Attempt: r.Header.Get(headerAttempt), Path: r.URL.Path, Memory: make([]CachedPart, len(run.prompt.parts))}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run.index = len(s.runs) - 1
 	for run.index > 0 && s.runs[run.index].Attempt != run.Attempt {
 		run.index--
 	}
+	s.takeCopiedMemory(run, r.Header.Get(headerFrom))
 	s.live[run.Attempt] = run
 	return r.WithContext(ctx), run
 }
@@ -81,6 +95,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run.Events = id + 1
+	if !slices.Contains(run.Generated, s.weightsVersion) {
+		run.Generated = append(run.Generated, s.weightsVersion)
+	}
 	if first := &s.runs[run.index]; first.FirstEventAt.IsZero() {
 		first.FirstEventAt, first.FirstEventWeights = time.Now(), s.weightsVersion
 	}
@@ -123,7 +140,7 @@
 		<-run.closed
 	}
 	s.mu.Lock()
-	copied, first, handle, fault := run.copiedRun, run.handle == "", run.handle, s.moveFault
+	copied, first, handle, fault := run.copied(), run.handle == "", run.handle, s.moveFault
 	if first {
 		s.handles++
 		handle = fmt.Sprintf("%s.%d", s.options.ID, s.handles)
@@ -264,7 +281,7 @@
 
 // refuseIfCopyGone refuses a request that continues a run whose copy the endpoint does not
 // have, or which was used or is not of the request. It reports whether it did. It uses the
-// copy otherwise.
+// copy otherwise, whatever weights the copy was made under.
 func (s *Server) refuseIfCopyGone(w http.ResponseWriter, r *http.Request) bool {
 	source, handle, ok := strings.Cut(r.Header.Get(headerFrom), "/")
 	if !ok {
@@ -272,7 +289,7 @@
 	}
 	s.mu.Lock()
 	c := s.copies[handle]
-	usable := c != nil && !c.Used && c.Attempt == r.Header.Get(headerAttempt) && c.Path == r.URL.Path && c.Weights == s.weightsVersion
+	usable := c != nil && !c.Used && c.Attempt == r.Header.Get(headerAttempt) && c.Path == r.URL.Path
 	if s.moveFault == MoveCopiesGone && !s.isOwn(handle) {
 		delete(s.copies, handle)
 		usable = false
--- a/internal/standin/fleetworker/order.go
+++ b/internal/standin/fleetworker/order.go
@@ -22,18 +22,16 @@
 	}
 	body := map[string]any{
 		"runs":  runs,
-		"stage": "prefill_decode", "sequence": visibleOrders, "busy": time.Now().Before(s.loadingUntil),
+		"stage": "prefill_decode", "sequence": visibleOrders, "busy": isClosed(s.ordered),
 		"models":  []any{map[string]any{"name": s.options.Model, "version": s.weightsVersion, "adapters": []any{}}},
 		"running": len(s.slots), "waiting": max(len(s.admitted)-len(s.slots), 0), "born": s.startTime.UnixMilli(),
+		"kv_used": s.parts.tokens, "kv_total": s.parts.capacity, "clock_ms": clockMillis(),
 	}
 	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	// An error means that the client has disconnected and can't be told.
-	_ = json.NewEncoder(w).Encode(body)
+	writeJSON(w, body)
 }
 
-// serveOrder handles an order to load weights. Requests that are running go on
-// under the new version.
+// serveOrder handles an order to load weights.
 func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
@@ -88,27 +86,69 @@
 	return true
 }
 
+// The modes of orders, which say what becomes of the requests that run.
+const (
+	modeWait = "wait" // they end before the load begins
+	modeCut  = "cut"  // their streams are reset
+	modeKeep = "keep" // they go on, under the new version once it is loaded
+)
+
 // acceptOrder accepts or refuses an order and returns the HTTP status of the
-// answer. It answers 409 Conflict while weights load and if the number of orders
+// answer. It answers 409 Conflict while an order is in progress and if the number of orders
 // accepted isn't the expected one.
 func (s *Server) acceptOrder(o Order) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	switch {
-	case o.Expected != nil && *o.Expected != int64(len(s.orders)), now.Before(s.loadingUntil):
+	case o.Expected != nil && *o.Expected != int64(len(s.orders)), isClosed(s.ordered):
 		return http.StatusConflict
-	case o.Model != s.options.Model:
+	case o.Model != s.options.Model, o.Mode != modeWait && o.Mode != modeCut && o.Mode != modeKeep:
 		return http.StatusBadRequest
 	case o.Version == s.weightsVersion:
 		return http.StatusOK
 	}
 	s.orders = append(s.orders, o)
-	s.loadingUntil = now.Add(s.options.LoadTime)
+	close(s.ordered)
+	switch o.Mode {
+	case modeWait:
+		s.waiting = &o
+		s.loadIfRunsEnded()
+	case modeCut:
+		for _, run := range s.live {
+			run.cut = true
+			run.cancel()
+		}
+		s.load(o)
+	default:
+		s.load(o)
+	}
+	return http.StatusAccepted
+}
+
+// loadIfRunsEnded begins the load of an order that waits for the runs if none is left. The caller
+// holds mu.
+func (s *Server) loadIfRunsEnded() {
+	if o := s.waiting; o != nil && len(s.slots) == 0 {
+		s.waiting = nil
+		s.load(*o)
+	}
+}
+
+// load loads the weights of an order, which takes LoadTime, and discards the cached parts. The
+// caller holds mu.
+func (s *Server) load(o Order) {
 	time.AfterFunc(s.options.LoadTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.weightsVersion = o.Version
+		s.parts.clear()
+		s.ordered = make(chan struct{})
 	})
-	return http.StatusAccepted
+}
+
+// isCut reports whether an order has ended a run.
+func (s *Server) isCut(run *liveRun) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return run.cut
 }
