--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"redwingknot/internal/standin/fleetworker"
 )
@@ -195,7 +196,12 @@
 		"a valid call denied": {ValidCallDenied, func(f *checkFixture) { f.addCall("a", callOpen, 0, http.StatusNotFound, nil) }},
 		"a lower fencing token after a higher": {TwoHolders, func(f *checkFixture) {
 			f.addOrder("front-1", `{"holder":"front-1","fencing_token":5,"model":"m","version":2,"mode":"keep"}`)
-			time.Sleep(weightsLoadTime + 10*time.Millisecond)
+			poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+				if f.endpoints[0].running().worker.WeightsVersion() == 2 {
+					return poll.Success()
+				}
+				return poll.Continue("the weights are not loaded")
+			}, poll.WithDelay(weightsLoadTime/10))
 			f.addOrder("front-2", `{"holder":"front-2","fencing_token":4,"model":"m","version":3,"mode":"keep"}`)
 		}},
 		"a revoked token accepted": {RevokedTokenAccepted, func(f *checkFixture) {
