Relay: log lines name the sources and targets of cached parts

Cause: a request's line said whether parts of its prompt were fetched, but not from where, nor which weights the source was known to have, and an order's line not how many runs go on at the engine. Whether memory of other weights came from an engine or from a store could not be told from the logs. Change: the attributes fetches and saves list an address for each shared part, with the version that an engine is known to have; load-order-sent has the number of running requests.

--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -163,7 +163,7 @@
 func (g *Gateway) sendOrder(ctx context.Context, o rollout.Order, fencingToken int64) rollout.Result {
 	attrs := []slog.Attr{
 		slog.String("endpoint", o.Endpoint.ID), slog.String("model", o.Model), slog.Int64("version", o.Version),
-		slog.Int64("fence", fencingToken),
+		slog.Int64("fence", fencingToken), slog.Int("running", g.runningAt(o.Endpoint)),
 	}
 	state, err := g.endpointState(ctx, o.Endpoint)
 	if err != nil {
--- a/relay/caller_request.go
+++ b/relay/caller_request.go
@@ -54,6 +54,7 @@
 	sequence           eventSequence     // of the events that the caller gets
 	timeToFirstData    time.Duration     // from the arrival of the request until response data was ready for the caller
 	cachePlan          string            // where the parts of the prompt come from, for the log; see pick.cachePlan
+	fetches, saves     string            // addresses that they are fetched from and saved to, for the log; see pick.transfers
 	move               *runMove          // move of the present run, nil without one
 	moved              bool              // the run has moved once; all further attempts use new connections
 	lastEndpoint       *fleet.Endpoint   // endpoint of the latest attempt
--- a/relay/partition.go
+++ b/relay/partition.go
@@ -27,7 +27,7 @@
 // fetched from and saved to.
 func (c *callerRequest) planCache(p *pick, d *Dispatch) {
 	cache := c.server.opts.Cache
-	c.cachePlan = p.cachePlan()
+	c.cachePlan, c.fetches, c.saves = p.cachePlan(), "", ""
 	if cache == nil || len(p.parts) == 0 {
 		return
 	}
@@ -45,4 +45,10 @@
 		}
 		d.SaveAddresses[i] = to
 	}
+	if d.FetchAddresses != nil {
+		c.fetches = p.transfers(d.FetchAddresses)
+	}
+	if d.SaveAddresses != nil {
+		c.saves = p.transfers(d.SaveAddresses)
+	}
 }
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,10 +66,10 @@
 	return d.Sum64()
 }
 
-// findSources sets cheapestFetch of each part. Its source is a store that reports
+// findSources sets cheapestFetch of each part of a prompt for model. Its source is a store that reports
 // the part, or an endpoint of list that is believed to hold it in memory, unless
 // fetches from there are late.
-func (e *Endpoints) findSources(parts []sharedPart, list []*endpoint, rates transferRates, now time.Time) {
+func (e *Endpoints) findSources(model string, parts []sharedPart, list []*endpoint, rates transferRates, now time.Time) {
 	for i := range parts {
 		p := &parts[i]
 		if e.cache != nil {
@@ -76,7 +78,9 @@
 			}
 		}
 		if ep := e.cheapestHolder(p, list, &rates, now); ep != nil {
-			p.useIfCheaper(ep.estimateFetch(&rates, p.sized.Tokens, now))
+			estimate := ep.estimateFetch(&rates, p.sized.Tokens, now)
+			estimate.weights = ep.weightsVersion(model)
+			p.useIfCheaper(estimate)
 		}
 	}
 }
@@ -173,7 +177,7 @@
 		if named == nil {
 			named = b.addVersion(version)
 			named.parts = appendSharedParts(named.parts, q.prompt, e.partition(q.prompt.Model, version, q.team))
-			e.findSources(named.parts, list, rates, now)
+			e.findSources(q.prompt.Model, named.parts, list, rates, now)
 		}
 		load := e.totalLoad(ep)
 		plans[i] = bestPrefillPlan(ep, named.parts, q.prompt)
@@ -250,6 +254,27 @@
 	return string(plan)
 }
 
+// transfers returns, for the log, what each shared part is fetched from and saved to: the address
+// and, after an @, the version of the weights that an engine is known to have.
+func (p *pick) transfers(addresses []string) string {
+	var b strings.Builder
+	for i := range p.parts {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		if i >= len(addresses) || addresses[i] == "" {
+			b.WriteByte('-')
+			continue
+		}
+		b.WriteString(addresses[i])
+		if fetch := &p.parts[i].cheapestFetch; fetch.address == addresses[i] && fetch.weights != 0 {
+			b.WriteByte('@')
+			b.WriteString(strconv.FormatInt(fetch.weights, 10))
+		}
+	}
+	return b.String()
+}
+
 // recordPlacement records that the prompt's shared parts are in the endpoint's
 // memory from now on, and reports this to the other instances.
 func (e *Endpoints) recordPlacement(p *pick) {
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -44,7 +44,7 @@
 func TestSharedPartIsFetchedFromStore(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e, parts, list := newCacheTestEndpoints(now)
-	e.findSources(parts, list, transferRates{}, now)
+	e.findSources("m", parts, list, transferRates{}, now)
 	assert.Equal(t, parts[0].cheapestFetch.address, storeAddress)
 	assert.Equal(t, bestPrefillPlan(list[0], parts, cachedPrompt).cachedParts, 1)
 }
@@ -58,11 +58,11 @@
 	for range 3 {
 		e.source(storeAddress).slowness.ObserveSparse(10, now)
 	}
-	e.findSources(parts, list, transferRates{}, now)
+	e.findSources("m", parts, list, transferRates{}, now)
 	assert.Equal(t, bestPrefillPlan(list[0], parts, cachedPrompt).cachedParts, 0)
 	list[1].residentParts.Use(parts[0].hash, 9000)
 	parts[0].cheapestFetch = fetchEstimate{}
-	e.findSources(parts, list, transferRates{}, now)
+	e.findSources("m", parts, list, transferRates{}, now)
 	assert.Equal(t, parts[0].cheapestFetch.address, "b:1")
 	assert.Equal(t, bestPrefillPlan(list[0], parts, cachedPrompt).cachedParts, 1)
 	p := &pick{endpoint: list[1], spec: list[1].spec, parts: parts}
@@ -95,7 +95,7 @@
 	}
 	e.cache.ApplyUpdate(storeAddress, update, now)
 	parts := splitSharedParts(prompt, name)
-	e.findSources(parts, list, transferRates{}, now)
+	e.findSources("m", parts, list, transferRates{}, now)
 	assert.Check(t, parts[0].cheapestFetch.costAt("") > prefillCostWeight*parts[0].sized.Tokens)
 	best := bestPrefillPlan(list[0], parts, prompt)
 	assert.Equal(t, best.cachedParts, 2)
@@ -166,7 +166,7 @@
 		for i := range parts {
 			parts[i].cheapestFetch = fetchEstimate{}
 		}
-		e.findSources(parts, list, transferRates{}, now)
+		e.findSources("m", parts, list, transferRates{}, now)
 		return parts[0].cheapestFetch.address
 	}
 	e.otherLoads.SetReport("a", map[uint64]peers.Load{place.Hash(storeAddress): {Unreachable: 1}}, now)
--- a/relay/server.go
+++ b/relay/server.go
@@ -446,6 +446,12 @@
 	if c.lastWeights != 0 {
 		attrs = append(attrs, slog.Int64("weights", c.lastWeights))
 	}
+	if c.fetches != "" {
+		attrs = append(attrs, slog.String("fetches", c.fetches))
+	}
+	if c.saves != "" {
+		attrs = append(attrs, slog.String("saves", c.saves))
+	}
 	if c.lastErr != nil {
 		attrs = append(attrs, slog.String("cause", c.lastErr.Error()))
 	}
