Serve, Engine: a request runs only on the adapter it is named after

Seen by callers: while the leader replaces an adapter, an instance that does not know of it yet sends requests to engines that have the new adapter version. The answer is made with another version than the configuration in force at that instance, from KV cache blocks of the former version, and the blocks computed there are exported under the former version's keys, so that engines that still have it read them.

Cause: block keys contain weight version and adapter version, but an attempt demanded only the weight version of the engine, and only that was compared in the answer. The adapter was checked against the last report alone, which lags by seconds.

Change: engine.Weights is the weight version with the adapter. An attempt demands both (X-Adapter beside X-Weight-Version), the answer names both, and the assembler keeps to both for resumed answers. An engine that does not name the adapter counts as one with other weights. The stand-in engine records with which weights each cached block was computed, also through stores, counts blocks that requests use under others, and can preempt its runs; it checks the adapter only if a request demands one.

Why it works: the engine compares at the moment of admission, as it did for the weight version, so that no age of a report matters.

--- a/engine/client.go
+++ b/engine/client.go
@@ -18,6 +18,7 @@
 const (
 	HeaderAttemptID     = "X-Attempt-Id"     // ID of one attempt; the engine repeats it in every frame
 	HeaderWeightVersion = "X-Weight-Version" // wanted weight version; the engine refuses the request if it has loaded another
+	HeaderAdapter       = "X-Adapter"        // wanted adapter as name@version, absent for none; the engine refuses the request if it does not have it
 	HeaderBlockKeys     = "X-Block-Keys"     // block keys of the full pieces of the prompt, separated by commas
 	HeaderPriority      = "X-Priority"       // requests with a larger number run first
 	HeaderResumeOffset  = "X-Resume-Offset"  // number of tokens that the caller already has
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -21,12 +21,12 @@
 
 // GenerateRequest is the request of one attempt to generate an answer.
 type GenerateRequest struct {
-	AttemptID     string
-	WeightVersion string   // weight version that has to generate the answer
-	BlockKeys     []string // block keys of the full pieces of the prompt
-	Priority      int      // requests with a larger number run first
-	ResumeOffset  int      // number of tokens that the caller already has
-	Body          []byte   // request in the chat completions format
+	AttemptID    string
+	Weights      Weights  // weights that have to generate the answer
+	BlockKeys    []string // block keys of the full pieces of the prompt
+	Priority     int      // requests with a larger number run first
+	ResumeOffset int      // number of tokens that the caller already has
+	Body         []byte   // request in the chat completions format
 }
 
 // Frame is one part of a streamed answer.
@@ -52,9 +52,9 @@
 
 // Stream reads the frames of one attempt. Close it after use.
 type Stream struct {
-	WeightVersion string // weight version that generates the answer, as reported by the engine
-	body          io.ReadCloser
-	scanner       *bufio.Scanner
+	Weights Weights // weights that generate the answer, as reported by the engine
+	body    io.ReadCloser
+	scanner *bufio.Scanner
 }
 
 // chunk is a chat completion chunk, extended by the offset of the token.
@@ -98,7 +98,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderAttemptID, p.AttemptID)
-	req.Header.Set(HeaderWeightVersion, p.WeightVersion)
+	p.Weights.SetHeaders(req.Header)
 	req.Header.Set(HeaderBlockKeys, strings.Join(p.BlockKeys, ","))
 	req.Header.Set(HeaderPriority, strconv.Itoa(p.Priority))
 	req.Header.Set(HeaderResumeOffset, strconv.Itoa(p.ResumeOffset))
@@ -110,15 +110,15 @@
 		defer resp.Body.Close()
 		return nil, newStatusError("generate", resp)
 	}
-	return NewStream(resp.Body, resp.Header.Get(HeaderWeightVersion)), nil
+	return NewStream(resp.Body, WeightsFrom(resp.Header)), nil
 }
 
-// NewStream returns a stream that reads frames from the body of a response; version
-// is the weight version that the response names.
-func NewStream(body io.ReadCloser, version string) *Stream {
+// NewStream returns a stream that reads frames from the body of a response; w are the
+// weights that the response names.
+func NewStream(body io.ReadCloser, w Weights) *Stream {
 	s := bufio.NewScanner(body)
 	s.Buffer(nil, maxFrameBytes)
-	return &Stream{WeightVersion: version, body: body, scanner: s}
+	return &Stream{Weights: w, body: body, scanner: s}
 }
 
 // Next returns the next frame. Its error is io.EOF at the end marker, a
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -18,7 +18,7 @@
 `
 
 func TestStreamReadsFrames(t *testing.T) {
-	s := NewStream(io.NopCloser(strings.NewReader(completeStream)), "v1")
+	s := NewStream(io.NopCloser(strings.NewReader(completeStream)), Weights{Version: "v1"})
 	f, err := s.Next()
 	assert.NilError(t, err)
 	text, err := f.Text()
@@ -33,7 +33,7 @@
 }
 
 func TestStreamWithoutEndMarkerIsTruncated(t *testing.T) {
-	s := NewStream(io.NopCloser(strings.NewReader(strings.TrimSuffix(completeStream, "data: [DONE]\n"))), "v1")
+	s := NewStream(io.NopCloser(strings.NewReader(strings.TrimSuffix(completeStream, "data: [DONE]\n"))), Weights{Version: "v1"})
 	var err error
 	for err == nil {
 		_, err = s.Next()
@@ -49,7 +49,7 @@
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, body string) {
-		s := NewStream(io.NopCloser(strings.NewReader(body)), "v1")
+		s := NewStream(io.NopCloser(strings.NewReader(body)), Weights{Version: "v1"})
 		for range len(body) + 2 {
 			frame, err := s.Next()
 			if errors.Is(err, io.EOF) && !strings.Contains(body, doneMarker) {
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"encoding/binary"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -19,12 +20,34 @@
 // its recent changes. It is guarded by Server.mu.
 type cache struct {
 	maxBlocks int
-	recency   *list.List               // block keys, the most recently used first
+	recency   *list.List               // cached blocks, the most recently used first
 	blocks    map[string]*list.Element // elements of recency by block key
 	lastSeq   uint64                   // sequence number of the latest event
 	events    []engine.Event           // the latest maxEvents events, the oldest first
 }
 
+// cachedBlock is a block in the cache.
+type cachedBlock struct {
+	key    string
+	origin origin
+}
+
+// origin identifies the weights with which the content of a block was computed.
+type origin uint64
+
+// originBytes is the size of the origin at the start of a block's content.
+const originBytes = 8
+
+// originOf returns the origin of a block that is computed with w.
+func originOf(w engine.Weights) origin { return origin(xxhash.Sum64String(w.String())) }
+
+// originIn returns the origin of a block by its content.
+func originIn(content []byte) origin {
+	var b [originBytes]byte
+	copy(b[:], content)
+	return origin(binary.LittleEndian.Uint64(b[:]))
+}
+
 func newCache(maxBlocks int) *cache {
 	return &cache{maxBlocks: maxBlocks, recency: list.New(), blocks: map[string]*list.Element{}}
 }
@@ -40,28 +63,43 @@
 	return len(keys)
 }
 
-// add inserts key as the most recently used block and evicts the least recently
-// used blocks beyond maxBlocks.
-func (c *cache) add(key string) {
+// foreignBlocks returns how many of the cached blocks of keys were computed with other
+// weights than w.
+func (c *cache) foreignBlocks(keys []string, w engine.Weights) int {
+	foreign := 0
+	for _, k := range keys {
+		if e, ok := c.blocks[k]; ok && e.Value.(cachedBlock).origin != originOf(w) {
+			foreign++
+		}
+	}
+	return foreign
+}
+
+// add inserts a block as the most recently used one and evicts the least recently
+// used blocks beyond maxBlocks. A block that is cached already stays as it is.
+func (c *cache) add(key string, o origin) {
 	if e, ok := c.blocks[key]; ok {
 		c.recency.MoveToFront(e)
 		return
 	}
-	c.blocks[key] = c.recency.PushFront(key)
+	c.blocks[key] = c.recency.PushFront(cachedBlock{key: key, origin: o})
 	c.recordEvent(key, false)
 	for c.recency.Len() > c.maxBlocks {
-		oldest := c.recency.Remove(c.recency.Back()).(string)
-		delete(c.blocks, oldest)
-		c.recordEvent(oldest, true)
+		c.evict(c.recency.Back())
 	}
 }
 
+// evict removes the block of an element of recency.
+func (c *cache) evict(e *list.Element) {
+	key := c.recency.Remove(e).(cachedBlock).key
+	delete(c.blocks, key)
+	c.recordEvent(key, true)
+}
+
 // evictAll empties the cache, as other requests would do over time.
 func (c *cache) evictAll() {
 	for c.recency.Len() > 0 {
-		oldest := c.recency.Remove(c.recency.Back()).(string)
-		delete(c.blocks, oldest)
-		c.recordEvent(oldest, true)
+		c.evict(c.recency.Back())
 	}
 }
 
@@ -101,14 +139,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// BlockContent returns the content of the block with the given key: size bytes
-// that depend only on key and size.
-func BlockContent(key string, size int) []byte {
+// blockContent returns the content of the block with the given key: size bytes, the
+// first of which are its origin.
+func blockContent(key string, o origin, size int) []byte {
 	rng := rand.New(rand.NewPCG(xxhash.Sum64String(key), uint64(size)))
 	content := make([]byte, size)
 	for i := range content {
 		content[i] = byte(rng.Uint32())
 	}
+	copy(content, binary.LittleEndian.AppendUint64(nil, uint64(o)))
 	return content
 }
 
@@ -121,11 +160,12 @@
 		return
 	}
 	for _, ref := range transfer.Blocks {
-		if !s.isCached(ref.Key) {
+		o, ok := s.originOfCached(ref.Key)
+		if !ok {
 			http.Error(w, "block is not in the cache: "+ref.Key, http.StatusGone)
 			return
 		}
-		content := BlockContent(ref.Key, s.options.BlockBytes)
+		content := blockContent(ref.Key, o, s.options.BlockBytes)
 		ref.Length = int64(len(content))
 		ref.Checksum = xxhash.Sum64(content)
 		if err := s.options.Mover.Put(r.Context(), transfer.StoreURL, ref, content, transfer.Rate); err != nil {
@@ -147,28 +187,33 @@
 	}
 	imported := 0
 	for _, ref := range transfer.Blocks {
-		if !s.isCached(ref.Key) {
+		if _, ok := s.originOfCached(ref.Key); !ok {
 			content, err := s.options.Mover.Get(r.Context(), transfer.StoreURL, ref, transfer.Rate)
 			if err != nil || xxhash.Sum64(content) != ref.Checksum {
 				break
 			}
-			s.addToCache(ref.Key)
+			s.addToCache(originIn(content), ref.Key)
 		}
 		imported++
 	}
 	writeJSON(w, http.StatusOK, engine.ImportResult{Imported: imported})
 }
 
-func (s *Server) isCached(key string) bool {
+// originOfCached returns the origin of a block, and whether it is cached.
+func (s *Server) originOfCached(key string) (origin, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cache.cachedPrefix([]string{key}) == 1
+	e, ok := s.cache.blocks[key]
+	if !ok {
+		return 0, false
+	}
+	return e.Value.(cachedBlock).origin, true
 }
 
-func (s *Server) addToCache(keys ...string) {
+func (s *Server) addToCache(o origin, keys ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, k := range keys {
-		s.cache.add(k)
+		s.cache.add(k, o)
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -66,6 +66,8 @@
 	cancelByAttempt map[string]context.CancelFunc
 	reportHistory   []engine.Report // the report that serveReport serves under ReportLag, and all newer ones
 	attempts        []string        // identifiers of the admitted attempts, in order
+	runs            map[string]run  // running answers by attempt
+	foreignReads    int             // blocks of other weights that requests have used
 }
 
 // New returns a fake engine that has o.Version loaded.
@@ -73,7 +75,7 @@
 	s := &Server{
 		options: o, epoch: uuid.NewString(), version: o.Version,
 		slots: make(chan struct{}, max(o.Slots, 1)), prefillSlot: make(chan struct{}, 1),
-		cache: newCache(o.CachePieces), cancelByAttempt: map[string]context.CancelFunc{},
+		cache: newCache(o.CachePieces), cancelByAttempt: map[string]context.CancelFunc{}, runs: map[string]run{},
 	}
 	s.router = mux.NewRouter()
 	s.router.HandleFunc("/report", s.serveReport).Methods(http.MethodGet)
@@ -144,7 +146,8 @@
 }
 
 // startLoading starts to load a weight version, which takes LoadTime. Requests
-// that are running go on with their version. The caller must hold s.mu.
+// that are running go on, and the blocks that they have stay in the cache. The caller must
+// hold s.mu.
 func (s *Server) startLoading(version string) {
 	if version == "" || version == s.version || version == s.loadingVersion {
 		return
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -48,9 +48,10 @@
 		return
 	}
 	attempt := r.Header.Get(engine.HeaderAttemptID)
-	version, status := s.admit(attempt, r.Header.Get(engine.HeaderWeightVersion))
+	adapterName := adapterIn(body)
+	weights, status := s.admit(attempt, engine.WeightsFrom(r.Header), adapterName)
 	if status != http.StatusOK {
-		http.Error(w, "not serving the wanted version", status)
+		http.Error(w, "not serving the wanted weights", status)
 		return
 	}
 	ctx, cancel := context.WithCancel(r.Context())
@@ -60,15 +61,17 @@
 		s.options.Crash()
 		return
 	}
-	if !s.acquireSlotAndPrefill(ctx, blockKeys(r), len(body)/bytesPerToken) {
+	prompt := run{keys: blockKeys(r), adapter: adapterName, admittedWith: weights}
+	if !s.acquireSlotAndPrefill(ctx, prompt, len(body)/bytesPerToken) {
 		return
 	}
 	defer func() { <-s.slots }()
+	defer s.trackRun(attempt, prompt)()
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(engine.HeaderWeightVersion, version)
+	weights.SetHeaders(w.Header())
 	w.Header().Set(engine.HeaderAttemptID, attempt)
 	resumeOffset, _ := strconv.Atoi(r.Header.Get(engine.HeaderResumeOffset))
-	s.streamAnswer(ctx, w, attempt, version, body, resumeOffset)
+	s.streamAnswer(ctx, w, attempt, weights.Version, body, resumeOffset)
 }
 
 // blockKeys returns the keys of the prompt's cache blocks.
@@ -80,20 +83,25 @@
 	return strings.Split(header, ",")
 }
 
-// admit records the attempt and returns the weight version that will answer it.
-// It refuses, with another status than 200, while the engine is leaving or
-// loading weights or if it runs another version than the requested one.
-func (s *Server) admit(attempt, requestedVersion string) (string, int) {
+// admit records the attempt and returns the weights that will answer it. It refuses, with
+// another status than 200, while the engine is leaving or loading weights or if it has
+// other weights than the wanted ones. A request that names no adapter version gets
+// whichever the engine has.
+func (s *Server) admit(attempt string, wanted engine.Weights, adapterName string) (engine.Weights, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
-		return "", http.StatusServiceUnavailable
+		return engine.Weights{}, http.StatusServiceUnavailable
 	}
-	if s.version != requestedVersion || s.loadingVersion != "" {
-		return "", http.StatusPreconditionFailed
+	loaded := s.loadedWeights(adapterName)
+	if loaded.Version != wanted.Version || s.loadingVersion != "" {
+		return engine.Weights{}, http.StatusPreconditionFailed
+	}
+	if wanted.Adapter != "" && loaded.Adapter != wanted.Adapter {
+		return engine.Weights{}, http.StatusPreconditionFailed
 	}
 	s.attempts = append(s.attempts, attempt)
-	return s.version, http.StatusOK
+	return loaded, http.StatusOK
 }
 
 // registerCancel makes POST /cancel for the attempt call cancel.
@@ -113,7 +121,7 @@
 
 // acquireSlotAndPrefill waits for a slot and prefills the uncached part of the
 // prompt. It reports false, without holding a slot, if ctx is done first.
-func (s *Server) acquireSlotAndPrefill(ctx context.Context, keys []string, tokens int) bool {
+func (s *Server) acquireSlotAndPrefill(ctx context.Context, prompt run, tokens int) bool {
 	s.addTo(&s.waiting, 1)
 	s.addTo(&s.queuedTokens, tokens)
 	defer s.addTo(&s.queuedTokens, -tokens)
@@ -123,7 +131,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	if !s.prefillPrompt(ctx, keys, tokens) {
+	if !s.prefillPrompt(ctx, prompt, tokens) {
 		<-s.slots
 		return false
 	}
@@ -131,9 +139,9 @@
 }
 
 // prefillPrompt waits until no other prompt is being prefilled, takes as long as
-// the uncached tokens need at PrefillRate and adds the blocks to the cache. It
-// reports false if ctx is done first.
-func (s *Server) prefillPrompt(ctx context.Context, keys []string, tokens int) bool {
+// the uncached tokens need at PrefillRate and adds the blocks to the cache, computed
+// with the weights that are loaded by then. It reports false if ctx is done first.
+func (s *Server) prefillPrompt(ctx context.Context, prompt run, tokens int) bool {
 	select {
 	case s.prefillSlot <- struct{}{}:
 	case <-ctx.Done():
@@ -141,13 +149,17 @@
 	}
 	defer func() { <-s.prefillSlot }()
 	s.mu.Lock()
-	cached := s.cache.cachedPrefix(keys) * s.options.PieceTokens
+	cachedPieces := s.cache.cachedPrefix(prompt.keys)
+	s.foreignReads += s.cache.foreignBlocks(prompt.keys[:cachedPieces], prompt.admittedWith)
 	s.mu.Unlock()
+	cached := cachedPieces * s.options.PieceTokens
 	uncached := max(tokens-cached, 0)
 	if !timer.Sleep(ctx, time.Duration(uncached)*time.Second/time.Duration(max(s.options.PrefillRate, 1))) {
 		return false
 	}
-	s.addToCache(keys...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefillBlocks(prompt)
 	return true
 }
 
--- a/serve/assembler.go
+++ b/serve/assembler.go
@@ -14,34 +14,33 @@
 // Error implements error.
 func (e *TokenGapError) Error() string { return fmt.Sprintf("got token %d, want %d", e.Got, e.Want) }
 
-// VersionError reports that an endpoint answered with the weight version Got
-// although the request needs Want.
-type VersionError struct{ Want, Got string }
+// VersionError reports that an endpoint answered with the weights Got although the
+// request needs Want.
+type VersionError struct{ Want, Got engine.Weights }
 
 // Error implements error.
 func (e *VersionError) Error() string {
-	return fmt.Sprintf("answer has weight version %s, expected %s", e.Got, e.Want)
+	return fmt.Sprintf("answer has weights %s, expected %s", e.Got, e.Want)
 }
 
 // assembler joins the frames of the attempts of a request into one answer. It
 // accepts each token once and in order, only from the current attempt, and all
-// tokens from the same weight version. It is not safe for concurrent use.
+// tokens from the same weights. It is not safe for concurrent use.
 type assembler struct {
-	attemptID    string // current attempt
-	version      string // weight version of the current attempt and of all accepted tokens
-	nextOffset   int    // offset of the next token to accept
-	finishReason string // finish reason of the last token, empty until it is accepted
-	complete     bool   // the last token was accepted
+	attemptID    string         // current attempt
+	weights      engine.Weights // of the current attempt and of all accepted tokens
+	nextOffset   int            // offset of the next token to accept
+	finishReason string         // finish reason of the last token, empty until it is accepted
+	complete     bool           // the last token was accepted
 }
 
 // beginAttempt starts an attempt; frames of earlier attempts are no longer
-// accepted. It returns a *VersionError if tokens of another weight version have
-// been accepted.
-func (a *assembler) beginAttempt(attemptID, version string) error {
-	if a.nextOffset > 0 && version != a.version {
-		return &VersionError{Want: a.version, Got: version}
+// accepted. It returns a *VersionError if tokens of other weights have been accepted.
+func (a *assembler) beginAttempt(attemptID string, w engine.Weights) error {
+	if a.nextOffset > 0 && w != a.weights {
+		return &VersionError{Want: a.weights, Got: w}
 	}
-	a.attemptID, a.version = attemptID, version
+	a.attemptID, a.weights = attemptID, w
 	return nil
 }
 
--- a/serve/assembler_test.go
+++ b/serve/assembler_test.go
@@ -13,12 +13,13 @@
 
 func TestAssemblerRefusesAnotherVersion(t *testing.T) {
 	var a assembler
-	assert.NilError(t, a.beginAttempt("a1", "v1"))
+	assert.NilError(t, a.beginAttempt("a1", engine.Weights{Version: "v1"}))
 	_, err := a.accept(engine.Frame{AttemptID: "a1", Offset: 0})
 	assert.NilError(t, err)
 	var version *VersionError
-	assert.Assert(t, errors.As(a.beginAttempt("a2", "v2"), &version))
-	assert.NilError(t, a.beginAttempt("a3", "v1"))
+	assert.Assert(t, errors.As(a.beginAttempt("a2", engine.Weights{Version: "v1", Adapter: "drill@1"}), &version))
+	assert.Assert(t, errors.As(a.beginAttempt("a2", engine.Weights{Version: "v2"}), &version))
+	assert.NilError(t, a.beginAttempt("a3", engine.Weights{Version: "v1"}))
 }
 
 // TestFuzzAssembler passes frames of several attempts in any order, including
@@ -35,7 +36,7 @@
 		for range steps {
 			if current == "" || rapid.IntRange(0, 9).Draw(r, "switch") == 0 {
 				current = rapid.SampledFrom(attempts).Draw(r, "attempt")
-				if a.beginAttempt(current, "v") != nil {
+				if a.beginAttempt(current, engine.Weights{Version: "v"}) != nil {
 					r.Fatal("beginAttempt refused the same version")
 				}
 			}
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -24,7 +24,7 @@
 const (
 	failConnect  failure = "connect"          // no connection was made, so no byte was sent
 	failRefused  failure = "endpoint-refused" // the endpoint answered with an error status instead of running the request
-	failVersion  failure = "wrong-version"    // the endpoint has another weight version than requested
+	failVersion  failure = "wrong-version"    // the endpoint has other weights than requested
 	failBroken   failure = "stream-broken"    // the connection or the stream broke after the request was sent
 	failGap      failure = "token-missing"    // a token of the answer is missing
 	failTimeout  failure = "first-token-late" // no token, first or later, within its time limit
--- a/serve/chat.go
+++ b/serve/chat.go
@@ -97,7 +97,7 @@
 // engineRequest returns the request that is sent to the engine for an attempt.
 func (c *chatRun) engineRequest(attemptID string) engine.GenerateRequest {
 	return engine.GenerateRequest{
-		AttemptID: attemptID, WeightVersion: c.request.model.Version, BlockKeys: c.prompt.Keys,
+		AttemptID: attemptID, Weights: c.request.weights(), BlockKeys: c.prompt.Keys,
 		Priority: int(c.request.class.Worth), ResumeOffset: c.assembler.nextOffset, Body: c.request.body,
 	}
 }
--- a/serve/chat_request.go
+++ b/serve/chat_request.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"redwingknot/contract"
+	"redwingknot/engine"
 	"redwingknot/note"
 )
 
@@ -36,6 +37,11 @@
 	body    []byte // as sent by the caller
 }
 
+// weights returns the weights that the answer must have.
+func (req *chatRequest) weights() engine.Weights {
+	return engine.Weights{Version: req.model.Version, Adapter: req.adapter}
+}
+
 // chatBody holds the fields of the body that the system reads. The whole body is
 // passed to the engine unchanged.
 type chatBody struct {
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -184,12 +184,12 @@
 	c.bringBack = c.server.opts.Keeper.PlanBringBack(ctx, c.prompt)
 }
 
-// chooseEndpoint selects an endpoint that has the weight version of answerVersion and
+// chooseEndpoint selects an endpoint that has the weights of answerWeights and
 // asks for admission with the expected time to first token there.
 func (c *chatRun) chooseEndpoint(permit *suspect.Permit) (route.Query, route.Choice, error) {
 	now := time.Now()
 	q := route.Query{
-		Service: c.request.service.Name, Model: c.request.model.Name, Version: c.answerVersion(), Adapter: c.request.adapter,
+		Service: c.request.service.Name, Model: c.request.model.Name, Version: c.answerWeights().Version, Adapter: c.request.adapter,
 		PromptTokens: c.prompt.Tokens, Pieces: c.prompt.Keys, Class: c.request.class, Deadline: c.deadline,
 		Exclude: append(append([]string(nil), c.triedEndpoints...), permit.Exclude...), DataCentre: c.server.opts.DataCentre,
 		BringBackTime: c.bringBack.ImportTime, PreferIdle: permit.Alone, Explain: c.explain,
@@ -216,14 +216,14 @@
 	return err
 }
 
-// answerVersion returns the weight version that the answer must have: that of the
-// tokens delivered or, before the first token, the wanted one. An answer never
-// combines tokens of two versions.
-func (c *chatRun) answerVersion() string {
+// answerWeights returns the weights that the answer must have: those of the tokens
+// delivered or, before the first token, the wanted ones. An answer never combines
+// tokens of two versions.
+func (c *chatRun) answerWeights() engine.Weights {
 	if c.assembler.nextOffset > 0 {
-		return c.assembler.version
+		return c.assembler.weights
 	}
-	return c.request.model.Version
+	return c.request.weights()
 }
 
 // executeAttempt runs one attempt at the chosen endpoint and returns its failure,
@@ -296,11 +296,11 @@
 		return err
 	}
 	defer s.Close()
-	if err := c.assembler.beginAttempt(attemptID, s.WeightVersion); err != nil {
+	if err := c.assembler.beginAttempt(attemptID, s.Weights); err != nil {
 		return err
 	}
-	if s.WeightVersion != c.answerVersion() {
-		return &VersionError{Want: c.request.model.Version, Got: s.WeightVersion}
+	if want := c.answerWeights(); s.Weights != want {
+		return &VersionError{Want: want, Got: s.Weights}
 	}
 	return relayFrames(&c.assembler, s, deliver, c.recordDropped)
 }
