Block, Engine: an engine exports blocks only while it has the weights that their keys name

Seen by callers: a request is answered from KV cache blocks that were computed with newer weights, or another adapter version, than those that it runs on. It happens at an engine that still has the former weights while others are being swapped.

Cause: the keys of a prompt are chosen when its run begins, and the engine caches what it computes under them. A run goes on when its engine loads other weights; a prompt that is then read again after a preemption, or that had waited in the queue, is computed with the new ones under the old keys. After the answer, the keeper had all blocks exported by key alone, up to 30 s later, and published them. The answer names the weights only at its beginning, and nothing compared them with those at its end or at the export.

Change: Transfer.Weights names the weights in the keys of an export, and the engine compares them with its own before each block, as it does for a request (status 412). An export that is refused has sealed only blocks from before, which are published as before. A counter, block_exports_of_other_weights_total. A comparison at this instance was weighed: reports lag by up to 2 s, and a sealed block enters the directory through listings even if the instance that finds the change never publishes it, so that the comparison has to precede each write.

Why it works: a cached block under keys of version v can hold other content only if it was computed after the engine had left v; no block leaves the engine then. Blocks of a version to which an engine returns need more than this.

Measured: TestBlocksComputedAfterSwapAreNotBroughtBack failed without the field in four of its five cases (4 blocks published; 4 foreign blocks used at the other engine, 3 with the swap during the export) and passes now; its case without a swap publishes 4 either way. go test -race of engine, block, entry and serve passes.

--- a/block/keeper.go
+++ b/block/keeper.go
@@ -68,7 +68,8 @@
 
 // Prompt describes a prompt at an engine.
 type Prompt struct {
-	Keys       []Key // of the full pieces
+	Keys       []Key          // of the full pieces
+	Weights    engine.Weights // weights that the keys name
 	Class      contract.Class
 	Cached     int           // number of leading pieces in the engine's cache
 	PieceTime  time.Duration // time in which the engine prefills one piece
@@ -213,7 +214,9 @@
 }
 
 // Export has eng export the blocks of a finished request if they are worth it, and
-// publishes those that the store confirms. storedPieces is the number of leading pieces
+// publishes those that the store confirms. The engine must have the prompt's weights all the
+// while: a run that goes on after a change of weights may have computed blocks with the new
+// ones under the old keys. storedPieces is the number of leading pieces
 // that are already in stores. It returns the number of blocks published.
 func (k *Keeper) Export(ctx context.Context, eng engine.Engine, p Prompt, storedPieces int) (int, error) {
 	keys := p.Keys[min(storedPieces, len(p.Keys)):]
@@ -225,7 +228,7 @@
 	if err != nil || url == "" {
 		return 0, err
 	}
-	t := engine.Transfer{StoreURL: url, Rate: permit.Rate}
+	t := engine.Transfer{StoreURL: url, Rate: permit.Rate, Weights: p.Weights}
 	for _, key := range keys {
 		t.Blocks = append(t.Blocks, engine.BlockRef{Key: key.String(), Generation: k.newGeneration()})
 	}
@@ -233,8 +236,11 @@
 		return 0, ctx.Err()
 	}
 	startedAt := k.opts.Now()
-	if err := eng.Export(ctx, t); err == nil {
+	switch err := eng.Export(ctx, t); {
+	case err == nil:
 		k.opts.Links.Observe(url, bytes, k.opts.Now().Sub(startedAt), permit.Rate)
+	case engine.IsOtherWeights(err):
+		metric.Counter("block_exports_of_other_weights_total").Inc(1)
 	}
 	// An export that failed may have sealed some blocks, and after a successful
 	// one only the blocks that the store confirms are published.
--- /dev/null
+++ b/block/swap_test.go
@@ -0,0 +1,131 @@
+package block
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"redwingknot/engine"
+	enginestandin "redwingknot/internal/standin/engine"
+	"redwingknot/store"
+)
+
+// swapEngine is a stand-in engine with its client.
+type swapEngine struct {
+	*enginestandin.Server
+	client *engine.Client
+	onPut  func() // called once, before the second block of an export is written
+	puts   int
+}
+
+// Put implements enginestandin.BlockMover.
+func (e *swapEngine) Put(ctx context.Context, url string, ref engine.BlockRef, content []byte, rate int64) error {
+	_, err := store.NewClient(url, nil).Put(ctx, ref, content, rate)
+	if e.puts++; e.puts == 1 && e.onPut != nil {
+		e.onPut()
+	}
+	return err
+}
+
+// Get implements enginestandin.BlockMover.
+func (e *swapEngine) Get(ctx context.Context, url string, ref engine.BlockRef, rate int64) ([]byte, error) {
+	return store.NewClient(url, nil).Get(ctx, ref, rate)
+}
+
+func newSwapEngine(t *testing.T) *swapEngine {
+	e := &swapEngine{}
+	e.Server = enginestandin.New(enginestandin.Options{
+		Model: "m", Version: "v1", Slots: 2, PrefillRate: 1 << 30, TokenInterval: time.Millisecond, AnswerTokens: 4,
+		PieceTokens: 16, CachePieces: 64, BlockBytes: testBlockBytes, Mover: e,
+	})
+	host := httptest.NewServer(e.Server)
+	t.Cleanup(host.Close)
+	e.client = engine.NewClient(host.URL, http.DefaultClient)
+	e.order(t, engine.Weights{Version: "v1", Adapter: "drill@1"})
+	return e
+}
+
+// order has the engine load weights and waits until it has them.
+func (e *swapEngine) order(t *testing.T, w engine.Weights) {
+	t.Helper()
+	o := engine.Order{Fence: 1, Model: "m", Version: w.Version, Adapters: []string{w.Adapter}}
+	assert.NilError(t, e.client.Order(t.Context(), o))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r, err := e.client.Report(t.Context())
+		if err == nil && r.Version == w.Version && r.Loading == "" {
+			return poll.Success()
+		}
+		return poll.Continue("the engine has not loaded %s: %v", w, err)
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// run sends a prompt and reads its answer to the end; during is called after the first token.
+func (e *swapEngine) run(t *testing.T, p Prompt, during func()) {
+	t.Helper()
+	request := engine.GenerateRequest{AttemptID: "a", Weights: p.Weights, Body: []byte(`{"model":"llm/drill"}`)}
+	for _, k := range p.Keys {
+		request.BlockKeys = append(request.BlockKeys, k.String())
+	}
+	s, err := e.client.Generate(t.Context(), request)
+	assert.NilError(t, err)
+	defer s.Close()
+	_, err = s.Next()
+	assert.NilError(t, err)
+	during()
+	for err == nil {
+		_, err = s.Next()
+	}
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+}
+
+// TestBlocksComputedAfterSwapAreNotBroughtBack changes the weights of an engine while it runs a
+// prompt, or exports its blocks, and has the engine read the prompt again with the new ones. A
+// later request of the former weights, at an engine that still has them, must not get these
+// blocks.
+func TestBlocksComputedAfterSwapAreNotBroughtBack(t *testing.T) {
+	const pieces = 4
+	old := engine.Weights{Version: "v1", Adapter: "drill@1"}
+	for _, test := range []struct {
+		name         string
+		duringRun    engine.Weights // weights that the engine loads during the run
+		duringExport engine.Weights // weights that it loads during the export, while it runs the prompt again
+		published    int
+	}{
+		{name: "no swap", duringRun: old, published: pieces},
+		{name: "weights", duringRun: engine.Weights{Version: "v2", Adapter: "drill@1"}},
+		{name: "adapter", duringRun: engine.Weights{Version: "v1", Adapter: "drill@2"}},
+		{name: "weights during export", duringRun: old, duringExport: engine.Weights{Version: "v2", Adapter: "drill@1"}, published: 1},
+		{name: "adapter during export", duringRun: old, duringExport: engine.Weights{Version: "v1", Adapter: "drill@2"}, published: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSetup(t, 1)
+			swapped, other := newSwapEngine(t), newSwapEngine(t)
+			p, _ := testPrompt(pieces)
+			p.Weights = old
+			swapTo := func(w engine.Weights) {
+				swapped.order(t, w)
+				swapped.Preempt()
+			}
+			swapped.run(t, p, func() { swapTo(test.duringRun) })
+			if test.duringExport != (engine.Weights{}) {
+				swapped.onPut = func() { swapped.run(t, p, func() { swapTo(test.duringExport) }) }
+			}
+			published, err := s.keeper.Export(t.Context(), swapped.client, p, 0)
+			assert.NilError(t, err)
+			assert.Check(t, published == test.published, "%d blocks were published", published)
+
+			plan, err := s.keeper.PlanBringBack(t.Context(), p)
+			assert.NilError(t, err)
+			assert.Equal(t, s.keeper.BringBack(t.Context(), other.client, p, plan), published)
+			other.run(t, p, func() {})
+			assert.Equal(t, other.ForeignReads(), 0)
+		})
+	}
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -17,7 +17,9 @@
 	// Events returns the cache events whose Seq is greater than after. Gap is set
 	// if some of them are lost.
 	Events(ctx context.Context, after uint64) (Events, error)
-	// Export copies blocks from the engine's cache to a store and seals them there.
+	// Export copies blocks from the engine's cache to a store and seals them there. The
+	// engine refuses to export a block while it has other weights than those of the
+	// transfer; an export that it breaks off may have sealed the blocks before.
 	Export(ctx context.Context, t Transfer) error
 	// Import copies blocks from a store to the engine's cache. The engine
 	// verifies generation, length and checksum, and leaves out a block that
@@ -82,5 +84,6 @@
 type Transfer struct {
 	StoreURL string
 	Blocks   []BlockRef
-	Rate     int64 // bytes per second granted on the link, 0 for no limit
+	Rate     int64   // bytes per second granted on the link, 0 for no limit
+	Weights  Weights // of an export: the weights that the keys of the blocks name
 }
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -1,6 +1,11 @@
 package engine
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
 
 // FencedError reports that an engine refused an order because its fencing token
 // is lower than one that the engine has already obeyed. Fence is the highest token
@@ -21,6 +26,13 @@
 	return fmt.Sprintf("engine report: %d is not a number of requests or tokens", e.Number)
 }
 
+// IsOtherWeights reports whether err is an engine's refusal because it has other weights than
+// the call demands.
+func IsOtherWeights(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status == http.StatusPreconditionFailed
+}
+
 // StatusError reports an unexpected HTTP status from an engine.
 type StatusError struct {
 	Op     string
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -49,7 +49,10 @@
 		}
 		keys = append(keys, key)
 	}
-	return block.Prompt{Keys: keys, Class: p.Class, PieceTime: k.pieceTime(p), BlockBytes: int64(p.Model.BlockBytes)}
+	return block.Prompt{
+		Keys: keys, Weights: p.Weights, Class: p.Class,
+		PieceTime: k.pieceTime(p), BlockBytes: int64(p.Model.BlockBytes),
+	}
 }
 
 // PlanBringBack implements serve.BlockKeeper.
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -152,7 +152,8 @@
 }
 
 // serveExport writes cached blocks to a store. It stops at the first block that
-// isn't cached or can't be written.
+// isn't cached or can't be written, and as soon as the engine has other weights than
+// those of the transfer. A transfer that names no weights is not checked.
 func (s *Server) serveExport(w http.ResponseWriter, r *http.Request) {
 	var transfer engine.Transfer
 	if err := json.NewDecoder(r.Body).Decode(&transfer); err != nil {
@@ -160,9 +161,9 @@
 		return
 	}
 	for _, ref := range transfer.Blocks {
-		o, ok := s.originOfCached(ref.Key)
-		if !ok {
-			http.Error(w, "block is not in the cache: "+ref.Key, http.StatusGone)
+		o, status := s.originForExport(ref.Key, transfer.Weights)
+		if status != http.StatusOK {
+			http.Error(w, "block can't be exported: "+ref.Key, status)
 			return
 		}
 		content := blockContent(ref.Key, o, s.options.BlockBytes)
@@ -199,6 +200,21 @@
 	writeJSON(w, http.StatusOK, engine.ImportResult{Imported: imported})
 }
 
+// originForExport returns the origin of a cached block. The status is another than 200 if the
+// block is not cached or the engine has other weights than the wanted ones.
+func (s *Server) originForExport(key string, wanted engine.Weights) (origin, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.cache.blocks[key]
+	switch {
+	case wanted != (engine.Weights{}) && !s.hasWeights(wanted):
+		return 0, http.StatusPreconditionFailed
+	case !ok:
+		return 0, http.StatusGone
+	}
+	return e.Value.(cachedBlock).origin, http.StatusOK
+}
+
 // originOfCached returns the origin of a block, and whether it is cached.
 func (s *Server) originOfCached(key string) (origin, bool) {
 	s.mu.Lock()
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -93,15 +93,11 @@
 	if s.leaving {
 		return engine.Weights{}, http.StatusServiceUnavailable
 	}
-	loaded := s.loadedWeights(adapterName)
-	if loaded.Version != wanted.Version || s.loadingVersion != "" {
-		return engine.Weights{}, http.StatusPreconditionFailed
-	}
-	if wanted.Adapter != "" && loaded.Adapter != wanted.Adapter {
+	if !s.hasWeights(wanted) {
 		return engine.Weights{}, http.StatusPreconditionFailed
 	}
 	s.attempts = append(s.attempts, attempt)
-	return loaded, http.StatusOK
+	return s.loadedWeights(adapterName), http.StatusOK
 }
 
 // registerCancel makes POST /cancel for the attempt call cancel.
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"redwingknot/engine"
@@ -39,6 +40,13 @@
 	return w
 }
 
+// hasWeights reports whether w is loaded and nothing else is being loaded. The caller must hold
+// s.mu.
+func (s *Server) hasWeights(w engine.Weights) bool {
+	hasAdapter := w.Adapter == "" || slices.Contains(s.adapters, w.Adapter)
+	return s.loadingVersion == "" && s.version == w.Version && hasAdapter
+}
+
 // trackRun adds a run to the running ones and returns the function that removes it.
 func (s *Server) trackRun(attempt string, r run) (end func()) {
 	s.mu.Lock()
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -50,7 +49,7 @@
 		return failGap
 	case errors.As(err, &version):
 		return failVersion
-	case errors.As(err, &status) && status.Status == http.StatusPreconditionFailed:
+	case engine.IsOtherWeights(err):
 		return failVersion
 	case errors.As(err, &status):
 		return failRefused
--- a/serve/chat.go
+++ b/serve/chat.go
@@ -64,7 +64,7 @@
 	run.retries = retry.NewRetrier(retry.Policy{Attempts: attempts}, svc.retryBudget, deadline)
 	run.prompt = Prompt{
 		Team: req.team.Name, Service: req.service.Name, Class: req.class, Model: req.model,
-		Keys: blockKeys(req), Tokens: len(req.body) / BytesPerToken,
+		Weights: req.weights(), Keys: blockKeys(req), Tokens: len(req.body) / BytesPerToken,
 	}
 	run.fingerprint = suspect.FingerprintOf(suspect.RequestIdentity{
 		Team: req.team.Name, Service: req.service.Name, Model: req.model.Name,
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -179,7 +179,7 @@
 		return
 	}
 	c.request.model.Version = version
-	c.prompt.Model = c.request.model
+	c.prompt.Model, c.prompt.Weights = c.request.model, c.request.weights()
 	c.prompt.Keys = blockKeys(c.request)
 	c.bringBack = c.server.opts.Keeper.PlanBringBack(ctx, c.prompt)
 }
--- a/serve/fixture_test.go
+++ b/serve/fixture_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingknot/contract"
+	"redwingknot/engine"
 	appstandin "redwingknot/internal/standin/app"
 	enginestandin "redwingknot/internal/standin/engine"
 	"redwingknot/ledger"
@@ -49,13 +50,19 @@
 func (l *fakeLimiter) Allow(note.Team) (bool, time.Duration) { return !l.refuse, time.Second }
 
 // recordingKeeper claims to have the blocks of every prompt. For each bring-back
-// it records the number of pieces that the endpoint is said to have cached.
-type recordingKeeper struct{ cachedPieces []int }
+// it records the number of pieces that the endpoint is said to have cached, and for each
+// answer the weights of its blocks.
+type recordingKeeper struct {
+	cachedPieces []int
+	answered     []engine.Weights
+}
 
 func (k *recordingKeeper) PlanBringBack(context.Context, Prompt) BringBack { return k }
-func (k *recordingKeeper) RecordAnswer(Prompt, string)                     {}
-func (k *recordingKeeper) Available() bool                                 { return true }
-func (k *recordingKeeper) ImportTime(string, int) (time.Duration, bool)    { return time.Hour, true }
+func (k *recordingKeeper) RecordAnswer(p Prompt, _ string) {
+	k.answered = append(k.answered, p.Weights)
+}
+func (k *recordingKeeper) Available() bool                              { return true }
+func (k *recordingKeeper) ImportTime(string, int) (time.Duration, bool) { return time.Hour, true }
 func (k *recordingKeeper) Import(_ context.Context, _ string, cachedPieces int) error {
 	k.cachedPieces = append(k.cachedPieces, cachedPieces)
 	return nil
--- a/serve/server.go
+++ b/serve/server.go
@@ -44,8 +44,9 @@
 	Service string
 	Class   contract.Class
 	Model   note.Model
-	Keys    []string // block keys of the full pieces, first to last
-	Tokens  int      // estimated
+	Weights engine.Weights // weights that the keys name
+	Keys    []string       // block keys of the full pieces, first to last
+	Tokens  int            // estimated
 }
 
 // BringBack is the part of one prompt's blocks that is stored and can be brought
--- a/serve/swap_test.go
+++ b/serve/swap_test.go
@@ -36,6 +36,8 @@
 // it would read blocks of the former version and cache its own under that name.
 func TestBlocksOfReplacedAdapterAreNotUsed(t *testing.T) {
 	f := newFixture(t, enginestandin.Options{})
+	keeper := &recordingKeeper{}
+	f.server.opts.Keeper = keeper
 	f.setAdapter("1")
 	f.order("engine-0", "drill@1")
 	f.observeReports()
@@ -48,6 +50,7 @@
 		assert.Equal(t, text, enginestandin.Answer([]byte(body), "v1", 8))
 	}
 	assertWhole()
+	assert.DeepEqual(t, keeper.answered, []engine.Weights{{Version: "v1", Adapter: "drill@1"}})
 
 	f.order("engine-0", "drill@2")
 	got := f.do("POST", "/v1/chat/completions", teamToken, body)
@@ -58,4 +61,5 @@
 	f.observeReports()
 	assertWhole()
 	assert.Equal(t, f.engines[0].ForeignReads(), 0)
+	assert.DeepEqual(t, keeper.answered[1:], []engine.Weights{{Version: "v1", Adapter: "drill@2"}})
 }
