Note, Serve: a version that is set again has new block keys

Seen by callers: after a note returns a model, or an adapter, to a former version, a request is answered from KV cache blocks that were computed with the version between, for as long as the engine keeps them; they are exported, too, and reach other engines.

Cause: block keys name versions by their text alone. A run that goes on across the swap, and is read again after a preemption, caches blocks of the newer weights under the former keys. When the former version is set again, its requests have the same keys, and both the engine's demand at a request and that at an export hold.

Change: Model and Adapter record the number of the note that set their version (VersionSetBy, not a field of notes), and the block keys contain it. The previous version that instances fall back to during a swap keeps its own number.

Why it works: keys that a run chose before a swap are asked for only until the swap's note is applied, or as the previous version until the next one is. All instances compute the number from the same log. It costs one prefill of each prompt that returns after such a note.

Open: an instance that lags behind such a note, and an order that brings an engine back to former weights without a note (docs/design/blocks.md).

Measured: TestBlocksComputedAfterSwapAreNotUsedAfterReturn failed without the number in the keys (weights and adapter: 2 foreign blocks used each) and passes now; TestReturnToVersionIsNotedAsItsOwn covers the numbers. go test -race of note, serve, entry, block, datacentre, endpoint and suspect passes. The fixture of serve's tests has the fields that notes require.

--- a/note/parse.go
+++ b/note/parse.go
@@ -289,10 +289,13 @@
 	}
 }
 
+// noYAMLName is the YAML tag of a field that a note can't give.
+const noYAMLName = "-"
+
 // fieldByYAMLName returns the field of struct type t with the given YAML tag.
 func fieldByYAMLName(t reflect.Type, name string) (reflect.StructField, bool) {
 	for i := range t.NumField() {
-		if t.Field(i).Tag.Get("yaml") == name {
+		if tag := t.Field(i).Tag.Get("yaml"); tag == name && tag != noYAMLName {
 			return t.Field(i), true
 		}
 	}
--- a/note/parse_test.go
+++ b/note/parse_test.go
@@ -72,6 +72,30 @@
 	assert.DeepEqual(t, decoded, next)
 }
 
+// TestReturnToVersionIsNotedAsItsOwn sets versions, sets others and returns to the former ones.
+// The block keys of both times must differ: an engine may have computed blocks of the former
+// keys with the weights between.
+func TestReturnToVersionIsNotedAsItsOwn(t *testing.T) {
+	s := mustApply(t, note.NewState(), firstNote)
+	for _, step := range []struct {
+		raw            string
+		model, adapter uint64 // numbers of the notes that set the versions
+	}{
+		{"title: t\nchange: {models: [{name: mafunzo, version: v1, blockBytes: 7}]}\n", 1, 1},
+		{"title: t\nchange: {models: [{name: mafunzo, version: v2}]}\n", 3, 1},
+		{"title: t\nchange: {adapters: [{name: drill, version: a2}]}\n", 3, 4},
+		{"title: t\nchange: {models: [{name: mafunzo, version: v1}], adapters: [{name: drill, model: mafunzo}]}\n", 5, 4},
+		{"title: t\nchange: {adapters: [{name: drill, version: a1}]}\n", 5, 6},
+	} {
+		s = mustApply(t, s, step.raw)
+		assert.Equal(t, s.Models["mafunzo"].VersionSetBy, step.model, step.raw)
+		assert.Equal(t, s.Adapters["drill"].VersionSetBy, step.adapter, step.raw)
+		decoded, err := note.Decode(s.Encode())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, s)
+	}
+}
+
 // TestFaultsHaveLineAndReason checks the faults of invalid notes, each by the start of
 // its text.
 func TestFaultsHaveLineAndReason(t *testing.T) {
@@ -88,6 +112,8 @@
 		{"unknown kind", "title: t\nadd:\n  lamps: []\n", []string{`line 3: unknown kind "lamps"`}},
 		{"unknown field and wrong type", "title: t\nadd:\n  models:\n    - {name: a, version: v1, pieceBytes: x, blockBytes: 1}\n  adapters:\n    - {name: b, colour: red}\n",
 			[]string{"line 4: cannot unmarshal", `line 6: unknown field "colour"`}},
+		{"field that notes can't give", "title: t\nchange:\n  models:\n    - {name: mafunzo, versionSetBy: 7}\n  adapters:\n    - {name: drill, -: 7}\n",
+			[]string{`line 4: unknown field "versionSetBy"`, `line 6: unknown field "-"`}},
 		{"duplicate field", "title: t\ntitle: u\n", []string{`line 2: field "title" was already given in line 1`}},
 		{"duplicate object", "title: t\nwithdraw:\n  teams:\n    - a\n    - a\n", []string{`line 5: teams "a" was already named in line 4`}},
 		{"alias", "title: t\nadd:\n  teams: [{name: a, services: &x [b], classes: *x}]\n", []string{"line 3: anchors", "line 3: anchors"}},
--- a/note/section.go
+++ b/note/section.go
@@ -26,7 +26,7 @@
 	// tryDecode decodes an object and returns the error if a field has the wrong type.
 	tryDecode(n *yaml.Node) error
 	// applyChange applies a change to the kind's table in s, which must not be shared
-	// with another state. It returns the reason if the change can't be applied.
+	// with another state and has the number of the note as its head. It returns the reason if the change can't be applied.
 	applyChange(s *State, change ObjectChange) (reason string)
 	// cloneTable replaces the kind's table in s by a copy.
 	cloneTable(s *State)
@@ -50,6 +50,7 @@
 	table      func(*State) *map[string]T
 	toSpec     func(T) S
 	fromSpec   func(S) T
+	onSet      func(object *T, old T, number uint64) // called before the note with the number sets an object; nil for no action
 	validate   func(*faultList, T)
 	references func(*State, *faultList, T) []reference
 }
@@ -80,7 +81,11 @@
 	if err := change.node.Decode(&spec); err != nil {
 		return err.Error()
 	}
-	table[change.Name] = h.fromSpec(spec)
+	object := h.fromSpec(spec)
+	if h.onSet != nil {
+		h.onSet(&object, old, s.Head)
+	}
+	table[change.Name] = object
 	return ""
 }
 
@@ -195,12 +200,12 @@
 var kindHandlers = map[Kind]kindHandler{
 	Models: &kindHandlerOf[Model, Model]{
 		objectKind: Models, table: func(s *State) *map[string]Model { return &s.Models },
-		toSpec: identity[Model], fromSpec: identity[Model], validate: validateModel,
+		toSpec: identity[Model], fromSpec: identity[Model], onSet: recordModelVersion, validate: validateModel,
 		references: func(*State, *faultList, Model) []reference { return nil },
 	},
 	Adapters: &kindHandlerOf[Adapter, Adapter]{
 		objectKind: Adapters, table: func(s *State) *map[string]Adapter { return &s.Adapters },
-		toSpec: identity[Adapter], fromSpec: identity[Adapter],
+		toSpec: identity[Adapter], fromSpec: identity[Adapter], onSet: recordAdapterVersion,
 		validate:   func(l *faultList, a Adapter) { l.checkName("version", a.Version) },
 		references: func(_ *State, _ *faultList, a Adapter) []reference { return referencesTo(Models, a.Model) },
 	},
@@ -300,6 +305,20 @@
 	return s
 }
 
+// recordModelVersion records which note set the model's version, if this one does.
+func recordModelVersion(m *Model, old Model, number uint64) {
+	if m.Version != old.Version {
+		m.VersionSetBy = number
+	}
+}
+
+// recordAdapterVersion is recordModelVersion for an adapter.
+func recordAdapterVersion(a *Adapter, old Adapter, number uint64) {
+	if a.Version != old.Version {
+		a.VersionSetBy = number
+	}
+}
+
 func validateModel(l *faultList, m Model) {
 	l.checkName("version", m.Version)
 	l.checkRange("pieceBytes", float64(m.PieceBytes), 1, maxPieceBytes)
--- a/note/state.go
+++ b/note/state.go
@@ -31,17 +31,19 @@
 
 // Model is a model with the weight version in force.
 type Model struct {
-	Name       string `yaml:"name"`
-	Version    string `yaml:"version"`    // weight version; part of the key of every KV cache block
-	PieceBytes int    `yaml:"pieceBytes"` // length in bytes of the pieces into which a prompt is split, about 2,000 tokens
-	BlockBytes int    `yaml:"blockBytes"` // size in bytes of the KV cache block of one piece
+	Name         string `yaml:"name"`
+	Version      string `yaml:"version"`    // weight version; part of the key of every KV cache block
+	VersionSetBy uint64 `yaml:"-"`          // number of the note that set Version to another value; part of the keys, too
+	PieceBytes   int    `yaml:"pieceBytes"` // length in bytes of the pieces into which a prompt is split, about 2,000 tokens
+	BlockBytes   int    `yaml:"blockBytes"` // size in bytes of the KV cache block of one piece
 }
 
 // Adapter is a fine-tuned addition to a model.
 type Adapter struct {
-	Name    string `yaml:"name"`
-	Model   string `yaml:"model"`
-	Version string `yaml:"version"`
+	Name         string `yaml:"name"`
+	Model        string `yaml:"model"`
+	Version      string `yaml:"version"`
+	VersionSetBy uint64 `yaml:"-"` // as in Model
 }
 
 // Service is what callers send requests to: a model or a plain application.
--- a/serve/chat_request.go
+++ b/serve/chat_request.go
@@ -30,16 +30,21 @@
 	team    note.Team
 	service note.Service
 	model   note.Model
-	adapter string // name@version, empty for none
+	adapter version // named name@version; zero for none
 	class   contract.Class
 	stream  bool
 	prompt  []byte // messages in canonical form
 	body    []byte // as sent by the caller
 }
 
+// modelVersion returns the version of the model that the answer must have.
+func (req *chatRequest) modelVersion() version {
+	return version{name: req.model.Version, setBy: req.model.VersionSetBy}
+}
+
 // weights returns the weights that the answer must have.
 func (req *chatRequest) weights() engine.Weights {
-	return engine.Weights{Version: req.model.Version, Adapter: req.adapter}
+	return engine.Weights{Version: req.model.Version, Adapter: req.adapter.name}
 }
 
 // chatBody holds the fields of the body that the system reads. The whole body is
@@ -130,7 +135,7 @@
 	if !ok || !slices.Contains(req.service.Adapters, name) {
 		return contract.Refuse(http.StatusNotFound, contract.ReasonUnknownModel, "the service has no adapter "+name)
 	}
-	req.adapter = a.Name + "@" + a.Version
+	req.adapter = version{name: a.Name + "@" + a.Version, setBy: a.VersionSetBy}
 	return nil
 }
 
--- a/serve/fixture_test.go
+++ b/serve/fixture_test.go
@@ -92,15 +92,15 @@
 		Models:  map[string]note.Model{"m": {Name: "m", Version: "v1", PieceBytes: 8000, BlockBytes: 1 << 10}},
 		Classes: map[string]contract.Class{"question": testClass("question", 1)},
 		Services: map[string]note.Service{
-			"llm": {Name: "llm", Kind: note.KindModel, Model: "m"},
+			"llm": {Name: "llm", Kind: note.KindModel, Model: "m", LoadsAtOnce: 2},
 			"app": {Name: "app", Kind: note.KindPlain, Calls: []note.Call{
 				{Method: "POST", Path: "/certificates", Class: "question", Idempotency: contract.NonIdempotent},
 				{Method: "GET", Path: "/roster/{name}", Class: "question"},
 			}},
 		},
 		Teams: map[string]note.Team{
-			"ours":   {Name: "ours", TokenHash: HashToken(teamToken), Services: []string{"llm", "app"}, Classes: []string{"question"}},
-			"theirs": {Name: "theirs", TokenHash: HashToken(otherToken), Services: []string{"app"}, Classes: []string{"question"}},
+			"ours":   {Name: "ours", TokenHash: HashToken(teamToken), Services: []string{"llm", "app"}, Classes: []string{"question"}, Rate: 1, Burst: 1},
+			"theirs": {Name: "theirs", TokenHash: HashToken(otherToken), Services: []string{"app"}, Classes: []string{"question"}, Rate: 1, Burst: 1},
 		},
 		Endpoints: map[string]note.Endpoint{},
 	}
--- a/serve/service.go
+++ b/serve/service.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -74,8 +75,26 @@
 	byName map[string]*Service
 	urls   map[string]string // base URLs by endpoint name
 
-	currentVersions  map[string]string // weight version in force, by model name
-	previousVersions map[string]string // weight version before the one in force, by model name
+	currentVersions  map[string]version // weight version in force, by model name
+	previousVersions map[string]version // weight version before the one in force, by model name
+}
+
+// version is a version of a model's weights or of an adapter, from the time that a note set
+// it until another version is set. An engine may have cached blocks for runs of a version that
+// it has since replaced. Were the version set again under the same block keys, requests would
+// read them.
+type version struct {
+	name  string
+	setBy uint64 // number of the note
+}
+
+// keyPart returns the part of the block keys that identifies the version, which is empty for
+// none.
+func (v version) keyPart() string {
+	if v.name == "" {
+		return ""
+	}
+	return v.name + "#" + strconv.FormatUint(v.setBy, 10)
 }
 
 // ServicesOptions configures the routers of all services.
@@ -91,7 +110,7 @@
 
 // NewServices returns an empty set of services.
 func NewServices(o ServicesOptions) *Services {
-	return &Services{opts: o, byName: map[string]*Service{}, urls: map[string]string{}, currentVersions: map[string]string{}, previousVersions: map[string]string{}}
+	return &Services{opts: o, byName: map[string]*Service{}, urls: map[string]string{}, currentVersions: map[string]version{}, previousVersions: map[string]version{}}
 }
 
 // Apply updates the set to a configuration. Services that exist already keep their
@@ -147,20 +166,21 @@
 // continue to serve requests.
 func (s *Services) updateVersions(state *note.State) {
 	for name, m := range state.Models {
-		if old := s.currentVersions[name]; old != "" && old != m.Version {
+		current := version{name: m.Version, setBy: m.VersionSetBy}
+		if old := s.currentVersions[name]; old.name != "" && old.name != current.name {
 			s.previousVersions[name] = old
 		}
-		s.currentVersions[name] = m.Version
+		s.currentVersions[name] = current
 	}
 }
 
 // modelVersions returns the weight versions with which a new request to a model may
 // be answered, beginning with the one in force.
-func (s *Services) modelVersions(model string) []string {
+func (s *Services) modelVersions(model string) []version {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	versions := []string{s.currentVersions[model]}
-	if old := s.previousVersions[model]; old != "" && old != versions[0] {
+	versions := []version{s.currentVersions[model]}
+	if old := s.previousVersions[model]; old.name != "" && old.name != versions[0].name {
 		versions = append(versions, old)
 	}
 	return versions
--- a/serve/swap_test.go
+++ b/serve/swap_test.go
@@ -1,34 +1,44 @@
 package serve
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"redwingknot/engine"
 	enginestandin "redwingknot/internal/standin/engine"
 	"redwingknot/note"
 )
 
-// setAdapter makes the configuration have the adapter "drill" with a version.
-func (f *fixture) setAdapter(version string) {
-	next := *f.state
-	next.Head++
-	next.Adapters = map[string]note.Adapter{"drill": {Name: "drill", Model: "m", Version: version}}
-	llm := next.Services["llm"]
-	llm.Adapters = []string{"drill"}
-	next.Services = map[string]note.Service{"llm": llm, "app": f.state.Services["app"]}
-	f.state = &next
+// applyNote brings the changes of a note into force.
+func (f *fixture) applyNote(changes string) {
+	f.t.Helper()
+	n, err := note.Parse([]byte("title: t\n" + changes))
+	assert.NilError(f.t, err)
+	f.state, err = f.state.Apply(n)
+	assert.NilError(f.t, err)
 	f.server.opts.Services.Apply(f.state)
 }
 
-// order has an engine load an adapter.
-func (f *fixture) order(endpoint, adapter string) {
+// order has an engine load weights and waits until it has them.
+func (f *fixture) order(endpoint, version string, adapters ...string) {
 	f.t.Helper()
-	o := engine.Order{Fence: 1, Model: "m", Version: "v1", Adapters: []string{adapter}}
-	assert.NilError(f.t, f.server.engineClient(endpoint).Order(f.t.Context(), o))
+	client := f.server.engineClient(endpoint)
+	assert.NilError(f.t, client.Order(f.t.Context(), engine.Order{Fence: 1, Model: "m", Version: version, Adapters: adapters}))
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		r, err := client.Report(f.t.Context())
+		if err == nil && r.Version == version && r.Loading == "" {
+			return poll.Success()
+		}
+		return poll.Continue("%s has not loaded %s yet: %v", endpoint, version, err)
+	}, poll.WithDelay(time.Millisecond))
 }
 
 // TestBlocksOfReplacedAdapterAreNotUsed has an engine replace an adapter before this instance
@@ -38,8 +48,8 @@
 	f := newFixture(t, enginestandin.Options{})
 	keeper := &recordingKeeper{}
 	f.server.opts.Keeper = keeper
-	f.setAdapter("1")
-	f.order("engine-0", "drill@1")
+	f.applyNote("add: {adapters: [{name: drill, model: m, version: '1'}]}\nchange: {services: [{name: llm, adapters: [drill]}]}")
+	f.order("engine-0", "v1", "drill@1")
 	f.observeReports()
 	body := strings.Replace(chatJSON(strings.Repeat("a waiver ", 2000), true), `"llm"`, `"llm/drill"`, 1)
 	assertWhole := func() {
@@ -52,14 +62,68 @@
 	assertWhole()
 	assert.DeepEqual(t, keeper.answered, []engine.Weights{{Version: "v1", Adapter: "drill@1"}})
 
-	f.order("engine-0", "drill@2")
+	f.order("engine-0", "v1", "drill@2")
 	got := f.do("POST", "/v1/chat/completions", teamToken, body)
 	assert.Check(t, got.status == http.StatusServiceUnavailable, "status %d", got.status)
 	assert.Equal(t, f.engines[0].ForeignReads(), 0)
 
-	f.setAdapter("2")
+	f.applyNote("change: {adapters: [{name: drill, version: '2'}]}")
 	f.observeReports()
 	assertWhole()
 	assert.Equal(t, f.engines[0].ForeignReads(), 0)
 	assert.DeepEqual(t, keeper.answered[1:], []engine.Weights{{Version: "v1", Adapter: "drill@2"}})
 }
+
+// TestBlocksComputedAfterSwapAreNotUsedAfterReturn has an engine load other weights, or another
+// adapter, while it runs a prompt, read the prompt again with them, and return to the former
+// ones. A request after that must not use the blocks that were computed between.
+func TestBlocksComputedAfterSwapAreNotUsedAfterReturn(t *testing.T) {
+	adapters := func(version string) string { return "change: {adapters: [{name: drill, version: '" + version + "'}]}" }
+	models := func(version string) string { return "change: {models: [{name: m, version: " + version + "}]}" }
+	for _, test := range []struct {
+		name       string
+		swap, back string         // notes
+		between    engine.Weights // weights between the notes
+	}{
+		{name: "weights", swap: models("v2"), back: models("v1"), between: engine.Weights{Version: "v2", Adapter: "drill@1"}},
+		{name: "adapter", swap: adapters("2"), back: adapters("1"), between: engine.Weights{Version: "v1", Adapter: "drill@2"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, enginestandin.Options{TokenInterval: 10 * time.Millisecond, AnswerTokens: 1 << 20})
+			f.applyNote("add: {adapters: [{name: drill, model: m, version: '1'}]}\nchange: {services: [{name: llm, adapters: [drill]}]}")
+			f.order("engine-0", "v1", "drill@1")
+			f.observeReports()
+			end := f.begin("llm/drill")
+			f.applyNote(test.swap)
+			f.order("engine-0", test.between.Version, test.between.Adapter)
+			f.engines[0].Preempt()
+			f.applyNote(test.back)
+			f.order("engine-0", "v1", "drill@1")
+			end()
+
+			f.observeReports()
+			defer f.begin("llm/drill")()
+			assert.Equal(t, f.engines[0].ForeignReads(), 0)
+		})
+	}
+}
+
+// begin sends a prompt to a model, waits until its answer has begun and returns a function that
+// disconnects the caller. The prompt is always the same.
+func (f *fixture) begin(model string) (end func()) {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	body := strings.Replace(chatJSON(strings.Repeat("a waiver ", 2000), true), `"llm"`, strconv.Quote(model), 1)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+teamToken)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	assert.Equal(f.t, resp.StatusCode, http.StatusOK)
+	_, err = io.ReadFull(resp.Body, make([]byte, 1))
+	assert.NilError(f.t, err)
+	return func() {
+		cancel()
+		resp.Body.Close()
+	}
+}
