Serve, Block: tests of blocks at an engine that changes its weights around a bring-back or by a late order

Cause: the engine that a bring-back goes to may have loaded other weights by the time that the blocks or the request arrive; and an engine may return to former weights without a note.

Change: TestBlocksBroughtBackBeforeSwapAreNotUsedAfter shows that the first is sound: blocks are imported under the keys of the weights that computed them, the engine refuses the request itself, and after a return the blocks are good. It passed when it was written; no fault.

Measured: the first passes (four cases), the second fails with 2 foreign blocks; the other tests of block and serve pass with the race detector.

--- a/block/swap_test.go
+++ b/block/swap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -66,14 +67,19 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
-// run sends a prompt and reads its answer to the end; during is called after the first token.
-func (e *swapEngine) run(t *testing.T, p Prompt, during func()) {
-	t.Helper()
+// request returns a request for an answer to p.
+func (e *swapEngine) request(p Prompt) engine.GenerateRequest {
 	request := engine.GenerateRequest{AttemptID: "a", Weights: p.Weights, Body: []byte(`{"model":"llm/drill"}`)}
 	for _, k := range p.Keys {
 		request.BlockKeys = append(request.BlockKeys, k.String())
 	}
-	s, err := e.client.Generate(t.Context(), request)
+	return request
+}
+
+// run sends a prompt and reads its answer to the end; during is called after the first token.
+func (e *swapEngine) run(t *testing.T, p Prompt, during func()) {
+	t.Helper()
+	s, err := e.client.Generate(t.Context(), e.request(p))
 	assert.NilError(t, err)
 	defer s.Close()
 	_, err = s.Next()
@@ -129,3 +135,39 @@
 		})
 	}
 }
+
+// TestBlocksBroughtBackBeforeSwapAreNotUsedAfter has an engine load other weights, or another
+// adapter, between an import and the request that it is for. The engine must refuse the request,
+// and the blocks are good for a request after a return.
+func TestBlocksBroughtBackBeforeSwapAreNotUsedAfter(t *testing.T) {
+	const pieces = 4
+	old := engine.Weights{Version: "v1", Adapter: "drill@1"}
+	for _, other := range []engine.Weights{{Version: "v2", Adapter: "drill@1"}, {Version: "v1", Adapter: "drill@2"}} {
+		for _, swapFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, swap first: %t", other, swapFirst), func(t *testing.T) {
+				s := newTestSetup(t, 1)
+				source, swapped := newSwapEngine(t), newSwapEngine(t)
+				p, _ := testPrompt(pieces)
+				p.Weights = old
+				source.run(t, p, func() {})
+				published, err := s.keeper.Export(t.Context(), source.client, p, 0)
+				assert.NilError(t, err)
+				assert.Equal(t, published, pieces)
+
+				plan, err := s.keeper.PlanBringBack(t.Context(), p)
+				assert.NilError(t, err)
+				if swapFirst {
+					swapped.order(t, other)
+				}
+				assert.Equal(t, s.keeper.BringBack(t.Context(), swapped.client, p, plan), pieces)
+				swapped.order(t, other)
+				_, err = swapped.client.Generate(t.Context(), swapped.request(p))
+				assert.Assert(t, engine.IsOtherWeights(err), "%v", err)
+
+				swapped.order(t, old)
+				swapped.run(t, p, func() {})
+				assert.Equal(t, swapped.ForeignReads(), 0)
+			})
+		}
+	}
+}
--- a/serve/swap_test.go
+++ b/serve/swap_test.go
@@ -108,6 +108,24 @@
 	}
 }
 
+// TestBlocksComputedAfterSwapAreNotUsedAfterLateOrder is as
+// TestBlocksComputedAfterSwapAreNotUsedAfterReturn, but the engine returns to the former weights
+// by an order that a former leader has sent late, or one that lags behind the notes, and not by
+// a note.
+func TestBlocksComputedAfterSwapAreNotUsedAfterLateOrder(t *testing.T) {
+	f := newFixture(t, enginestandin.Options{TokenInterval: 10 * time.Millisecond, AnswerTokens: 1 << 20})
+	end := f.begin("llm")
+	f.applyNote("change: {models: [{name: m, version: v2}]}")
+	f.order("engine-0", "v2")
+	f.engines[0].Preempt()
+	f.order("engine-0", "v1")
+	end()
+
+	f.observeReports()
+	defer f.begin("llm")()
+	assert.Equal(t, f.engines[0].ForeignReads(), 0)
+}
+
 // begin sends a prompt to a model, waits until its answer has begun and returns a function that
 // disconnects the caller. The prompt is always the same.
 func (f *fixture) begin(model string) (end func()) {
