Serve: the test of replaced adapters covers replaced weights, too

Cause: the demand for the weight version was tested only with engines that are behind the report, not ahead of it.

Change: TestBlocksOfReplacedAdapterAreNotUsed is TestBlocksOfReplacedWeightsAreNotUsed, with the former case and one of weights.

Measured: both pass twice; with the adapter left out of demand and comparison the case of the adapter fails as before (status 200, 2 foreign blocks), that of the weights passes, since they were demanded before. go test -race of processtest (WeightSwapUnderLoad, LeaderPausedPastLease) passes.

--- a/serve/swap_test.go
+++ b/serve/swap_test.go
@@ -41,37 +41,47 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
-// TestBlocksOfReplacedAdapterAreNotUsed has an engine replace an adapter before this instance
-// knows of it. A request that is named after the adapter's former version must not run there:
-// it would read blocks of the former version and cache its own under that name.
-func TestBlocksOfReplacedAdapterAreNotUsed(t *testing.T) {
-	f := newFixture(t, enginestandin.Options{})
-	keeper := &recordingKeeper{}
-	f.server.opts.Keeper = keeper
-	f.applyNote("add: {adapters: [{name: drill, model: m, version: '1'}]}\nchange: {services: [{name: llm, adapters: [drill]}]}")
-	f.order("engine-0", "v1", "drill@1")
-	f.observeReports()
-	body := strings.Replace(chatJSON(strings.Repeat("a waiver ", 2000), true), `"llm"`, `"llm/drill"`, 1)
-	assertWhole := func() {
-		t.Helper()
-		got := f.do("POST", "/v1/chat/completions", teamToken, body)
-		text, complete := streamText(t, got.body)
-		assert.Assert(t, complete, got.body)
-		assert.Equal(t, text, enginestandin.Answer([]byte(body), "v1", 8))
-	}
-	assertWhole()
-	assert.DeepEqual(t, keeper.answered, []engine.Weights{{Version: "v1", Adapter: "drill@1"}})
+// TestBlocksOfReplacedWeightsAreNotUsed has an engine replace its weights, or an adapter, before
+// this instance knows of it. A request that is named after the former version must not run
+// there: it would read blocks of the former version and cache its own under that name.
+func TestBlocksOfReplacedWeightsAreNotUsed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		next engine.Weights
+		note string
+	}{
+		{"adapter", engine.Weights{Version: "v1", Adapter: "drill@2"}, "change: {adapters: [{name: drill, version: '2'}]}"},
+		{"weights", engine.Weights{Version: "v2", Adapter: "drill@1"}, "change: {models: [{name: m, version: v2}]}"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, enginestandin.Options{})
+			keeper := &recordingKeeper{}
+			f.server.opts.Keeper = keeper
+			f.applyNote("add: {adapters: [{name: drill, model: m, version: '1'}]}\nchange: {services: [{name: llm, adapters: [drill]}]}")
+			f.order("engine-0", "v1", "drill@1")
+			f.observeReports()
+			body := strings.Replace(chatJSON(strings.Repeat("a waiver ", 2000), true), `"llm"`, `"llm/drill"`, 1)
+			assertAnsweredBy := func(want engine.Weights) {
+				t.Helper()
+				got := f.do("POST", "/v1/chat/completions", teamToken, body)
+				text, complete := streamText(t, got.body)
+				assert.Assert(t, complete, got.body)
+				assert.Equal(t, text, enginestandin.Answer([]byte(body), want.Version, 8))
+				assert.DeepEqual(t, keeper.answered[len(keeper.answered)-1], want)
+			}
+			assertAnsweredBy(engine.Weights{Version: "v1", Adapter: "drill@1"})
 
-	f.order("engine-0", "v1", "drill@2")
-	got := f.do("POST", "/v1/chat/completions", teamToken, body)
-	assert.Check(t, got.status == http.StatusServiceUnavailable, "status %d", got.status)
-	assert.Equal(t, f.engines[0].ForeignReads(), 0)
+			f.order("engine-0", test.next.Version, test.next.Adapter)
+			got := f.do("POST", "/v1/chat/completions", teamToken, body)
+			assert.Check(t, got.status == http.StatusServiceUnavailable, "status %d", got.status)
+			assert.Equal(t, f.engines[0].ForeignReads(), 0)
 
-	f.applyNote("change: {adapters: [{name: drill, version: '2'}]}")
-	f.observeReports()
-	assertWhole()
-	assert.Equal(t, f.engines[0].ForeignReads(), 0)
-	assert.DeepEqual(t, keeper.answered[1:], []engine.Weights{{Version: "v1", Adapter: "drill@2"}})
+			f.applyNote(test.note)
+			f.observeReports()
+			assertAnsweredBy(test.next)
+			assert.Equal(t, f.engines[0].ForeignReads(), 0)
+		})
+	}
 }
 
 // TestBlocksComputedAfterSwapAreNotUsedAfterReturn has an engine load other weights, or another
