Block: a test of a run that waits in the queue across a swap

Cause: a run that an engine has admitted before a swap is read with the new weights if it waited for a slot; only the case of a preemption was tested.

Change: TestBlocksOfQueuedRunAcrossSwapAreNotBroughtBack.

--- a/block/swap_test.go
+++ b/block/swap_test.go
@@ -18,6 +18,9 @@
 	"redwingknot/store"
 )
 
+// testSlots is the number of slots of an engine.
+const testSlots = 2
+
 // swapEngine is a stand-in engine with its client.
 type swapEngine struct {
 	*enginestandin.Server
@@ -43,7 +46,7 @@
 func newSwapEngine(t *testing.T) *swapEngine {
 	e := &swapEngine{}
 	e.Server = enginestandin.New(enginestandin.Options{
-		Model: "m", Version: "v1", Slots: 2, PrefillRate: 1 << 30, TokenInterval: time.Millisecond, AnswerTokens: 4,
+		Model: "m", Version: "v1", Slots: testSlots, PrefillRate: 1 << 30, TokenInterval: time.Millisecond, AnswerTokens: 4,
 		PieceTokens: 16, CachePieces: 64, BlockBytes: testBlockBytes, Mover: e,
 	})
 	host := httptest.NewServer(e.Server)
@@ -136,6 +139,54 @@
 	}
 }
 
+// TestBlocksOfQueuedRunAcrossSwapAreNotBroughtBack changes the weights of an engine while a run
+// that it has admitted waits for a slot, so that its prompt is read with the new weights.
+func TestBlocksOfQueuedRunAcrossSwapAreNotBroughtBack(t *testing.T) {
+	const pieces = 4
+	s := newTestSetup(t, 1)
+	swapped, other := newSwapEngine(t), newSwapEngine(t)
+	p, _ := testPrompt(pieces)
+	p.Weights = engine.Weights{Version: "v1", Adapter: "drill@1"}
+	releaseSlots := swapped.occupySlots(t, p.Weights)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		swapped.run(t, p, func() {})
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r, err := swapped.client.Report(t.Context()); err != nil || r.Waiting == 0 {
+			return poll.Continue("the run does not wait yet: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	swapped.order(t, engine.Weights{Version: "v2", Adapter: "drill@1"})
+	releaseSlots()
+	<-done
+	published, err := s.keeper.Export(t.Context(), swapped.client, p, 0)
+	assert.NilError(t, err)
+	assert.Check(t, published == 0, "%d blocks were published", published)
+
+	plan, err := s.keeper.PlanBringBack(t.Context(), p)
+	assert.NilError(t, err)
+	s.keeper.BringBack(t.Context(), other.client, p, plan)
+	other.run(t, p, func() {})
+	assert.Equal(t, other.ForeignReads(), 0)
+}
+
+// occupySlots fills the engine's slots with runs that end when the caller releases them. Their
+// answers begin so far before the first token that they don't end by themselves.
+func (e *swapEngine) occupySlots(t *testing.T, w engine.Weights) (release func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	for i := range testSlots {
+		request := engine.GenerateRequest{AttemptID: fmt.Sprint("slot-", i), Weights: w, ResumeOffset: -1 << 20, Body: []byte(`{"model":"llm"}`)}
+		stream, err := e.client.Generate(ctx, request)
+		assert.NilError(t, err)
+		t.Cleanup(func() { stream.Close() })
+	}
+	return cancel
+}
+
 // TestBlocksBroughtBackBeforeSwapAreNotUsedAfter has an engine load other weights, or another
 // adapter, between an import and the request that it is for. The engine must refuse the request,
 // and the blocks are good for a request after a return.
