Engine, Note, Serve: a service's model counts as part of its weights

Seen by callers: while a note gives a service another model, an instance that does not know of it yet has requests answered by the new model, if its weight version has the same name ("v1" of each model), from KV cache blocks of the former one; the blocks computed there are exported as those of the former model. After a return to the former model, requests read what runs that went on across the change have computed.

Cause: as for adapters and versions. An attempt and an export demanded version and adapter, not the model, which was checked against the last report alone; and block keys name the model by its name alone.

Change: engine.Weights has the model (X-Model in requests and answers; also compared for an export). Service records the number of the note that set its model (ModelSetBy), and block keys contain it. Services that share a model no longer share blocks. The stand-in engine obeys the model in orders.

Measured: with the model left out of the demands and the comparison, the cases "model" of TestBlocksOfReplacedWeightsAreNotUsed (status 200, 2 foreign blocks) and TestBlocksComputedAfterSwapAreNotBroughtBack (4 published, 4 foreign blocks) fail; with the number left out of the keys, the case "model" of TestBlocksComputedAfterSwapAreNotUsedAfterReturn (2 foreign blocks).

--- a/block/swap_test.go
+++ b/block/swap_test.go
@@ -52,18 +52,18 @@
 	host := httptest.NewServer(e.Server)
 	t.Cleanup(host.Close)
 	e.client = engine.NewClient(host.URL, http.DefaultClient)
-	e.order(t, engine.Weights{Version: "v1", Adapter: "drill@1"})
+	e.order(t, engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"})
 	return e
 }
 
 // order has the engine load weights and waits until it has them.
 func (e *swapEngine) order(t *testing.T, w engine.Weights) {
 	t.Helper()
-	o := engine.Order{Fence: 1, Model: "m", Version: w.Version, Adapters: []string{w.Adapter}}
+	o := engine.Order{Fence: 1, Model: w.Model, Version: w.Version, Adapters: []string{w.Adapter}}
 	assert.NilError(t, e.client.Order(t.Context(), o))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		r, err := e.client.Report(t.Context())
-		if err == nil && r.Version == w.Version && r.Loading == "" {
+		if err == nil && r.Model == w.Model && r.Version == w.Version && r.Loading == "" {
 			return poll.Success()
 		}
 		return poll.Continue("the engine has not loaded %s: %v", w, err)
@@ -100,7 +100,7 @@
 // blocks.
 func TestBlocksComputedAfterSwapAreNotBroughtBack(t *testing.T) {
 	const pieces = 4
-	old := engine.Weights{Version: "v1", Adapter: "drill@1"}
+	old := engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"}
 	for _, test := range []struct {
 		name         string
 		duringRun    engine.Weights // weights that the engine loads during the run
@@ -108,10 +108,11 @@
 		published    int
 	}{
 		{name: "no swap", duringRun: old, published: pieces},
-		{name: "weights", duringRun: engine.Weights{Version: "v2", Adapter: "drill@1"}},
-		{name: "adapter", duringRun: engine.Weights{Version: "v1", Adapter: "drill@2"}},
-		{name: "weights during export", duringRun: old, duringExport: engine.Weights{Version: "v2", Adapter: "drill@1"}, published: 1},
-		{name: "adapter during export", duringRun: old, duringExport: engine.Weights{Version: "v1", Adapter: "drill@2"}, published: 1},
+		{name: "weights", duringRun: engine.Weights{Model: "m", Version: "v2", Adapter: "drill@1"}},
+		{name: "model", duringRun: engine.Weights{Model: "n", Version: "v1", Adapter: "drill@1"}},
+		{name: "adapter", duringRun: engine.Weights{Model: "m", Version: "v1", Adapter: "drill@2"}},
+		{name: "weights during export", duringRun: old, duringExport: engine.Weights{Model: "m", Version: "v2", Adapter: "drill@1"}, published: 1},
+		{name: "adapter during export", duringRun: old, duringExport: engine.Weights{Model: "m", Version: "v1", Adapter: "drill@2"}, published: 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newTestSetup(t, 1)
@@ -146,7 +147,7 @@
 	s := newTestSetup(t, 1)
 	swapped, other := newSwapEngine(t), newSwapEngine(t)
 	p, _ := testPrompt(pieces)
-	p.Weights = engine.Weights{Version: "v1", Adapter: "drill@1"}
+	p.Weights = engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"}
 	releaseSlots := swapped.occupySlots(t, p.Weights)
 	done := make(chan struct{})
 	go func() {
@@ -159,7 +160,7 @@
 		}
 		return poll.Success()
 	}, poll.WithDelay(time.Millisecond))
-	swapped.order(t, engine.Weights{Version: "v2", Adapter: "drill@1"})
+	swapped.order(t, engine.Weights{Model: "m", Version: "v2", Adapter: "drill@1"})
 	releaseSlots()
 	<-done
 	published, err := s.keeper.Export(t.Context(), swapped.client, p, 0)
@@ -192,8 +193,8 @@
 // and the blocks are good for a request after a return.
 func TestBlocksBroughtBackBeforeSwapAreNotUsedAfter(t *testing.T) {
 	const pieces = 4
-	old := engine.Weights{Version: "v1", Adapter: "drill@1"}
-	for _, other := range []engine.Weights{{Version: "v2", Adapter: "drill@1"}, {Version: "v1", Adapter: "drill@2"}} {
+	old := engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"}
+	for _, other := range []engine.Weights{{Model: "m", Version: "v2", Adapter: "drill@1"}, {Model: "m", Version: "v1", Adapter: "drill@2"}} {
 		for _, swapFirst := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, swap first: %t", other, swapFirst), func(t *testing.T) {
 				s := newTestSetup(t, 1)
--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 // Headers of the requests that an entry instance sends to an engine.
 const (
 	HeaderAttemptID     = "X-Attempt-Id"     // ID of one attempt; the engine repeats it in every frame
+	HeaderModel         = "X-Model"          // wanted model; the engine refuses the request if it has loaded another
 	HeaderWeightVersion = "X-Weight-Version" // wanted weight version; the engine refuses the request if it has loaded another
 	HeaderAdapter       = "X-Adapter"        // wanted adapter as name@version, absent for none; the engine refuses the request if it does not have it
 	HeaderBlockKeys     = "X-Block-Keys"     // block keys of the full pieces of the prompt, separated by commas
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,6 +1,7 @@
 package enginestandin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -53,8 +54,9 @@
 	prefillSlot chan struct{}
 
 	mu              sync.Mutex
-	version         string
+	model, version  string
 	loadingVersion  string // version being loaded, empty for none
+	loadingModel    string // model of loadingVersion
 	adapters        []string
 	role            string
 	fencingToken    int64 // of the latest order accepted
@@ -73,7 +75,7 @@
 // New returns a fake engine that has o.Version loaded.
 func New(o Options) *Server {
 	s := &Server{
-		options: o, epoch: uuid.NewString(), version: o.Version,
+		options: o, epoch: uuid.NewString(), model: o.Model, version: o.Version,
 		slots: make(chan struct{}, max(o.Slots, 1)), prefillSlot: make(chan struct{}, 1),
 		cache: newCache(o.CachePieces), cancelByAttempt: map[string]context.CancelFunc{}, runs: map[string]run{},
 	}
@@ -98,7 +100,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return engine.Report{
-		Epoch: s.epoch, Model: s.options.Model, Version: s.version, Loading: s.loadingVersion, Adapters: s.adapters,
+		Epoch: s.epoch, Model: s.model, Version: s.version, Loading: s.loadingVersion, Adapters: s.adapters,
 		Role: s.role, Fence: s.fencingToken, Running: s.running, Waiting: s.waiting, QueuedTokens: s.queuedTokens,
 		Leaving: s.leaving, At: time.Now(),
 	}
@@ -141,23 +143,26 @@
 	s.fencingToken = order.Fence
 	s.role = order.Role
 	s.adapters = order.Adapters
-	s.startLoading(order.Version)
+	s.startLoading(cmp.Or(order.Model, s.model), order.Version)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// startLoading starts to load a weight version, which takes LoadTime. Requests
+// startLoading starts to load a weight version of a model, which takes LoadTime. Requests
 // that are running go on, and the blocks that they have stay in the cache. The caller must
 // hold s.mu.
-func (s *Server) startLoading(version string) {
-	if version == "" || version == s.version || version == s.loadingVersion {
+func (s *Server) startLoading(model, version string) {
+	isLoaded := model == s.model && version == s.version
+	isLoading := model == s.loadingModel && version == s.loadingVersion
+	if version == "" || isLoaded || isLoading {
 		return
 	}
-	s.loadingVersion = version
+	s.loadingModel, s.loadingVersion = model, version
 	time.AfterFunc(s.options.LoadTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.loadingVersion == version {
-			s.version, s.loadingVersion = version, ""
+		if s.loadingModel == model && s.loadingVersion == version {
+			s.model, s.version = model, version
+			s.loadingModel, s.loadingVersion = "", ""
 		}
 	})
 }
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -31,7 +31,7 @@
 // loadedWeights returns the weights that are loaded for requests with the named adapter. The
 // caller must hold s.mu.
 func (s *Server) loadedWeights(adapterName string) engine.Weights {
-	w := engine.Weights{Version: s.version}
+	w := engine.Weights{Model: s.model, Version: s.version}
 	for _, a := range s.adapters {
 		if name, _, _ := strings.Cut(a, "@"); adapterName != "" && name == adapterName {
 			w.Adapter = a
@@ -44,7 +44,7 @@
 // s.mu.
 func (s *Server) hasWeights(w engine.Weights) bool {
 	hasAdapter := w.Adapter == "" || slices.Contains(s.adapters, w.Adapter)
-	return s.loadingVersion == "" && s.version == w.Version && hasAdapter
+	return s.loadingVersion == "" && s.model == w.Model && s.version == w.Version && hasAdapter
 }
 
 // trackRun adds a run to the running ones and returns the function that removes it.
--- a/note/parse_test.go
+++ b/note/parse_test.go
@@ -72,7 +72,7 @@
 	assert.DeepEqual(t, decoded, next)
 }
 
-// TestReturnToVersionIsNotedAsItsOwn sets versions, sets others and returns to the former ones.
+// TestReturnToVersionIsNotedAsItsOwn sets models and versions, sets others and returns to the former ones.
 // The block keys of both times must differ: an engine may have computed blocks of the former
 // keys with the weights between.
 func TestReturnToVersionIsNotedAsItsOwn(t *testing.T) {
@@ -80,16 +80,20 @@
 	for _, step := range []struct {
 		raw            string
 		model, adapter uint64 // numbers of the notes that set the versions
+		service        uint64 // number of the note that set the service's model
 	}{
-		{"title: t\nchange: {models: [{name: mafunzo, version: v1, blockBytes: 7}]}\n", 1, 1},
-		{"title: t\nchange: {models: [{name: mafunzo, version: v2}]}\n", 3, 1},
-		{"title: t\nchange: {adapters: [{name: drill, version: a2}]}\n", 3, 4},
-		{"title: t\nchange: {models: [{name: mafunzo, version: v1}], adapters: [{name: drill, model: mafunzo}]}\n", 5, 4},
-		{"title: t\nchange: {adapters: [{name: drill, version: a1}]}\n", 5, 6},
+		{"title: t\nchange: {models: [{name: mafunzo, version: v1, blockBytes: 7}], services: [{name: mafunzo-llm, loadsAtOnce: 3}]}\n", 1, 1, 1},
+		{"title: t\nchange: {models: [{name: mafunzo, version: v2}]}\n", 3, 1, 1},
+		{"title: t\nchange: {adapters: [{name: drill, version: a2}]}\n", 3, 4, 1},
+		{"title: t\nchange: {models: [{name: mafunzo, version: v1}], adapters: [{name: drill, model: mafunzo}]}\n", 5, 4, 1},
+		{"title: t\nchange: {adapters: [{name: drill, version: a1}]}\n", 5, 6, 1},
+		{"title: t\nadd: {models: [{name: n, version: v1, pieceBytes: 8, blockBytes: 8}]}\nchange: {services: [{name: mafunzo-llm, model: n, adapters: []}]}\n", 5, 6, 7},
+		{"title: t\nchange: {services: [{name: mafunzo-llm, model: mafunzo}]}\n", 5, 6, 8},
 	} {
 		s = mustApply(t, s, step.raw)
 		assert.Equal(t, s.Models["mafunzo"].VersionSetBy, step.model, step.raw)
 		assert.Equal(t, s.Adapters["drill"].VersionSetBy, step.adapter, step.raw)
+		assert.Equal(t, s.Services["mafunzo-llm"].ModelSetBy, step.service, step.raw)
 		decoded, err := note.Decode(s.Encode())
 		assert.NilError(t, err)
 		assert.DeepEqual(t, decoded, s)
--- a/note/section.go
+++ b/note/section.go
@@ -26,7 +26,8 @@
 	// tryDecode decodes an object and returns the error if a field has the wrong type.
 	tryDecode(n *yaml.Node) error
 	// applyChange applies a change to the kind's table in s, which must not be shared
-	// with another state and has the number of the note as its head. It returns the reason if the change can't be applied.
+	// with another state; the head of s is the number of the note. It returns the reason if
+	// the change can't be applied.
 	applyChange(s *State, change ObjectChange) (reason string)
 	// cloneTable replaces the kind's table in s by a copy.
 	cloneTable(s *State)
@@ -50,7 +51,7 @@
 	table      func(*State) *map[string]T
 	toSpec     func(T) S
 	fromSpec   func(S) T
-	onSet      func(object *T, old T, number uint64) // called before the note with the number sets an object; nil for no action
+	onSet      func(object *T, old T, number uint64) // called before the note with the number sets an object; nil if nothing is recorded
 	validate   func(*faultList, T)
 	references func(*State, *faultList, T) []reference
 }
@@ -218,7 +219,7 @@
 	},
 	Services: &kindHandlerOf[Service, serviceSpec]{
 		objectKind: Services, table: func(s *State) *map[string]Service { return &s.Services },
-		toSpec: serviceToSpec, fromSpec: serviceFromSpec, validate: validateService, references: serviceReferences,
+		toSpec: serviceToSpec, fromSpec: serviceFromSpec, onSet: recordServiceModel, validate: validateService, references: serviceReferences,
 	},
 	Teams: &kindHandlerOf[Team, Team]{
 		objectKind: Teams, table: func(s *State) *map[string]Team { return &s.Teams },
@@ -319,6 +320,15 @@
 	}
 }
 
+// recordServiceModel records which note set the service's model, if this one does, and else
+// which one did.
+func recordServiceModel(s *Service, old Service, number uint64) {
+	s.ModelSetBy = old.ModelSetBy
+	if s.Model != old.Model {
+		s.ModelSetBy = number
+	}
+}
+
 func validateModel(l *faultList, m Model) {
 	l.checkName("version", m.Version)
 	l.checkRange("pieceBytes", float64(m.PieceBytes), 1, maxPieceBytes)
--- a/note/state.go
+++ b/note/state.go
@@ -32,7 +32,7 @@
 // Model is a model with the weight version in force.
 type Model struct {
 	Name         string `yaml:"name"`
-	Version      string `yaml:"version"`    // weight version; part of the key of every KV cache block
+	Version      string `yaml:"version"`    // weight version; part of the keys of KV cache blocks
 	VersionSetBy uint64 `yaml:"-"`          // number of the note that set Version to another value; part of the keys, too
 	PieceBytes   int    `yaml:"pieceBytes"` // length in bytes of the pieces into which a prompt is split, about 2,000 tokens
 	BlockBytes   int    `yaml:"blockBytes"` // size in bytes of the KV cache block of one piece
@@ -51,6 +51,7 @@
 	Name        string
 	Kind        ServiceKind
 	Model       string   // name of the model; only for KindModel
+	ModelSetBy  uint64   // number of the note that set Model to another value; part of the keys of KV cache blocks
 	Adapters    []string // names of the adapters offered; only for KindModel
 	LoadsAtOnce int      // maximum number of workers that load weights at the same time; only for KindModel
 	Calls       []Call   // operations; only for KindPlain
--- a/serve/chat.go
+++ b/serve/chat.go
@@ -68,14 +68,15 @@
 	}
 	run.fingerprint = suspect.FingerprintOf(suspect.RequestIdentity{
 		Team: req.team.Name, Service: req.service.Name, Model: req.model.Name,
-		Version: req.model.Version, Adapter: req.adapter.name, Body: req.prompt,
+		Version: req.model.Version, Adapter: req.adapter.value, Body: req.prompt,
 	})
 	return run
 }
 
 // blockKeys returns the keys of the prompt's blocks, first to last.
 func blockKeys(req *chatRequest) []string {
-	chain := block.Chain(req.team.Name, req.model.Name, req.adapter.keyPart(), req.modelVersion().keyPart(), req.prompt, req.model.PieceBytes)
+	model, version := req.servedModel().keyPart(), req.modelVersion().keyPart()
+	chain := block.Chain(req.team.Name, model, req.adapter.keyPart(), version, req.prompt, req.model.PieceBytes)
 	keys := make([]string, len(chain))
 	for i, k := range chain {
 		keys[i] = k.String()
--- a/serve/chat_request.go
+++ b/serve/chat_request.go
@@ -30,21 +30,26 @@
 	team    note.Team
 	service note.Service
 	model   note.Model
-	adapter version // named name@version; zero for none
+	adapter setting // named name@version; zero for none
 	class   contract.Class
 	stream  bool
 	prompt  []byte // messages in canonical form
 	body    []byte // as sent by the caller
 }
 
+// servedModel returns the model of the service.
+func (req *chatRequest) servedModel() setting {
+	return setting{value: req.model.Name, setBy: req.service.ModelSetBy}
+}
+
 // modelVersion returns the version of the model that the answer must have.
-func (req *chatRequest) modelVersion() version {
-	return version{name: req.model.Version, setBy: req.model.VersionSetBy}
+func (req *chatRequest) modelVersion() setting {
+	return setting{value: req.model.Version, setBy: req.model.VersionSetBy}
 }
 
 // weights returns the weights that the answer must have.
 func (req *chatRequest) weights() engine.Weights {
-	return engine.Weights{Version: req.model.Version, Adapter: req.adapter.name}
+	return engine.Weights{Model: req.model.Name, Version: req.model.Version, Adapter: req.adapter.value}
 }
 
 // chatBody holds the fields of the body that the system reads. The whole body is
@@ -135,7 +140,7 @@
 	if !ok || !slices.Contains(req.service.Adapters, name) {
 		return contract.Refuse(http.StatusNotFound, contract.ReasonUnknownModel, "the service has no adapter "+name)
 	}
-	req.adapter = version{name: a.Name + "@" + a.Version, setBy: a.VersionSetBy}
+	req.adapter = setting{value: a.Name + "@" + a.Version, setBy: a.VersionSetBy}
 	return nil
 }
 
--- a/serve/chat_run.go
+++ b/serve/chat_run.go
@@ -174,11 +174,11 @@
 
 // setVersion sets the weight version that the answer must have. Block keys depend on
 // the version, so setVersion computes them again and plans the bring-back anew.
-func (c *chatRun) setVersion(ctx context.Context, v version) {
+func (c *chatRun) setVersion(ctx context.Context, v setting) {
 	if v == c.request.modelVersion() {
 		return
 	}
-	c.request.model.Version, c.request.model.VersionSetBy = v.name, v.setBy
+	c.request.model.Version, c.request.model.VersionSetBy = v.value, v.setBy
 	c.prompt.Model, c.prompt.Weights = c.request.model, c.request.weights()
 	c.prompt.Keys = blockKeys(c.request)
 	c.bringBack = c.server.opts.Keeper.PlanBringBack(ctx, c.prompt)
@@ -189,7 +189,7 @@
 func (c *chatRun) chooseEndpoint(permit *suspect.Permit) (route.Query, route.Choice, error) {
 	now := time.Now()
 	q := route.Query{
-		Service: c.request.service.Name, Model: c.request.model.Name, Version: c.answerWeights().Version, Adapter: c.request.adapter.name,
+		Service: c.request.service.Name, Model: c.request.model.Name, Version: c.answerWeights().Version, Adapter: c.request.adapter.value,
 		PromptTokens: c.prompt.Tokens, Pieces: c.prompt.Keys, Class: c.request.class, Deadline: c.deadline,
 		Exclude: append(append([]string(nil), c.triedEndpoints...), permit.Exclude...), DataCentre: c.server.opts.DataCentre,
 		BringBackTime: c.bringBack.ImportTime, PreferIdle: permit.Alone, Explain: c.explain,
--- a/serve/server_test.go
+++ b/serve/server_test.go
@@ -116,7 +116,7 @@
 	text, complete := streamText(t, got.body)
 	assert.Assert(t, complete, got.body)
 	assert.Equal(t, text, enginestandin.Answer([]byte(body), "v1", 8))
-	assert.DeepEqual(t, keeper.answered, []engine.Weights{{Version: "v1"}})
+	assert.DeepEqual(t, keeper.answered, []engine.Weights{{Model: "m", Version: "v1"}})
 
 	assert.NilError(t, f.server.engineClient("engine-0").Order(t.Context(), engine.Order{Fence: 1, Model: "m", Version: "v2"}))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/serve/service.go
+++ b/serve/service.go
@@ -75,26 +75,26 @@
 	byName map[string]*Service
 	urls   map[string]string // base URLs by endpoint name
 
-	currentVersions  map[string]version // weight version in force, by model name
-	previousVersions map[string]version // weight version before the one in force, by model name
+	currentVersions  map[string]setting // weight version in force, by model name
+	previousVersions map[string]setting // weight version before the one in force, by model name
 }
 
-// version is a version of a model's weights or of an adapter, from the time that a note set
-// it until another version is set. An engine may have cached blocks for runs of a version that
-// it has since replaced. Were the version set again under the same block keys, requests would
-// read them.
-type version struct {
-	name  string
+// setting is a part of what the engines of a service have to load, that is its model, the
+// weight version or an adapter, from the note that set it until another one is set. An engine
+// may have computed blocks with other weights for runs that began before it was replaced. If it
+// were set again under the same block keys, requests would read them.
+type setting struct {
+	value string
 	setBy uint64 // number of the note
 }
 
-// keyPart returns the part of the block keys that identifies the version, which is empty for
-// none.
-func (v version) keyPart() string {
-	if v.name == "" {
+// keyPart returns the part of the block keys that identifies the setting, which is empty
+// without a value.
+func (s setting) keyPart() string {
+	if s.value == "" {
 		return ""
 	}
-	return v.name + "#" + strconv.FormatUint(v.setBy, 10)
+	return s.value + "#" + strconv.FormatUint(s.setBy, 10)
 }
 
 // ServicesOptions configures the routers of all services.
@@ -110,7 +110,7 @@
 
 // NewServices returns an empty set of services.
 func NewServices(o ServicesOptions) *Services {
-	return &Services{opts: o, byName: map[string]*Service{}, urls: map[string]string{}, currentVersions: map[string]version{}, previousVersions: map[string]version{}}
+	return &Services{opts: o, byName: map[string]*Service{}, urls: map[string]string{}, currentVersions: map[string]setting{}, previousVersions: map[string]setting{}}
 }
 
 // Apply updates the set to a configuration. Services that exist already keep their
@@ -166,8 +166,8 @@
 // continue to serve requests.
 func (s *Services) updateVersions(state *note.State) {
 	for name, m := range state.Models {
-		current := version{name: m.Version, setBy: m.VersionSetBy}
-		if old := s.currentVersions[name]; old.name != "" && old.name != current.name {
+		current := setting{value: m.Version, setBy: m.VersionSetBy}
+		if old := s.currentVersions[name]; old.value != "" && old.value != current.value {
 			s.previousVersions[name] = old
 		}
 		s.currentVersions[name] = current
@@ -176,11 +176,11 @@
 
 // modelVersions returns the weight versions with which a new request to a model may
 // be answered, beginning with the one in force.
-func (s *Services) modelVersions(model string) []version {
+func (s *Services) modelVersions(model string) []setting {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	versions := []version{s.currentVersions[model]}
-	if old := s.previousVersions[model]; old.name != "" && old.name != versions[0].name {
+	versions := []setting{s.currentVersions[model]}
+	if old := s.previousVersions[model]; old.value != "" && old.value != versions[0].value {
 		versions = append(versions, old)
 	}
 	return versions
--- a/serve/swap_test.go
+++ b/serve/swap_test.go
@@ -28,39 +28,47 @@
 }
 
 // order has an engine load weights and waits until it has them.
-func (f *fixture) order(endpoint, version string, adapters ...string) {
+func (f *fixture) order(endpoint string, w engine.Weights) {
 	f.t.Helper()
 	client := f.server.engineClient(endpoint)
-	assert.NilError(f.t, client.Order(f.t.Context(), engine.Order{Fence: 1, Model: "m", Version: version, Adapters: adapters}))
+	order := engine.Order{Fence: 1, Model: w.Model, Version: w.Version}
+	if w.Adapter != "" {
+		order.Adapters = []string{w.Adapter}
+	}
+	assert.NilError(f.t, client.Order(f.t.Context(), order))
 	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
 		r, err := client.Report(f.t.Context())
-		if err == nil && r.Version == version && r.Loading == "" {
+		if err == nil && r.Model == w.Model && r.Version == w.Version && r.Loading == "" {
 			return poll.Success()
 		}
-		return poll.Continue("%s has not loaded %s yet: %v", endpoint, version, err)
+		return poll.Continue("%s has not loaded %s yet: %v", endpoint, w, err)
 	}, poll.WithDelay(time.Millisecond))
 }
 
-// TestBlocksOfReplacedWeightsAreNotUsed has an engine replace its weights, or an adapter, before
+// TestBlocksOfReplacedWeightsAreNotUsed has an engine replace its model, weights or adapter before
 // this instance knows of it. A request that is named after the former version must not run
 // there: it would read blocks of the former version and cache its own under that name.
 func TestBlocksOfReplacedWeightsAreNotUsed(t *testing.T) {
 	for _, test := range []struct {
-		name string
-		next engine.Weights
-		note string
+		name  string
+		model string         // in the request
+		first engine.Weights // that the request is named after
+		next  engine.Weights
+		note  string // that sets them
 	}{
-		{"adapter", engine.Weights{Version: "v1", Adapter: "drill@2"}, "change: {adapters: [{name: drill, version: '2'}]}"},
-		{"weights", engine.Weights{Version: "v2", Adapter: "drill@1"}, "change: {models: [{name: m, version: v2}]}"},
+		{"adapter", "llm/drill", engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"}, engine.Weights{Model: "m", Version: "v1", Adapter: "drill@2"}, "change: {adapters: [{name: drill, version: '2'}]}"},
+		{"weights", "llm/drill", engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"}, engine.Weights{Model: "m", Version: "v2", Adapter: "drill@1"}, "change: {models: [{name: m, version: v2}]}"},
+		{"model", "llm", engine.Weights{Model: "m", Version: "v1"}, engine.Weights{Model: "n", Version: "v1"},
+			"add: {models: [{name: n, version: v1, pieceBytes: 8000, blockBytes: 1024}]}\nchange: {services: [{name: llm, model: n, adapters: []}]}"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFixture(t, enginestandin.Options{})
 			keeper := &recordingKeeper{}
 			f.server.opts.Keeper = keeper
 			f.applyNote("add: {adapters: [{name: drill, model: m, version: '1'}]}\nchange: {services: [{name: llm, adapters: [drill]}]}")
-			f.order("engine-0", "v1", "drill@1")
+			f.order("engine-0", engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"})
 			f.observeReports()
-			body := strings.Replace(chatJSON(strings.Repeat("a waiver ", 2000), true), `"llm"`, `"llm/drill"`, 1)
+			body := strings.Replace(chatJSON(strings.Repeat("a waiver ", 2000), true), `"llm"`, strconv.Quote(test.model), 1)
 			assertAnsweredBy := func(want engine.Weights) {
 				t.Helper()
 				got := f.do("POST", "/v1/chat/completions", teamToken, body)
@@ -69,9 +77,9 @@
 				assert.Equal(t, text, enginestandin.Answer([]byte(body), want.Version, 8))
 				assert.DeepEqual(t, keeper.answered[len(keeper.answered)-1], want)
 			}
-			assertAnsweredBy(engine.Weights{Version: "v1", Adapter: "drill@1"})
+			assertAnsweredBy(test.first)
 
-			f.order("engine-0", test.next.Version, test.next.Adapter)
+			f.order("engine-0", test.next)
 			got := f.do("POST", "/v1/chat/completions", teamToken, body)
 			assert.Check(t, got.status == http.StatusServiceUnavailable, "status %d", got.status)
 			assert.Equal(t, f.engines[0].ForeignReads(), 0)
@@ -84,8 +92,8 @@
 	}
 }
 
-// TestBlocksComputedAfterSwapAreNotUsedAfterReturn has an engine load other weights, or another
-// adapter, while it runs a prompt, read the prompt again with them, and return to the former
+// TestBlocksComputedAfterSwapAreNotUsedAfterReturn has an engine load another model, other
+// weights or another adapter while it runs a prompt, read the prompt again with them, and return to the former
 // ones. A request after that must not use the blocks that were computed between.
 func TestBlocksComputedAfterSwapAreNotUsedAfterReturn(t *testing.T) {
 	adapters := func(version string) string { return "change: {adapters: [{name: drill, version: '" + version + "'}]}" }
@@ -95,20 +103,26 @@
 		swap, back string         // notes
 		between    engine.Weights // weights between the notes
 	}{
-		{name: "weights", swap: models("v2"), back: models("v1"), between: engine.Weights{Version: "v2", Adapter: "drill@1"}},
-		{name: "adapter", swap: adapters("2"), back: adapters("1"), between: engine.Weights{Version: "v1", Adapter: "drill@2"}},
+		{
+			name:    "model",
+			swap:    "add: {models: [{name: n, version: v1, pieceBytes: 8000, blockBytes: 1024}]}\nchange: {services: [{name: llm, model: n, adapters: []}]}",
+			back:    "change: {services: [{name: llm, model: m, adapters: [drill]}]}",
+			between: engine.Weights{Model: "n", Version: "v1"},
+		},
+		{name: "weights", swap: models("v2"), back: models("v1"), between: engine.Weights{Model: "m", Version: "v2", Adapter: "drill@1"}},
+		{name: "adapter", swap: adapters("2"), back: adapters("1"), between: engine.Weights{Model: "m", Version: "v1", Adapter: "drill@2"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFixture(t, enginestandin.Options{TokenInterval: 10 * time.Millisecond, AnswerTokens: 1 << 20})
 			f.applyNote("add: {adapters: [{name: drill, model: m, version: '1'}]}\nchange: {services: [{name: llm, adapters: [drill]}]}")
-			f.order("engine-0", "v1", "drill@1")
+			f.order("engine-0", engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"})
 			f.observeReports()
 			end := f.begin("llm/drill")
 			f.applyNote(test.swap)
-			f.order("engine-0", test.between.Version, test.between.Adapter)
+			f.order("engine-0", test.between)
 			f.engines[0].Preempt()
 			f.applyNote(test.back)
-			f.order("engine-0", "v1", "drill@1")
+			f.order("engine-0", engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"})
 			end()
 
 			f.observeReports()
@@ -126,9 +140,9 @@
 	f := newFixture(t, enginestandin.Options{TokenInterval: 10 * time.Millisecond, AnswerTokens: 1 << 20})
 	end := f.begin("llm")
 	f.applyNote("change: {models: [{name: m, version: v2}]}")
-	f.order("engine-0", "v2")
+	f.order("engine-0", engine.Weights{Model: "m", Version: "v2"})
 	f.engines[0].Preempt()
-	f.order("engine-0", "v1")
+	f.order("engine-0", engine.Weights{Model: "m", Version: "v1"})
 	end()
 
 	f.observeReports()
