Serve: a test of engines that ignore the demanded weights

Cause: the demand and the comparison of the answer guard the same promise; with an engine that obeys, the tests see the first alone.

Change: the stand-in engine can ignore demands, and TestAnswerOfOtherWeightsIsNotDelivered has it run requests with another model, version or adapter, or none.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -35,6 +35,7 @@
 	BlockBytes     int           // size of an exported block in bytes
 	LoadTime       time.Duration // time to load weights
 	ChecksFencing  bool          // refuse an order with a lower fencing token than the latest order
+	IgnoresDemands bool          // run requests whose demanded weights are not those loaded
 	ReportLag      time.Duration // minimum age of the report served
 	Mover          BlockMover    // exports and imports blocks
 	Crash          func()        // called for a prompt that contains CrashWord; nil to serve it normally
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -85,15 +85,15 @@
 
 // admit records the attempt and returns the weights that will answer it. It refuses, with
 // another status than 200, while the engine is leaving or loading weights or if it has
-// other weights than the wanted ones. A request that names no adapter version gets
-// whichever the engine has.
+// other weights than the wanted ones, unless it ignores demands. A request that names no
+// adapter version gets whichever the engine has.
 func (s *Server) admit(attempt string, wanted engine.Weights, adapterName string) (engine.Weights, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
 		return engine.Weights{}, http.StatusServiceUnavailable
 	}
-	if !s.hasWeights(wanted) {
+	if !s.hasWeights(wanted) && !s.options.IgnoresDemands {
 		return engine.Weights{}, http.StatusPreconditionFailed
 	}
 	s.attempts = append(s.attempts, attempt)
--- a/serve/swap_test.go
+++ b/serve/swap_test.go
@@ -92,6 +92,31 @@
 	}
 }
 
+// TestAnswerOfOtherWeightsIsNotDelivered has an engine that ignores the demands of requests, but
+// says with what it answers, run a request with another model, weight version or adapter. The
+// answer must not reach the caller, and its blocks must not be exported.
+func TestAnswerOfOtherWeightsIsNotDelivered(t *testing.T) {
+	for _, other := range []engine.Weights{
+		{Model: "n", Version: "v1", Adapter: "drill@1"},
+		{Model: "m", Version: "v2", Adapter: "drill@1"},
+		{Model: "m", Version: "v1", Adapter: "drill@2"},
+		{Model: "m", Version: "v1"},
+	} {
+		t.Run(other.String(), func(t *testing.T) {
+			f := newFixture(t, enginestandin.Options{IgnoresDemands: true})
+			keeper := &recordingKeeper{}
+			f.server.opts.Keeper = keeper
+			f.applyNote("add: {adapters: [{name: drill, model: m, version: '1'}]}\nchange: {services: [{name: llm, adapters: [drill]}]}")
+			f.order("engine-0", engine.Weights{Model: "m", Version: "v1", Adapter: "drill@1"})
+			f.observeReports()
+			f.order("engine-0", other)
+			got := f.do("POST", "/v1/chat/completions", teamToken, strings.Replace(chatJSON("a waiver", true), `"llm"`, `"llm/drill"`, 1))
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Equal(t, len(keeper.answered), 0)
+		})
+	}
+}
+
 // TestBlocksComputedAfterSwapAreNotUsedAfterReturn has an engine load another model, other
 // weights or another adapter while it runs a prompt, read the prompt again with them, and return to the former
 // ones. A request after that must not use the blocks that were computed between.
