Route: a test that a restart in place clears the view of an endpoint's cache

Cause: reports and cache events tell restarts apart by the epoch, and no test showed it. A view that is wrong costs a prefill, and never a wrong block, since the engine looks up keys.

Change: TestRestartClearsCacheView. No fault was found.

Measured: passes; with the comparisons of the epoch out, both cases fail.

--- a/route/router_test.go
+++ b/route/router_test.go
@@ -105,6 +105,35 @@
 	assert.Equal(t, c.CachedPieces, 0)
 }
 
+// TestRestartClearsCacheView has an endpoint start again at its address. What the router took for
+// cached there must be forgotten with the first report or the first cache events of the new
+// process, whichever comes first.
+func TestRestartClearsCacheView(t *testing.T) {
+	for name, restart := range map[string]func(r *Router){
+		"report": func(r *Router) {
+			report := idleReport(testStart.Add(time.Second))
+			report.Epoch = "e2"
+			r.ObserveReport("w0", report, report.At)
+		},
+		"events": func(r *Router) { r.ApplyCacheEvents("w0", engine.Events{Epoch: "e2"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(1)
+			q := testQuery()
+			q.Pieces = []string{"a", "b"}
+			r.ApplyCacheEvents("w0", engine.Events{Epoch: "e", Last: 2, List: []engine.Event{{Seq: 1, Block: "a"}, {Seq: 2, Block: "b"}}})
+			now := testStart.Add(2 * time.Second)
+			c, err := r.Choose(q, now, newRNG())
+			assert.NilError(t, err)
+			assert.Equal(t, c.CachedPieces, 2)
+			restart(r)
+			c, err = r.Choose(q, now, newRNG())
+			assert.NilError(t, err)
+			assert.Equal(t, c.CachedPieces, 0)
+		})
+	}
+}
+
 func TestChooseImportsPrefixWhenFaster(t *testing.T) {
 	r, q := newTestRouter(2), testQuery()
 	q.Pieces = []string{"a", "b"}
