Relay, Gateway: cached parts of a version are not fetched once newer weights may be loaded

Callers saw answers that were generated on KV cache of another version of the weights. A run that goes on at its engine while the weights change (order mode keep) may prefill its prompt again after a preemption. The engine, and a cache store that lacks the part, then hold it under the name of the version with which the run began, although it was made under the newer one. Requests that began at engines with the older version fetched it: the name of a part is chosen before the part is made, and nothing compares versions.

An instance now decides on a fetch only if no newer version can have been set more than MaxVersionAge ago: by the time of the change if it knows of one, else by its last confirmation. The fetch ends within FetchTimeout of the decision, on the endpoints' clock; without that clock there is none. The leader orders the first load only LoadDelay after it has heard of a version, the sum of both and a margin. So no fetch of a version is under way once an engine can have newer weights, also not at an instance that is cut off or suspended. Versions that follow sooner are loaded one after the other (KnownVersions). Parts are freed later for the same reason.

The test now shows that the part is held under the old name, made under the new weights, before the requests begin, and that the load is not ordered sooner. Its streams last 30 s, since the load comes later; its gateway has 20 s for a load; and its first engine is slow, so that it does not take all requests.

Weighed: mode wait, by which no run crosses a load.

--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -36,8 +36,9 @@
 	// maxPartsPerFree is the maximum number of parts in one call to free them.
 	maxPartsPerFree = 200
 	// freeDelay is how long all endpoints must have had the wanted weights before
-	// parts of older weights are freed: fetches of these parts have ended by then.
-	freeDelay = 2 * promptcache.FetchTimeout
+	// parts of older weights are freed: fetches of these parts have ended by then, also
+	// if the endpoints had the weights as soon as they were set.
+	freeDelay = promptcache.LoadDelay
 	// freeValidity is how long after its sending a call to free parts may still
 	// take effect.
 	freeValidity = time.Second
@@ -50,7 +51,7 @@
 	readers := map[string]context.CancelFunc{}
 	t := time.NewTicker(cacheStoreInterval)
 	defer t.Stop()
-	var weightsMissingAt time.Time
+	weightsMissingAt := g.opts.Relay.Now()
 	for {
 		select {
 		case <-ctx.Done():
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -11,6 +11,7 @@
 	"redwingknot/internal/timer"
 	"redwingknot/metric"
 	"redwingknot/peers"
+	"redwingknot/promptcache"
 	"redwingknot/rollout"
 )
 
@@ -54,7 +55,9 @@
 // leader, until ctx ends.
 func (g *Gateway) runOrders(ctx context.Context) error {
 	var current leaderTerm
+	known := rollout.NewKnownVersions()
 	for ctx.Err() == nil {
+		known.Observe(g.view.Snapshot(), g.opts.Relay.Now())
 		changed := g.elector.Changed()
 		fencingToken, isLeader := g.elector.FencingToken()
 		if !isLeader {
@@ -62,6 +65,9 @@
 			continue
 		}
 		timer.Sleep(ctx, orderInterval)
+		// The snapshot is taken before the clock is read, so that no version seems known for longer
+		// than it is.
+		latest := g.view.Snapshot()
 		now := g.opts.Relay.Now()
 		if current.fencingToken != fencingToken {
 			current = leaderTerm{fencingToken: fencingToken, since: now, planner: rollout.NewPlanner()}
@@ -70,7 +76,7 @@
 			// The previous leader may have sent an order until this term began.
 			continue
 		}
-		s := g.view.Snapshot()
+		s := known.Loadable(latest, promptcache.LoadDelay, now)
 		g.checkPendingOrders(ctx, &current, current.planner.DuePolls(s, now))
 		g.announceLoads(current.planner.DuePlans(s, g.runningAt, now))
 		g.sendOrders(ctx, &current, current.planner.DueOrders(s, g.exchange.PropagationTime(), now))
--- a/processtest/cached_weights_test.go
+++ b/processtest/cached_weights_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"path"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,14 +19,15 @@
 
 	"redwingknot/internal/standin/fleetwire"
 	"redwingknot/internal/standin/fleetworker"
+	"redwingknot/promptcache"
 )
 
-// cachingEngine has streams of 8 s at paths that end in "long", and of 60 ms at others.
+// cachingEngine has streams of 30 s at paths that end in "long", and of 60 ms at others.
 var cachingEngine = fleetworker.Options{
 	Service: "llm", Model: "m", WeightsVersion: 1, Slots: 16, MaxQueued: 16, StreamEvents: 40,
 	TimeOf: func(p string) time.Duration {
 		if path.Base(p) == "long" {
-			return 8 * time.Second
+			return 30 * time.Second
 		}
 		return 60 * time.Millisecond
 	},
@@ -51,19 +53,17 @@
 }
 
 // newCachingDeployment starts a deployment. The first engine loads weights much faster than the
-// others. There is no cache store if storeAddr is empty.
-func newCachingDeployment(t *testing.T, storeAddr string) *cachingDeployment {
+// others. The cache store has room for a number of tokens.
+func newCachingDeployment(t *testing.T, storeAddr string, storeTokens int) *cachingDeployment {
 	calls, end := context.WithCancel(t.Context())
 	d := &cachingDeployment{gatewayDeployment: newGatewayDeployment(t), calls: calls}
+	d.loadMillis = 20_000 // requests begin at engines with the old weights throughout the test
 	t.Cleanup(func() {
 		end()
 		d.streams.Wait()
 	})
-	store := ""
-	if storeAddr != "" {
-		store = fmt.Sprintf(`,{"name":"parts","kv_store_addr":%q,"zone":"z","kv_capacity_tokens":1000000,"managed":true,"max_concurrent":8,"link_mbps":100000,"first_ms":1}`, storeAddr)
-	}
-	d.putKey("op/config", `{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/x/","kind":"stream","timeout_ms":20000,
+	store := fmt.Sprintf(`,{"name":"parts","kv_store_addr":%q,"zone":"z","kv_capacity_tokens":%d,"managed":true,"max_concurrent":8,"link_mbps":100000,"first_ms":1}`, storeAddr, storeTokens)
+	d.putKey("op/config", `{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/x/","kind":"stream","timeout_ms":60000,
 		"target_latency_ms":600,"priority":0,"service":"llm","max_attempts":1}],
 		"services":[{"name":"llm","health_path":"/health","max_conns":400,"engine":{"kv_capacity_tokens":1000000,"kv_token_bytes":1000,
 		"link_mbps":10000,"models":[{"name":"m"}]}}`+store+`],
@@ -88,7 +88,7 @@
 func (d *cachingDeployment) send(part, last string) bool {
 	id := fmt.Sprint("c", d.sent.Add(1))
 	call := fleetwire.Call{
-		Attempt: id, Method: http.MethodPost, Host: "h", Path: "/x/" + part + "/" + last, Body: "body", Token: "key", Timeout: 20 * time.Second,
+		Attempt: id, Method: http.MethodPost, Host: "h", Path: "/x/" + part + "/" + last, Body: "body", Token: "key", Timeout: time.Minute,
 		Prompt: &fleetwire.Prompt{Model: "m", Input: sharedPartTokens + 100, Output: 40, Parts: []string{fmt.Sprint(part, ":", sharedPartTokens), fmt.Sprintf("%x:100", id)}},
 	}
 	r, err := call.Request()
@@ -163,13 +163,16 @@
 }
 
 // preemptAfterLoad names new weights, which the first engine loads at once, and preempts the stream
-// there. It returns when the stream has read its prompt again, and reports whether it has.
-func (d *cachingDeployment) preemptAfterLoad() bool {
+// there. It returns when the stream has read its prompt again.
+func (d *cachingDeployment) preemptAfterLoad() {
 	first := d.engines[0]
+	named := time.Now()
 	d.putKey("op/version/m", `{"model":"m","version":2}`)
 	d.waitUntil("the first engine has loaded", func() bool { return first.WeightsVersion() == 2 })
+	assert.Check(d.t, first.Orders()[0].At.Sub(named) >= promptcache.LoadDelay)
 	d.putKey("servers/i-a-1", string(first.Entry(d.addrs[0], "z", 2)))
 	preempted := first.Preempt(1)
+	assert.Assert(d.t, preempted == 1)
 	d.waitUntil("the stream has read its prompt again", func() bool {
 		again := 0
 		for _, run := range first.Runs() {
@@ -177,7 +180,6 @@
 		}
 		return again == preempted
 	})
-	return preempted > 0
 }
 
 // TestNoRequestRunsOnCacheOfOtherWeights has a stream go on at an engine that loads new weights, and
@@ -187,14 +189,15 @@
 func TestNoRequestRunsOnCacheOfOtherWeights(t *testing.T) {
 	for _, source := range []string{"engine", "store"} {
 		t.Run(source, func(t *testing.T) {
-			store := fleetworker.NewCacheStore(fleetworker.CacheStoreOptions{Tokens: 1_000_000, MaxReaders: 8})
-			storeAddr := ""
+			tokens := 1 // no part fits
 			if source == "store" {
-				server := httptest.NewServer(store)
-				t.Cleanup(server.CloseClientConnections)
-				storeAddr = server.Listener.Addr().String()
+				tokens = 1_000_000
 			}
-			d := newCachingDeployment(t, storeAddr)
+			store := fleetworker.NewCacheStore(fleetworker.CacheStoreOptions{Tokens: tokens, MaxReaders: 8})
+			server := httptest.NewServer(store)
+			t.Cleanup(server.CloseClientConnections)
+			storeAddr := server.Listener.Addr().String()
+			d := newCachingDeployment(t, storeAddr, tokens)
 			d.waitUntil("a request is whole", func() bool { return d.send("f00d", "short") })
 			parts := d.partsByEngine()
 			if source == "store" {
@@ -209,9 +212,20 @@
 			if source == "store" {
 				store.Restart()
 			}
-			preempted := d.preemptAfterLoad()
+			d.preemptAfterLoad()
+			d.waitUntil("the part is held under the old name, made under the new weights", func() bool {
+				held := d.engines[0].CachedParts()
+				if source == "store" {
+					held = store.Parts()
+				}
+				return slices.ContainsFunc(held, func(p fleetworker.CachedPart) bool {
+					return p.Salt == "m|1" && p.ID == parts[0] && p.Weights == 2
+				})
+			})
 			if source == "store" {
 				d.deleteKey("servers/i-a-1")
+			} else {
+				d.engines[0].SetSlowFactor(50) // so that it does not take all requests
 			}
 			var requests sync.WaitGroup
 			for range 20 {
@@ -231,7 +245,7 @@
 				}
 			}
 			t.Logf("%d requests with the part have begun at engines that load later; the store is at %q, the first engine at %s", old, storeAddr, d.addrs[0])
-			assert.Check(t, old > 0 || !preempted)
+			assert.Check(t, old > 0)
 			assert.Check(t, len(stale) == 0, "%d requests, the first is %s", len(stale), append(stale, "")[0])
 		})
 	}
--- a/processtest/gateway_test.go
+++ b/processtest/gateway_test.go
@@ -49,6 +49,7 @@
 	grace        int    // seconds that gateways have to stop
 	memoryMiB    int    // memory limit of gateways
 	maxFDs       int    // descriptors that gateways may have open
+	loadMillis   int    // within which wanted weights must be loaded
 }
 
 // newGatewayDeployment starts a deployment whose worker waits 1 ms between the
@@ -61,7 +62,7 @@
 // waits eventGap between the events of a stream, and writes the configuration and
 // the worker's entry to the store. It starts no gateway.
 func newGatewayDeploymentWithEventGap(t *testing.T, eventGap time.Duration) *gatewayDeployment {
-	d := &gatewayDeployment{t: t, storeContent: metastoretest.NewStore(time.Now), grace: 8, memoryMiB: 134, maxFDs: 4100}
+	d := &gatewayDeployment{t: t, storeContent: metastoretest.NewStore(time.Now), grace: 8, memoryMiB: 134, maxFDs: 4100, loadMillis: 6000}
 	d.worker, d.workerAddr = newWorker(t, eventGap)
 	d.storeServer = fleetstore.New(d.storeContent)
 	server := httptest.NewServer(d.storeServer)
@@ -199,10 +200,10 @@
 bounds.budget_window_s=10
 bounds.budget_slack=52
 bounds.lease_ms=300
-bounds.version_ms=6000
+bounds.version_ms=%d
 platform.address=%s
 platform.ttl_min_ms=1000
-`, name, g.frontAddr, g.readyAddr, internalPort, internalPort, d.memoryMiB, d.maxFDs, d.grace, storeAddr)
+`, name, g.frontAddr, g.readyAddr, internalPort, internalPort, d.memoryMiB, d.maxFDs, d.grace, d.loadMillis, storeAddr)
 	assert.NilError(d.t, os.WriteFile(settingsPath, []byte(settings), 0o600))
 	g.cmd = exec.Command(filepath.Join(binaryDir, "gatewayd"))
 	g.cmd.Env = append(os.Environ(), "REDWINGKNOT_BOOT="+settingsPath)
--- a/promptcache/directory.go
+++ b/promptcache/directory.go
@@ -15,11 +15,22 @@
 	// contentTTL is how long the last report of a store is relied on without a
 	// newer one: one poll, and half of another for the network.
 	contentTTL = 3 * PollTimeout / 2
-	// FetchTimeout limits the duration of a fetch, counted from the moment its
-	// request is sent. It is twice the time that an engine takes to prefill the
+	// FetchTimeout limits the duration of a fetch, counted from the decision on it.
+	// It is twice the time that an engine takes to prefill the
 	// largest shared parts. Outdated parts are freed only after all endpoints have
 	// had newer weights for longer than this, so that no fetch can still use them.
 	FetchTimeout = 600 * time.Millisecond
+	// MaxVersionAge is how long after a newer version of the weights can have been set fetches of
+	// parts of an older one are still decided on. An instance that has not confirmed of late that
+	// its version is the newest decides on none.
+	MaxVersionAge = 1500 * time.Millisecond
+	// LoadDelay is how long after newer weights were set the first engine may load them: no
+	// fetch of parts of the older ones is under way any more, at whatever instance. A request that
+	// goes on at an engine while the weights change may prefill its prompt again, and the engine
+	// and the stores then hold parts of the older version that were made under the newer one.
+	LoadDelay = MaxVersionAge + FetchTimeout + fetchTimeoutMargin
+	// fetchTimeoutMargin allows for the error of the endpoints' clock as an instance knows it.
+	fetchTimeoutMargin = 100 * time.Millisecond
 	// restartSaveDelay is the time after the first report of a restarted store
 	// in which nothing is saved to it: by its end no instance relies on what
 	// the store held before it came back empty.
@@ -73,7 +84,8 @@
 	mu               sync.Mutex
 	slowestFirstByte time.Duration     // longest FirstByte of the stores
 	stores           map[string]*store // by address
-	clockOffset      int64             // clock of stores and endpoints minus the local clock, in ms; 0 if unknown
+	clockOffset      int64             // clock of stores and endpoints minus the local clock, in ms
+	clockKnown       bool              // whether clockOffset is known
 }
 
 // NewDirectory returns a Directory without stores.
@@ -134,7 +146,7 @@
 		return false
 	}
 	if u.ClockMillis > 0 {
-		d.clockOffset = u.ClockMillis - now.UnixMilli()
+		d.clockOffset, d.clockKnown = u.ClockMillis-now.UnixMilli(), true
 	}
 	if u.Epoch != s.epoch {
 		s.reset(u.Epoch, now)
@@ -343,7 +355,7 @@
 func (d *Directory) ClockMillis(now time.Time) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.clockOffset == 0 {
+	if !d.clockKnown {
 		return 0
 	}
 	return now.UnixMilli() + d.clockOffset
--- a/promptcache/directory_test.go
+++ b/promptcache/directory_test.go
@@ -175,3 +175,12 @@
 		}
 	})
 }
+
+// TestEqualClocksAreKnown guards against fetches without a time limit where the endpoints' clock is
+// equal to the local one.
+func TestEqualClocksAreKnown(t *testing.T) {
+	d, now := newTestDirectory(1000)
+	assert.Equal(t, d.FetchDeadline(now), int64(0))
+	d.ApplyUpdate(storeAddress, Update{Epoch: 7, ClockMillis: now.UnixMilli()}, now)
+	assert.Equal(t, d.FetchDeadline(now), now.Add(FetchTimeout).UnixMilli())
+}
--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -216,6 +216,7 @@
 	parts          []sharedPart
 	fetchAddresses []string       // for each part of the prompt, the address to fetch it from, or empty; nil without any
 	plannedFetches []plannedFetch // transfers that are expected to take place
+	decidedAt      time.Time      // by which it was decided on the fetches
 	moveState
 	takenBack takenBack // guarded by the mutex of Endpoints
 	waitCost  float64   // cost in the units of a queue
--- a/relay/partition.go
+++ b/relay/partition.go
@@ -2,8 +2,10 @@
 
 import (
 	"strconv"
+	"time"
 
 	"redwingknot/fleet"
+	"redwingknot/metric"
 	"redwingknot/promptcache"
 )
 
@@ -23,6 +25,30 @@
 	return append(dst, "\r\n"...)
 }
 
+// mayFetch reports whether parts of prompts that were made under a version of a model's weights may
+// be fetched: no newer version can have been set more than promptcache.MaxVersionAge ago, so that no
+// endpoint loads one before the fetch has ended. The caller holds mu.
+func (e *Endpoints) mayFetch(model string, version int64, now time.Time) bool {
+	reason := ""
+	confirmedAge := e.view.ConfirmedAge(now)
+	// The snapshot is taken after the age, so that it holds all that was confirmed.
+	since, outdated := e.view.Snapshot().OutdatedSince(model, version)
+	switch {
+	case e.cache == nil:
+		return false
+	case e.cache.ClockMillis(now) == 0:
+		reason = "clock" // without the endpoints' clock, a fetch has no time limit
+	case outdated && now.Sub(since) > promptcache.MaxVersionAge:
+		reason = "outdated"
+	case !outdated && confirmedAge > promptcache.MaxVersionAge:
+		reason = "unconfirmed"
+	default:
+		return true
+	}
+	metric.Counter("cache_fetches_withheld_total", "reason", reason).Inc(1)
+	return false
+}
+
 // planCache sets in d the addresses that the shared parts of the prompt are
 // fetched from and saved to.
 func (c *callerRequest) planCache(p *pick, d *Dispatch) {
@@ -32,8 +58,8 @@
 		return
 	}
 	now := c.server.opts.Now()
-	if p.fetchAddresses != nil {
-		d.FetchAddresses, d.FetchUntil = p.fetchAddresses, cache.FetchDeadline(now)
+	if until := cache.FetchDeadline(p.decidedAt); p.fetchAddresses != nil && until != 0 {
+		d.FetchAddresses, d.FetchUntil = p.fetchAddresses, until
 	}
 	for i := range p.parts {
 		to := cache.BeginSave(p.parts[i].sized, now)
--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -66,10 +66,16 @@
 	return d.Sum64()
 }
 
-// findSources sets cheapestFetch of each part of a prompt for model. Its source is a store that reports
-// the part, or an endpoint of list that is believed to hold it in memory, unless
-// fetches from there are late.
-func (e *Endpoints) findSources(model string, parts []sharedPart, list []*endpoint, rates transferRates, now time.Time) {
+// weightsID identifies a version of a model's weights.
+type weightsID struct {
+	model   string
+	version int64
+}
+
+// findSources sets cheapestFetch of each part of a prompt, made under the given weights. Its source
+// is a store that reports the part, or an endpoint of list that has the weights and is believed to
+// hold the part in memory, unless fetches from there are late.
+func (e *Endpoints) findSources(weights weightsID, parts []sharedPart, list []*endpoint, rates transferRates, now time.Time) {
 	for i := range parts {
 		p := &parts[i]
 		if e.cache != nil {
@@ -77,18 +83,18 @@
 				p.useIfCheaper(e.estimateStoreFetch(store, rates, p.sized.Tokens, now))
 			}
 		}
-		if ep := e.cheapestHolder(p, list, &rates, now); ep != nil {
+		if ep := e.cheapestHolder(p, weights, list, &rates, now); ep != nil {
 			estimate := ep.estimateFetch(&rates, p.sized.Tokens, now)
-			estimate.weights = ep.weightsVersion(model)
+			estimate.weights = weights.version
 			p.useIfCheaper(estimate)
 		}
 	}
 }
 
-// cheapestHolder returns the endpoint of list that is believed to hold a part in memory and
-// from which fetching it costs least within its data centre, nil if there is none. Those from
-// which fetches are late don't count.
-func (e *Endpoints) cheapestHolder(p *sharedPart, list []*endpoint, rates *transferRates, now time.Time) *endpoint {
+// cheapestHolder returns the endpoint of list that is believed to hold a part
+// in memory and from which fetching it costs least within its data centre, nil if there is none.
+// Those from which fetches are late don't count.
+func (e *Endpoints) cheapestHolder(p *sharedPart, weights weightsID, list []*endpoint, rates *transferRates, now time.Time) *endpoint {
 	var cheapest *endpoint
 	lowest := 0.0
 	for _, ep := range list {
@@ -177,7 +183,9 @@
 		if named == nil {
 			named = b.addVersion(version)
 			named.parts = appendSharedParts(named.parts, q.prompt, e.partition(q.prompt.Model, version, q.team))
-			e.findSources(q.prompt.Model, named.parts, list, rates, now)
+			if e.mayFetch(q.prompt.Model, version, now) {
+				e.findSources(weightsID{q.prompt.Model, version}, named.parts, list, rates, now)
+			}
 		}
 		load := e.totalLoad(ep)
 		plans[i] = bestPrefillPlan(ep, named.parts, q.prompt)
@@ -205,7 +213,7 @@
 	avoided := better != chosen
 	chosen = better
 	ep := list[chosen]
-	p := &pick{avoided: avoided, endpointIdle: engines[chosen].PendingTokens < maxIdlePending, endpoint: ep, spec: ep.spec, weights: ep.weightsVersion(q.prompt.Model), cost: engines[chosen].Cost()}
+	p := &pick{decidedAt: now, avoided: avoided, endpointIdle: engines[chosen].PendingTokens < maxIdlePending, endpoint: ep, spec: ep.spec, weights: ep.weightsVersion(q.prompt.Model), cost: engines[chosen].Cost()}
 	p.reserved = peers.Load{Running: 1, PendingTokens: engines[chosen].UncachedTokens, HeldTokens: engines[chosen].MemoryNeeded}
 	p.parts = append(p.memory.parts[:0], b.partsWith(p.weights).parts...)
 	p.planFetches(plans[chosen].cachedParts)
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -31,7 +31,8 @@
 	cache := promptcache.NewDirectory()
 	cache.SetStores([]*fleet.CacheStore{{Address: storeAddress, Tokens: 1 << 20, FirstByte: 6 * time.Millisecond}})
 	part := promptcache.Part{Partition: partitionName("m", 1, nil), ID: "large"}
-	cache.ApplyUpdate(storeAddress, promptcache.Update{Epoch: 1, Complete: true, Changes: []promptcache.Change{{Part: part, Tokens: 9000}}}, now)
+	cache.ApplyUpdate(storeAddress, promptcache.Update{Epoch: 1, Complete: true, ClockMillis: 5000, Changes: []promptcache.Change{{Part: part, Tokens: 9000}}}, now)
+	view.Confirm(now)
 	e := newEndpoints(Options{View: view, Cache: cache, OtherLoads: peers.NewTable(), Origins: origin.NewLocal(time.Now), Now: func() time.Time { return now }, RetryWindow: time.Second})
 	e.syncView()
 	var list []*endpoint
@@ -44,7 +45,7 @@
 func TestSharedPartIsFetchedFromStore(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e, parts, list := newCacheTestEndpoints(now)
-	e.findSources("m", parts, list, transferRates{}, now)
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
 	assert.Equal(t, parts[0].cheapestFetch.address, storeAddress)
 	assert.Equal(t, bestPrefillPlan(list[0], parts, cachedPrompt).cachedParts, 1)
 }
@@ -58,11 +59,11 @@
 	for range 3 {
 		e.source(storeAddress).slowness.ObserveSparse(10, now)
 	}
-	e.findSources("m", parts, list, transferRates{}, now)
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
 	assert.Equal(t, bestPrefillPlan(list[0], parts, cachedPrompt).cachedParts, 0)
 	list[1].residentParts.Use(parts[0].hash, 9000)
 	parts[0].cheapestFetch = fetchEstimate{}
-	e.findSources("m", parts, list, transferRates{}, now)
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
 	assert.Equal(t, parts[0].cheapestFetch.address, "b:1")
 	assert.Equal(t, bestPrefillPlan(list[0], parts, cachedPrompt).cachedParts, 1)
 	p := &pick{endpoint: list[1], spec: list[1].spec, parts: parts}
@@ -95,7 +96,7 @@
 	}
 	e.cache.ApplyUpdate(storeAddress, update, now)
 	parts := splitSharedParts(prompt, name)
-	e.findSources("m", parts, list, transferRates{}, now)
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
 	assert.Check(t, parts[0].cheapestFetch.costAt("") > prefillCostWeight*parts[0].sized.Tokens)
 	best := bestPrefillPlan(list[0], parts, prompt)
 	assert.Equal(t, best.cachedParts, 2)
@@ -166,7 +167,7 @@
 		for i := range parts {
 			parts[i].cheapestFetch = fetchEstimate{}
 		}
-		e.findSources("m", parts, list, transferRates{}, now)
+		e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
 		return parts[0].cheapestFetch.address
 	}
 	e.otherLoads.SetReport("a", map[uint64]peers.Load{place.Hash(storeAddress): {Unreachable: 1}}, now)
@@ -178,3 +179,88 @@
 	e.source(storeAddress).recordFirstData(promptcache.FetchTimeout/10, 1, now)
 	assert.Equal(t, source(), storeAddress)
 }
+
+// TestPartsOfOutdatedWeightsAreNotFetched guards against a request that runs on memory made under
+// newer weights than its own: a request that goes on at an engine across a load prefills its prompt
+// again under the old name.
+func TestPartsOfOutdatedWeightsAreNotFetched(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		prepare func(e *Endpoints)
+		fetched bool
+	}{
+		"newest version": {func(*Endpoints) {}, true},
+		"newer version has just been set": {func(e *Endpoints) {
+			e.oldWeightsTime = time.Minute
+			e.view.SetWantedWeights("m", 2, now.Add(-promptcache.MaxVersionAge))
+		}, true},
+		"newer version may be loaded soon": {func(e *Endpoints) {
+			e.oldWeightsTime = time.Minute
+			e.view.SetWantedWeights("m", 2, now.Add(-promptcache.MaxVersionAge-1))
+		}, false},
+		"confirmed just in time": {func(e *Endpoints) { e.now = func() time.Time { return now.Add(promptcache.MaxVersionAge - 1) } }, true},
+		"not confirmed of late": {func(e *Endpoints) {
+			e.now = func() time.Time { return now.Add(promptcache.MaxVersionAge + 1) }
+			e.cache.ApplyUpdate(storeAddress, promptcache.Update{Epoch: 1, ClockMillis: 6000}, e.now())
+		}, false},
+		"clock of the endpoints unknown": {func(e *Endpoints) {
+			cache := promptcache.NewDirectory()
+			cache.SetStores([]*fleet.CacheStore{{Address: storeAddress, Tokens: 1 << 20}})
+			part := promptcache.Part{Partition: partitionName("m", 1, nil), ID: "large"}
+			cache.ApplyUpdate(storeAddress, promptcache.Update{Epoch: 1, Complete: true, Changes: []promptcache.Change{{Part: part, Tokens: 9000}}}, now)
+			e.cache = cache
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, _, _ := newCacheTestEndpoints(now)
+			c.prepare(e)
+			p, _ := e.choose(&placementQuery{service: "s", prompt: cachedPrompt, target: time.Hour, maxAttempts: 1})
+			assert.Assert(t, p != nil)
+			assert.Equal(t, p.fetchAddresses != nil, c.fetched)
+		})
+	}
+}
+
+// TestFetchDeadlineCountsFromDecision has an instance suspended between the decision on a fetch and
+// the reservation of the endpoint: the fetch must not be under way longer for that.
+func TestFetchDeadlineCountsFromDecision(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, _, _ := newCacheTestEndpoints(now)
+	times := []time.Time{now}
+	e.now = func() time.Time {
+		if len(times) == 0 {
+			return now.Add(10 * time.Second)
+		}
+		first := times[0]
+		times = times[1:]
+		return first
+	}
+	p, _ := e.choose(&placementQuery{service: "s", prompt: cachedPrompt, target: time.Hour, maxAttempts: 1})
+	assert.Assert(t, p != nil && p.fetchAddresses != nil)
+	c := &callerRequest{server: &Server{opts: Options{Cache: e.cache, Now: e.now}}}
+	var d Dispatch
+	c.planCache(p, &d)
+	assert.Equal(t, d.FetchUntil, 5000+promptcache.FetchTimeout.Milliseconds())
+}
+
+// TestConfirmationDoesNotHideNewerWeights has a newer version arrive, and a later read confirmed,
+// after the snapshot for a choice was taken.
+func TestConfirmationDoesNotHideNewerWeights(t *testing.T) {
+	now := time.Unix(1000, 0)
+	later := now.Add(10 * time.Second)
+	e, _, _ := newCacheTestEndpoints(now)
+	e.oldWeightsTime = time.Minute
+	arrived := false
+	e.now = func() time.Time {
+		if !arrived {
+			arrived = true
+			e.view.SetWantedWeights("m", 2, now)
+			e.view.Confirm(later)
+			e.cache.ApplyUpdate(storeAddress, promptcache.Update{Epoch: 1, ClockMillis: 15000}, later)
+		}
+		return later
+	}
+	p, _ := e.choose(&placementQuery{service: "s", prompt: cachedPrompt, target: time.Hour, maxAttempts: 1})
+	assert.Assert(t, p != nil)
+	assert.Check(t, p.fetchAddresses == nil)
+}
--- a/relay/source.go
+++ b/relay/source.go
@@ -139,7 +139,7 @@
 // tokens.
 type fetchEstimate struct {
 	address      string  // empty if it can't be fetched
-	weights      int64   // version that the source, an engine, is known to have of the model; 0 for a store
+	weights      int64   // version of the weights that the source, an engine, is known to have; 0 for a store
 	dataCentre   string  // of the source
 	fixedCost    float64 // part of the cost that does not depend on the destination
 	transferCost float64 // rest of the cost, for a destination in the source's data centre
