Relay: an endpoint with other weights is no source of cached parts

Callers waited for fetches that could not succeed, or got parts that a run had made under newer weights. cheapestHolder took any endpoint that was believed to hold a part, also one that had loaded other weights since: loads discard what an endpoint holds, and the belief stays. The endpoint must have the weights of the part now. TestEndpointWithOtherWeightsIsNoSource failed before: the endpoint was named.

--- a/relay/prompts.go
+++ b/relay/prompts.go
@@ -91,14 +91,14 @@
 	}
 }
 
-// cheapestHolder returns the endpoint of list that is believed to hold a part
+// cheapestHolder returns the endpoint of list that has the given weights, is believed to hold a part
 // in memory and from which fetching it costs least within its data centre, nil if there is none.
 // Those from which fetches are late don't count.
 func (e *Endpoints) cheapestHolder(p *sharedPart, weights weightsID, list []*endpoint, rates *transferRates, now time.Time) *endpoint {
 	var cheapest *endpoint
 	lowest := 0.0
 	for _, ep := range list {
-		if !ep.residentParts.Has(p.hash) {
+		if !ep.residentParts.Has(p.hash) || ep.weightsVersion(weights.model) != weights.version {
 			continue
 		}
 		if ep.source == nil {
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -264,3 +264,18 @@
 	assert.Assert(t, p != nil)
 	assert.Check(t, p.fetchAddresses == nil)
 }
+
+// TestEndpointWithOtherWeightsIsNoSource guards against a fetch from an endpoint that has loaded
+// newer weights since it was believed to hold the part.
+func TestEndpointWithOtherWeightsIsNoSource(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, parts, list := newCacheTestEndpoints(now)
+	e.cache = promptcache.NewDirectory()
+	list[0].residentParts.Use(parts[0].hash, parts[0].sized.Tokens)
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
+	assert.Equal(t, parts[0].cheapestFetch.address, list[0].address)
+	list[0].recordVersion("m", 2)
+	parts[0].cheapestFetch = fetchEstimate{}
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
+	assert.Equal(t, parts[0].cheapestFetch.address, "")
+}
