Relay: a run moves only while its weights are confirmed to be the newest

An instance that is cut off from the store does not know of newer weights, and copied a run that had gone on under them to an engine with the older ones, where it ran on memory of other weights. A move now needs the confirmation that a fetch needs, when it is planned and before the run stops. TestRunStaysWhileWeightsAreNotConfirmed failed before.

--- a/relay/move.go
+++ b/relay/move.go
@@ -18,6 +18,7 @@
 	"redwingknot/metric"
 	"redwingknot/peers"
 	"redwingknot/place"
+	"redwingknot/promptcache"
 	"redwingknot/upstream"
 )
 
@@ -259,12 +260,16 @@
 
 // weightsSettled reports whether the run of p has the weights that its endpoint has, and no
 // others are being rolled out for the model of q: each endpoint that stays has those that are
-// wanted. The caller holds mu.
+// wanted, and it is confirmed that these are the newest. The caller holds mu.
 func (e *Endpoints) weightsSettled(s *fleet.Snapshot, q *placementQuery, p *pick) bool {
+	if e.view.ConfirmedAge(e.now()) > promptcache.MaxVersionAge {
+		return false
+	}
 	if p.endpoint.weightsVersion(q.prompt.Model) != p.weights || e.now().Before(p.endpoint.loadingUntil[q.prompt.Model]) {
 		return false
 	}
-	wanted := s.WantedWeights[q.prompt.Model]
+	// The snapshot is taken after the confirmation was asked for, so that it holds all that was confirmed.
+	wanted := e.view.Snapshot().WantedWeights[q.prompt.Model]
 	if wanted == 0 {
 		return true
 	}
--- a/relay/prompts_test.go
+++ b/relay/prompts_test.go
@@ -221,6 +221,32 @@
 	}
 }
 
+// TestEndpointWithOtherWeightsIsNoSource guards against a fetch from an endpoint that has loaded
+// newer weights since it was believed to hold the part.
+func TestEndpointWithOtherWeightsIsNoSource(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, parts, list := newCacheTestEndpoints(now)
+	e.cache = promptcache.NewDirectory()
+	list[0].residentParts.Use(parts[0].hash, parts[0].sized.Tokens)
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
+	assert.Equal(t, parts[0].cheapestFetch.address, list[0].address)
+	list[0].recordVersion("m", 2)
+	parts[0].cheapestFetch = fetchEstimate{}
+	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
+	assert.Equal(t, parts[0].cheapestFetch.address, "")
+}
+
+// TestRunStaysWhileWeightsAreNotConfirmed guards against a copy of a run that goes on under newer
+// weights, of which a cut off instance does not know, at an endpoint that has the older ones.
+func TestRunStaysWhileWeightsAreNotConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, _, list := newCacheTestEndpoints(now)
+	q, p := &placementQuery{service: "s", prompt: cachedPrompt}, &pick{endpoint: list[0], spec: list[0].spec, weights: 1}
+	assert.Check(t, e.weightsSettled(e.syncView(), q, p))
+	e.now = func() time.Time { return now.Add(promptcache.MaxVersionAge + 1) }
+	assert.Check(t, !e.weightsSettled(e.syncView(), q, p))
+}
+
 // TestFetchDeadlineCountsFromDecision has an instance suspended between the decision on a fetch and
 // the reservation of the endpoint: the fetch must not be under way longer for that.
 func TestFetchDeadlineCountsFromDecision(t *testing.T) {
@@ -264,18 +290,3 @@
 	assert.Assert(t, p != nil)
 	assert.Check(t, p.fetchAddresses == nil)
 }
-
-// TestEndpointWithOtherWeightsIsNoSource guards against a fetch from an endpoint that has loaded
-// newer weights since it was believed to hold the part.
-func TestEndpointWithOtherWeightsIsNoSource(t *testing.T) {
-	now := time.Unix(1000, 0)
-	e, parts, list := newCacheTestEndpoints(now)
-	e.cache = promptcache.NewDirectory()
-	list[0].residentParts.Use(parts[0].hash, parts[0].sized.Tokens)
-	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
-	assert.Equal(t, parts[0].cheapestFetch.address, list[0].address)
-	list[0].recordVersion("m", 2)
-	parts[0].cheapestFetch = fetchEstimate{}
-	e.findSources(weightsID{"m", 1}, parts, list, transferRates{}, now)
-	assert.Equal(t, parts[0].cheapestFetch.address, "")
-}
