Gateway: the wanted weights are confirmed often enough for fetches

An instance fetches cached parts only while its weights are confirmed to be the newest, MaxVersionAge ago at most. Where configurations have 3 s and more to come into force, confirmations were 1.25 s apart and more, up to half as much again by the rank in the row, so that instances stopped fetching in between; with a minute, most of the time. The interval is now at most 1 s: MaxVersionAge less the time in which a confirmation reaches the others.

TestConfirmInterval expects 1 s in the two cases that are longer by the other limits, and has a case of a minute: a shorter interval keeps those limits as well.

--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -29,6 +29,8 @@
 	// time within which a withdrawn token must be refused. It lets three reads fail
 	// before all tokens are refused.
 	confirmationsPerRevokeTime = 4
+	// confirmationTravel is the time in which a confirmation reaches the other instances.
+	confirmationTravel = 500 * time.Millisecond
 	// ageFactorPerRank staggers the reads of the instances in a row of the exchange
 	// between instances: the first one reads the store as soon as a confirmation is
 	// due, each following one only once its copy was not confirmed for longer by that
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -183,8 +183,9 @@
 func TestConfirmInterval(t *testing.T) {
 	for _, c := range []struct{ apply, revoke, want time.Duration }{
 		{2 * time.Second, 5 * time.Second, time.Second},
-		{3 * time.Second, 5 * time.Second, 1250 * time.Millisecond},
-		{3 * time.Second, 0, 1500 * time.Millisecond},
+		{3 * time.Second, 5 * time.Second, time.Second},
+		{3 * time.Second, 0, time.Second},
+		{time.Minute, 0, time.Second},
 		{3 * time.Second, 2 * time.Second, 500 * time.Millisecond},
 	} {
 		g := &Gateway{opts: Options{ApplyTime: c.apply, Relay: relay.Options{RevokeTime: c.revoke}}}
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -9,6 +9,7 @@
 	"redwingknot/fleet"
 	"redwingknot/metastore"
 	"redwingknot/metric"
+	"redwingknot/promptcache"
 )
 
 // newWatchers returns the watchers that keep the view and the peers up to date.
@@ -85,9 +86,10 @@
 }
 
 // confirmInterval returns the time between reads that confirm that the
-// configuration in force is the newest.
+// configuration in force and the wanted weights are the newest. Cached parts are fetched only
+// while the weights are confirmed.
 func (g *Gateway) confirmInterval() time.Duration {
-	interval := g.opts.ApplyTime / confirmationsPerApplyTime
+	interval := min(g.opts.ApplyTime/confirmationsPerApplyTime, promptcache.MaxVersionAge-confirmationTravel)
 	if revoke := g.opts.Relay.RevokeTime; revoke > 0 {
 		interval = min(interval, revoke/confirmationsPerRevokeTime)
 	}
