Rollout: known versions are bounded at instances that do not lead

An instance that never leads kept each version of a model's weights that it had seen. It keeps 16 now. TestKnownVersionsAreBounded failed before, with 100.

--- a/rollout/known_versions.go
+++ b/rollout/known_versions.go
@@ -24,12 +24,17 @@
 	return &KnownVersions{byModel: map[string][]knownVersion{}}
 }
 
+// maxKnownVersions bounds the versions of a model that are kept while Loadable is not called. It is
+// more than are set within its delay.
+const maxKnownVersions = 16
+
 // Observe records that the versions that s wants are known at now.
 func (k *KnownVersions) Observe(s *fleet.Snapshot, now time.Time) {
 	for model, version := range s.WantedWeights {
 		versions := k.byModel[model]
 		if len(versions) == 0 || versions[len(versions)-1].version < version {
-			k.byModel[model] = append(versions, knownVersion{version: version, since: now})
+			versions = append(versions, knownVersion{version: version, since: now})
+			k.byModel[model] = versions[max(len(versions)-maxKnownVersions, 0):]
 		}
 	}
 }
--- a/rollout/known_versions_test.go
+++ b/rollout/known_versions_test.go
@@ -30,3 +30,13 @@
 	k.Observe(newSnapshot(2), now.Add(time.Second))
 	assert.Equal(t, k.Loadable(newSnapshot(2), 2*time.Second, now.Add(2*time.Second)).WantedWeights["m"], int64(2))
 }
+
+// TestKnownVersionsAreBounded has an instance that does not lead observe many versions.
+func TestKnownVersionsAreBounded(t *testing.T) {
+	k, now := NewKnownVersions(), time.Unix(100, 0)
+	for version := range int64(100) {
+		k.Observe(newSnapshot(version+1), now)
+	}
+	assert.Equal(t, len(k.byModel["m"]), maxKnownVersions)
+	assert.Equal(t, k.Loadable(newSnapshot(100), time.Second, now.Add(time.Second)).WantedWeights["m"], int64(100))
+}
