--- a/processtest/cached_weights_test.go
+++ b/processtest/cached_weights_test.go
@@ -169,7 +169,7 @@
 	named := time.Now()
 	d.putKey("op/version/m", `{"model":"m","version":2}`)
 	d.waitUntil("the first engine has loaded", func() bool { return first.WeightsVersion() == 2 })
-	assert.Check(d.t, first.Orders()[0].At.Sub(named) >= promptcache.LoadDelay)
+	assert.Check(d.t, first.Orders()[0].At.Sub(named) >= promptcache.MaxVersionAge+promptcache.FetchTimeout)
 	d.putKey("servers/i-a-1", string(first.Entry(d.addrs[0], "z", 2)))
 	preempted := first.Preempt(1)
 	assert.Assert(d.t, preempted == 1)
