--- a/relay/endpoints.go
+++ b/relay/endpoints.go
@@ -71,7 +71,8 @@
 	explains       bool                        // a decision is being explained: nothing is logged or counted
 	buffers        choiceBuffers
 	partitions     map[partitionKey]string // names of partitions
-	awaited        map[*pick]struct{}      // attempts that wait for their first event and may be taken back
+	withheld       withheldFetches
+	awaited        map[*pick]struct{} // attempts that wait for their first event and may be taken back
 }
 
 // serviceState is this instance's state of one service.
@@ -107,7 +108,7 @@
 		drainTime: o.DrainTime, log: o.Log, dialect: o.Dialect, cache: o.Cache, otherLoads: o.OtherLoads, sendPlacements: o.SendPlacements, origins: o.Origins, detours: o.Detours, slots: slotShares{client: o.Slots, granted: map[*pick]struct{}{}}, sources: map[string]*source{},
 		retryConfig: retry.WindowConfig{Span: o.RetryWindow, Ratio: o.RetryRatio, Slack: o.RetrySlack},
 		byKey:       map[fleet.EndpointKey]*endpoint{}, notices: map[fleet.EndpointKey]*noticeState{}, limits: map[uint64]*endpointLimit{}, reportedCold: map[uint64]reportedCold{}, weightLoads: map[weightLoadKey]peers.WeightLoad{}, services: map[string]*serviceState{}, changed: make(chan struct{}),
-		partitions: map[partitionKey]string{}, awaited: map[*pick]struct{}{}, separate: o.SeparatePrefill,
+		withheld: newWithheldFetches(), partitions: map[partitionKey]string{}, awaited: map[*pick]struct{}{}, separate: o.SeparatePrefill,
 		membersConfirmedAt: o.MembersConfirmedAt, coldOver: o.ColdOver, coldSlack: o.ColdSlack, rampUpAll: o.RampUp, ramps: map[uint64]*rampState{},
 	}
 	e.longPrefill = pendingPrefill{e}
--- a/relay/partition.go
+++ b/relay/partition.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"redwingknot/fleet"
 	"redwingknot/metric"
 	"redwingknot/promptcache"
@@ -29,7 +31,6 @@
 // be fetched: no newer version can have been set more than promptcache.MaxVersionAge ago, so that no
 // endpoint loads one before the fetch has ended. The caller holds mu.
 func (e *Endpoints) mayFetch(model string, version int64, now time.Time) bool {
-	reason := ""
 	confirmedAge := e.view.ConfirmedAge(now)
 	// The snapshot is taken after the age, so that it holds all that was confirmed.
 	since, outdated := e.view.Snapshot().OutdatedSince(model, version)
@@ -37,18 +38,27 @@
 	case e.cache == nil:
 		return false
 	case e.cache.ClockMillis(now) == 0:
-		reason = "clock" // without the endpoints' clock, a fetch has no time limit
+		e.withheld.clock.Inc(1) // without the endpoints' clock, a fetch has no time limit
 	case outdated && now.Sub(since) > promptcache.MaxVersionAge:
-		reason = "outdated"
+		e.withheld.outdated.Inc(1)
 	case !outdated && confirmedAge > promptcache.MaxVersionAge:
-		reason = "unconfirmed"
+		e.withheld.unconfirmed.Inc(1)
 	default:
 		return true
 	}
-	metric.Counter("cache_fetches_withheld_total", "reason", reason).Inc(1)
 	return false
 }
 
+// withheldFetches counts the choices of an engine for which nothing could be fetched, by reason.
+type withheldFetches struct{ clock, outdated, unconfirmed metrics.Counter }
+
+func newWithheldFetches() withheldFetches {
+	counter := func(reason string) metrics.Counter {
+		return metric.Counter("cache_fetches_withheld_total", "reason", reason)
+	}
+	return withheldFetches{clock: counter("clock"), outdated: counter("outdated"), unconfirmed: counter("unconfirmed")}
+}
+
 // planCache sets in d the addresses that the shared parts of the prompt are
 // fetched from and saved to.
 func (c *callerRequest) planCache(p *pick, d *Dispatch) {
