--- a/relay/partition.go
+++ b/relay/partition.go
@@ -49,7 +49,8 @@
 	return false
 }
 
-// withheldFetches counts the choices of an engine for which nothing could be fetched, by reason.
+// withheldFetches counts, by reason, the versions of weights whose parts could not be fetched, once
+// for each choice of an engine among whose candidates one has the version.
 type withheldFetches struct{ clock, outdated, unconfirmed metrics.Counter }
 
 func newWithheldFetches() withheldFetches {
